--- a/kumquatproxy/registry.py
+++ b/kumquatproxy/registry.py
@@ -1,21 +1,22 @@
 """Registries that decorators fill and settings choose from by alias."""
 
 import difflib
+from collections.abc import Callable
 
 from kumquatproxy import errors
 
 
 class Registry:
-    """Map aliases to the classes that implement one varying behaviour."""
+    """Map aliases to the classes or functions that implement one varying behaviour."""
 
     __slots__ = ("_by_alias", "name")
 
     def __init__(self, name):
         self.name: str = name
-        self._by_alias: dict[str, type] = {}
+        self._by_alias: dict[str, Callable] = {}
 
     def register(self, alias: str):
-        """Return a decorator that enters a class under ``alias``."""
+        """Return a decorator that enters a class or function under ``alias``."""
 
         def enter(cls):
             if alias in self._by_alias:
@@ -29,7 +30,7 @@
         """Return all aliases in alphabetical order."""
         return sorted(self._by_alias)
 
-    def get(self, alias: str) -> type:
+    def get(self, alias: str) -> Callable:
         """Return the class for ``alias``; raise ProxyError if there is none."""
         try:
             return self._by_alias[alias]
