Serve streamed answers from end to end in one process

Cause: main had no path from a caller to a backend server. Change: entry, dispatch, drivers, backendapi, control, fakes and demo: fake engines announce themselves, models are loaded by order, an HTTP client gets whole streamed answers.

--- /dev/null
+++ b/kumquatproxy/backendapi.py
@@ -0,0 +1,100 @@
+"""WSGI application for backend servers: announcements and load reports."""
+
+from kumquatproxy import errors, httpapi, records, tasks
+
+MAX_ANNOUNCE_BYTES = 256 * 1024
+CONTROL_TIMEOUT_S = 2.0
+
+
+class Announce:
+    """Tell the control task of an announced backend server."""
+
+    __slots__ = ("server",)
+
+    def __init__(self, server):
+        self.server: records.BackendServer = server
+
+
+class Report:
+    """Tell the control task of a load report."""
+
+    __slots__ = ("report",)
+
+    def __init__(self, report):
+        self.report: records.LoadReport = report
+
+
+class BackendApplication(httpapi.Application):
+    """Take announcements and reports and pass them to the control task."""
+
+    def __init__(self, control):
+        self._control: tasks.Task = control
+
+    def answer(self, request, now):
+        """Return an empty answer once the control task has the message."""
+        if request.method != "POST":
+            raise errors.ProxyError(
+                errors.ErrorKind.METHOD_NOT_ALLOWED, f"{request.path!r} takes POST"
+            )
+        body = request.json(MAX_ANNOUNCE_BYTES)
+        if request.path == "/backend/v1/announce":
+            self._control.tell(Announce(_server(body)))
+        elif request.path == "/backend/v1/report":
+            self._control.tell(Report(_report(body)))
+        else:
+            raise errors.ProxyError(
+                errors.ErrorKind.NOT_FOUND, f"{request.path!r} does not exist"
+            )
+        return httpapi.Reply(204)
+
+
+def _server(body):
+    return records.BackendServer(
+        _field(body, "backend_id", str),
+        _address(body),
+        _field(body, "data_centre", str),
+        _field(body, "kind", str),
+        _field(body, "service", str),
+        _field(body, "incarnation", int),
+        _field(body, "memory_mb", int, 0),
+        _field(body, "accelerators", int, 0),
+        _field(body, "checks_fencing", bool, False),
+        _field(body, "leaving", bool, False),
+    )
+
+
+def _report(body):
+    keys = _field(body, "loaded", list, [])
+    return records.LoadReport(
+        _field(body, "backend_id", str),
+        _field(body, "incarnation", int),
+        _field(body, "sequence", int),
+        _field(body, "running", int, 0),
+        _field(body, "waiting", int, 0),
+        float(_field(body, "kv_used", (int, float), 0.0)),
+        [records.parse_item(str(key)) for key in keys],
+        _field(body, "fence_seen", int, 0),
+        [str(order_id) for order_id in _field(body, "orders_seen", list, [])],
+    )
+
+
+def _address(body):
+    address = _field(body, "address", str)
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise _invalid(f"address {address[:80]!r} is not of the form IP:PORT")
+    return address
+
+
+def _field(body, name, kind, default=None):
+    value = body.get(name, default)
+    wrong_bool = isinstance(value, bool) and kind is int
+    if value is None or wrong_bool or not isinstance(value, kind):
+        raise _invalid(f"{name!r} is missing or of another type")
+    if kind is int and value < 0:
+        raise _invalid(f"{name!r} is negative")
+    return value
+
+
+def _invalid(detail):
+    return errors.ProxyError(errors.ErrorKind.INVALID_REQUEST, detail)
--- a/kumquatproxy/cli.py
+++ b/kumquatproxy/cli.py
@@ -21,9 +21,18 @@
     check = sheet_commands.add_parser("check", help="check a sheet file")
     check.add_argument("file")
     check.set_defaults(run=run_sheet_check)
+    demo_parser = commands.add_parser("demo", help="run the system with fakes")
+    demo_parser.set_defaults(run=run_demo)
     return parser
 
 
+def run_demo(arguments) -> int:
+    """Run the main job in one process."""
+    from kumquatproxy import demo
+
+    return demo.run()
+
+
 def run_sheet_check(arguments) -> int:
     """Parse a sheet file and print its size."""
     with open(arguments.file, encoding="utf-8") as stream:
--- /dev/null
+++ b/kumquatproxy/drivers.py
@@ -0,0 +1,315 @@
+"""Protocols of backend servers, each found by alias in a registry."""
+
+import json
+import time
+
+import gevent
+import gevent.socket
+import geventhttpclient
+import geventhttpclient.httplib
+import geventhttpclient.response
+
+from kumquatproxy import errors, records, registry
+
+DRIVERS = registry.Registry("driver")
+
+CONNECT_TIMEOUT_S = 1.0
+CONNECTIONS_PER_SERVER = 512
+MAX_CALL_S = 86_400.0  # each call sets its own, shorter timeout
+EVENT_END = b"\n\n"
+LAST_EVENT = b"data: [DONE]"
+
+_HOP_HEADERS = frozenset(
+    (
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+
+
+class BackendReply:
+    """Hold the complete answer of a backend server."""
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(self, status, headers, body):
+        self.status: int = status
+        self.headers: list[tuple[str, str]] = headers
+        self.body: bytes = body
+
+
+class CallFailed(Exception):
+    """Report a failed call and whether it certainly did not run."""
+
+    def __init__(self, kind, detail, certainly_not_run=False):
+        super().__init__(detail)
+        self.kind: errors.ErrorKind = kind
+        self.detail: str = detail
+        self.certainly_not_run: bool = certainly_not_run
+
+
+def forwarded_headers(headers) -> list[tuple[str, str]]:
+    """Return the headers that a proxy passes on."""
+    return [
+        (name, value) for name, value in headers if name.lower() not in _HOP_HEADERS
+    ]
+
+
+class Pool:
+    """Keep one HTTP client with its connections for each backend address."""
+
+    __slots__ = ("_clients_by_address",)
+
+    def __init__(self):
+        self._clients_by_address: dict[str, geventhttpclient.HTTPClient] = {}
+
+    def client(self, address: str) -> geventhttpclient.HTTPClient:
+        """Return the client of an address."""
+        client = self._clients_by_address.get(address)
+        if client is None:
+            host, _, port = address.rpartition(":")
+            client = geventhttpclient.HTTPClient(
+                host,
+                int(port),
+                concurrency=CONNECTIONS_PER_SERVER,
+                connection_timeout=CONNECT_TIMEOUT_S,
+                network_timeout=MAX_CALL_S,
+            )
+            self._clients_by_address[address] = client
+        return client
+
+    def renew(self, address: str) -> None:
+        """Close the idle connections of an address, so that new ones are made."""
+        client = self._clients_by_address.pop(address, None)
+        if client is not None:
+            client.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for address in list(self._clients_by_address):
+            self.renew(address)
+
+
+class Driver:
+    """Base of all drivers: plain HTTP calls to one backend server."""
+
+    def __init__(self, pool):
+        self._pool: Pool = pool
+
+    def call(
+        self, server: records.BackendServer, method, path, headers, body, timeout_s
+    ) -> BackendReply:
+        """Make a call that may be repeated; raise CallFailed."""
+        return self._call(server.address, method, path, headers, body, timeout_s)
+
+    def _call(self, address, method, path, headers, body, timeout_s):
+        try:
+            with gevent.Timeout(timeout_s):
+                response = self._request(address, method, path, headers, body)
+                return BackendReply(
+                    response.status_code,
+                    forwarded_headers(response.items()),
+                    response.read(),
+                )
+        except gevent.Timeout:
+            self._pool.renew(address)
+            raise CallFailed(
+                errors.ErrorKind.BACKEND_TIMEOUT,
+                f"{address} gave no complete answer within {timeout_s:.3f} s",
+            ) from None
+        except (OSError, geventhttpclient.response.HTTPParseError) as error:
+            raise _failure(address, error) from None
+
+    def _request(self, address, method, path, headers, body):
+        client = self._pool.client(address)
+        return client.request(method, path, body=body, headers=dict(headers))
+
+    def call_once(
+        self, server: records.BackendServer, method, path, headers, body, timeout_s
+    ) -> BackendReply:
+        """Make a call that must not be repeated, on a new connection.
+
+        The connection is made right before the call, which proves it alive,
+        and the library's own retries on broken connections are not in play.
+        """
+        host, _, port = server.address.rpartition(":")
+        connection = geventhttpclient.httplib.HTTPConnection(host, int(port))
+        try:
+            connection.sock = _connect(host, int(port), server.address)
+            with gevent.Timeout(timeout_s):
+                connection.request(method, path, body=body, headers=dict(headers))
+                response = connection.getresponse()
+                data = response.read()
+        except gevent.Timeout:
+            raise CallFailed(
+                errors.ErrorKind.BACKEND_TIMEOUT,
+                f"{server.address} gave no complete answer within {timeout_s:.3f} s",
+            ) from None
+        except CallFailed:
+            raise
+        except Exception as error:
+            raise CallFailed(
+                errors.ErrorKind.BACKEND_FAILED, f"{server.address} failed: {error}"
+            ) from None
+        finally:
+            connection.close()
+        headers = forwarded_headers(response.getheaders())
+        return BackendReply(response.status, headers, data)
+
+
+def _connect(host, port, address):
+    try:
+        return gevent.socket.create_connection((host, port), CONNECT_TIMEOUT_S)
+    except OSError as error:
+        raise CallFailed(
+            errors.ErrorKind.BACKEND_FAILED,
+            f"{address} accepts no connection: {error}",
+            certainly_not_run=True,
+        ) from None
+
+
+def _failure(address, error):
+    refused = isinstance(error, ConnectionRefusedError)
+    return CallFailed(
+        errors.ErrorKind.BACKEND_FAILED,
+        f"{address} failed: {error or type(error).__name__}",
+        certainly_not_run=refused,
+    )
+
+
+class EventStream:
+    """Read the server-sent events of one streamed answer."""
+
+    __slots__ = ("_address", "_pool", "_response")
+
+    def __init__(self, address, response, pool):
+        self._address: str = address
+        self._response = response
+        self._pool: Pool = pool
+
+    def next_event(self, timeout_s: float) -> bytes:
+        """Return the next event with its end mark; raise CallFailed."""
+        try:
+            with gevent.Timeout(timeout_s):
+                event = self._response.readline(EVENT_END)
+        except gevent.Timeout:
+            self._pool.renew(self._address)
+            raise CallFailed(
+                errors.ErrorKind.BACKEND_TIMEOUT,
+                f"{self._address} sent nothing for {timeout_s:.3f} s",
+            ) from None
+        except (OSError, geventhttpclient.response.HTTPParseError) as error:
+            raise _failure(self._address, error) from None
+        if not event:
+            raise CallFailed(
+                errors.ErrorKind.BACKEND_FAILED,
+                f"{self._address} ended the stream early",
+            )
+        return event
+
+    def close(self) -> None:
+        """Release the connection; an unfinished stream is cancelled by closing it."""
+        if not self._response.message_complete:
+            socket = self._response._sock
+            if socket is not None:
+                socket.close()
+        self._response.release()
+
+
+@DRIVERS.register("plain-http")
+class PlainHttpDriver(Driver):
+    """Talk to a plain service."""
+
+
+class EngineDriver(Driver):
+    """Base of the drivers for model engines."""
+
+    def open_stream(
+        self, server, path, body: dict, delivered, timeout_s
+    ) -> EventStream:
+        """Start a stream behind ``delivered`` tokens; raise CallFailed."""
+        raise NotImplementedError
+
+    def send_order(self, address: str, order: records.Order, timeout_s) -> str:
+        """Send an order; return ``accepted`` or ``refused``; raise CallFailed."""
+        raise NotImplementedError
+
+
+@DRIVERS.register("openai")
+class OpenAIDriver(EngineDriver):
+    """Talk to an engine with the OpenAI-compatible protocol.
+
+    The body member ``resume_from`` asks for the stream from that token on, and
+    ``POST /orders`` takes loads, unloads and role changes.
+    """
+
+    def open_stream(
+        self, server, path, body: dict, delivered, timeout_s
+    ) -> EventStream:
+        """Start a stream behind ``delivered`` tokens; raise CallFailed."""
+        if delivered:
+            body = {**body, "resume_from": delivered}
+        try:
+            with gevent.Timeout(timeout_s):
+                response = self._request(
+                    server.address,
+                    "POST",
+                    path,
+                    [("Content-Type", "application/json")],
+                    json.dumps(body).encode(),
+                )
+                if response.status_code == 200:
+                    return EventStream(server.address, response, self._pool)
+                detail = response.read()[:200].decode(errors="replace")
+        except gevent.Timeout:
+            self._pool.renew(server.address)
+            raise CallFailed(
+                errors.ErrorKind.BACKEND_TIMEOUT,
+                f"{server.address} started no stream within {timeout_s:.3f} s",
+            ) from None
+        except (OSError, geventhttpclient.response.HTTPParseError) as error:
+            raise _failure(server.address, error) from None
+        raise CallFailed(
+            errors.ErrorKind.BACKEND_FAILED,
+            f"{server.address} answered {response.status_code}: {detail}",
+            certainly_not_run=response.status_code in (404, 429, 503),
+        )
+
+    def send_order(self, address: str, order: records.Order, timeout_s) -> str:
+        """Send an order; return ``accepted`` or ``refused``; raise CallFailed."""
+        expires_in_s = order.expires_at - time.monotonic()
+        if expires_in_s <= 0:
+            raise CallFailed(
+                errors.ErrorKind.BACKEND_TIMEOUT, "the order expired before it was sent"
+            )
+        body = {
+            "order_id": order.order_id,
+            "fence": order.fence,
+            "action": order.action,
+            "item": order.item.key(),
+            "memory_mb": order.memory_mb,
+            "expires_in_s": expires_in_s,
+        }
+        headers = [("Content-Type", "application/json")]
+        data = json.dumps(body).encode()
+        reply = self._call(address, "POST", "/orders", headers, data, timeout_s)
+        if reply.status in (200, 202):
+            return "accepted"
+        if reply.status in (400, 404, 409, 507):
+            return "refused"
+        raise CallFailed(
+            errors.ErrorKind.BACKEND_FAILED, f"{address} answered {reply.status}"
+        )
+
+
+def driver_alias(service) -> str:
+    """Return the alias of a service's driver; empty settings take the usual one."""
+    if service.driver:
+        return service.driver
+    return "openai" if service.kind == "engine" else "plain-http"
--- /dev/null
+++ b/kumquatproxy/entry.py
@@ -0,0 +1,206 @@
+"""WSGI application for callers."""
+
+import json
+import uuid
+
+from kumquatproxy import dispatch, errors, httpapi, records, sheet
+
+MAX_TIMEOUT_S = 24 * 3600.0
+MAX_KEY_LENGTH = 255  # characters
+
+_COMPLETION_PATHS = ("/v1/chat/completions", "/v1/completions")
+_SERVICES_PREFIX = "/services/"
+
+
+class ConfigurationView:
+    """Hold the configuration that is in force at this host."""
+
+    __slots__ = ("sheet", "version")
+
+    def __init__(self, version=0, parsed=None):
+        self.version: int = version
+        self.sheet: sheet.Sheet | None = parsed
+
+
+class EntryApplication(httpapi.Application):
+    """Answer callers: models, completions, plain services, health."""
+
+    def __init__(self, dispatcher, claims=None):
+        self._dispatcher: dispatch.Dispatcher = dispatcher
+        self._claims = claims
+        self.view = ConfigurationView()
+        self.stopping = False
+
+    def answer(self, request, now):
+        """Return the reply to a caller's request; raise ProxyError to refuse it."""
+        if request.path == "/healthz":
+            return httpapi.text_reply("ok\n")
+        if request.path == "/readyz":
+            return self._ready()
+        parsed = self._sheet()
+        if request.path in _COMPLETION_PATHS:
+            _require_method(request, ("POST",))
+            return self._completion(request, parsed, now)
+        if request.path == "/v1/models":
+            _require_method(request, ("GET",))
+            return _list_models(parsed)
+        if request.path.startswith("/v1/models/"):
+            _require_method(request, ("GET",))
+            name = request.path.removeprefix("/v1/models/")
+            parsed.resolve(name)
+            return httpapi.json_reply(_model_record(name, parsed))
+        if request.path.startswith(_SERVICES_PREFIX):
+            return self._service_call(request, parsed, now)
+        raise errors.ProxyError(
+            errors.ErrorKind.NOT_FOUND, f"{request.path!r} does not exist"
+        )
+
+    def _ready(self):
+        if self.stopping:
+            raise errors.ProxyError(errors.ErrorKind.STOPPING, "the host is stopping")
+        self._sheet()
+        return httpapi.text_reply("ready\n")
+
+    def _sheet(self):
+        if self.view.sheet is None:
+            raise errors.ProxyError(
+                errors.ErrorKind.NOT_READY, "no configuration has been adopted yet"
+            )
+        return self.view.sheet
+
+    def _completion(self, request, parsed, now):
+        body = request.json()
+        target = parsed.resolve(body.get("model", ""))
+        call = _call_request(request, target.service, now)
+        call.model = target.model.name
+        call.priority = _priority(request, target.model.priority)
+        call.max_tokens = _positive_int(body, "max_tokens")
+        if body.get("stream"):
+            events = self._dispatcher.stream(call, target, request.path, body)
+            headers = [
+                ("Content-Type", "text/event-stream"),
+                ("Cache-Control", "no-cache"),
+            ]
+            return httpapi.Reply(200, _until_broken(events), headers)
+        data = json.dumps(body).encode()
+        reply = self._dispatcher.complete(call, target, request.path, data)
+        return httpapi.Reply(reply.status, reply.body, reply.headers)
+
+    def _service_call(self, request, parsed, now):
+        name, _, rest = request.path.removeprefix(_SERVICES_PREFIX).partition("/")
+        service = parsed.services_by_name.get(name)
+        if service is None or service.kind != "plain":
+            raise errors.ProxyError(
+                errors.ErrorKind.SERVICE_NOT_FOUND,
+                f"plain service {name!r} is not on the sheet",
+            )
+        path = "/" + rest
+        call = _call_request(request, service, now)
+        call.idempotent = service.is_repeatable(request.method, path)
+        query = request.environ.get("QUERY_STRING", "")
+        target = f"{path}?{query}" if query else path
+        headers = _service_headers(request)
+        body = request.body()
+        reply = self._dispatcher.call_service(
+            call, service, request.method, target, headers, body
+        )
+        return httpapi.Reply(reply.status, reply.body, reply.headers)
+
+
+def _until_broken(events):
+    try:
+        yield from events
+    except errors.ProxyError as error:
+        # The missing [DONE] and the aborted chunked body both tell the client
+        # that the answer is incomplete.
+        problem = json.dumps(error.problem()).encode()
+        yield b"data: " + problem + b"\n\n"
+        raise httpapi.BrokenAnswerError(error.detail) from None
+
+
+def _call_request(request, service, now):
+    return records.CallRequest(
+        request.header("X-Request-Id") or uuid.uuid4().hex,
+        service.organisation,
+        service.name,
+        priority=_priority(request, service.priority),
+        deadline=now + _timeout_s(request, service),
+        key=_key(request),
+        arrived_at=now,
+    )
+
+
+def _key(request):
+    key = request.header("Idempotency-Key")
+    if len(key) > MAX_KEY_LENGTH:
+        raise _invalid(f"Idempotency-Key is longer than {MAX_KEY_LENGTH} characters")
+    return key
+
+
+def _timeout_s(request, service):
+    text = request.header("X-Request-Timeout-Ms")
+    if not text:
+        return service.deadline
+    if not text.isdigit() or not 0 < int(text) <= MAX_TIMEOUT_S * 1000:
+        raise _invalid(f"X-Request-Timeout-Ms {text[:40]!r} is out of range")
+    return int(text) / 1000
+
+
+def _priority(request, highest):
+    """Return the priority asked for; a caller may lower it but not raise it."""
+    text = request.header("X-Priority")
+    if not text:
+        return highest
+    if not text.isdigit() or not sheet.MIN_PRIORITY <= int(text) <= sheet.MAX_PRIORITY:
+        raise _invalid(
+            f"X-Priority {text[:40]!r} is not between {sheet.MIN_PRIORITY} "
+            f"and {sheet.MAX_PRIORITY}"
+        )
+    return min(int(text), highest)
+
+
+def _positive_int(body, name):
+    value = body.get(name)
+    if value is None:
+        return 0
+    if not isinstance(value, int) or isinstance(value, bool) or value < 1:
+        raise _invalid(f"{name} is not a positive whole number")
+    return value
+
+
+def _service_headers(request):
+    headers = []
+    for name, value in request.environ.items():
+        if name.startswith("HTTP_"):
+            headers.append((name[5:].replace("_", "-").title(), value))
+    if request.environ.get("CONTENT_TYPE"):
+        headers.append(("Content-Type", request.environ["CONTENT_TYPE"]))
+    return dispatch.drivers.forwarded_headers(headers)
+
+
+def _list_models(parsed):
+    names = parsed.listed_names()
+    records_ = [_model_record(name, parsed) for name in names]
+    return httpapi.json_reply({"object": "list", "data": records_})
+
+
+def _model_record(name, parsed):
+    service = parsed.resolve(name).service
+    return {
+        "id": name,
+        "object": "model",
+        "created": 0,
+        "owned_by": service.organisation,
+    }
+
+
+def _require_method(request, methods):
+    if request.method not in methods:
+        raise errors.ProxyError(
+            errors.ErrorKind.METHOD_NOT_ALLOWED,
+            f"{request.path!r} takes {', '.join(methods)}, not {request.method}",
+        )
+
+
+def _invalid(detail):
+    return errors.ProxyError(errors.ErrorKind.INVALID_REQUEST, detail)
--- /dev/null
+++ b/kumquatproxy/httpapi.py
@@ -0,0 +1,228 @@
+"""WSGI helpers: requests, answers, problem documents, a server with limits."""
+
+import json
+import time
+
+import gevent
+import gevent.pool
+import gevent.pywsgi
+
+from kumquatproxy import errors
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_CONNECTIONS = 4096
+CLIENT_TIMEOUT_S = 30.0  # a client that neither sends nor reads for so long is cut off
+BODY_TIMEOUT_S = 30.0
+READ_BLOCK_BYTES = 64 * 1024
+
+JSON_TYPE = "application/json"
+PROBLEM_TYPE = "application/problem+json"
+
+_REASONS = {
+    200: "OK",
+    202: "Accepted",
+    204: "No Content",
+    400: "Bad Request",
+    401: "Unauthorized",
+    403: "Forbidden",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    410: "Gone",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+    507: "Insufficient Storage",
+}
+
+
+class Request:
+    """Give typed access to one WSGI request."""
+
+    __slots__ = ("environ", "method", "path")
+
+    def __init__(self, environ):
+        self.environ: dict = environ
+        self.method: str = environ["REQUEST_METHOD"]
+        self.path: str = environ["PATH_INFO"]
+
+    def header(self, name: str) -> str:
+        """Return a header's value, or the empty string."""
+        return self.environ.get("HTTP_" + name.upper().replace("-", "_"), "")
+
+    def body(self, limit: int = MAX_BODY_BYTES) -> bytes:
+        """Read the body; raise ProxyError if it is too large or too slow."""
+        length = self.environ.get("CONTENT_LENGTH") or ""
+        if length and not length.isdigit():
+            raise _invalid(f"Content-Length {length[:40]!r} is not a number")
+        if length and int(length) > limit:
+            raise _too_large(limit)
+        with gevent.Timeout(BODY_TIMEOUT_S, False):
+            return self._read(limit, int(length) if length else None)
+        raise errors.ProxyError(
+            errors.ErrorKind.SLOW_CLIENT,
+            f"the body did not arrive within {BODY_TIMEOUT_S} s",
+        )
+
+    def _read(self, limit, length):
+        stream = self.environ["wsgi.input"]
+        blocks = []
+        size = 0
+        while True:
+            try:
+                block = stream.read(READ_BLOCK_BYTES)
+            except OSError as error:
+                raise _invalid(f"the body broke off: {error}") from None
+            if not block:
+                break
+            blocks.append(block)
+            size += len(block)
+            if size > limit:
+                raise _too_large(limit)
+        if length is not None and size < length:
+            raise _invalid(f"the body has {size} of {length} bytes")
+        return b"".join(blocks)
+
+    def json(self, limit: int = MAX_BODY_BYTES) -> dict:
+        """Return the body as a JSON object; raise ProxyError if it is none."""
+        return parse_json(self.body(limit))
+
+
+def parse_json(data: bytes) -> dict:
+    """Return a JSON object; raise ProxyError with the place of a fault."""
+    try:
+        value = json.loads(data)
+    except UnicodeDecodeError as error:
+        raise _invalid(f"the body is not UTF-8 at byte {error.start}") from None
+    except RecursionError:
+        raise _invalid("the body is nested too deeply") from None
+    except json.JSONDecodeError as error:
+        raise _invalid(
+            f"the body is not JSON: {error.msg} at line {error.lineno} "
+            f"column {error.colno}"
+        ) from None
+    if not isinstance(value, dict):
+        raise _invalid("the body is not a JSON object")
+    return value
+
+
+def _invalid(detail):
+    return errors.ProxyError(errors.ErrorKind.INVALID_REQUEST, detail)
+
+
+def _too_large(limit):
+    return errors.ProxyError(
+        errors.ErrorKind.BODY_TOO_LARGE, f"the body is larger than {limit} bytes"
+    )
+
+
+class Reply:
+    """Hold a complete answer, or one whose ``body`` is an iterator of bytes."""
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(self, status, body=b"", headers=()):
+        self.status: int = status
+        self.body = body
+        self.headers: list[tuple[str, str]] = list(headers)
+
+
+def json_reply(value, status: int = 200, headers=()) -> Reply:
+    """Return an answer with a JSON body."""
+    body = json.dumps(value).encode()
+    return Reply(status, body, [("Content-Type", JSON_TYPE), *headers])
+
+
+def text_reply(text: str, status: int = 200) -> Reply:
+    """Return an answer with a plain text body."""
+    return Reply(status, text.encode(), [("Content-Type", "text/plain; charset=utf-8")])
+
+
+def problem_reply(error: errors.ProxyError) -> Reply:
+    """Return the problem document of an error."""
+    headers = [("Content-Type", PROBLEM_TYPE)]
+    if error.retry_after_s is not None and error.status in (409, 429, 503):
+        headers.append(("Retry-After", str(max(1, round(error.retry_after_s)))))
+    return Reply(error.status, json.dumps(error.problem()).encode(), headers)
+
+
+class Application:
+    """Answer WSGI requests by calling ``answer``; errors become problems."""
+
+    def answer(self, request: Request, now: float) -> Reply:
+        """Return the reply to a request; raise ProxyError to refuse it."""
+        raise NotImplementedError
+
+    def __call__(self, environ, start_response):
+        request = Request(environ)
+        try:
+            reply = self.answer(request, time.monotonic())
+        except errors.ProxyError as error:
+            reply = problem_reply(error)
+        request_id = request.header("X-Request-Id")
+        if request_id:
+            reply.headers.append(("X-Request-Id", request_id))
+        status = f"{reply.status} {_REASONS.get(reply.status, 'Status')}"
+        if isinstance(reply.body, bytes):
+            if reply.status not in (204, 304):
+                reply.headers.append(("Content-Length", str(len(reply.body))))
+            start_response(status, reply.headers)
+            return [reply.body]
+        start_response(status, reply.headers)
+        return reply.body
+
+
+class _Handler(gevent.pywsgi.WSGIHandler):
+    """Limit the time that a client may be idle; write no access log."""
+
+    def handle(self):
+        self.socket.settimeout(CLIENT_TIMEOUT_S)
+        super().handle()
+
+    def log_request(self):
+        pass
+
+    def handle_error(self, exc_type, value, traceback):
+        if issubclass(exc_type, BrokenAnswerError):
+            self.close_connection = True
+            return
+        super().handle_error(exc_type, value, traceback)
+
+
+class BrokenAnswerError(Exception):
+    """End a streamed answer so that the client sees it as incomplete."""
+
+
+class Server:
+    """Run one WSGI application on an address."""
+
+    def __init__(self, address, application, max_connections=MAX_CONNECTIONS):
+        host, _, port = address.rpartition(":")
+        self._pool = gevent.pool.Pool(max_connections)
+        self._server = gevent.pywsgi.WSGIServer(
+            (host, int(port)),
+            application,
+            handler_class=_Handler,
+            spawn=self._pool,
+            log=None,
+            error_log=None,
+        )
+
+    def start(self) -> str:
+        """Start to accept connections and return the bound ``IP:port``."""
+        self._server.start()
+        return f"{self._server.server_host}:{self._server.server_port}"
+
+    def close(self) -> None:
+        """Stop to accept connections; open ones go on."""
+        self._server.close()
+
+    def stop(self, timeout_s: float) -> None:
+        """Stop and wait for open connections at most ``timeout_s`` seconds."""
+        self._server.stop(timeout=timeout_s)
