--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,167 @@
+"""Routing: late reports, leaving servers, prefix knowledge and refusals."""
+
+import random
+
+import pytest
+
+from kumquatproxy import errors, estimates, policies, records, routing
+
+MODEL = records.Item("model", "m", "1")
+ADAPTER = records.Item("adapter", "a", "1")
+
+
+def server(name, data_centre="dc1", incarnation=1, leaving=False, kind="engine"):
+    return records.BackendServer(
+        name, f"{name}:1", data_centre, kind, "s", incarnation, leaving=leaving
+    )
+
+
+def report(name, sequence, running=0, waiting=0, loaded=(MODEL,), incarnation=1):
+    return records.LoadReport(
+        name, incarnation, sequence, running, waiting, loaded=loaded
+    )
+
+
+def call(number, **fields):
+    return records.CallRequest(f"r{number}", "o", "s", model="m", **fields)
+
+
+def table_of(*servers, policy="estimate", loaded=(MODEL,)):
+    table = routing.RoutingTable("dc1", policy, report_lag_s=0.5)
+    for entry in servers:
+        table.update_server(entry, -100.0)
+        table.report(report(entry.backend_id, 1, loaded=loaded), 0.0)
+    return table
+
+
+def choose(table, items=(MODEL,), excluded=(), now=1.0, seed=1, request=None):
+    request = request or call(0)
+    return table.choose(request, items, frozenset(excluded), now, random.Random(seed))
+
+
+@pytest.mark.parametrize("policy", routing.POLICIES.aliases())
+def test_leaving_removed_and_excluded_servers_get_nothing(policy):
+    """Guards against new work for a server that is stopping or broken."""
+    table = table_of(*(server(name) for name in "abcd"), policy=policy)
+    table.update_server(server("a", leaving=True), 1.0)
+    table.remove_server("b")
+    chosen = {choose(table, excluded=["c"], seed=n).backend_id for n in range(50)}
+    assert chosen == {"d"}
+    refusal = choose(table, excluded=["c", "d"])
+    assert refusal.kind is errors.ErrorKind.NO_BACKEND_SERVER
+    assert refusal.executed == "no" and refusal.retry_after_s > 0
+
+
+def test_late_announcement_does_not_revoke_leaving():
+    """Guards against reordered announcements that would return a stopping server."""
+    table = table_of(server("a"))
+    table.update_server(server("a", leaving=True), 1.0)
+    table.update_server(server("a"), 1.1)
+    table.report(report("a", 2), 1.2)
+    assert isinstance(choose(table), routing.Refusal)
+    table.update_server(server("a", incarnation=2), 2.0)
+    table.report(report("a", 1, incarnation=2), 2.1)
+    assert choose(table).backend_id == "a"
+
+
+def test_old_report_and_old_incarnation_are_discarded():
+    """Guards against a late report that brings back an unloaded item."""
+    table = table_of(server("a"))
+    assert table.report(report("a", 3, loaded=()), 1.0)
+    assert not table.report(report("a", 2), 1.1)
+    assert isinstance(choose(table), routing.Refusal)
+    table.update_server(server("a", incarnation=2), 2.0)
+    assert not table.report(report("a", 9), 2.1)
+    table.update_server(server("a", incarnation=1), 2.2)
+    assert table.state("a").server.incarnation == 2
+
+
+def test_adapter_needs_both_items_on_one_server():
+    """Guards against a server that has the adapter without its model."""
+    table = table_of(server("a"), server("b"), server("c"))
+    table.report(report("b", 2, loaded=(MODEL, ADAPTER)), 1.0)
+    table.report(report("c", 2, loaded=(ADAPTER,)), 1.0)
+    for seed in range(20):
+        assert choose(table, (MODEL, ADAPTER), seed=seed).backend_id == "b"
+
+
+def test_own_requests_are_counted_once_across_reports():
+    """Guards against own requests counted both in the report and as in flight."""
+    table = table_of(server("a"))
+    state = table.state("a")
+    for number in range(4):
+        table.started("a", call(number), 1.0 + number)
+    assert table.load(state) == 4
+    # The report shows the state at 3.5 s: three own requests and two of others.
+    table.report(report("a", 2, running=5), 4.0)
+    assert table.load(state) == 6
+    outcome = estimates.Outcome("complete", 0.1, 1.0, 10)
+    table.finished("a", call(0), outcome, 4.2)
+    assert table.load(state) == 5
+    # At 4.1 s the finished request was still in flight.
+    table.report(report("a", 3, running=6), 4.6)
+    assert table.load(state) == 5
+
+
+def test_estimate_prefers_the_less_loaded_server():
+    """Guards against a score that ignores the report."""
+    table = table_of(server("a"), server("b"))
+    table.report(report("a", 2, running=32, waiting=20), 1.0)
+    chosen = [choose(table, seed=n).backend_id for n in range(20)]
+    assert set(chosen) == {"b"}
+
+
+def test_own_data_centre_first_until_it_is_overloaded():
+    """Guards against needless crossings and against no spill-over at all."""
+    table = table_of(server("a"), server("far", "dc2"))
+    assert choose(table).backend_id == "a"
+    table.report(report("a", 2, running=32, waiting=200), 1.0)
+    decision = choose(table)
+    assert (decision.backend_id, decision.reason) == ("far", "remote")
+
+
+def test_new_server_starts_slowly():
+    """Guards against a cold server that gets a full share at once."""
+    table = table_of(server("a"), server("b"))
+    table.update_server(server("new"), 10.0)
+    table.report(report("new", 1), 10.0)
+    early = [choose(table, now=10.5, seed=n).backend_id for n in range(400)]
+    late = [choose(table, now=30.0, seed=n).backend_id for n in range(400)]
+    assert early.count("new") < 60 < 100 < late.count("new")
+
+
+def test_prefix_affinity_is_bounded_and_falls_with_gaps():
+    """Guards against a hot prefix that overloads one server, and old knowledge."""
+    table = table_of(server("a"), server("b"))
+    request = call(1, prompt_tokens=4000, prefix_digests=("x", "y"))
+    table.cache_event("a", 1, stored=("x", "y"))
+    chosen = {choose(table, request=request, seed=n).backend_id for n in range(20)}
+    assert chosen == {"a"}
+    before = table.state("a").prefix_knowledge.confidence
+    table.cache_event("a", 7, stored=("z",))
+    assert table.state("a").prefix_knowledge.confidence <= before / 2
+    table.report(report("a", 2, running=32, waiting=64), 1.0)
+    chosen = {choose(table, request=request, seed=n).backend_id for n in range(20)}
+    assert chosen == {"b"}
+
+
+def test_plain_service_servers_are_found_by_service():
+    """Guards against plain services that cannot be routed to."""
+    table = routing.RoutingTable("dc1")
+    table.update_server(server("p", kind="plain"), 0.0)
+    table.report(report("p", 1, loaded=()), 0.5)
+    assert choose(table, (routing.service_item("s"),)).backend_id == "p"
+
+
+def test_unknown_policy_is_refused_with_a_hint():
+    """Guards against a misspelt alias that falls back silently."""
+    with pytest.raises(errors.ProxyError, match="did you mean 'estimate'"):
+        routing.RoutingTable("dc1", "estimte")
+
+
+def test_sampling_reaches_the_only_allowed_server():
+    """Guards against a refusal while one server in a large pool is free."""
+    names = [f"b{number}" for number in range(100)]
+    table = table_of(*(server(name) for name in names))
+    assert choose(table, excluded=names[:-1]).backend_id == "b99"
+    assert policies.SAMPLED >= 2
