--- a/kumquatproxy/dispatch.py
+++ b/kumquatproxy/dispatch.py
@@ -190,19 +190,21 @@
         gap_s = attempt.decision.estimate.gap_s
         progress_s = breaker.progress_deadline_s(service, gap_s)
         progress_s = max(progress_s, MIN_PROGRESS_TIMEOUT_S)
-        while True:
-            event = source.next_event(wait_s)
-            if event.startswith(drivers.LAST_EVENT):
-                progress.end()
-                yield event
-                return
-            progress.accept(progress.delivered)
+        started = progress.delivered > 0
+        while not progress.complete:
+            events = source.next_events(wait_s)
             now = time.monotonic()
-            attempt.token(now)
-            if progress.delivered == 1:
+            for event in events:
+                if event.startswith(drivers.LAST_EVENT):
+                    progress.end()
+                else:
+                    progress.accept(progress.delivered)
+                    attempt.token(now)
+            if not started and progress.delivered:
+                started = True
                 labels = {"service": call.service}
                 self._metrics.first_token.record(now - call.arrived_at, labels)
-            yield event
+            yield b"".join(events)
             wait_s = max(0.001, min(progress_s, call.deadline - now))
 
     def _start(self, call, items, attempts, now):
@@ -265,11 +267,9 @@
             gevent.sleep(decision.delay_s)
 
     def _record(self, call, outcome):
+        duration_s = time.monotonic() - call.arrived_at
         labels = {"service": call.service, "outcome": outcome}
-        self._metrics.requests.add(1, labels)
-        if outcome == "complete":
-            duration_s = time.monotonic() - call.arrived_at
-            self._metrics.request_duration.record(duration_s, {"service": call.service})
+        self._metrics.request_duration.record(duration_s, labels)
 
 
 def _result_of(failure) -> str:
--- a/kumquatproxy/drivers.py
+++ b/kumquatproxy/drivers.py
@@ -191,11 +191,15 @@
         self._response = response
         self._pool: Pool = pool
 
-    def next_event(self, timeout_s: float) -> bytes:
-        """Return the next event with its end mark; raise CallFailed."""
+    def next_events(self, timeout_s: float) -> list[bytes]:
+        """Return all events that have arrived, at least one; raise CallFailed.
+
+        Events that arrive together are relayed together, which saves a timer and
+        a write for each of them.
+        """
         try:
             with gevent.Timeout(timeout_s):
-                event = self._response.readline(EVENT_END)
+                events = [self._response.readline(EVENT_END)]
         except gevent.Timeout:
             self._pool.renew(self._address)
             raise CallFailed(
@@ -204,12 +208,13 @@
             ) from None
         except (OSError, geventhttpclient.response.HTTPParseError) as error:
             raise _failure(self._address, error) from None
-        if not event:
+        if not events[0]:
             raise CallFailed(
-                retries.Failure.LOST,
-                f"{self._address} ended the stream early",
+                retries.Failure.LOST, f"{self._address} ended the stream early"
             )
-        return event
+        while EVENT_END in self._response._body_buffer:
+            events.append(self._response.readline(EVENT_END))
+        return events
 
     def close(self) -> None:
         """Release the connection; an unfinished stream is cancelled by closing it."""
--- a/kumquatproxy/entry.py
+++ b/kumquatproxy/entry.py
@@ -1,5 +1,6 @@
 """WSGI application for callers."""
 
+import itertools
 import json
 import uuid
 
@@ -69,7 +70,8 @@
         return self.view.sheet
 
     def _completion(self, request, parsed, now):
-        body = request.json()
+        data = request.body()
+        body = httpapi.parse_json(data)
         target = parsed.resolve(body.get("model", ""))
         call = _call_request(request, target.service, now)
         call.model = target.model.name
@@ -82,7 +84,6 @@
                 ("Cache-Control", "no-cache"),
             ]
             return httpapi.Reply(200, _until_broken(events), headers)
-        data = json.dumps(body).encode()
         reply = self._dispatcher.complete(call, target, request.path, data)
         return httpapi.Reply(reply.status, reply.body, reply.headers)
 
@@ -118,9 +119,19 @@
         raise httpapi.BrokenAnswerError(error.detail) from None
 
 
+# A random prefix for the process and a count are unique and cost less than a
+# random id for each request.
+_ID_PREFIX = uuid.uuid4().hex[:16]
+_id_counter = itertools.count(1)
+
+
+def _new_request_id():
+    return f"{_ID_PREFIX}-{next(_id_counter)}"
+
+
 def _call_request(request, service, now):
     return records.CallRequest(
-        request.header("X-Request-Id") or uuid.uuid4().hex,
+        request.header("X-Request-Id") or _new_request_id(),
         service.organisation,
         service.name,
         priority=_priority(request, service.priority),
--- a/kumquatproxy/httpapi.py
+++ b/kumquatproxy/httpapi.py
@@ -1,5 +1,6 @@
 """WSGI helpers: requests, answers, problem documents, a server with limits."""
 
+import functools
 import json
 import time
 
@@ -42,6 +43,11 @@
 }
 
 
+@functools.lru_cache(maxsize=256)
+def _environ_name(header: str) -> str:
+    return "HTTP_" + header.upper().replace("-", "_")
+
+
 class Request:
     """Give typed access to one WSGI request."""
 
@@ -54,7 +60,7 @@
 
     def header(self, name: str) -> str:
         """Return a header's value, or the empty string."""
-        return self.environ.get("HTTP_" + name.upper().replace("-", "_"), "")
+        return self.environ.get(_environ_name(name), "")
 
     def body(self, limit: int = MAX_BODY_BYTES) -> bytes:
         """Read the body; raise ProxyError if it is too large or too slow."""
--- a/kumquatproxy/logs.py
+++ b/kumquatproxy/logs.py
@@ -1,31 +1,33 @@
 """Eliot log lines: a short sentence with the fixed prefix of its part."""
 
-import json
 import sys
 
 import eliot
+import orjson
 
-MAX_LINES_PER_WINDOW = 200
-WINDOW_S = 1.0
+REPEAT_WINDOW_S = 1.0
+FLUSH_INTERVAL_S = 0.2
 
 
-class RateLimiter:
-    """Pass a bounded number of lines for each prefix in a window of one second."""
+class RepeatLimiter:
+    """Pass one line of a kind in a window and count the ones held back."""
 
-    __slots__ = ("_counts_by_prefix", "_window")
+    __slots__ = ("_held_back_by_kind", "_window_start")
 
     def __init__(self):
-        self._counts_by_prefix: dict[str, int] = {}
-        self._window = 0.0
+        self._held_back_by_kind: dict[str, int] = {}
+        self._window_start = 0.0
 
-    def passes(self, prefix: str, now: float) -> bool:
-        """Return whether one more line with ``prefix`` may be written."""
-        if now - self._window >= WINDOW_S:
-            self._window = now
-            self._counts_by_prefix.clear()
-        count = self._counts_by_prefix.get(prefix, 0) + 1
-        self._counts_by_prefix[prefix] = count
-        return count <= MAX_LINES_PER_WINDOW
+    def passes(self, kind: str, now: float) -> bool:
+        """Return whether a line of this kind may be written at ``now``."""
+        if now - self._window_start >= REPEAT_WINDOW_S:
+            self._window_start = now
+            self._held_back_by_kind.clear()
+        if kind not in self._held_back_by_kind:
+            self._held_back_by_kind[kind] = 0
+            return True
+        self._held_back_by_kind[kind] += 1
+        return False
 
 
 class Log:
@@ -33,30 +35,55 @@
 
     __slots__ = ("_limiter", "_prefix")
 
-    def __init__(self, prefix, limiter=None):
+    def __init__(self, prefix):
         self._prefix: str = prefix
-        self._limiter: RateLimiter = limiter or RateLimiter()
+        self._limiter = RepeatLimiter()
 
     def write(self, now: float, sentence: str, **fields) -> None:
-        """Write one line unless the prefix has used up its rate."""
-        if _enabled and self._limiter.passes(self._prefix, now):
-            eliot.log_message(
-                message_type=self._prefix,
-                text=f"{self._prefix}: {sentence}",
-                **fields,
-            )
+        """Write one line, such as the one each decision has."""
+        if _task is not None:
+            _task.log(self._prefix, text=f"{self._prefix}: {sentence}", **fields)
 
+    def write_limited(self, now: float, kind: str, sentence: str, **fields) -> None:
+        """Write a line that may repeat, at most once a second for each kind."""
+        if _task is not None and self._limiter.passes(kind, now):
+            self.write(now, sentence, kind=kind, **fields)
 
-_enabled = False
 
+class _Destination:
+    """Write lines as JSON; a flush for each line would double its cost."""
+
+    __slots__ = ("_flushed_at", "_stream")
+
+    def __init__(self, stream):
+        self._stream = stream
+        self._flushed_at = 0.0
+
+    def flush(self):
+        self._stream.flush()
+
+    def __call__(self, message):
+        self._stream.write(orjson.dumps(message, default=str).decode() + "\n")
+        if message["timestamp"] - self._flushed_at >= FLUSH_INTERVAL_S:
+            self._flushed_at = message["timestamp"]
+            self._stream.flush()
 
-def to_stream(stream=None) -> None:
-    """Send all log lines as JSON to ``stream``, by default standard error."""
-    global _enabled
-    _enabled = True
-    target = stream or sys.stderr
 
-    def write(message):
-        target.write(json.dumps(message, default=str) + "\n")
+# One eliot task for the process: lines without a task of their own would each
+# draw a random task id, which takes longer than the rest of the line.
+_task: eliot.Action | None = None
+_destination: _Destination | None = None
 
-    eliot.add_destinations(write)
+
+def flush() -> None:
+    """Write out the lines that are still held."""
+    if _destination is not None:
+        _destination.flush()
+
+
+def to_stream(stream=None) -> None:
+    """Send all log lines as JSON to ``stream``, by default standard error."""
+    global _task, _destination
+    _destination = _Destination(stream or sys.stderr)
+    eliot.add_destinations(_destination)
+    _task = eliot.start_task(action_type="kumquatproxy")
--- a/kumquatproxy/metrics.py
+++ b/kumquatproxy/metrics.py
@@ -19,11 +19,6 @@
         provider = opentelemetry.sdk.metrics.MeterProvider(metric_readers=[reader])
         meter = provider.get_meter(PREFIX)
         self._provider = provider
-        self.requests = meter.create_counter(
-            f"{PREFIX}.requests",
-            unit="{request}",
-            description="Requests by service and outcome",
-        )
         self.retries = meter.create_counter(
             f"{PREFIX}.retries",
             unit="{retry}",
@@ -32,7 +27,7 @@
         self.request_duration = meter.create_histogram(
             f"{PREFIX}.request.duration",
             unit="s",
-            description="Time from arrival to the end of the answer, by service",
+            description="Time from arrival to the end of the answer",
             explicit_bucket_boundaries_advisory=DURATION_BUCKETS_S,
         )
         self.first_token = meter.create_histogram(
--- a/kumquatproxy/records.py
+++ b/kumquatproxy/records.py
@@ -34,6 +34,19 @@
         self.name: str = name
         self.version: str = version
 
+    # Items are the keys of the routing table, so their hash is on the path of
+    # every request.
+    def __eq__(self, other):
+        return (
+            type(other) is Item
+            and self.name == other.name
+            and self.version == other.version
+            and self.kind == other.kind
+        )
+
+    def __hash__(self):
+        return hash((self.kind, self.name, self.version))
+
     def key(self) -> str:
         """Return the text form ``kind:name@version`` used on the wire."""
         return f"{self.kind}:{self.name}@{self.version}"
