Add membership of hosts and the table of backend servers

Cause: hosts need to know each other and the backend servers of their data centre. Change: SWIM-style probing with indirect probes, suspicion and refutation, a host table ordered by (incarnation, state), pushes along a binary tree and to 3 random hosts, relays of the data centres, and a table of backend servers with expiry.

--- /dev/null
+++ b/kumquatproxy/hosttable.py
@@ -0,0 +1,118 @@
+"""Known hosts of one data centre and the news about them still to be told."""
+
+import math
+
+from kumquatproxy import membermessages, records
+
+MAX_NEWS = 8
+"""Changes in one probe; with an address each takes about 40 bytes."""
+
+NEWS_FACTOR = 3
+"""Each host repeats a change 3 * log2(hosts) times, so that with 10% of the messages
+lost practically every host hears of it."""
+
+KEEP_DEAD_S = 3600.0
+
+HostState = membermessages.HostState
+HostEntry = membermessages.HostEntry
+
+
+class _News(records.Record):
+    __slots__ = ("host_id", "sent")
+
+    def __init__(self, host_id):
+        self.host_id: str = host_id
+        self.sent = 0
+
+
+class HostTable:
+    """Keep the newest entry of each host and choose the news for a message."""
+
+    __slots__ = ("_news_by_id", "entries_by_id", "host_id", "revision", "sum")
+
+    def __init__(self, host_id):
+        self.host_id: str = host_id
+        self.entries_by_id: dict[str, HostEntry] = {}
+        self.revision = 0  # rises when the set of present hosts changes
+        self.sum = 0
+        self._news_by_id: dict[str, _News] = {}
+
+    def get(self, host_id: str) -> HostEntry | None:
+        """Return the entry of a host."""
+        return self.entries_by_id.get(host_id)
+
+    def is_present(self, host_id: str) -> bool:
+        """Return whether a host is known and neither dead nor gone."""
+        entry = self.entries_by_id.get(host_id)
+        return entry is not None and entry.state in membermessages.PRESENT_STATES
+
+    def present(self) -> list[str]:
+        """Return the ids of all hosts that are not dead or gone, in order."""
+        return sorted(
+            entry.host_id
+            for entry in self.entries_by_id.values()
+            if entry.state in membermessages.PRESENT_STATES
+        )
+
+    def working(self) -> list[str]:
+        """Return the ids of the present hosts that are not leaving, in order."""
+        return sorted(
+            entry.host_id
+            for entry in self.entries_by_id.values()
+            if entry.state in (HostState.ALIVE, HostState.SUSPECT)
+        )
+
+    def dead(self) -> list[str]:
+        """Return the ids of the hosts that were declared dead, in order."""
+        return sorted(
+            entry.host_id
+            for entry in self.entries_by_id.values()
+            if entry.state is HostState.DEAD
+        )
+
+    def put(self, entry: HostEntry, now: float) -> bool:
+        """Take an entry if it is newer than the known one; return whether it was."""
+        known = self.entries_by_id.get(entry.host_id)
+        if known is not None and known.rank() >= entry.rank():
+            return False
+        if known is not None and not entry.address:
+            entry.address = known.address
+        entry.changed_at = now
+        self._count(known, entry)
+        self.entries_by_id[entry.host_id] = entry
+        self._news_by_id[entry.host_id] = _News(entry.host_id)
+        return True
+
+    def news(self, first_id: str = "") -> list[list]:
+        """Return the least told changes; that of ``first_id`` is always among them."""
+        chosen = []
+        if first_id in self.entries_by_id:
+            chosen.append(self.entries_by_id[first_id].to_list())
+        if not self._news_by_id:
+            return chosen
+        limit = NEWS_FACTOR * math.ceil(math.log2(len(self.entries_by_id) + 1))
+        by_sent = sorted(self._news_by_id.values(), key=lambda news: news.sent)
+        for news in by_sent[: MAX_NEWS - len(chosen)]:
+            news.sent += 1
+            if news.sent >= limit:
+                del self._news_by_id[news.host_id]
+            if news.host_id != first_id:
+                chosen.append(self.entries_by_id[news.host_id].to_list())
+        return chosen
+
+    def forget_old(self, now: float) -> None:
+        """Drop hosts that have been dead or gone for ``KEEP_DEAD_S``."""
+        for entry in list(self.entries_by_id.values()):
+            present = entry.state in membermessages.PRESENT_STATES
+            if not present and now - entry.changed_at > KEEP_DEAD_S:
+                del self.entries_by_id[entry.host_id]
+                self._news_by_id.pop(entry.host_id, None)
+
+    def _count(self, known, entry):
+        was_present = known is not None and known.state in membermessages.PRESENT_STATES
+        is_present = entry.state in membermessages.PRESENT_STATES
+        if was_present != is_present:
+            self.sum ^= membermessages.short_hash(entry.host_id)
+        is_moved = known is None or known.state != entry.state
+        if was_present != is_present or is_moved:
+            self.revision += 1
--- /dev/null
+++ b/kumquatproxy/membership.py
@@ -0,0 +1,442 @@
+"""Hosts and backend servers of one data centre, in the manner of SWIM."""
+
+import struct
+
+from kumquatproxy import (
+    backendtable,
+    hosttable,
+    membermessages,
+    records,
+    relaylinks,
+    trees,
+    wire,
+)
+
+PROBE_INTERVAL_S = 1.0
+INDIRECT_AFTER_S = 0.3
+INDIRECT_PEERS = 3
+SUSPICION_S = 10.0
+"""A suspect has to hear of the suspicion and its refutation has to reach all hosts:
+with 76 hosts and 10% loss each of both takes up to 5 s."""
+
+PAUSE_S = 1.0
+"""After a longer time without a tick this host itself was paused, and answers that
+were not handled say nothing about other hosts."""
+
+ISOLATED_AFTER_S = 3.0
+ISOLATION_MIN_HOSTS = 5
+"""From this number of hosts on, silence of all others at once means that this host is
+cut off; with fewer hosts it may as well be the others that are dead."""
+
+RECONTACT_INTERVAL_S = 2.0
+SYNC_INTERVAL_S = 20.0
+JOIN_INTERVAL_S = 1.0
+BACKEND_PULL_INTERVAL_S = 3.0
+FORGET_INTERVAL_S = 30.0
+PUSH_PEERS = 3
+PUSH_FAN_OUT = 2
+MAX_PUSHED_SERVERS = 200
+RELAYS = 2
+
+_SUMS = struct.Struct(">II")
+_MASK = 0xFFFFFFFF
+
+HostState = membermessages.HostState
+HostEntry = membermessages.HostEntry
+
+
+class Settings:
+    """Hold the settings of a host that membership needs."""
+
+    __slots__ = ("address", "data_centre", "host_id", "incarnation", "seeds")
+
+    def __init__(self, host_id, data_centre, address, incarnation, seeds=()):
+        self.host_id: str = host_id
+        self.data_centre: str = data_centre
+        self.address: str = address  # "IP:port" for links from other hosts
+        self.incarnation: int = incarnation  # higher after each restart
+        self.seeds: tuple[membermessages.Seed, ...] = tuple(seeds)
+
+
+class _Pending:
+    __slots__ = ("asked_others", "asker", "asker_number", "sent_at", "target")
+
+    def __init__(self, target, sent_at, asker="", asker_number=0):
+        self.target: str = target
+        self.sent_at: float = sent_at
+        self.asked_others = False
+        self.asker: str = asker  # the host that this probe is made for, or ""
+        self.asker_number: int = asker_number
+
+
+class Membership:
+    """Keep the hosts and the backend servers of the own data centre."""
+
+    def __init__(self, settings, rng, now):
+        self.settings: Settings = settings
+        self.host_id: str = settings.host_id
+        self.table = hosttable.HostTable(settings.host_id)
+        self.backends = backendtable.BackendTable(settings.data_centre)
+        self.version: list = [0, b""]  # number and short digest, told in probes
+        self.links = relaylinks.RelayLinks(settings, rng, now)
+        self._rng = rng
+        self._out: list = []
+        self._number = 0
+        self._pending_by_number: dict[int, _Pending] = {}
+        self._probe_order: list[str] = []
+        self._accused: set[str] = set()
+        self._deadlines_by_id: dict[str, float] = {}
+        self._is_joined = False
+        self._ticked_at = now
+        self._heard_at = now
+        self._probe_at = now + rng.random() * PROBE_INTERVAL_S
+        self._recontact_at = now + RECONTACT_INTERVAL_S
+        self._join_at = now
+        self._sync_at = now
+        self._pull_at = now
+        self._forget_at = now + FORGET_INTERVAL_S
+        for seed in self._own_seeds():
+            self.table.put(HostEntry(seed.host_id, 0, 0, seed.address), now)
+        own = HostEntry(self.host_id, 0, settings.incarnation, settings.address)
+        self.table.put(own, now)
+
+    @property
+    def me(self) -> HostEntry:
+        """Return the entry of this host."""
+        return self.table.entries_by_id[self.host_id]
+
+    def relays(self) -> list[str]:
+        """Return the relays of this data centre, lowest id first."""
+        return self.table.working()[:RELAYS]
+
+    def report_order(self) -> list[str]:
+        """Return the hosts in the order of the binary tree.
+
+        The highest ids come first, so that the relays, which have links to other
+        data centres, have only one link in this tree.
+        """
+        return self.table.working()[::-1]
+
+    def tick(self, now: float) -> list:
+        """Return what is due at ``now``."""
+        self._pass_over_pause(now)
+        self._check_probes(now)
+        if now >= self._probe_at:
+            self._probe_at = max(self._probe_at, now - 1.0) + PROBE_INTERVAL_S
+            self._probe_next(now)
+        self._check_suspects(now)
+        self._contact_missing(now)
+        if self.host_id in self.relays():
+            self._out += self.links.tick(self._notice(True), now)
+        if now >= self._forget_at:
+            self._forget_at = now + FORGET_INTERVAL_S
+            self.table.forget_old(now)
+            self.backends.forget_old(now)
+        return self._take()
+
+    def receive(self, sender: str, message: wire.Message, now: float) -> list:
+        """Handle one message of another host."""
+        handler = _HANDLERS[type(message)]
+        if not isinstance(message, membermessages.RelayNotice):
+            self._heard_at = now
+        handler(self, sender, message, now)
+        return self._take()
+
+    def announce(self, server: records.BackendServer, now: float) -> list:
+        """Enter an announcement of a backend server that reports to this host.
+
+        Raise ProxyError if it is invalid or out of date.
+        """
+        if self.backends.announce(server, now):
+            self._out.append(membermessages.BackendChanged(server))
+            values = membermessages.list_of_server(server, 0.0)
+            self._push([], [values], "")
+        return self._take()
+
+    def leave(self, now: float) -> list:
+        """Announce that this host takes no new work."""
+        return self._announce_self(HostState.LEAVING, now)
+
+    def left(self, now: float) -> list:
+        """Announce that this host has stopped."""
+        return self._announce_self(HostState.LEFT, now)
+
+    def _announce_self(self, state, now):
+        me = self.me
+        entry = HostEntry(self.host_id, state, me.incarnation + 1, me.address)
+        self.table.put(entry, now)
+        self._push([entry.to_list()], [], "")
+        return self._take()
+
+    def _take(self):
+        taken = self._out
+        self._out = []
+        return taken
+
+    def _send(self, to, message):
+        self._out.append(wire.Send(to, message))
+
+    def _own_seeds(self):
+        return [
+            seed
+            for seed in self.settings.seeds
+            if seed.data_centre == self.settings.data_centre
+            and seed.host_id != self.host_id
+        ]
+
+    def _others(self):
+        return [name for name in self.table.present() if name != self.host_id]
+
+    def _some_others(self, count, but=""):
+        others = [name for name in self._others() if name != but]
+        return self._rng.sample(others, min(count, len(others)))
+
+    # Probing
+
+    def _sums(self):
+        return _SUMS.pack(self.table.sum & _MASK, self.backends.sum & _MASK)
+
+    def _probe(self, target, now, asker="", asker_number=0):
+        self._number += 1
+        pending = _Pending(target, now, asker, asker_number)
+        self._pending_by_number[self._number] = pending
+        self._send(target, self._probe_message(target))
+
+    def _probe_message(self, target):
+        entry = self.table.get(target)
+        first_id = target if entry and entry.state >= HostState.SUSPECT else ""
+        return membermessages.Probe(
+            me=self.me.to_list(),
+            news=self.table.news(first_id),
+            number=self._number,
+            sums=self._sums(),
+            version=self.version,
+        )
+
+    def _probe_next(self, now):
+        while self._probe_order:
+            target = self._probe_order.pop()
+            if self.table.is_present(target):
+                self._probe(target, now)
+                break
+        else:
+            self._probe_order = self._others()
+            self._rng.shuffle(self._probe_order)
+            if self._probe_order:
+                self._probe_next(now)
+        for target in sorted(self._accused):
+            self._number += 1
+            self._send(target, self._probe_message(target))
+
+    def _check_probes(self, now):
+        if not self._pending_by_number:
+            return
+        for number, pending in list(self._pending_by_number.items()):
+            waited_s = now - pending.sent_at
+            if waited_s >= PROBE_INTERVAL_S:
+                del self._pending_by_number[number]
+                if not pending.asker:
+                    self._accuse(pending.target, now)
+            elif waited_s >= INDIRECT_AFTER_S and not pending.asked_others:
+                pending.asked_others = True
+                if not pending.asker:
+                    self._ask_others(number, pending.target)
+
+    def _ask_others(self, number, target):
+        for helper in self._some_others(INDIRECT_PEERS, target):
+            request = membermessages.ProbeRequest(number=number, target=target)
+            self._send(helper, request)
+
+    def _accuse(self, target, now):
+        entry = self.table.get(target)
+        if entry is None or self._is_isolated(now):
+            return
+        if entry.state in (HostState.ALIVE, HostState.LEAVING):
+            self._accused.add(target)
+            self._merge(
+                HostEntry(target, HostState.SUSPECT, entry.incarnation, ""), now
+            )
+
+    def _is_isolated(self, now):
+        many = len(self.table.entries_by_id) >= ISOLATION_MIN_HOSTS
+        return many and now - self._heard_at > ISOLATED_AFTER_S
+
+    def _check_suspects(self, now):
+        if not self._deadlines_by_id:
+            return
+        is_isolated = self._is_isolated(now)
+        for target, deadline in list(self._deadlines_by_id.items()):
+            if is_isolated:
+                self._deadlines_by_id[target] = max(deadline, now + SUSPICION_S / 2)
+            elif now >= deadline:
+                entry = self.table.entries_by_id[target]
+                dead = HostEntry(target, HostState.DEAD, entry.incarnation, "")
+                self._merge(dead, now)
+
+    def _pass_over_pause(self, now):
+        paused_s = now - self._ticked_at
+        self._ticked_at = now
+        if paused_s <= PAUSE_S:
+            return
+        self._pending_by_number.clear()
+        self._heard_at = now
+        for target in self._deadlines_by_id:
+            self._deadlines_by_id[target] += paused_s
+
+    def _contact_missing(self, now):
+        if not self._is_joined and now >= self._join_at:
+            self._join_at = now + JOIN_INTERVAL_S
+            seeds = [seed.host_id for seed in self._own_seeds()]
+            self._is_joined = not seeds
+            for seed in self._rng.sample(seeds, min(2, len(seeds))):
+                self._send(seed, self._sync_message(True))
+        if now < self._recontact_at:
+            return
+        self._recontact_at = now + RECONTACT_INTERVAL_S
+        missing = set(self.table.dead())
+        seeds = [seed.host_id for seed in self._own_seeds()]
+        missing |= {name for name in seeds if not self.table.is_present(name)}
+        if missing:
+            self._number += 1
+            target = self._rng.choice(sorted(missing))
+            self._send(target, self._probe_message(target))
+
+    # Messages
+
+    def _on_probe(self, sender, probe, now):
+        self._on_status(sender, probe, now)
+        self._send(sender, self._ack(probe.number, self.host_id, sender))
+
+    def _ack(self, number, about, asker):
+        entry = self.table.get(asker)
+        first_id = asker if entry and entry.state >= HostState.SUSPECT else ""
+        return membermessages.ProbeAck(
+            about=about,
+            me=self.me.to_list(),
+            news=self.table.news(first_id),
+            number=number,
+            sums=self._sums(),
+            version=self.version,
+        )
+
+    def _on_ack(self, sender, ack, now):
+        self._on_status(sender, ack, now)
+        pending = self._pending_by_number.get(ack.number)
+        if pending is None or pending.target != ack.about:
+            return
+        del self._pending_by_number[ack.number]
+        if pending.asker:
+            answer = self._ack(pending.asker_number, pending.target, pending.asker)
+            self._send(pending.asker, answer)
+
+    def _on_request(self, sender, request, now):
+        if self.table.get(request.target) is not None:
+            self._probe(request.target, now, sender, request.number)
+
+    def _on_status(self, sender, message, now):
+        self._merge(membermessages.parse_host(message.me), now)
+        for values in message.news:
+            self._merge(membermessages.parse_host(values), now)
+        hosts_sum, backends_sum = _SUMS.unpack(message.sums)
+        if hosts_sum != self.table.sum & _MASK and now >= self._sync_at:
+            self._sync_at = now + SYNC_INTERVAL_S * (0.5 + self._rng.random())
+            self._send(sender, self._sync_message(True))
+        if backends_sum != self.backends.sum & _MASK and now >= self._pull_at:
+            self._pull_at = now + BACKEND_PULL_INTERVAL_S
+            known = self.backends.known_hashes()
+            self._send(sender, membermessages.BackendPull(known=known))
+
+    def _sync_message(self, answer):
+        present = [self.table.entries_by_id[name] for name in self.table.present()]
+        hosts = [entry.to_list() for entry in present if entry.incarnation]
+        return membermessages.MemberSync(answer=answer, hosts=hosts)
+
+    def _on_sync(self, sender, sync, now):
+        self._is_joined = True
+        for values in sync.hosts:
+            self._merge(membermessages.parse_host(values), now)
+        if sync.answer:
+            self._send(sender, self._sync_message(False))
+
+    def _on_pull(self, sender, pull, now):
+        missing = self.backends.missing_from(pull.known, now)
+        for start in range(0, len(missing), MAX_PUSHED_SERVERS):
+            servers = missing[start : start + MAX_PUSHED_SERVERS]
+            self._send(sender, membermessages.MemberPush(hosts=[], servers=servers))
+
+    def _on_push(self, sender, push, now):
+        entries = [membermessages.parse_host(values) for values in push.hosts]
+        hosts = [entry.to_list() for entry in entries if self._merge(entry, now)]
+        servers = []
+        for values in push.servers:
+            server, age_s = membermessages.parse_server(values)
+            if self.backends.merge(server, age_s, now):
+                self._out.append(membermessages.BackendChanged(server))
+                servers.append(values)
+        if hosts or servers:
+            self._push(hosts, servers, sender)
+
+    def _push(self, hosts, servers, sender):
+        """Send changes to the neighbours in the tree and to some other hosts.
+
+        The other hosts let a change pass where a host of the tree has just died.
+        """
+        order = self.report_order()
+        targets = set(trees.neighbours_in(order, self.host_id, PUSH_FAN_OUT))
+        targets.update(self._some_others(PUSH_PEERS))
+        for target in sorted(targets - {sender, self.host_id}):
+            message = membermessages.MemberPush(hosts=hosts, servers=servers)
+            self._send(target, message)
+
+    def _on_notice(self, sender, notice, now):
+        self.links.learn(notice, now)
+        if notice.answer:
+            self._send(sender, self._notice(False))
+
+    def _notice(self, answer):
+        relays = [
+            [name, self.table.entries_by_id[name].address] for name in self.relays()
+        ]
+        return membermessages.RelayNotice(
+            answer=answer,
+            data_centre=self.settings.data_centre,
+            relays=relays,
+            version=self.version,
+        )
+
+    # Entries
+
+    def _merge(self, entry, now):
+        if entry.host_id == self.host_id:
+            self._refute(entry, now)
+            return False
+        if not self.table.put(entry, now):
+            return False
+        self._accused.discard(entry.host_id)
+        self._deadlines_by_id.pop(entry.host_id, None)
+        if entry.state is HostState.SUSPECT:
+            self._deadlines_by_id[entry.host_id] = now + SUSPICION_S
+        self._out.append(
+            membermessages.HostChanged(
+                entry.host_id, self.settings.data_centre, entry.state, entry.address
+            )
+        )
+        return True
+
+    def _refute(self, entry, now):
+        me = self.me
+        if entry.rank() <= me.rank():
+            return
+        mine = HostEntry(self.host_id, me.state, entry.incarnation + 1, me.address)
+        self.table.put(mine, now)
+
+
+_HANDLERS = {
+    membermessages.Probe: Membership._on_probe,
+    membermessages.ProbeAck: Membership._on_ack,
+    membermessages.ProbeRequest: Membership._on_request,
+    membermessages.MemberSync: Membership._on_sync,
+    membermessages.MemberPush: Membership._on_push,
+    membermessages.BackendPull: Membership._on_pull,
+    membermessages.RelayNotice: Membership._on_notice,
+}
--- /dev/null
+++ b/kumquatproxy/relaylinks.py
@@ -0,0 +1,73 @@
+"""What the relays of one data centre know of the relays of the others."""
+
+from kumquatproxy import membermessages, wire
+
+NOTICE_INTERVAL_S = 2.0
+SILENT_AFTER_S = 6.0
+MAX_DATA_CENTRES = 64
+
+
+class _Centre:
+    __slots__ = ("addresses_by_id", "heard_at")
+
+    def __init__(self, addresses_by_id, heard_at):
+        self.addresses_by_id: dict[str, str] = addresses_by_id
+        self.heard_at: float = heard_at
+
+
+class RelayLinks:
+    """Keep the relays of the other data centres, starting from the seeds."""
+
+    def __init__(self, settings, rng, now):
+        self._settings = settings
+        self._rng = rng
+        self._notice_at = now + rng.random() * NOTICE_INTERVAL_S
+        self._centres_by_name: dict[str, _Centre] = {}
+        self._seeds_by_centre: dict[str, list[str]] = {}
+        for seed in settings.seeds:
+            if seed.data_centre != settings.data_centre:
+                names = self._seeds_by_centre.setdefault(seed.data_centre, [])
+                names.append(seed.host_id)
+
+    def relays(self) -> list[str]:
+        """Return the known relays of all other data centres, in order."""
+        return sorted(
+            name
+            for centre in self._centres_by_name.values()
+            for name in centre.addresses_by_id
+        )
+
+    def data_centres(self) -> list[str]:
+        """Return the other data centres that are known, in order."""
+        return sorted(self._centres_by_name)
+
+    def learn(self, notice: membermessages.RelayNotice, now: float) -> None:
+        """Take the relays that a host of another data centre told of."""
+        name = notice.data_centre
+        if name == self._settings.data_centre:
+            return
+        if len(self._centres_by_name) >= MAX_DATA_CENTRES:
+            if name not in self._centres_by_name:
+                return
+        addresses = {str(host): str(address) for host, address in notice.relays}
+        if addresses:
+            self._centres_by_name[name] = _Centre(addresses, now)
+
+    def address_of(self, host_id: str) -> str:
+        """Return the address of a relay of another data centre, or nothing."""
+        for centre in self._centres_by_name.values():
+            if host_id in centre.addresses_by_id:
+                return centre.addresses_by_id[host_id]
+        return ""
+
+    def tick(self, notice: membermessages.RelayNotice, now: float) -> list:
+        """Return the notices to the relays of the other data centres."""
+        if now < self._notice_at:
+            return []
+        self._notice_at = now + NOTICE_INTERVAL_S
+        targets = set(self.relays())
+        for name, seeds in self._seeds_by_centre.items():
+            centre = self._centres_by_name.get(name)
+            if centre is None or now - centre.heard_at > SILENT_AFTER_S:
+                targets.add(self._rng.choice(seeds))
+        return [wire.Send(target, notice) for target in sorted(targets)]
