--- /dev/null
+++ b/kumquatproxy/fakenetwork.py
@@ -0,0 +1,159 @@
+"""A seeded network in memory for many hosts in one process, with simulated time."""
+
+import heapq
+import itertools
+import random
+
+from kumquatproxy import records, wire
+
+FRAME_BYTES = 8
+"""Websocket header of a masked frame of 126 to 65535 bytes, the largest usual one."""
+
+
+class Conditions(records.Record):
+    """Hold how the network treats messages between two hosts."""
+
+    __slots__ = ("delay_s", "duplicated", "jitter_s", "lost")
+
+    def __init__(self, delay_s=0.001, jitter_s=0.0, lost=0.0, duplicated=0.0):
+        self.delay_s: float = delay_s
+        self.jitter_s: float = jitter_s  # reorders messages
+        self.lost: float = lost  # share of the messages
+        self.duplicated: float = duplicated
+
+
+class Traffic:
+    """Count the messages and bytes of one host."""
+
+    __slots__ = ("bytes_by_tag", "messages", "received_bytes", "sent_bytes")
+
+    def __init__(self):
+        self.bytes_by_tag: dict[str, int] = {}
+        self.messages = 0
+        self.received_bytes = 0
+        self.sent_bytes = 0
+
+    def total(self) -> int:
+        """Return all bytes sent and received."""
+        return self.sent_bytes + self.received_bytes
+
+    def count(self, tag, size, is_sent) -> None:
+        """Count one message."""
+        self.messages += 1
+        self.bytes_by_tag[tag] = self.bytes_by_tag.get(tag, 0) + size
+        if is_sent:
+            self.sent_bytes += size
+        else:
+            self.received_bytes += size
+
+
+class FakeNetwork:
+    """Carry encoded messages between hosts and tick them, in simulated time.
+
+    A host is an object with ``tick(now)`` and ``receive(sender, message, now)`` that
+    return outputs; those other than ``wire.Send`` are handed to ``on_output``.
+    """
+
+    def __init__(self, seed, tick_s=0.05, conditions_of=None, on_output=None):
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.hosts_by_id: dict[str, object] = {}
+        self.traffic_by_id: dict[str, Traffic] = {}
+        self.paused: set[str] = set()
+        self._tick_s = tick_s
+        self._conditions_of = conditions_of or (lambda sender, to: Conditions())
+        self._on_output = on_output or (lambda host_id, output, now: None)
+        self._is_cut = lambda sender, to: False
+        self._queue: list[tuple] = []
+        self._order = itertools.count()
+        self._generation_by_id: dict[str, int] = {}
+
+    def add(self, host_id: str, host) -> None:
+        """Start a host; it replaces an earlier one with the same id."""
+        generation = self._generation_by_id.get(host_id, 0) + 1
+        self._generation_by_id[host_id] = generation
+        self.hosts_by_id[host_id] = host
+        self.traffic_by_id.setdefault(host_id, Traffic())
+        first_at = self.now + self.rng.random() * self._tick_s
+        self._put(first_at, ("tick", host_id, generation))
+
+    def kill(self, host_id: str) -> None:
+        """Stop a host without notice."""
+        del self.hosts_by_id[host_id]
+
+    def cut(self, is_cut) -> None:
+        """Drop the messages for which ``is_cut(sender, to)`` holds."""
+        self._is_cut = is_cut
+
+    def at(self, time_s: float, action) -> None:
+        """Run ``action()`` at a simulated time."""
+        self._put(time_s, ("action", action))
+
+    def run(self, until_s: float) -> None:
+        """Run all events up to a simulated time."""
+        while self._queue and self._queue[0][0] <= until_s:
+            self.now, _, event = heapq.heappop(self._queue)
+            getattr(self, f"_do_{event[0]}")(*event[1:])
+        self.now = until_s
+
+    def handle(self, host_id: str, outputs: list) -> None:
+        """Carry out the outputs of a host."""
+        for output in outputs:
+            if isinstance(output, wire.Send):
+                self._send(host_id, output.to, output.message)
+            else:
+                self._on_output(host_id, output, self.now)
+
+    def _put(self, time_s, event):
+        heapq.heappush(self._queue, (time_s, next(self._order), event))
+
+    def _do_action(self, action):
+        action()
+
+    def _do_tick(self, host_id, generation):
+        if self._generation_by_id[host_id] != generation:
+            return
+        host = self.hosts_by_id.get(host_id)
+        if host is None:
+            return
+        self._put(self.now + self._tick_s, ("tick", host_id, generation))
+        if host_id not in self.paused:
+            self.handle(host_id, self.tick_host(host_id, host))
+
+    def _do_message(self, sender, to, data):
+        host = self.hosts_by_id.get(to)
+        if host is None or to in self.paused:
+            return
+        message = self.decode(to, data)
+        self.traffic_by_id[to].count(message.tag, len(data) + FRAME_BYTES, False)
+        self.handle(to, self.receive_host(to, host, sender, message))
+
+    def _send(self, sender, to, message):
+        data = self.encode(sender, message)
+        self.traffic_by_id[sender].count(message.tag, len(data) + FRAME_BYTES, True)
+        conditions = self._conditions_of(sender, to)
+        if to not in self.hosts_by_id or self._is_cut(sender, to):
+            return
+        copies = 2 if self.rng.random() < conditions.duplicated else 1
+        for _ in range(copies):
+            if self.rng.random() >= conditions.lost:
+                delay_s = conditions.delay_s + self.rng.random() * conditions.jitter_s
+                self._put(self.now + delay_s, ("message", sender, to, data))
+
+    # Replaced by measurements that take the time of one host
+
+    def tick_host(self, host_id, host) -> list:
+        """Tick one host."""
+        return host.tick(self.now)
+
+    def receive_host(self, host_id, host, sender, message) -> list:
+        """Hand one message to a host."""
+        return host.receive(sender, message, self.now)
+
+    def encode(self, host_id, message) -> bytes:
+        """Return the form in which a host sends a message."""
+        return wire.encode(message)
+
+    def decode(self, host_id, data) -> wire.Message:
+        """Return the message of data that a host received."""
+        return wire.decode(data)
--- a/kumquatproxy/loadmessages.py
+++ b/kumquatproxy/loadmessages.py
@@ -31,26 +31,32 @@
 class Detail:
     """Hold the part of a report that changes rarely."""
 
-    __slots__ = ("backend_id", "facts", "hash", "incarnation", "loaded")
+    __slots__ = (
+        "backend_id",
+        "facts",
+        "fence_seen",
+        "hash",
+        "incarnation",
+        "loaded",
+        "orders_seen",
+    )
 
     def __init__(self, backend_id, incarnation, facts):
         self.backend_id: str = backend_id
         self.incarnation: int = incarnation
         self.facts: frozenset[str] = frozenset(facts)
-        text = "\n".join(sorted(self.facts))
+        ordered = sorted(self.facts)
+        text = "\n".join(ordered)
         self.hash = hashlib.blake2b(text.encode(), digest_size=HASH_BYTES).digest()
-        self.loaded = tuple(
-            _item_of(fact[2:]) for fact in sorted(self.facts) if fact[:2] == "i:"
-        )
-
-    def fence_seen(self) -> int:
-        """Return the last fence that the backend server saw."""
-        fences = [int(fact[2:]) for fact in self.facts if fact[:2] == "f:"]
-        return max(fences, default=0)
-
-    def orders_seen(self) -> tuple[str, ...]:
-        """Return the ids of the orders that the backend server saw."""
-        return tuple(sorted(fact[2:] for fact in self.facts if fact[:2] == "o:"))
+        items = [fact[2:] for fact in ordered if fact[:2] == "i:"]
+        self.loaded = tuple(_item_of(key) for key in items)
+        self.orders_seen = tuple(fact[2:] for fact in ordered if fact[:2] == "o:")
+        fences = [int(fact[2:]) for fact in ordered if fact[:2] == "f:"]
+        self.fence_seen = max(fences, default=0)
+
+    def key(self) -> bytes:
+        """Return the key of the incarnation that this detail belongs to."""
+        return key_of(self.backend_id, self.incarnation)
 
 
 _items_by_key: dict[str, records.Item] = {}
--- a/kumquatproxy/membership.py
+++ b/kumquatproxy/membership.py
@@ -29,7 +29,11 @@
 cut off; with fewer hosts it may as well be the others that are dead."""
 
 RECONTACT_INTERVAL_S = 2.0
-SYNC_INTERVAL_S = 20.0
+MIN_SYNC_INTERVAL_S = 1.0
+MAX_SYNC_INTERVAL_S = 20.0
+"""Lists are exchanged while they differ, each time after twice as long, because hosts
+find some of the differences by their own probes."""
+
 JOIN_INTERVAL_S = 1.0
 BACKEND_PULL_INTERVAL_S = 3.0
 FORGET_INTERVAL_S = 30.0
@@ -93,6 +97,7 @@
         self._recontact_at = now + RECONTACT_INTERVAL_S
         self._join_at = now
         self._sync_at = now
+        self._sync_interval_s = MIN_SYNC_INTERVAL_S
         self._pull_at = now
         self._forget_at = now + FORGET_INTERVAL_S
         for seed in self._own_seeds():
@@ -338,8 +343,11 @@
         for values in message.news:
             self._merge(membermessages.parse_host(values), now)
         hosts_sum, backends_sum = _SUMS.unpack(message.sums)
-        if hosts_sum != self.table.sum & _MASK and now >= self._sync_at:
-            self._sync_at = now + SYNC_INTERVAL_S * (0.5 + self._rng.random())
+        if hosts_sum == self.table.sum & _MASK:
+            self._sync_interval_s = MIN_SYNC_INTERVAL_S
+        elif now >= self._sync_at:
+            self._sync_at = now + self._sync_interval_s * (0.5 + self._rng.random())
+            self._sync_interval_s = min(MAX_SYNC_INTERVAL_S, self._sync_interval_s * 2)
             self._send(sender, self._sync_message(True))
         if backends_sum != self.backends.sum & _MASK and now >= self._pull_at:
             self._pull_at = now + BACKEND_PULL_INTERVAL_S
