Test membership, load reports and dissemination on a fake network

Change: tests with loss, duplication, reordering, partitions, pauses and restarts; companions that break one protection each; probing in its own module. A leaf whose tick always came just after the wave never sent its reports: it now sends them when the wave comes.

--- a/kumquatproxy/loadreports.py
+++ b/kumquatproxy/loadreports.py
@@ -13,13 +13,12 @@
 WAVE_LEAD_S = 0.08
 """A leaf starts this much early, for the way of the wave up to the root."""
 
-LEVEL_S = 0.02
-"""An inner host waits this much longer than each level below it before it sends up
-without all its children."""
+LEVEL_S = 0.06
+"""An inner host waits this much longer for each level below it before it sends up
+without all its children; this is more than the interval between two ticks."""
 
 PARENT_SILENT_S = 1.5
 ADOPTED_S = 2.0
-ROOT_RETRY_S = 5.0
 MAX_DETAILS = 50  # in one message; each may take some 2 KB
 PURGE_INTERVAL_S = 10.0
 
@@ -49,6 +48,7 @@
         self._parent_heard_at = now
         self._due_at = now + WAVE_INTERVAL_S * rng.random()
         self._sent_at = now
+        self._has_sent_up = True  # since the last wave came down
         self._waiting: set[str] = set()
         self._level = 0
         self._purge_at = now + PURGE_INTERVAL_S
@@ -100,11 +100,6 @@
         if parent and now - self._parent_heard_at > PARENT_SILENT_S:
             self._chain_at += 1
             self._parent_heard_at = now
-            parent = self._parent()
-        if not parent and self._chain and now - self._parent_heard_at > ROOT_RETRY_S:
-            self._chain_at = 0
-            self._parent_heard_at = now
-            parent = self._parent()
         if now >= self._due_at:
             self._send_wave(now)
         if now >= self._purge_at:
@@ -138,6 +133,7 @@
     def _send_wave(self, now):
         parent = self._parent()
         self._sent_at = now
+        self._has_sent_up = True
         self._due_at = now + WAVE_INTERVAL_S + self._level * LEVEL_S
         self._waiting = set(self._children)
         if parent:
@@ -215,8 +211,13 @@
         position = self._chain.index(sender)
         if position > self._chain_at:
             return
+        if not self._has_sent_up:
+            # The wave came before the tick at which this host was to send up. Where
+            # the wave keeps step with the ticks, that would happen each time.
+            self._send_batch(sender, False, now)
         self._chain_at = position
         self._parent_heard_at = now
+        self._has_sent_up = False
         wait_s = WAVE_INTERVAL_S - WAVE_LEAD_S + self._level * LEVEL_S
         self._due_at = now + wait_s
         self._waiting = set(self._children)
--- a/kumquatproxy/membermessages.py
+++ b/kumquatproxy/membermessages.py
@@ -32,6 +32,19 @@
         self.address: str = address  # "IP:port"
 
 
+class Settings:
+    """Hold the settings of a host that membership needs."""
+
+    __slots__ = ("address", "data_centre", "host_id", "incarnation", "seeds")
+
+    def __init__(self, host_id, data_centre, address, incarnation, seeds=()):
+        self.host_id: str = host_id
+        self.data_centre: str = data_centre
+        self.address: str = address  # "IP:port" for links from other hosts
+        self.incarnation: int = incarnation  # higher after each restart
+        self.seeds: tuple[Seed, ...] = tuple(seeds)
+
+
 class HostEntry(records.Record):
     """Hold what is known of one host of the own data centre."""
 
--- a/kumquatproxy/membership.py
+++ b/kumquatproxy/membership.py
@@ -6,14 +6,13 @@
     backendtable,
     hosttable,
     membermessages,
+    probing,
     records,
     relaylinks,
     trees,
     wire,
 )
 
-PROBE_INTERVAL_S = 1.0
-INDIRECT_AFTER_S = 0.3
 INDIRECT_PEERS = 3
 SUSPICION_S = 10.0
 """A suspect has to hear of the suspicion and its refutation has to reach all hosts:
@@ -49,35 +48,11 @@
 HostEntry = membermessages.HostEntry
 
 
-class Settings:
-    """Hold the settings of a host that membership needs."""
-
-    __slots__ = ("address", "data_centre", "host_id", "incarnation", "seeds")
-
-    def __init__(self, host_id, data_centre, address, incarnation, seeds=()):
-        self.host_id: str = host_id
-        self.data_centre: str = data_centre
-        self.address: str = address  # "IP:port" for links from other hosts
-        self.incarnation: int = incarnation  # higher after each restart
-        self.seeds: tuple[membermessages.Seed, ...] = tuple(seeds)
-
-
-class _Pending:
-    __slots__ = ("asked_others", "asker", "asker_number", "sent_at", "target")
-
-    def __init__(self, target, sent_at, asker="", asker_number=0):
-        self.target: str = target
-        self.sent_at: float = sent_at
-        self.asked_others = False
-        self.asker: str = asker  # the host that this probe is made for, or ""
-        self.asker_number: int = asker_number
-
-
 class Membership:
     """Keep the hosts and the backend servers of the own data centre."""
 
     def __init__(self, settings, rng, now):
-        self.settings: Settings = settings
+        self.settings: membermessages.Settings = settings
         self.host_id: str = settings.host_id
         self.table = hosttable.HostTable(settings.host_id)
         self.backends = backendtable.BackendTable(settings.data_centre)
@@ -85,15 +60,12 @@
         self.links = relaylinks.RelayLinks(settings, rng, now)
         self._rng = rng
         self._out: list = []
-        self._number = 0
-        self._pending_by_number: dict[int, _Pending] = {}
-        self._probe_order: list[str] = []
+        self._prober = probing.Prober(rng, now)
         self._accused: set[str] = set()
         self._deadlines_by_id: dict[str, float] = {}
         self._is_joined = False
         self._ticked_at = now
         self._heard_at = now
-        self._probe_at = now + rng.random() * PROBE_INTERVAL_S
         self._recontact_at = now + RECONTACT_INTERVAL_S
         self._join_at = now
         self._sync_at = now
@@ -126,8 +98,7 @@
         """Return what is due at ``now``."""
         self._pass_over_pause(now)
         self._check_probes(now)
-        if now >= self._probe_at:
-            self._probe_at = max(self._probe_at, now - 1.0) + PROBE_INTERVAL_S
+        if self._prober.is_due(now):
             self._probe_next(now)
         self._check_suspects(now)
         self._contact_missing(now)
@@ -202,50 +173,35 @@
         return _SUMS.pack(self.table.sum & _MASK, self.backends.sum & _MASK)
 
     def _probe(self, target, now, asker="", asker_number=0):
-        self._number += 1
-        pending = _Pending(target, now, asker, asker_number)
-        self._pending_by_number[self._number] = pending
-        self._send(target, self._probe_message(target))
+        number = self._prober.start(target, now, asker, asker_number)
+        self._send(target, self._probe_message(target, number))
+
+    def _contact(self, target):
+        self._send(target, self._probe_message(target, self._prober.skip_number()))
 
-    def _probe_message(self, target):
+    def _probe_message(self, target, number):
         entry = self.table.get(target)
         first_id = target if entry and entry.state >= HostState.SUSPECT else ""
         return membermessages.Probe(
             me=self.me.to_list(),
             news=self.table.news(first_id),
-            number=self._number,
+            number=number,
             sums=self._sums(),
             version=self.version,
         )
 
     def _probe_next(self, now):
-        while self._probe_order:
-            target = self._probe_order.pop()
-            if self.table.is_present(target):
-                self._probe(target, now)
-                break
-        else:
-            self._probe_order = self._others()
-            self._rng.shuffle(self._probe_order)
-            if self._probe_order:
-                self._probe_next(now)
-        for target in sorted(self._accused):
-            self._number += 1
-            self._send(target, self._probe_message(target))
+        target = self._prober.next_target(self._others())
+        if target:
+            self._probe(target, now)
+        for suspect in sorted(self._accused):
+            self._contact(suspect)
 
     def _check_probes(self, now):
-        if not self._pending_by_number:
-            return
-        for number, pending in list(self._pending_by_number.items()):
-            waited_s = now - pending.sent_at
-            if waited_s >= PROBE_INTERVAL_S:
-                del self._pending_by_number[number]
-                if not pending.asker:
-                    self._accuse(pending.target, now)
-            elif waited_s >= INDIRECT_AFTER_S and not pending.asked_others:
-                pending.asked_others = True
-                if not pending.asker:
-                    self._ask_others(number, pending.target)
+        for number, target in self._prober.late(now):
+            self._ask_others(number, target)
+        for target in self._prober.failed(now):
+            self._accuse(target, now)
 
     def _ask_others(self, number, target):
         for helper in self._some_others(INDIRECT_PEERS, target):
@@ -283,7 +239,7 @@
         self._ticked_at = now
         if paused_s <= PAUSE_S:
             return
-        self._pending_by_number.clear()
+        self._prober.clear()
         self._heard_at = now
         for target in self._deadlines_by_id:
             self._deadlines_by_id[target] += paused_s
@@ -302,9 +258,7 @@
         seeds = [seed.host_id for seed in self._own_seeds()]
         missing |= {name for name in seeds if not self.table.is_present(name)}
         if missing:
-            self._number += 1
-            target = self._rng.choice(sorted(missing))
-            self._send(target, self._probe_message(target))
+            self._contact(self._rng.choice(sorted(missing)))
 
     # Messages
 
@@ -326,11 +280,8 @@
 
     def _on_ack(self, sender, ack, now):
         self._on_status(sender, ack, now)
-        pending = self._pending_by_number.get(ack.number)
-        if pending is None or pending.target != ack.about:
-            return
-        del self._pending_by_number[ack.number]
-        if pending.asker:
+        pending = self._prober.finish(ack.number, ack.about)
+        if pending is not None and pending.asker:
             answer = self._ack(pending.asker_number, pending.target, pending.asker)
             self._send(pending.asker, answer)
 
--- a/kumquatproxy/peers.py
+++ b/kumquatproxy/peers.py
@@ -1,5 +1,7 @@
 """The three cores by which a host knows the others, joined into one."""
 
+import struct
+
 from kumquatproxy import (
     dissemination,
     errors,
@@ -16,6 +18,15 @@
 
 PUSH_FAN_OUT = 4
 
+_MALFORMED = (
+    TypeError,
+    ValueError,
+    KeyError,
+    IndexError,
+    AttributeError,
+    struct.error,
+)
+
 _MEMBERSHIP = (
     membermessages.Probe,
     membermessages.ProbeAck,
@@ -67,7 +78,7 @@
         """Handle one message of another host; raise ProxyError if it is malformed."""
         try:
             return self._receive(sender, message, now)
-        except (TypeError, ValueError, KeyError, IndexError, AttributeError) as error:
+        except _MALFORMED as error:
             raise _malformed(sender, message, error) from error
 
     def report(self, report: records.LoadReport, now: float) -> list:
--- /dev/null
+++ b/tests/clusters.py
@@ -0,0 +1,108 @@
+"""Hosts on a fake network, and checks of what they know, for the tests."""
+
+import itertools
+import random
+
+from kumquatproxy import fakenetwork, membermessages, peers, records, versionmessages
+
+LOSSY = fakenetwork.Conditions(delay_s=0.001, jitter_s=0.004, lost=0.1, duplicated=0.02)
+
+
+class Cluster:
+    """Run the cores of some hosts of some data centres."""
+
+    def __init__(self, seed, hosts, centres=("a",), conditions=LOSSY):
+        self.seed = seed
+        self.network = fakenetwork.FakeNetwork(
+            seed, conditions_of=lambda *_: conditions, on_output=self._note
+        )
+        self.centres_by_id = {
+            f"{centre}-{index:02d}": centre
+            for centre in centres
+            for index in range(hosts)
+        }
+        self.seeds = [
+            membermessages.Seed(f"{centre}-{index:02d}", centre, "127.0.0.1:1")
+            for centre in centres
+            for index in range(min(2, hosts))
+        ]
+        self.adoptions_by_id: dict[str, list[int]] = {}
+        self.refusals: list[versionmessages.Refused] = []
+        for host_id in self.centres_by_id:
+            self.start(host_id)
+
+    def start(self, host_id, incarnation=10, version=None):
+        centre = self.centres_by_id[host_id]
+        settings = membermessages.Settings(
+            host_id, centre, f"127.0.0.1:{host_id[-2:]}", incarnation, self.seeds
+        )
+        rng = random.Random(f"{self.seed} {host_id} {incarnation}")
+        host = peers.Peers(settings, rng, self.network.now, version)
+        self.network.add(host_id, host)
+
+    def _note(self, host_id, output, now):
+        if isinstance(output, versionmessages.Adopted):
+            self.adoptions_by_id.setdefault(host_id, []).append(output.number)
+        if isinstance(output, versionmessages.Refused):
+            self.refusals.append(output)
+
+    def host(self, host_id) -> peers.Peers:
+        return self.network.hosts_by_id[host_id]
+
+    def hosts(self):
+        return list(self.network.hosts_by_id.values())
+
+    def run_for(self, seconds):
+        self.network.run(self.network.now + seconds)
+
+    def announce(self, host_id, server):
+        now = self.network.now
+        self.network.handle(
+            host_id, self.host(host_id).membership.announce(server, now)
+        )
+
+    def publish(self, host_id, number, content):
+        outputs = self.host(host_id).publish(number, content, self.network.now)
+        self.network.handle(host_id, outputs)
+
+    def wrong_views(self):
+        """Return the hosts whose list differs from the hosts that are running."""
+        wrong = {}
+        for host in self.hosts():
+            centre = self.centres_by_id[host.host_id]
+            running = [
+                name
+                for name in sorted(self.network.hosts_by_id)
+                if self.centres_by_id[name] == centre
+            ]
+            present = host.membership.table.present()
+            if present != running:
+                wrong[host.host_id] = set(present) ^ set(running)
+        return wrong
+
+    def behind(self, number):
+        """Return the hosts that do not have a version yet."""
+        return [host.host_id for host in self.hosts() if host.versions.number < number]
+
+    def fallen_versions(self):
+        """Return the hosts that adopted a version not above the one before."""
+        return [
+            host_id
+            for host_id, numbers in self.adoptions_by_id.items()
+            if any(low >= high for low, high in itertools.pairwise(numbers))
+        ]
+
+
+def server_of(name, incarnation=1, leaving=False, centre="a"):
+    return records.BackendServer(
+        name,
+        "127.0.0.1:9",
+        centre,
+        "engine",
+        "s",
+        incarnation,
+        80_000,
+        4,
+        True,
+        leaving,
+    )
--- /dev/null
+++ b/tests/test_dissemination.py
@@ -0,0 +1,178 @@
+"""Versions: forwards only, digest check, loss, late hosts."""
+
+import random
+
+import clusters
+import pytest
+
+from kumquatproxy import dissemination, errors, versionmessages, wire
+
+CONTENT = random.Random(1).randbytes(100_000)  # 7 chunks, as it does not compress
+
+
+def content_of(number):
+    return CONTENT + str(number).encode()
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_version_reaches_all_hosts_of_all_data_centres(seed):
+    cluster = clusters.Cluster(seed, 10, centres=("a", "b", "c"))
+    cluster.run_for(15.0)
+    assert not any(host.versions.is_ready for host in cluster.hosts())
+    cluster.publish("b-07", 1, content_of(1))  # not a relay
+    cluster.run_for(12.0)
+    assert cluster.behind(1) == []
+    for host in cluster.hosts():
+        assert host.versions.version.content == content_of(1)
+
+
+def test_a_host_that_was_cut_off_pulls_the_newest_version():
+    cluster = clusters.Cluster(3, 8)
+    cluster.run_for(10.0)
+    cluster.network.cut(lambda sender, to: "a-06" in (sender, to))
+    cluster.publish("a-00", 1, content_of(1))
+    cluster.publish("a-00", 2, content_of(2))
+    cluster.run_for(5.0)
+    assert cluster.behind(2) == ["a-06"]
+    cluster.network.cut(lambda sender, to: False)
+    cluster.run_for(15.0)
+    assert cluster.behind(2) == []
+
+
+def fallen_versions(seed):
+    """Return hosts whose version fell while versions were published quickly.
+
+    Hosts are restarted with version 1 in between and offer it again.
+    """
+    cluster = clusters.Cluster(seed, 8)
+    cluster.run_for(8.0)
+    cluster.publish("a-00", 1, content_of(1))
+    cluster.run_for(6.0)
+    for number in range(2, 7):
+        cluster.publish("a-00", number, content_of(number))
+        cluster.run_for(0.7)
+        cluster.network.kill("a-05")
+        cluster.start("a-05", 10 + number, dissemination.Version(1, content_of(1)))
+        cluster.adoptions_by_id.pop("a-05", None)
+        late = cluster.host("a-05").versions
+        offer = dissemination._offer_message(late.version, "")
+        for host in cluster.hosts():
+            cluster.network.handle("a-05", [wire.Send(host.host_id, offer)])
+        cluster.run_for(0.7)
+    cluster.run_for(10.0)
+    return cluster.fallen_versions()
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_adopted_versions_never_fall(seed):
+    assert fallen_versions(seed) == []
+
+
+def test_check_fails_when_versions_may_go_back(monkeypatch):
+    monkeypatch.setattr(dissemination.Dissemination, "_may_adopt", lambda *_: True)
+    assert fallen_versions(1) != []
+
+
+class Pair:
+    """Let one host take a version from another, message by message."""
+
+    def __init__(self):
+        rng = random.Random(1)
+        self.source = dissemination.Dissemination("s", rng, 0.0)
+        self.source.publish(3, content_of(3), 0.0)
+        self.target = dissemination.Dissemination("t", rng, 0.0)
+        self.outputs = []
+
+    def transfer(self, change, now=0.0):
+        """Run to the end; ``change`` may replace or drop a chunk."""
+        offer = dissemination._offer_message(self.source.version, "")
+        return self.run([("t", offer)], change, now)
+
+    def run(self, messages, change, now):
+        """Carry messages until there are none; return the indices of the chunks."""
+        chunks = []
+        while messages:
+            to, message = messages.pop(0)
+            if isinstance(message, versionmessages.VersionChunk):
+                chunks.append(message.index)
+                message = change(message)
+            if message is None:
+                continue
+            core, sender = (self.target, "s") if to == "t" else (self.source, "t")
+            for output in core.receive(sender, message, now):
+                if isinstance(output, wire.Send):
+                    messages.append((output.to, output.message))
+                else:
+                    self.outputs.append(output)
+        return chunks
+
+
+def test_a_wrong_digest_is_refused(monkeypatch):
+    def damage(chunk):
+        data = bytes(len(chunk.data)) if chunk.index == 2 else chunk.data
+        return versionmessages.VersionChunk(
+            data=data, index=chunk.index, number=chunk.number, packed=chunk.packed
+        )
+
+    pair = Pair()
+    pair.transfer(damage)
+    assert not pair.target.is_ready
+    assert [type(output) for output in pair.outputs] == [versionmessages.Refused]
+    pair.transfer(lambda chunk: chunk, now=2.0)
+    assert pair.target.version.content == content_of(3)
+
+
+def test_check_fails_without_the_digest():
+    """A version with another content under the announced digest would be adopted."""
+    for is_checked in (True, False):
+        pair = Pair()
+        if not is_checked:
+            pair.target._matches = lambda *_: True
+        offer = dissemination._offer_message(pair.source.version, "")
+        offer.digest = dissemination.digest_of(b"other")
+        pair.target.receive("s", offer, 0.0)
+        for index in range(offer.chunks):
+            chunk = versionmessages.VersionChunk(
+                data=pair.source.version.chunk(index),
+                index=index,
+                number=3,
+                packed=offer.packed,
+            )
+            pair.target.receive("s", chunk, 0.0)
+        assert pair.target.is_ready != is_checked
+
+
+def test_a_transfer_resumes_after_loss_with_the_missing_chunks_only():
+    pair = Pair()
+    lost = []
+
+    def drop_some(chunk):
+        if chunk.index in (1, 5) and chunk.index not in lost:
+            lost.append(chunk.index)
+            return None
+        return chunk
+
+    sent = pair.transfer(drop_some)
+    assert not pair.target.is_ready
+    for now in (1.1, 2.2, 3.3):
+        messages = [("s", output.message) for output in pair.target.tick(now)]
+        sent += pair.run(messages, drop_some, now)
+    assert pair.target.version.content == content_of(3)
+    assert sorted(sent) == sorted([*range(7), *lost])
+
+
+def test_one_number_names_one_content():
+    pair = Pair()
+    assert pair.source.publish(3, content_of(3), 1.0) == []
+    with pytest.raises(errors.ProxyError, match="version-conflict"):
+        pair.source.publish(3, content_of(4), 1.0)
+    (refused,) = pair.source.observe("t", [3, b"12345678"], 1.0)
+    assert isinstance(refused, versionmessages.Refused)
+
+
+def test_many_pulls_at_once_are_served_at_a_bounded_rate():
+    pair = Pair()
+    packed = pair.source.version.packed_digest
+    pull = versionmessages.VersionPull(chunks=[0, 1, 2, 3], number=3, packed=packed)
+    sent = [len(pair.source.receive(f"h{index}", pull, 0.0)) for index in range(100)]
+    assert sum(sent) == dissemination.SERVED_CHUNKS_BURST
--- /dev/null
+++ b/tests/test_loadreports.py
@@ -0,0 +1,158 @@
+"""Load reports: coding, order, loss, and a tree with a dead host."""
+
+import clusters
+import pytest
+
+from kumquatproxy import fakenetwork, loadmessages, records, reportstore
+
+RELIABLE = fakenetwork.Conditions()
+
+
+def report_of(name, sequence, sent_at=0.0, items=2, incarnation=1, **fields):
+    loaded = [records.Item("model", f"m{index}", "1") for index in range(items)]
+    return records.LoadReport(
+        name, incarnation, sequence, loaded=loaded, sent_at=sent_at, **fields
+    )
+
+
+class Reporting:
+    """Let one backend server per host report each second."""
+
+    def __init__(self, cluster, items=2):
+        self.cluster = cluster
+        self.items = items
+        self.sequence = 0
+        cluster.network.at(0.5, self.report)
+
+    def report(self):
+        self.sequence += 1
+        now = self.cluster.network.now
+        for host in self.cluster.hosts():
+            name = f"gpu-{host.host_id}"
+            running = self.sequence % 7
+            report = report_of(name, self.sequence, now, self.items, running=running)
+            self.cluster.network.handle(host.host_id, host.report(report, now))
+        self.cluster.network.at(now + 1.0, self.report)
+
+    def worst_age_s(self):
+        """Return the age of the oldest report of a running host, 99 if one lacks."""
+        now = self.cluster.network.now
+        names = [f"gpu-{host.host_id}" for host in self.cluster.hosts()]
+        return max(
+            now - host.reports.reports_by_id[name].sent_at
+            if name in host.reports.reports_by_id
+            else 99.0
+            for host in self.cluster.hosts()
+            for name in names
+        )
+
+
+def test_reports_reach_every_host_within_two_intervals():
+    cluster = clusters.Cluster(1, 31, conditions=RELIABLE)
+    reporting = Reporting(cluster)
+    cluster.run_for(20.45)
+    assert reporting.worst_age_s() <= 1.6
+    for host in cluster.hosts():
+        report = host.reports.reports_by_id["gpu-a-00"]
+        assert [item.key() for item in report.loaded] == ["model:m0@1", "model:m1@1"]
+
+
+def test_changed_details_follow_in_spite_of_loss():
+    """Guard against a lost delta that leaves the loaded set wrong for good."""
+    cluster = clusters.Cluster(2, 15)
+    reporting = Reporting(cluster)
+    for items in (3, 5, 1, 4):
+        cluster.run_for(6.0)
+        reporting.items = items
+    cluster.run_for(8.0)
+    for host in cluster.hosts():
+        for report in host.reports.reports_by_id.values():
+            assert len(report.loaded) == 4
+
+
+def test_a_dead_inner_host_does_not_hide_its_subtree():
+    cluster = clusters.Cluster(3, 31, conditions=RELIABLE)
+    reporting = Reporting(cluster)
+    cluster.run_for(10.0)
+    cluster.network.kill("a-29")  # child of the root
+    cluster.run_for(5.45)
+    assert cluster.host("a-00").membership.table.is_present("a-29")
+    assert reporting.worst_age_s() <= 3.0
+
+
+def test_the_root_is_replaced():
+    cluster = clusters.Cluster(4, 15, conditions=RELIABLE)
+    reporting = Reporting(cluster)
+    cluster.run_for(10.0)
+    cluster.network.kill("a-14")
+    cluster.run_for(30.45)
+    assert reporting.worst_age_s() <= 1.6
+
+
+def old_reports_taken(store):
+    """Return whether a store takes a repeated or an earlier report."""
+    store.accept(report_of("b", 5, incarnation=2, running=1))
+    late = [
+        report_of("b", 5, incarnation=2, running=9),
+        report_of("b", 4, incarnation=2, running=9),
+        report_of("b", 9, incarnation=1, running=9),
+    ]
+    for report in late:
+        store.accept(report)
+        detail = loadmessages.detail_of(report)
+        fast = loadmessages.pack_fast(detail.key(), report, detail.hash, 0.0)
+        for values in loadmessages.unpack_fast(fast):
+            store.take_fast(values, detail, 0.0)
+    return store.reports_by_id["b"].running != 1
+
+
+def test_old_reports_are_discarded():
+    assert not old_reports_taken(reportstore.ReportStore())
+
+
+def test_check_fails_without_the_order(monkeypatch):
+    monkeypatch.setattr(reportstore, "_rank", lambda report: (0, 0))
+    store = reportstore.ReportStore()
+    monkeypatch.setattr(store, "accept", lambda report: _accept_any(store, report))
+    assert old_reports_taken(store)
+
+
+def _accept_any(store, report):
+    store.reports_by_id[report.backend_id] = report
+
+
+def test_a_new_incarnation_replaces_the_earlier_one():
+    store = reportstore.ReportStore()
+    store.accept(report_of("b", 50, incarnation=1))
+    store.accept(report_of("b", 1, incarnation=2, running=3))
+    assert store.reports_by_id["b"].running == 3
+    assert len(store.states_by_key) == 1
+
+
+def test_a_report_survives_its_coding():
+    report = report_of(
+        "b", 70_000, 8.0, running=12, waiting=3, kv_used=0.5, fence_seen=7
+    )
+    report.orders_seen = ("o-1", "o-2")
+    detail = loadmessages.detail_of(report)
+    fast = loadmessages.pack_fast(detail.key(), report, detail.hash, 10.0)
+    assert len(fast) == 18
+    store = reportstore.ReportStore()
+    (values,) = loadmessages.unpack_fast(fast)
+    assert store.take_fast(values, detail, 10.0)
+    received = store.reports_by_id["b"]
+    assert received.kv_used == pytest.approx(0.5, abs=1 / 255)
+    received.kv_used = report.kv_used
+    assert received == report
+
+
+def test_reports_of_an_unknown_server_wait_for_its_detail():
+    report = report_of("b", 1, 9.0)
+    detail = loadmessages.detail_of(report)
+    fast = loadmessages.pack_fast(detail.key(), report, detail.hash, 9.0)
+    store = reportstore.ReportStore()
+    (values,) = loadmessages.unpack_fast(fast)
+    assert not store.take_fast(values, None, 9.0)
+    assert store.wanted == [detail.key()]
+    store.take_full(loadmessages.full_detail(detail.key(), detail))
+    assert store.reports_by_id["b"] == report
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,188 @@
+"""Membership: joins, deaths, partitions, pauses, restarts, leaving."""
+
+import clusters
+import pytest
+
+from kumquatproxy import errors, membership
+
+SETTLE_S = 40.0
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_hosts_join_and_a_dead_host_is_removed_on_all(seed):
+    cluster = clusters.Cluster(seed, 16)
+    cluster.run_for(15.0)
+    assert cluster.wrong_views() == {}
+    cluster.network.kill("a-05")
+    cluster.run_for(SETTLE_S)
+    assert cluster.wrong_views() == {}
+
+
+def partition_and_heal(seed):
+    """Return the wrong views some time after a long partition into halves."""
+    cluster = clusters.Cluster(seed, 12)
+    cluster.run_for(10.0)
+    cluster.network.cut(lambda sender, to: (sender < "a-06") != (to < "a-06"))
+    cluster.run_for(60.0)
+    assert len(cluster.wrong_views()) == 12  # both halves took the other for dead
+    cluster.network.cut(lambda sender, to: False)
+    cluster.run_for(SETTLE_S)
+    return cluster.wrong_views()
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_no_live_host_stays_dead_after_a_partition(seed):
+    assert partition_and_heal(seed) == {}
+
+
+def test_check_fails_without_refutation(monkeypatch):
+    monkeypatch.setattr(membership.Membership, "_refute", lambda *_: None)
+    assert partition_and_heal(1) != {}
+
+
+def test_a_paused_host_is_removed_and_comes_back():
+    cluster = clusters.Cluster(4, 12)
+    cluster.run_for(10.0)
+    cluster.network.paused.add("a-07")
+    cluster.run_for(SETTLE_S)
+    others = [host for host in cluster.hosts() if host.host_id != "a-07"]
+    assert not any(host.membership.table.is_present("a-07") for host in others)
+    cluster.network.paused.clear()
+    cluster.run_for(0.2)
+    paused = cluster.host("a-07").membership.table
+    assert len(paused.present()) == 12  # its own pause says nothing of the others
+    cluster.run_for(SETTLE_S)
+    assert cluster.wrong_views() == {}
+
+
+def test_a_cut_off_host_does_not_declare_all_others_dead():
+    cluster = clusters.Cluster(5, 12)
+    cluster.run_for(10.0)
+    cluster.network.cut(lambda sender, to: "a-03" in (sender, to))
+    cluster.run_for(120.0)
+    assert len(cluster.host("a-03").membership.table.present()) == 12
+    cluster.network.cut(lambda sender, to: False)
+    cluster.run_for(SETTLE_S)
+    assert cluster.wrong_views() == {}
+
+
+@pytest.mark.parametrize("incarnation", [11, 3])
+def test_a_restarted_host_is_known_again(incarnation):
+    """Guard against a restart, even with a clock set back, that stays dead."""
+    cluster = clusters.Cluster(6, 8)
+    cluster.run_for(10.0)
+    cluster.network.kill("a-04")
+    cluster.run_for(SETTLE_S)
+    cluster.start("a-04", incarnation)
+    cluster.run_for(SETTLE_S)
+    assert cluster.wrong_views() == {}
+    assert cluster.host("a-00").membership.table.get("a-04").incarnation > 10
+
+
+def test_a_leaving_host_is_no_relay_within_a_second():
+    cluster = clusters.Cluster(7, 16)
+    cluster.run_for(10.0)
+    leaving = cluster.host("a-00").membership
+    cluster.network.handle("a-00", leaving.leave(cluster.network.now))
+    cluster.run_for(1.0)
+    assert {tuple(host.membership.relays()) for host in cluster.hosts()} == {
+        ("a-01", "a-02")
+    }
+    cluster.network.handle("a-00", leaving.left(cluster.network.now))
+    cluster.network.kill("a-00")
+    cluster.run_for(1.0)
+    assert cluster.wrong_views() == {}
+
+
+def hosts_missing_a_leaving_server(seed):
+    """Return the hosts that still use a backend server 3 s after it is leaving.
+
+    An inner host of the tree dies at the same moment.
+    """
+    cluster = clusters.Cluster(seed, 24)
+    cluster.run_for(10.0)
+    cluster.announce("a-09", clusters.server_of("gpu-1"))
+    cluster.run_for(3.0)
+    cluster.network.kill("a-22")
+    cluster.announce("a-09", clusters.server_of("gpu-1", leaving=True))
+    cluster.run_for(3.0)
+    now = cluster.network.now
+    return [
+        host.host_id
+        for host in cluster.hosts()
+        if host.membership.backends.get("gpu-1") is None
+        or host.membership.backends.candidates(now)
+    ]
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_leaving_server_is_known_everywhere_within_3_s(seed):
+    assert hosts_missing_a_leaving_server(seed) == []
+
+
+def test_check_fails_without_the_push(monkeypatch):
+    monkeypatch.setattr(membership.Membership, "_push", lambda *_: None)
+    monkeypatch.setattr(membership, "BACKEND_PULL_INTERVAL_S", 1000.0)
+    assert hosts_missing_a_leaving_server(1) != []
+
+
+def test_a_host_that_missed_an_announcement_pulls_it():
+    cluster = clusters.Cluster(8, 8)
+    cluster.run_for(10.0)
+    cluster.network.cut(lambda sender, to: "a-06" in (sender, to))
+    cluster.announce("a-01", clusters.server_of("gpu-1"))
+    cluster.run_for(1.0)
+    cluster.network.cut(lambda sender, to: False)
+    cluster.run_for(15.0)
+    assert cluster.host("a-06").membership.backends.get("gpu-1") is not None
+
+
+def test_announcements_out_of_date_are_refused():
+    backends = clusters.Cluster(9, 1).host("a-00").membership.backends
+    assert backends.announce(clusters.server_of("b", 5), 0.0)
+    assert not backends.announce(clusters.server_of("b", 5), 1.0)
+    with pytest.raises(errors.ProxyError, match="older than the known 5"):
+        backends.announce(clusters.server_of("b", 4), 1.0)
+    with pytest.raises(errors.ProxyError, match="another data centre"):
+        backends.announce(clusters.server_of("b", 6, centre="z"), 1.0)
+    changed = clusters.server_of("b", 5)
+    changed.memory_mb += 1
+    with pytest.raises(errors.ProxyError, match="changed memory_mb"):
+        backends.announce(changed, 1.0)
+
+
+def test_leaving_holds_until_a_new_incarnation_and_silence_expires():
+    backends = clusters.Cluster(9, 1).host("a-00").membership.backends
+    backends.announce(clusters.server_of("b", 5, leaving=True), 0.0)
+    backends.announce(clusters.server_of("b", 5), 1.0)
+    assert backends.live(1.0) and not backends.candidates(1.0)
+    backends.announce(clusters.server_of("b", 6), 2.0)
+    assert backends.candidates(2.0)
+    backends.heard("b", 5, 20.0)  # a late report of the earlier incarnation
+    assert not backends.live(20.0)
+
+
+def test_relays_of_all_data_centres_find_each_other():
+    cluster = clusters.Cluster(10, 4, centres=("a", "b", "c"))
+    cluster.run_for(15.0)
+    assert cluster.host("a-00").membership.links.relays() == [
+        "b-00",
+        "b-01",
+        "c-00",
+        "c-01",
+    ]
+    cluster.network.kill("b-00")
+    cluster.run_for(SETTLE_S)
+    assert "b-02" in cluster.host("c-01").membership.links.relays()
+
+
+def test_malformed_messages_are_refused():
+    cluster = clusters.Cluster(11, 2)
+    host = cluster.host("a-00")
+    probe = cluster.host("a-01").membership._probe_message("a-00", 1)
+    for field, value in [("me", [1]), ("sums", b"1"), ("news", [["a", 9, 1, ""]])]:
+        broken = type(probe)(
+            **{name: getattr(probe, name) for name in probe.__slots__} | {field: value}
+        )
+        with pytest.raises(errors.ProxyError, match="malformed"):
+            host.receive("a-01", broken, 0.0)
