Add links between hosts with a mutual hello

Cause: hosts need authenticated links that are replaced when they stop responding. Conclusion: a link that swallows bytes is replaced, bad hellos are refused.

--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,342 @@
+"""Links on loopback sockets: exchange, refusals, replacement, bounded queues."""
+
+import gevent
+import gevent.server
+import gevent.socket
+import pytest
+from websockets import client, frames, uri
+
+from kumquatproxy import errors, hello, link, sendqueue, transport, wire
+
+KEY = b"k" * 32
+FAST = link.Timing(ping_s=0.05, silent_s=0.3, dial_s=2.0, hello_s=2.0)
+PATIENCE_S = 10.0
+
+
+@wire.register("test-note")
+class Note(wire.Message):
+    """Hold a text."""
+
+    __slots__ = ("text",)
+
+
+class End:
+    """Run the transport of one host and keep what it received."""
+
+    def __init__(self, host_id, key=KEY, timing=FAST, centre="a", patterns=("*",)):
+        self.messages = []
+        self.refusals = []
+        identity = hello.Identity(host_id, centre, key, ["a", "b"], patterns)
+        self.transport = transport.Transport(
+            transport.Settings("127.0.0.1:0", identity, timing),
+            lambda sender, message: self.messages.append((sender, message.text)),
+            self.refusals.append,
+        )
+        self.transport.start()
+
+    @property
+    def address(self):
+        return self.transport.address
+
+    def send(self, host_id, text):
+        return self.transport.send(host_id, Note(text=text))
+
+
+@pytest.fixture
+def ends():
+    """Return a function that starts ends, which are stopped after the test."""
+    started = []
+
+    def start(*args, **options):
+        started.append(End(*args, **options))
+        return started[-1]
+
+    yield start
+    for end in started:
+        end.transport.stop()
+
+
+def wait_until(condition):
+    """Wait for a condition; fail after ``PATIENCE_S``."""
+    with gevent.Timeout(PATIENCE_S, AssertionError("the condition did not come true")):
+        while not condition():
+            gevent.sleep(0.005)
+
+
+def test_messages_arrive_in_order_both_ways_on_one_link(ends):
+    a, b = ends("h-a"), ends("h-b", centre="b")
+    a.transport.learn("h-b", b.address)
+    for index in range(300):
+        a.send("h-b", f"{index}")
+    wait_until(lambda: len(b.messages) == 300)
+    assert b.messages == [("h-a", str(index)) for index in range(300)]
+    b.send("h-a", "x" * 200_000)  # b knows no address: it uses the link of a
+    wait_until(lambda: a.messages)
+    assert a.messages == [("h-b", "x" * 200_000)]
+    with pytest.raises(errors.ProxyError, match="protocol-error"):
+        a.send("h-b", "x" * wire.MAX_FRAME_BYTES)
+
+
+def test_hosts_that_dial_each_other_at_once_keep_a_link(ends):
+    a, b = ends("h-a"), ends("h-b")
+    a.transport.learn("h-b", b.address)
+    b.transport.learn("h-a", a.address)
+    for index in range(20):
+        a.send("h-b", f"{index}")
+        b.send("h-a", f"{index}")
+    wait_until(lambda: len(a.messages) == len(b.messages) == 20)
+    wait_until(lambda: len(a.transport._links) == len(b.transport._links) == 1)
+    a.send("h-b", "more")
+    b.send("h-a", "more")
+    wait_until(lambda: len(a.messages) == len(b.messages) == 21)
+
+
+@pytest.mark.parametrize(
+    "options, reason",
+    [
+        ({"key": b"other"}, "shared key"),
+        ({"host_id": "stranger"}, "unknown here"),
+        ({"centre": "z"}, "data centre 'z'"),
+    ],
+)
+def test_bad_peers_are_refused(ends, options, reason):
+    b = ends("h-b", patterns=("h-*",))
+    peer = ends(**{"host_id": "h-a", **options})
+    peer.transport.learn("h-b", b.address)
+    peer.send("h-b", "hi")
+    wait_until(lambda: b.refusals or peer.refusals)
+    wait_until(lambda: any(reason in error.detail for error in refused(b, peer)))
+    assert all(e.kind is errors.ErrorKind.PEER_REFUSED for e in refused(b, peer))
+    assert b.messages == [] and b.transport.connected() == []
+
+
+def test_check_fails_without_the_proof(ends, monkeypatch):
+    monkeypatch.setattr(hello, "_check_mac", lambda *_: None)
+    a, b = ends("h-a", key=b"other"), ends("h-b")
+    a.transport.learn("h-b", b.address)
+    a.send("h-b", "hi")
+    wait_until(lambda: b.messages == [("h-a", "hi")])
+
+
+def refused(*ends):
+    return [error for end in ends for error in end.refusals]
+
+
+def test_a_host_that_answers_for_another_is_refused(ends):
+    a, b = ends("h-a"), ends("h-b")
+    a.transport.learn("h-c", b.address)
+    a.send("h-c", "secret")
+    wait_until(lambda: a.refusals)
+    assert "in place of 'h-c'" in a.refusals[0].detail
+    assert b.messages == []
+
+
+class RawClient:
+    """Speak websocket to a transport without its hello."""
+
+    def __init__(self, address):
+        host, port = address.split(":")
+        self.sock = gevent.socket.create_connection((host, int(port)))
+        self.protocol = client.ClientProtocol(uri.parse_uri("ws://peer/link"))
+        self.protocol.send_request(self.protocol.connect())
+        self.flush()
+        self.events = []
+        self.read_until(lambda: self.events)
+        self.events = []
+
+    def flush(self):
+        for part in self.protocol.data_to_send():
+            if part:
+                self.sock.sendall(part)
+
+    def read_until(self, condition):
+        with gevent.Timeout(PATIENCE_S):
+            while not condition():
+                data = self.sock.recv(65536)
+                if not data:
+                    return
+                self.protocol.receive_data(data)
+                self.events += self.protocol.events_received()
+
+    def send(self, data):
+        self.protocol.send_binary(data)
+        self.flush()
+
+    def answer_to(self, data):
+        """Send one frame and return the next message of the other side."""
+        self.send(data)
+        self.read_until(lambda: self.frames())
+        return wire.decode(self.frames()[0].data)
+
+    def frames(self):
+        opcode = frames.Opcode.BINARY
+        return [event for event in self.events if event.opcode is opcode]
+
+
+def hello_of(identity, **changes):
+    first = hello.Dialler(identity, "h-b", b"n" * 16).first()
+    for name, value in changes.items():
+        setattr(first, name, value)
+    return first
+
+
+IDENTITY = hello.Identity("h-a", "a", KEY, ["a"])
+
+
+@pytest.mark.parametrize(
+    "data, kind, reason",
+    [
+        (wire.encode(hello_of(IDENTITY, protocol=99)), "PEER_REFUSED", "version 99"),
+        (wire.encode(hello_of(IDENTITY, nonce=b"1")), "PEER_REFUSED", "nonce"),
+        (wire.encode(hello_of(IDENTITY, host_id=7)), "PEER_REFUSED", "host id"),
+        (wire.encode(hello_of(IDENTITY, host_id="h-b")), "PEER_REFUSED", "unknown"),
+        (wire.encode(Note(text="hi")), "PEER_REFUSED", "in place of a hello"),
+        (b"\xff\x00", "PROTOCOL_ERROR", "CBOR"),
+        (b"\x00" * 2000, "PROTOCOL_ERROR", "hello of 2000 bytes"),
+        (b"\x00" * (wire.MAX_FRAME_BYTES + 1), "PROTOCOL_ERROR", "websocket"),
+    ],
+)
+def test_bad_hellos_are_refused(ends, data, kind, reason):
+    b = ends("h-b")
+    RawClient(b.address).send(data)
+    wait_until(lambda: b.refusals)
+    assert b.refusals[0].kind is errors.ErrorKind[kind]
+    assert reason in b.refusals[0].detail
+
+
+def test_a_replayed_hello_is_refused(ends):
+    b = ends("h-b")
+    dialler = hello.Dialler(IDENTITY, "h-b", b"n" * 16)
+    recorded = [wire.encode(dialler.first())]
+    first = RawClient(b.address)
+    recorded.append(wire.encode(dialler.receive(first.answer_to(recorded[0]))))
+    first.send(recorded[1])
+    wait_until(lambda: b.transport.connected() == ["h-a"])
+    first.sock.close()
+    wait_until(lambda: b.transport.connected() == [])
+    RawClient(b.address).send(recorded[0])
+    wait_until(lambda: b.refusals)
+    assert "replay" in b.refusals[0].detail
+    b.transport._memory._nonces.clear()  # as after a restart: the proof must not do
+    replay = RawClient(b.address)
+    replay.send(recorded[0])
+    replay.send(recorded[1])
+    wait_until(lambda: len(b.refusals) > 1)
+    assert "shared key" in b.refusals[1].detail
+    assert b.transport.connected() == []
+
+
+def test_no_websocket_is_refused(ends):
+    b = ends("h-b")
+    host, port = b.address.split(":")
+    sock = gevent.socket.create_connection((host, int(port)))
+    sock.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    wait_until(lambda: b.refusals)
+    assert b.refusals[0].kind is errors.ErrorKind.PROTOCOL_ERROR
+
+
+def test_malformed_frames_on_an_open_link_close_it(ends):
+    b = ends("h-b")
+    dialler = hello.Dialler(IDENTITY, "h-b", b"m" * 16)
+    raw = RawClient(b.address)
+    proof = dialler.receive(raw.answer_to(wire.encode(dialler.first())))
+    raw.send(wire.encode(proof))
+    wait_until(lambda: b.transport.connected() == ["h-a"])
+    raw.send(b"\xa1\x61\x74\x61\x7a")  # a map with an unknown tag
+    wait_until(lambda: b.transport.connected() == [])
+    assert b.refusals[0].kind is errors.ErrorKind.PROTOCOL_ERROR
+
+
+class Forwarder:
+    """Forward connections to a port until they are told to swallow all bytes."""
+
+    def __init__(self, target):
+        self.target = target.split(":")
+        self.swallowing = set()
+        self.count = 0
+        self.server = gevent.server.StreamServer(("127.0.0.1", 0), self.serve)
+        self.server.start()
+        self.address = f"127.0.0.1:{self.server.server_port}"
+
+    def serve(self, sock, _):
+        self.count += 1
+        number = self.count
+        other = gevent.socket.create_connection((self.target[0], int(self.target[1])))
+        pumps = [
+            gevent.spawn(self.pump, number, sock, other),
+            gevent.spawn(self.pump, number, other, sock),
+        ]
+        gevent.joinall(pumps)
+
+    def pump(self, number, source, sink):
+        try:
+            while data := source.recv(65536):
+                if number not in self.swallowing:
+                    sink.sendall(data)
+            sink.shutdown(gevent.socket.SHUT_WR)
+        except OSError:
+            pass  # one side was closed
+
+
+def test_a_link_that_swallows_bytes_is_replaced(ends):
+    """Guard against a link that stays open for good while nothing passes."""
+    a, b = ends("h-a"), ends("h-b")
+    forwarder = Forwarder(b.address)
+    a.transport.learn("h-b", forwarder.address)
+    a.send("h-b", "first")
+    wait_until(lambda: b.messages)
+    forwarder.swallowing.add(1)
+    wait_until(lambda: forwarder.count >= 2)
+    a.send("h-b", "second")
+    wait_until(lambda: ("h-a", "second") in b.messages)
+    assert any("no data for" in error.detail for error in a.refusals)
+    forwarder.server.stop()
+
+
+def test_a_restarted_host_is_dialled_again(ends):
+    a, b = ends("h-a"), ends("h-b")
+    a.transport.learn("h-b", b.address)
+    a.send("h-b", "one")
+    wait_until(lambda: b.messages)
+    b.transport.stop()
+    wait_until(lambda: a.transport.connected() == [])
+    c = ends("h-b")
+    a.transport.learn("h-b", c.address)
+    a.send("h-b", "two")
+    wait_until(lambda: c.messages == [("h-a", "two")])
+
+
+def test_a_full_queue_drops_the_oldest_droppable():
+    queue = sendqueue.SendQueue()
+    assert queue.put(b"stays", False, 0.0)
+    for index in range(sendqueue.MAX_MESSAGES + 10):
+        assert queue.put(b"%d" % index, True, 0.0)
+    assert len(queue) == sendqueue.MAX_MESSAGES
+    assert queue.dropped == 11
+    assert queue.pop(0.0) == b"stays"
+    assert queue.pop(0.0) == b"11"
+    assert queue.pop(100.0) is None  # too old to be of use
+
+
+def test_a_queue_full_of_others_refuses_more():
+    queue = sendqueue.SendQueue()
+    part = bytes(sendqueue.MAX_BYTES // 4)
+    assert [queue.put(part, False, 0.0) for _ in range(5)] == [True] * 4 + [False]
+    assert not queue.put(part, True, 0.0)
+    assert queue.pop(100.0) == part
+
+
+def test_a_host_that_does_not_read_costs_bounded_memory(ends):
+    b = ends("h-b")
+    dialler = hello.Dialler(IDENTITY, "h-b", b"s" * 16)
+    raw = RawClient(b.address)
+    raw.send(wire.encode(dialler.receive(raw.answer_to(wire.encode(dialler.first())))))
+    wait_until(lambda: b.transport.connected() == ["h-a"])
+    for _ in range(300):
+        b.send("h-a", "x" * 100_000)
+        gevent.sleep(0)
+    assert b.transport.dropped() > 0
+    peer = b.transport._peers_by_id["h-a"]
+    assert peer.queue._bytes <= sendqueue.MAX_BYTES
+    (one,) = peer.links
+    assert len(one._unsent) <= link.MAX_UNSENT_BYTES + 110_000
