Add configuration and placement state machines, ledger and order engine

A load is closed only by a report that was made after the engine processed it; store shares are lowered at once and raised after acknowledgements. Conclusion: the parts are in place; the order engine has no tests yet.

--- /dev/null
+++ b/kumquatproxy/configstate.py
@@ -0,0 +1,332 @@
+"""State machine of the configuration group: sheets, voters, shares of the store."""
+
+import collections
+import zlib
+
+import cbor2
+
+from kumquatproxy import errors, sheet, storeshare, wire
+
+# 380 changes a day give 26 days of digests, at about 300 bytes each.
+HISTORY_VERSIONS = 10_000
+# Full texts serve `sheet diff` and hosts that are a version behind.
+KEPT_TEXTS = 4
+MAX_SHEET_BYTES = 4 * 1024 * 1024
+# Grants that one data centre has not acknowledged are merged beyond this number.
+MAX_UNACKNOWLEDGED = 8
+
+
+@wire.register("submit-sheet")
+class SubmitSheet(wire.Message):
+    """Submit a sheet that follows version ``follows``.
+
+    ``text`` is compressed by ``compress``; ``limits`` are those of the text's weight
+    store. The submitting host has parsed the text: the state machine does not, because
+    hosts of two program versions might judge one text differently.
+    """
+
+    __slots__ = ("follows", "limits", "submitted_at", "submitter", "text")
+    follows: int
+    limits: storeshare.Share
+    submitted_at: float
+    submitter: str
+    text: bytes
+
+
+@wire.register("set-voters")
+class SetVoters(wire.Message):
+    """Set the placement voters of a data centre and the fence they start above."""
+
+    __slots__ = ("base_fence", "data_centre", "voters")
+    base_fence: int
+    data_centre: str
+    voters: list[str]
+
+
+@wire.register("remove-data-centre")
+class RemoveDataCentre(wire.Message):
+    """Remove a data centre whose hosts are stopped; its share is free at once."""
+
+    __slots__ = ("data_centre",)
+    data_centre: str
+
+
+@wire.register("acknowledge-share")
+class AcknowledgeShare(wire.Message):
+    """State that a data centre uses no more than its share of ``share_version``."""
+
+    __slots__ = ("data_centre", "share_version")
+    data_centre: str
+    share_version: int
+
+
+@wire.register("sheet-accepted")
+class SheetAccepted(wire.Message):
+    """Answer a submission that got a version number."""
+
+    __slots__ = ("digest", "version")
+    digest: str
+    version: int
+
+
+@wire.register("config-refused")
+class ConfigRefused(wire.Message):
+    """Refuse a command; ``digest`` is that of the submission that won the number."""
+
+    __slots__ = ("detail", "digest", "kind", "version")
+    detail: str
+    digest: str
+    kind: str
+    version: int
+
+
+@wire.register("config-done")
+class ConfigDone(wire.Message):
+    """Confirm any other command; ``revision`` is that of the configuration."""
+
+    __slots__ = ("revision",)
+    revision: int
+
+
+@wire.register("sheet-version")
+class SheetVersion(wire.Message):
+    """Hold what the history keeps of one accepted sheet."""
+
+    __slots__ = ("digest", "submitted_at", "submitter", "version")
+    digest: str
+    submitted_at: float
+    submitter: str
+    version: int
+
+
+@wire.register("data-centre-voters")
+class Voters(wire.Message):
+    """Hold the placement voters of a data centre and their base fence."""
+
+    __slots__ = ("base_fence", "voters")
+    base_fence: int
+    voters: list[str]
+
+
+def compress(text: str) -> bytes:
+    """Return the canonical text as it travels in the log; 0.5 MB take about 40 KB."""
+    return zlib.compress(sheet.canonical(text).encode(), 9)
+
+
+def decompress(data: bytes) -> str:
+    """Return the text; raise ProxyError if it is malformed or over the limit."""
+    inflate = zlib.decompressobj()
+    try:
+        raw = inflate.decompress(data, MAX_SHEET_BYTES)
+        if inflate.unconsumed_tail or not inflate.eof:
+            raise ValueError(f"the text is cut or over {MAX_SHEET_BYTES} bytes")
+        return raw.decode()
+    except (zlib.error, ValueError) as error:
+        raise errors.ProxyError(
+            errors.ErrorKind.INVALID_CONFIGURATION, f"sheet: {error}"
+        ) from None
+
+
+def limits_of(parsed: sheet.Sheet) -> storeshare.Share:
+    """Return the limits of the weight store that a sheet states."""
+    store = parsed.weight_store
+    return storeshare.Share(
+        adapters=store.adapters_in_transit,
+        rate=store.loads_per_second,
+        slots=store.concurrent_loads,
+    )
+
+
+class ConfigState:
+    """Apply committed commands; equal logs give equal states and answers."""
+
+    def __init__(self, history_versions=HISTORY_VERSIONS, kept_texts=KEPT_TEXTS):
+        self._history_versions = history_versions
+        self._kept_texts = kept_texts
+        self._handlers = {
+            SubmitSheet: self._submit,
+            SetVoters: self._set_voters,
+            RemoveDataCentre: self._remove,
+            AcknowledgeShare: self._acknowledge,
+        }
+        self.revision = 0  # rises with every change; dissemination adopts by it
+        self.version = 0
+        self.history: collections.deque[SheetVersion] = collections.deque()
+        self.texts_by_version: dict[int, bytes] = {}
+        self.voters_by_data_centre: dict[str, Voters] = {}
+        self.limits = storeshare.NO_SHARE
+        self.share_version = 0
+        self.shares_by_data_centre: dict[str, storeshare.Share] = {}
+        # Per data centre the grants it may still use: [share version, share], oldest
+        # first; an acknowledgement drops the ones before the acknowledged version.
+        self._grants: dict[str, list[list]] = {}
+
+    def apply(self, command: wire.Message) -> wire.Message:
+        """Apply one committed command and return its answer."""
+        handler = self._handlers.get(type(command))
+        if handler is None:
+            return self._refuse(
+                errors.ErrorKind.PROTOCOL_ERROR, f"no such command {command.tag!r}"
+            )
+        return handler(command)
+
+    def text(self, version: int) -> str | None:
+        """Return the sheet of a version, if its full text is still kept."""
+        data = self.texts_by_version.get(version)
+        return None if data is None else decompress(data)
+
+    def digest(self, version: int) -> str:
+        """Return the digest of a version, or an empty text if it is not kept."""
+        if not self.history or version < self.history[0].version:
+            return ""
+        index = version - self.history[0].version
+        return self.history[index].digest if index < len(self.history) else ""
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return cbor2.dumps(
+            {
+                "revision": self.revision,
+                "version": self.version,
+                "history": [
+                    [entry.digest, entry.submitted_at, entry.submitter, entry.version]
+                    for entry in self.history
+                ],
+                "texts": self.texts_by_version,
+                "voters": _to_maps(self.voters_by_data_centre),
+                "limits": self.limits.to_map(),
+                "share_version": self.share_version,
+                "shares": _to_maps(self.shares_by_data_centre),
+                "grants": {
+                    name: [[version, share.to_map()] for version, share in grants]
+                    for name, grants in sorted(self._grants.items())
+                },
+            }
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by that of a snapshot."""
+        plain = cbor2.loads(data)
+        self.revision = plain["revision"]
+        self.version = plain["version"]
+        self.history = collections.deque(
+            SheetVersion(*values) for values in plain["history"]
+        )
+        self.texts_by_version = plain["texts"]
+        self.voters_by_data_centre = _from_maps(plain["voters"])
+        self.limits = wire.from_plain(plain["limits"], 0)
+        self.share_version = plain["share_version"]
+        self.shares_by_data_centre = _from_maps(plain["shares"])
+        self._grants = {
+            name: [[version, wire.from_plain(share, 0)] for version, share in grants]
+            for name, grants in plain["grants"].items()
+        }
+
+    def _submit(self, command):
+        try:
+            digest = sheet.digest_of(decompress(command.text))
+        except errors.ProxyError as error:
+            return self._refuse(error.kind, error.detail)
+        version = command.follows + 1
+        if command.follows != self.version:
+            return self._answer_resend(version, digest)
+        self.version = version
+        self.revision += 1
+        self.history.append(
+            SheetVersion(digest, command.submitted_at, command.submitter, version)
+        )
+        self.texts_by_version[version] = command.text
+        while len(self.history) > self._history_versions:
+            self.history.popleft()
+        while len(self.texts_by_version) > self._kept_texts:
+            del self.texts_by_version[min(self.texts_by_version)]
+        self.limits = command.limits
+        self._change_shares()
+        return SheetAccepted(digest=digest, version=version)
+
+    def _answer_resend(self, version, digest):
+        accepted = self.digest(version)
+        if accepted and accepted == digest:
+            return SheetAccepted(digest=digest, version=version)
+        detail = f"version {version} is not open; the present one is {self.version}"
+        return self._refuse(errors.ErrorKind.VERSION_CONFLICT, detail, accepted)
+
+    def _set_voters(self, command):
+        present = self.voters_by_data_centre.get(command.data_centre)
+        if present is not None and command.base_fence < present.base_fence:
+            detail = f"base fence {command.base_fence} is below {present.base_fence}"
+            return self._refuse(errors.ErrorKind.STALE_FENCE, detail)
+        voters = Voters(base_fence=command.base_fence, voters=list(command.voters))
+        if voters != present:
+            self.voters_by_data_centre[command.data_centre] = voters
+            self.revision += 1
+            self._change_shares()
+        return ConfigDone(self.revision)
+
+    def _remove(self, command):
+        if self.voters_by_data_centre.pop(command.data_centre, None) is not None:
+            self.revision += 1
+            self.shares_by_data_centre.pop(command.data_centre, None)
+            self._grants.pop(command.data_centre, None)
+            self._change_shares()
+        return ConfigDone(self.revision)
+
+    def _acknowledge(self, command):
+        grants = self._grants.get(command.data_centre)
+        if grants is None or command.share_version > self.share_version:
+            detail = f"no share version {command.share_version} to acknowledge"
+            return self._refuse(errors.ErrorKind.INVALID_REQUEST, detail)
+        while len(grants) > 1 and grants[1][0] <= command.share_version:
+            grants.pop(0)
+        self._raise_shares()
+        return ConfigDone(self.revision)
+
+    def _change_shares(self):
+        """Lower shares at once; raise them as far as acknowledgements allow."""
+        targets = storeshare.split(self.limits, self.voters_by_data_centre)
+        lowered = {
+            name: target.lower_of(
+                self.shares_by_data_centre.get(name, storeshare.NO_SHARE)
+            )
+            for name, target in targets.items()
+        }
+        self._grant(lowered)
+        self._raise_shares()
+
+    def _raise_shares(self):
+        targets = storeshare.split(self.limits, self.voters_by_data_centre)
+        for name, target in targets.items():
+            for _, share in self._grants.get(name, ()):
+                if not share.is_within(target):
+                    return
+        self._grant(targets)
+
+    def _grant(self, shares):
+        if shares == self.shares_by_data_centre:
+            return
+        self.share_version += 1
+        self.revision += 1
+        self.shares_by_data_centre = shares
+        for name, share in shares.items():
+            grants = self._grants.setdefault(name, [])
+            if grants and grants[-1][1] == share:
+                continue
+            grants.append([self.share_version, share])
+            if len(grants) > MAX_UNACKNOWLEDGED:
+                older = grants.pop(0)
+                grants[0][1] = grants[0][1].higher_of(older[1])
+
+    def _refuse(self, kind, detail, digest=""):
+        return ConfigRefused(
+            detail=detail, digest=digest, kind=kind.value, version=self.version
+        )
+
+
+def _to_maps(messages_by_name):
+    return {
+        name: message.to_map() for name, message in sorted(messages_by_name.items())
+    }
+
+
+def _from_maps(maps_by_name):
+    return {name: wire.from_plain(plain, 0) for name, plain in maps_by_name.items()}
--- /dev/null
+++ b/kumquatproxy/ledger.py
@@ -0,0 +1,104 @@
+"""Accelerator memory per backend server, from intents and reports."""
+
+from kumquatproxy import errors, records
+
+
+class BackendView:
+    """Hold the newest report of one backend server and what is reserved there."""
+
+    __slots__ = ("mark", "memory_by_order", "report", "server")
+
+    def __init__(self, server):
+        self.server: records.BackendServer = server
+        self.mark = (0, 0)  # incarnation and sequence of the newest report
+        self.report: records.LoadReport | None = None
+        self.memory_by_order: dict[str, tuple[records.Item, int]] = {}
+
+
+class Ledger:
+    """Answer whether an item fits a backend server without overcommitting it.
+
+    An item counts once, whether it is loaded, reserved or both. Memory of a loaded item
+    is freed only by a newer report that no longer shows it. While a report shows an
+    item of unknown size, nothing more fits that backend server.
+    """
+
+    __slots__ = ("_memory_by_item", "views_by_id")
+
+    def __init__(self):
+        self.views_by_id: dict[str, BackendView] = {}
+        self._memory_by_item: dict[records.Item, int] = {}
+
+    def learn_sizes(self, memory_by_item: dict[records.Item, int]) -> None:
+        """Note sizes in megabytes; of two sizes for one item the larger counts."""
+        for item, memory_mb in memory_by_item.items():
+            known_mb = self._memory_by_item.get(item, 0)
+            self._memory_by_item[item] = max(known_mb, memory_mb)
+
+    def set_server(self, server: records.BackendServer) -> None:
+        """Add a backend server or change its description."""
+        view = self.views_by_id.get(server.backend_id)
+        if view is None:
+            self.views_by_id[server.backend_id] = BackendView(server)
+        elif server.incarnation >= view.server.incarnation:
+            view.server = server
+
+    def remove_server(self, backend_id: str) -> None:
+        """Drop a backend server that was removed for good."""
+        self.views_by_id.pop(backend_id, None)
+
+    def require_newer(self, backend_id: str, mark: tuple[int, int]) -> None:
+        """Discard reports older than ``mark`` (incarnation, sequence)."""
+        view = self.views_by_id.get(backend_id)
+        if view is not None and mark > view.mark:
+            view.mark = mark
+            view.report = None
+
+    def observe(self, report: records.LoadReport) -> bool:
+        """Adopt a report; return False if it is late or of an unknown server."""
+        view = self.views_by_id.get(report.backend_id)
+        mark = (report.incarnation, report.sequence)
+        if view is None or mark < view.mark:
+            return False
+        if view.report is not None and mark == view.mark:
+            return False
+        view.mark = mark
+        view.report = report
+        return True
+
+    def used_mb(self, backend_id: str) -> int:
+        """Return the memory that is loaded or reserved on a backend server."""
+        view = self.views_by_id[backend_id]
+        memory_by_item: dict[records.Item, int] = {}
+        for item in view.report.loaded if view.report is not None else ():
+            memory_by_item[item] = self._memory_by_item.get(item, view.server.memory_mb)
+        for item, memory_mb in view.memory_by_order.values():
+            memory_by_item[item] = max(memory_mb, memory_by_item.get(item, 0))
+        return sum(memory_by_item.values())
+
+    def can_reserve(self, backend_id: str, item: records.Item, memory_mb: int) -> bool:
+        """Return whether an item fits; never without a report of the server."""
+        view = self.views_by_id.get(backend_id)
+        if view is None or view.report is None or view.server.leaving:
+            return False
+        if item in view.report.loaded:
+            return False
+        return self.used_mb(backend_id) + memory_mb <= view.server.memory_mb
+
+    def reserve(
+        self, order_id: str, backend_id: str, item: records.Item, memory_mb: int
+    ) -> None:
+        """Hold memory for a load order; raise ProxyError for an unknown server."""
+        view = self.views_by_id.get(backend_id)
+        if view is None:
+            raise errors.ProxyError(
+                errors.ErrorKind.NO_BACKEND_SERVER, f"unknown server {backend_id!r}"
+            )
+        view.memory_by_order[order_id] = (item, memory_mb)
+        self.learn_sizes({item: memory_mb})
+
+    def release(self, order_id: str, backend_id: str) -> None:
+        """Stop holding memory for an order."""
+        view = self.views_by_id.get(backend_id)
+        if view is not None:
+            view.memory_by_order.pop(order_id, None)
--- /dev/null
+++ b/kumquatproxy/orderbook.py
@@ -0,0 +1,150 @@
+"""Orders known to the present owner, with the memory and store share they hold."""
+
+from kumquatproxy import ledger, orderrules, placementstate, records, storeshare
+
+Stage = orderrules.Stage
+
+
+class OrderBook:
+    """Hold a tracked order per recorded intent, on the clock of this owner.
+
+    A load order holds a slot of the store share until it is closed, and memory until it
+    is forgotten. Memory is held longer because a restarted engine has forgotten which
+    orders it had seen, and would execute a late copy of a closed one.
+    """
+
+    __slots__ = (
+        "_count",
+        "_data_centre",
+        "_state",
+        "fence",
+        "ledger",
+        "settings",
+        "share",
+        "tracked_by_id",
+    )
+
+    def __init__(
+        self,
+        data_centre: str,
+        state: placementstate.PlacementState,
+        settings: orderrules.Settings,
+        now: float,
+    ):
+        self.fence = state.fence
+        self.settings = settings
+        self.ledger = ledger.Ledger()
+        self.share = storeshare.StoreShare(state.share, now)
+        self.tracked_by_id: dict[str, orderrules.Tracked] = {}
+        self._count = 0
+        self._data_centre = data_centre
+        self._state = state
+        expires_at = now + settings.lifetime_s
+        for order_id, recorded in state.recorded_by_id.items():
+            tracked = orderrules.Tracked(recorded.intent, expires_at, now, True)
+            self.tracked_by_id[order_id] = tracked
+            if recorded.outcome:
+                tracked.stage = Stage.OBSERVED
+                tracked.closed_incarnation = recorded.incarnation
+            else:
+                self._hold_slot(tracked)
+
+    def set_server(self, server: records.BackendServer) -> None:
+        """Add a backend server, with what is held there, or change its description."""
+        is_new = server.backend_id not in self.ledger.views_by_id
+        self.ledger.set_server(server)
+        if not is_new:
+            return
+        observed = self._state.observed_by_backend.get(server.backend_id)
+        if observed is not None:
+            self.ledger.require_newer(server.backend_id, observed.mark)
+            self.ledger.learn_sizes(
+                {
+                    records.parse_item(key): memory_mb
+                    for key, memory_mb in observed.memory_by_item.items()
+                }
+            )
+        for tracked in self.at_server(server.backend_id):
+            self._hold_memory(tracked)
+
+    def at_server(self, backend_id: str) -> list[orderrules.Tracked]:
+        """Return the orders to one backend server."""
+        return [
+            tracked
+            for tracked in self.tracked_by_id.values()
+            if tracked.intent.backend_id == backend_id
+        ]
+
+    def open_orders(self) -> list[tuple[orderrules.Tracked, ledger.BackendView]]:
+        """Return the open orders to known backend servers, the oldest first."""
+        views = self.ledger.views_by_id
+        return [
+            (tracked, views[tracked.intent.backend_id])
+            for tracked in self.tracked_by_id.values()
+            if tracked.is_open and tracked.intent.backend_id in views
+        ]
+
+    def track(self, action, backend_id, item, memory_mb, now) -> orderrules.Tracked:
+        """Enter a new order, which holds what it needs from now on."""
+        self._count += 1
+        intent = placementstate.Intent(
+            action=action,
+            backend_id=backend_id,
+            fence=self.fence,
+            item=item.key(),
+            memory_mb=memory_mb,
+            order_id=f"{self._data_centre}-{self.fence}-{self._count}",
+        )
+        tracked = orderrules.Tracked(intent, now + self.settings.lifetime_s, now)
+        self.tracked_by_id[intent.order_id] = tracked
+        self._hold_slot(tracked)
+        self._hold_memory(tracked)
+        return tracked
+
+    def close(self, closing: placementstate.Closing) -> None:
+        """Continue after the log recorded an outcome."""
+        tracked = self.tracked_by_id.get(closing.order_id)
+        if tracked is None:
+            return
+        tracked.stage = Stage.OBSERVED
+        tracked.is_closing = False
+        tracked.closed_incarnation = closing.incarnation
+        self.share.release(closing.order_id)
+        if closing.outcome == placementstate.UNSENT:
+            self.ledger.release(closing.order_id, tracked.intent.backend_id)
+        self.reopen_after_restart(tracked)
+
+    def reopen_after_restart(self, tracked: orderrules.Tracked) -> None:
+        """Open a closed order again if the engine has restarted since."""
+        view = self.ledger.views_by_id.get(tracked.intent.backend_id)
+        if view is None or view.report is None or tracked.is_open:
+            return
+        if tracked.closed_incarnation < view.report.incarnation:
+            tracked.stage = Stage.UNKNOWN
+            tracked.is_closing = False
+            self._hold_slot(tracked)
+            self._hold_memory(tracked)
+
+    def drop(self, order_id: str) -> None:
+        """Forget an order with all that it holds."""
+        tracked = self.tracked_by_id.pop(order_id, None)
+        if tracked is not None:
+            self.share.release(order_id)
+            self.ledger.release(order_id, tracked.intent.backend_id)
+
+    def remove_server(self, backend_id: str) -> None:
+        """Forget a backend server and all orders to it."""
+        for tracked in self.at_server(backend_id):
+            self.drop(tracked.intent.order_id)
+        self.ledger.remove_server(backend_id)
+
+    def _hold_slot(self, tracked):
+        if tracked.is_load:
+            self.share.reserve(tracked.intent.order_id, tracked.item)
+
+    def _hold_memory(self, tracked):
+        intent = tracked.intent
+        if tracked.is_load and intent.backend_id in self.ledger.views_by_id:
+            self.ledger.reserve(
+                intent.order_id, intent.backend_id, tracked.item, intent.memory_mb
+            )
--- /dev/null
+++ b/kumquatproxy/orders.py
@@ -0,0 +1,313 @@
+"""The placement owner's order engine: from desired actions to observed effects."""
+
+import random
+
+from kumquatproxy import (
+    orderbook,
+    orderrecords,
+    orderrules,
+    orderselection,
+    placementstate,
+    records,
+    shareadoption,
+    storeshare,
+)
+
+MAX_INTENTS_PER_COMMAND = 64
+REPEAT_INTERVAL_S = 5.0
+
+Stage = orderrules.Stage
+
+
+class OrderEngine:
+    """Turn desired actions into orders during one ownership of the placement.
+
+    It is made after the state has applied this host's ``TakeOwnership``; the next
+    ownership gets a new engine. All times are of this host's monotonic clock.
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        state: placementstate.PlacementState,
+        rng: random.Random,
+        now: float,
+        settings: orderrules.Settings | None = None,
+        log_was_lost: bool = False,
+    ):
+        self.settings = settings or orderrules.Settings()
+        self.book = orderbook.OrderBook(data_centre, state, self.settings, now)
+        self.fence = state.fence
+        self._rng = rng
+        self._desired: list[orderrecords.Action] = []
+        self._wanted: set[tuple] = set()
+        self._gone_at_by_server: dict[str, float] = {}
+        self._adoption = shareadoption.ShareAdoption(data_centre, state)
+        self._retry_at_by_place: dict[tuple, float] = {}
+        self._repeat_at_by_server: dict[str, float] = {}
+        # Without the log nothing is known of earlier orders, so none is issued until
+        # every earlier one has expired.
+        quiet_s = self.settings.lifetime_s + self.settings.margin_s
+        self._quiet_until = now + quiet_s if log_was_lost else now
+
+    def stop(self) -> None:
+        """End the ownership: no output follows."""
+        self.fence = 0
+
+    def set_server(self, server: records.BackendServer) -> None:
+        """Add a backend server or change its description."""
+        self.book.set_server(server)
+        self._gone_at_by_server.pop(server.backend_id, None)
+
+    def remove_server(self, backend_id: str, now: float) -> None:
+        """Note that membership lost a server; its records go when all loads ended."""
+        self._gone_at_by_server.setdefault(backend_id, now)
+
+    def set_desired(self, actions: list[orderrecords.Action]) -> None:
+        """Replace the desired actions, the most urgent first."""
+        self._desired = list(actions)
+        self._wanted = {
+            (action.action, action.backend_id, action.item) for action in actions
+        }
+
+    def offer_share(self, share_version: int, share: storeshare.Share) -> None:
+        """Note the share that the newest configuration grants this data centre."""
+        self._adoption.offer(share_version, share)
+
+    def share_acknowledged(self, share_version: int) -> None:
+        """Note that the configuration group has the acknowledgement."""
+        self._adoption.acknowledged(share_version)
+
+    def observe(self, report: records.LoadReport) -> None:
+        """Use a load report; late ones are discarded."""
+        if not self.book.ledger.observe(report):
+            return
+        self._gone_at_by_server.pop(report.backend_id, None)
+        for tracked in self.book.at_server(report.backend_id):
+            self.book.reopen_after_restart(tracked)
+
+    def answered(self, answer: orderrecords.OrderAnswer) -> None:
+        """Use the engine's answer to an order."""
+        tracked = self.book.tracked_by_id.get(answer.order_id)
+        if tracked is None or not tracked.is_open or tracked.stage is Stage.PROPOSED:
+            return
+        tracked.stage = answer.stage
+        if answer.stage is Stage.ACCEPTED:
+            tracked.accepted_incarnation = answer.incarnation
+        elif answer.stage is Stage.REFUSED:
+            tracked.refused_incarnation = answer.incarnation
+
+    def committed(self, command, now: float) -> None:
+        """Continue after the state applied a command of this owner."""
+        if command.fence != self.fence:
+            return
+        if isinstance(command, placementstate.IntendOrders):
+            for intent in command.intents:
+                tracked = self.book.tracked_by_id.get(intent.order_id)
+                if tracked is not None and tracked.stage is Stage.PROPOSED:
+                    tracked.stage = Stage.INTENDED
+        elif isinstance(command, placementstate.CloseIntents):
+            for closing in command.closings:
+                self._note_refusal(closing, now)
+                self.book.close(closing)
+        elif isinstance(command, placementstate.ForgetIntents):
+            for order_id in command.order_ids:
+                self.book.drop(order_id)
+        elif isinstance(command, placementstate.ForgetBackend):
+            self.book.remove_server(command.backend_id)
+            self._gone_at_by_server.pop(command.backend_id, None)
+        elif isinstance(command, placementstate.AdoptShare):
+            self.book.share.adopt(command.share, now)
+            self._adoption.recorded()
+
+    def rejected(self, command) -> None:
+        """Undo a proposal that certainly will not be committed."""
+        order_ids = []
+        if isinstance(command, placementstate.IntendOrders):
+            for intent in command.intents:
+                self.book.drop(intent.order_id)
+        elif isinstance(command, placementstate.CloseIntents):
+            order_ids = [closing.order_id for closing in command.closings]
+        elif isinstance(command, placementstate.ForgetIntents):
+            order_ids = command.order_ids
+        for order_id in order_ids:
+            tracked = self.book.tracked_by_id.get(order_id)
+            if tracked is not None:
+                tracked.is_closing = False
+
+    def tick(self, now: float, lease_until: float) -> list[records.Record]:
+        """Return the proposals and orders that are due; none outside the lease."""
+        if not self._is_within_lease(now, lease_until) or now < self._quiet_until:
+            return []
+        outputs: list[records.Record] = []
+        outputs.extend(self._close(now))
+        outputs.extend(self._forget(now))
+        outputs.extend(self._intend(now))
+        outputs.extend(self._send(now))
+        outputs.extend(self._adoption.tick(self.book.share, self.fence, now))
+        return outputs
+
+    def may_send(
+        self, send: orderrecords.SendOrder, now: float, lease_until: float
+    ) -> bool:
+        """Return whether a queued order may leave; asked right before each send."""
+        return (
+            self._is_within_lease(now, lease_until)
+            and send.order.fence == self.fence
+            and now < send.order.expires_at
+        )
+
+    def _is_within_lease(self, now, lease_until):
+        return self.fence > 0 and now < lease_until
+
+    def _is_wanted(self, tracked):
+        intent = tracked.intent
+        wanted = (intent.action, intent.backend_id, tracked.item) in self._wanted
+        return wanted or tracked.is_barrier
+
+    def _note_refusal(self, closing, now):
+        tracked = self.book.tracked_by_id.get(closing.order_id)
+        if tracked is not None and closing.outcome == placementstate.REFUSED:
+            retry_at = now + self.settings.resend_most_s
+            self._retry_at_by_place[tracked.place()] = retry_at
+
+    def _close(self, now):
+        barriers_by_place: dict[tuple, list] = {}
+        for tracked in self.book.tracked_by_id.values():
+            if tracked.is_barrier:
+                barriers_by_place.setdefault(tracked.place(), []).append(tracked)
+        closings = []
+        for tracked, view in self.book.open_orders():
+            if tracked.is_closing or tracked.stage is Stage.PROPOSED:
+                continue
+            barriers = barriers_by_place.get(tracked.place(), [])
+            outcome = self._outcome(tracked, view, barriers, now)
+            if outcome:
+                tracked.is_closing = True
+                closings.append(_closing(tracked, view, outcome))
+        if not closings:
+            return []
+        return [orderrecords.Propose(placementstate.CloseIntents(closings, self.fence))]
+
+    def _outcome(self, tracked, view, barriers, now):
+        is_unsent = tracked.stage is Stage.INTENDED and tracked.attempts == 0
+        if is_unsent and not self._is_wanted(tracked):
+            return placementstate.UNSENT
+        return orderrules.outcome_of(
+            tracked, view, self.fence, barriers, self.settings, now
+        )
+
+    def _forget(self, now):
+        """Forget closed orders once no report of an accepted copy can arrive."""
+        wait_s = self.settings.margin_s + self.settings.report_lag_s
+        order_ids = []
+        for order_id, tracked in self.book.tracked_by_id.items():
+            if tracked.is_open or tracked.is_closing:
+                continue
+            if now > tracked.expires_at + wait_s:
+                tracked.is_closing = True
+                order_ids.append(order_id)
+        outputs = []
+        if order_ids:
+            forget = placementstate.ForgetIntents(self.fence, order_ids)
+            outputs.append(orderrecords.Propose(forget))
+        outputs.extend(self._forget_gone(now))
+        return outputs
+
+    def _forget_gone(self, now):
+        settings = self.settings
+        wait_s = settings.lifetime_s + settings.margin_s + settings.load_limit_s
+        for backend_id, gone_at in self._gone_at_by_server.items():
+            repeat_at = self._repeat_at_by_server.get(backend_id, 0.0)
+            if now > gone_at + wait_s and now >= repeat_at:
+                self._repeat_at_by_server[backend_id] = now + REPEAT_INTERVAL_S
+                command = placementstate.ForgetBackend(backend_id, self.fence)
+                yield orderrecords.Propose(command)
+
+    def _intend(self, now):
+        intents = self._barriers(now)
+        places = {tracked.place() for tracked, _ in self.book.open_orders()}
+        selection = orderselection.Selection(
+            self._desired, self.book.ledger, self.book.share
+        )
+        for action in selection.possible():
+            if len(intents) >= MAX_INTENTS_PER_COMMAND:
+                break
+            place = (action.backend_id, action.item)
+            is_gone = action.backend_id in self._gone_at_by_server
+            if is_gone or place in places:
+                continue
+            if now < self._retry_at_by_place.get(place, 0.0):
+                continue
+            tracked = self.book.track(action.action, *place, action.memory_mb, now)
+            places.add(place)
+            intents.append(tracked.intent)
+        if not intents:
+            return []
+        return [orderrecords.Propose(placementstate.IntendOrders(self.fence, intents))]
+
+    def _barriers(self, now):
+        """Return unload intents that settle loads of unknown fate."""
+        open_orders = self.book.open_orders()
+        taken = {tracked.place() for tracked, _ in open_orders if not tracked.is_load}
+        intents = []
+        for tracked, view in open_orders:
+            if tracked.place() in taken:
+                continue
+            wanted = self._is_wanted(tracked) and not tracked.is_abandoned
+            if orderrules.needs_barrier(tracked, view, wanted, self.settings, now):
+                tracked.is_abandoned = True
+                barrier = self.book.track(
+                    placementstate.UNLOAD, *tracked.place(), 0, now
+                )
+                barrier.is_barrier = True
+                taken.add(barrier.place())
+                intents.append(barrier.intent)
+        return intents
+
+    def _send(self, now):
+        outputs = []
+        for tracked, view in self.book.open_orders():
+            if tracked.intent.backend_id in self._gone_at_by_server:
+                continue
+            wanted = self._is_wanted(tracked)
+            if not self._may_send_copy(tracked, view, wanted, now):
+                continue
+            if tracked.is_load and not self.book.share.take_token(tracked.item, now):
+                continue
+            if wanted:
+                tracked.expires_at = now + self.settings.lifetime_s
+            outputs.append(self._send_copy(tracked, view, now))
+        return outputs
+
+    def _may_send_copy(self, tracked, view, is_wanted, now):
+        is_committed = tracked.stage is not Stage.PROPOSED
+        return is_committed and orderrules.may_resend(tracked, view, is_wanted, now)
+
+    def _send_copy(self, tracked, view, now):
+        settings = self.settings
+        wait_s = settings.resend_first_s * 2 ** min(tracked.attempts, 16)
+        wait_s = min(settings.resend_most_s, wait_s)
+        tracked.next_send_at = now + wait_s * self._rng.uniform(0.75, 1.25)
+        tracked.attempts += 1
+        tracked.stage = Stage.SENT
+        intent = tracked.intent
+        order = records.Order(
+            intent.order_id,
+            self.fence,
+            intent.backend_id,
+            intent.action,
+            tracked.item,
+            intent.memory_mb,
+            tracked.expires_at,
+        )
+        return orderrecords.SendOrder(order, view.report.incarnation)
+
+
+def _closing(tracked, view, outcome):
+    return placementstate.Closing(
+        incarnation=view.mark[0],
+        order_id=tracked.intent.order_id,
+        outcome=outcome,
+        sequence=view.mark[1],
+    )
--- /dev/null
+++ b/kumquatproxy/orderselection.py
@@ -0,0 +1,61 @@
+"""Choice of the desired actions that can be begun now."""
+
+from collections.abc import Iterator
+
+from kumquatproxy import ledger, orderrecords, placementstate, storeshare
+
+
+class Selection:
+    """Yield desired actions that memory and store share allow, the most urgent first.
+
+    The caller reserves for each action before it takes the next one.
+    """
+
+    __slots__ = ("_blocked", "_desired", "_ledger", "_share")
+
+    def __init__(
+        self,
+        desired: list[orderrecords.Action],
+        memory: ledger.Ledger,
+        share: storeshare.StoreShare,
+    ):
+        self._desired = desired
+        self._ledger = memory
+        self._share = share
+        self._blocked: set[str] = set()
+
+    def possible(self) -> Iterator[orderrecords.Action]:
+        """Yield each action that can be begun at the time it is reached."""
+        for action in self._desired:
+            view = self._ledger.views_by_id.get(action.backend_id)
+            if view is not None and view.report is not None:
+                if self._is_possible(action, view):
+                    yield action
+
+    def _is_possible(self, action, view):
+        loaded = view.report.loaded
+        if action.action == placementstate.UNLOAD:
+            return action.item in loaded
+        if action.item in loaded or action.backend_id in self._blocked:
+            return False
+        if action.needs is not None and action.needs not in loaded:
+            return False
+        if not self._ledger.can_reserve(
+            action.backend_id, action.item, action.memory_mb
+        ):
+            if self._fits_after_unloads(action, view):
+                # Memory that an unload frees belongs to the more urgent load.
+                self._blocked.add(action.backend_id)
+            return False
+        return self._share.can_reserve(action.item)
+
+    def _fits_after_unloads(self, action, view):
+        freed_mb = sum(
+            other.memory_mb
+            for other in self._desired
+            if other.action == placementstate.UNLOAD
+            and other.backend_id == action.backend_id
+            and other.item in view.report.loaded
+        )
+        used_mb = self._ledger.used_mb(action.backend_id)
+        return used_mb - freed_mb + action.memory_mb <= view.server.memory_mb
--- /dev/null
+++ b/kumquatproxy/placementstate.py
@@ -0,0 +1,263 @@
+"""State machine of a data centre's placement group: owner, intents, observed loads."""
+
+import cbor2
+
+from kumquatproxy import errors, records, storeshare, wire
+
+LOAD = "load"
+UNLOAD = "unload"
+
+# Outcomes of a closed intent.
+LOADED = "loaded"  # a report made after the load shows the item
+GONE = "gone"  # a report made after the unload no longer shows the item
+REFUSED = "refused"  # the engine refused the order and will refuse every copy
+FENCED = "fenced"  # the engine has seen a newer fence and refuses every copy
+EXPIRED = "expired"  # no copy of the unload order can be accepted any more
+UNSENT = "unsent"  # the owner that proposed the intent never sent it
+
+
+@wire.register("take-ownership")
+class TakeOwnership(wire.Message):
+    """Make a host the owner; ``fence`` is the term in which it leads the group."""
+
+    __slots__ = ("fence", "owner")
+    fence: int
+    owner: str
+
+
+@wire.register("intent")
+class Intent(wire.Message):
+    """Hold an order that may be sent once this intent is committed."""
+
+    __slots__ = ("action", "backend_id", "fence", "item", "memory_mb", "order_id")
+    action: str
+    backend_id: str
+    fence: int
+    item: str  # ``records.Item.key``
+    memory_mb: int
+    order_id: str
+
+    def loadable(self) -> records.Item:
+        """Return the item of the intent."""
+        return records.parse_item(self.item)
+
+
+@wire.register("closing")
+class Closing(wire.Message):
+    """Close an intent on the evidence of a report, named by its order."""
+
+    __slots__ = ("incarnation", "order_id", "outcome", "sequence")
+    incarnation: int
+    order_id: str
+    outcome: str
+    sequence: int
+
+
+@wire.register("intend-orders")
+class IntendOrders(wire.Message):
+    """Record intents before their orders are sent."""
+
+    __slots__ = ("fence", "intents")
+    fence: int
+    intents: list[Intent]
+
+
+@wire.register("close-intents")
+class CloseIntents(wire.Message):
+    """Record outcomes; closed intents are kept until they are forgotten."""
+
+    __slots__ = ("closings", "fence")
+    closings: list[Closing]
+    fence: int
+
+
+@wire.register("forget-intents")
+class ForgetIntents(wire.Message):
+    """Drop closed intents of which no copy can be accepted any more."""
+
+    __slots__ = ("fence", "order_ids")
+    fence: int
+    order_ids: list[str]
+
+
+@wire.register("forget-backend")
+class ForgetBackend(wire.Message):
+    """Drop all records of a backend server that was removed for good."""
+
+    __slots__ = ("backend_id", "fence")
+    backend_id: str
+    fence: int
+
+
+@wire.register("adopt-share")
+class AdoptShare(wire.Message):
+    """Record the store share in use, so that a successor never uses an older one."""
+
+    __slots__ = ("fence", "share", "share_version")
+    fence: int
+    share: storeshare.Share
+    share_version: int
+
+
+@wire.register("placement-answer")
+class PlacementAnswer(wire.Message):
+    """Answer a command; ``kind`` is empty or the value of an error kind."""
+
+    __slots__ = ("kind",)
+    kind: str
+
+
+class Recorded:
+    """Hold an intent with its outcome; an empty outcome means open."""
+
+    __slots__ = ("incarnation", "intent", "outcome")
+
+    def __init__(self, intent, outcome="", incarnation=0):
+        self.intent: Intent = intent
+        self.outcome: str = outcome
+        self.incarnation: int = incarnation  # of the engine when the intent was closed
+
+
+class Observed:
+    """Hold what the group knows to be loaded on one backend server.
+
+    A successor ignores reports older than ``mark``: its predecessor may have closed
+    intents on the evidence of a newer one.
+    """
+
+    __slots__ = ("mark", "memory_by_item")
+
+    def __init__(self, mark=(0, 0), memory_by_item=None):
+        self.mark: tuple[int, int] = tuple(mark)  # incarnation, sequence
+        self.memory_by_item: dict[str, int] = memory_by_item or {}
+
+
+_DONE = PlacementAnswer("")
+
+
+class PlacementState:
+    """Apply committed commands; those of an earlier fence change nothing."""
+
+    def __init__(self, base_fence=0):
+        self._handlers = {
+            IntendOrders: self._intend,
+            CloseIntents: self._close,
+            ForgetIntents: self._forget,
+            ForgetBackend: self._forget_backend,
+            AdoptShare: self._adopt_share,
+        }
+        self.base_fence = base_fence
+        self.fence = base_fence
+        self.owner = ""
+        self.recorded_by_id: dict[str, Recorded] = {}
+        self.observed_by_backend: dict[str, Observed] = {}
+        self.share = storeshare.NO_SHARE
+        self.share_version = 0
+
+    def apply(self, command: wire.Message) -> wire.Message:
+        """Apply one committed command and return its answer."""
+        if isinstance(command, TakeOwnership):
+            return self._take(command)
+        handler = self._handlers.get(type(command))
+        if handler is None:
+            return PlacementAnswer(errors.ErrorKind.PROTOCOL_ERROR.value)
+        if getattr(command, "fence", None) != self.fence:
+            return PlacementAnswer(errors.ErrorKind.STALE_FENCE.value)
+        handler(command)
+        return _DONE
+
+    def open_intents(self) -> list[Intent]:
+        """Return the intents without an outcome in the order of their recording."""
+        return [
+            recorded.intent
+            for recorded in self.recorded_by_id.values()
+            if not recorded.outcome
+        ]
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return cbor2.dumps(
+            {
+                "base_fence": self.base_fence,
+                "fence": self.fence,
+                "owner": self.owner,
+                "recorded": [
+                    [recorded.intent.to_map(), recorded.outcome, recorded.incarnation]
+                    for recorded in self.recorded_by_id.values()
+                ],
+                "observed": {
+                    backend_id: [list(observed.mark), observed.memory_by_item]
+                    for backend_id, observed in self.observed_by_backend.items()
+                },
+                "share": self.share.to_map(),
+                "share_version": self.share_version,
+            }
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by that of a snapshot."""
+        plain = cbor2.loads(data)
+        self.base_fence = plain["base_fence"]
+        self.fence = plain["fence"]
+        self.owner = plain["owner"]
+        self.recorded_by_id = {}
+        for intent_map, outcome, incarnation in plain["recorded"]:
+            intent = wire.from_plain(intent_map, 0)
+            recorded = Recorded(intent, outcome, incarnation)
+            self.recorded_by_id[intent.order_id] = recorded
+        self.observed_by_backend = {
+            backend_id: Observed(mark, memory_by_item)
+            for backend_id, (mark, memory_by_item) in plain["observed"].items()
+        }
+        self.share = wire.from_plain(plain["share"], 0)
+        self.share_version = plain["share_version"]
+
+    def _take(self, command):
+        if command.fence <= self.fence:
+            return PlacementAnswer(errors.ErrorKind.STALE_FENCE.value)
+        self.fence = command.fence
+        self.owner = command.owner
+        return _DONE
+
+    def _intend(self, command):
+        for intent in command.intents:
+            self.recorded_by_id.setdefault(intent.order_id, Recorded(intent))
+
+    def _close(self, command):
+        for closing in command.closings:
+            recorded = self.recorded_by_id.get(closing.order_id)
+            if recorded is None:
+                continue
+            recorded.outcome = closing.outcome
+            recorded.incarnation = closing.incarnation
+            self._record_observed(recorded.intent, closing)
+
+    def _record_observed(self, intent, closing):
+        observed = self.observed_by_backend.setdefault(intent.backend_id, Observed())
+        mark = (closing.incarnation, closing.sequence)
+        if mark < observed.mark:
+            return
+        if mark[0] > observed.mark[0]:
+            observed.memory_by_item.clear()  # a restarted engine starts empty
+        observed.mark = mark
+        if closing.outcome == LOADED:
+            observed.memory_by_item[intent.item] = intent.memory_mb
+        elif closing.outcome == GONE:
+            observed.memory_by_item.pop(intent.item, None)
+
+    def _forget(self, command):
+        for order_id in command.order_ids:
+            recorded = self.recorded_by_id.get(order_id)
+            if recorded is not None and recorded.outcome:
+                del self.recorded_by_id[order_id]
+
+    def _forget_backend(self, command):
+        self.observed_by_backend.pop(command.backend_id, None)
+        for order_id, recorded in list(self.recorded_by_id.items()):
+            if recorded.intent.backend_id == command.backend_id:
+                del self.recorded_by_id[order_id]
+
+    def _adopt_share(self, command):
+        if command.share_version > self.share_version:
+            self.share_version = command.share_version
+            self.share = command.share
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,99 @@
+"""Ledger and store share: what counts as used, and when it is free again."""
+
+import pytest
+
+from kumquatproxy import ledger, records, storeshare
+
+A = records.Item("model", "a", "1")
+B = records.Item("model", "b", "1")
+C = records.Item("adapter", "c", "1")
+
+
+def make_ledger(memory_mb=20):
+    book = ledger.Ledger()
+    book.set_server(
+        records.BackendServer("e1", "", "dc", "engine", "s", 1, memory_mb=memory_mb)
+    )
+    return book
+
+
+def report(sequence, loaded=(), incarnation=1):
+    return records.LoadReport("e1", incarnation, sequence, loaded=loaded)
+
+
+def test_nothing_fits_before_the_first_report():
+    book = make_ledger()
+    assert not book.can_reserve("e1", A, 1)
+    book.observe(report(1))
+    assert book.can_reserve("e1", A, 20)
+    assert not book.can_reserve("e1", A, 21)
+    assert not book.can_reserve("unknown", A, 1)
+
+
+def test_an_item_counts_once_while_reserved_and_loaded():
+    book = make_ledger()
+    book.observe(report(1))
+    book.reserve("o1", "e1", A, 9)
+    book.observe(report(2, [A]))
+    assert book.used_mb("e1") == 9
+    book.release("o1", "e1")
+    assert book.used_mb("e1") == 9
+    book.observe(report(3))
+    assert book.used_mb("e1") == 0
+
+
+def test_late_reports_are_discarded():
+    book = make_ledger()
+    assert book.observe(report(2, [A]))
+    assert not book.observe(report(1))
+    assert book.observe(report(1, incarnation=2))
+    assert not book.observe(report(3, [A], incarnation=1))
+    book.require_newer("e1", (2, 5))
+    assert not book.observe(report(4, incarnation=2))
+    assert not book.can_reserve("e1", B, 1)
+    assert book.observe(report(5, incarnation=2))
+
+
+def test_an_item_of_unknown_size_blocks_its_server():
+    book = make_ledger()
+    book.observe(report(1, [A]))
+    assert not book.can_reserve("e1", B, 1)
+    book.learn_sizes({A: 9})
+    assert book.can_reserve("e1", B, 11)
+
+
+def test_leaving_server_takes_nothing():
+    book = make_ledger()
+    book.observe(report(1))
+    book.set_server(
+        records.BackendServer("e1", "", "", "", "", 1, memory_mb=20, leaving=True)
+    )
+    assert not book.can_reserve("e1", A, 1)
+
+
+@pytest.mark.parametrize("slots, parts", [(6, [2, 2, 2]), (8, [3, 3, 2])])
+def test_split_gives_remainders_to_the_first_names(slots, parts):
+    limits = storeshare.Share(adapters=64, rate=1.0, slots=slots)
+    shares = storeshare.split(limits, ("c", "a", "b"))
+    assert [shares[name].slots for name in "abc"] == parts
+    assert storeshare.fits(shares.values(), limits)
+
+
+def test_bucket_starts_empty_and_holds_one_load():
+    use = storeshare.StoreShare(storeshare.Share(adapters=1, rate=0.5, slots=2), 10.0)
+    assert not use.take_token(A, 10.0)
+    assert not use.take_token(A, 11.9)
+    assert use.take_token(A, 12.0)
+    assert use.take_token(A, 99.0)
+    assert not use.take_token(A, 99.0)
+    assert not use.take_token(A, 50.0)
+
+
+def test_adapters_count_only_against_the_limit_in_transit():
+    use = storeshare.StoreShare(storeshare.Share(adapters=1, rate=0.0, slots=0), 0.0)
+    assert use.can_reserve(C) and not use.can_reserve(A)
+    assert use.take_token(C, 0.0)
+    use.reserve("o1", C)
+    assert not use.can_reserve(C)
+    use.release("o1")
+    assert use.can_reserve(C)
