Add at-most-once claims with compact fingerprints

Cause: non-idempotent requests with a key must run at most once, also after a lost host, a full table, a new leader and the end of the retention time.

--- /dev/null
+++ b/kumquatproxy/claims.py
@@ -0,0 +1,329 @@
+"""State machine of the at-most-once claims in the configuration group's log."""
+
+import math
+import struct
+
+import cbor2
+
+from kumquatproxy import claimrecords, errors, fingerprints, wire
+
+ErrorKind = errors.ErrorKind
+Outcome = claimrecords.Outcome
+State = claimrecords.State
+
+# Incarnation floors of more hosts than this are dropped, the oldest first. A dropped
+# floor admits new claims of a host once declared lost; no claim is granted twice.
+MAX_HOSTS = 4096
+# Claims expire together when the whole span of their last change is due.
+EXPIRY_SPAN_S = 10.0
+_ENTRY = struct.Struct("<16sI")
+
+
+class Limits:
+    """Hold the bounds of the table; new keys are refused beyond them."""
+
+    __slots__ = (
+        "fingerprint_retention_s",
+        "fingerprint_span_s",
+        "keys",
+        "result_bytes",
+        "result_retention_s",
+        "total_result_bytes",
+    )
+
+    def __init__(
+        self,
+        keys=1_000_000,
+        result_bytes=16 * 1024,
+        total_result_bytes=8 * 1024 * 1024,
+        result_retention_s=600.0,
+        fingerprint_retention_s=86_400.0,
+        fingerprint_span_s=3600.0,
+    ):
+        self.keys: int = keys  # live claims and fingerprints
+        self.result_bytes: int = result_bytes  # of one claim
+        self.total_result_bytes: int = total_result_bytes
+        self.result_retention_s: float = result_retention_s
+        self.fingerprint_retention_s: float = fingerprint_retention_s
+        self.fingerprint_span_s: float = fingerprint_span_s
+
+
+class LeaderClock:
+    """Stamp commands with times that continue from those in the log.
+
+    Monotonic clocks of two hosts are not comparable. A new leader counts its own
+    elapsed time from the last time in the log, so that time in the log never jumps; the
+    time between two leaders is not counted, which only keeps claims longer.
+    """
+
+    __slots__ = ("_base", "_started_at")
+
+    def __init__(self, log_time: float, now: float):
+        self._base = log_time
+        self._started_at = now
+
+    def stamp(self, now: float) -> float:
+        """Return the log time for this host's monotonic time."""
+        return self._base + max(0.0, now - self._started_at)
+
+
+class ClaimTable:
+    """Apply committed commands; equal logs give equal states and answers."""
+
+    def __init__(self, limits: Limits | None = None):
+        self.limits = limits or Limits()
+        self._handlers = {
+            claimrecords.BeginClaim: self._begin,
+            claimrecords.FinishClaim: self._finish,
+            claimrecords.QueryClaim: self._query,
+            claimrecords.OwnerLost: self._lose_owner,
+            claimrecords.AdvanceClaims: self._advance_only,
+        }
+        self._clear()
+
+    def _clear(self):
+        self.time = 0.0  # of the log; never runs backwards
+        self.result_bytes = 0
+        self._live: dict[bytes, bytes] = {}
+        # Keys by the time span of their last change of state. A key may also stand in
+        # spans of earlier changes; expiry goes by the time in the claim itself.
+        self._keys_by_span: dict[int, list[bytes]] = {}
+        self._open_by_owner: dict[tuple[str, int], set[bytes]] = {}
+        self._open_count = 0
+        self._floor_by_host: dict[str, int] = {}
+        self.expired = fingerprints.Fingerprints(
+            self.limits.fingerprint_retention_s, self.limits.fingerprint_span_s
+        )
+
+    def __len__(self):
+        return len(self._live) + len(self.expired)
+
+    def apply(self, command: wire.Message) -> wire.Message:
+        """Apply one committed command and return its answer."""
+        handler = self._handlers.get(type(command))
+        if handler is None:
+            return claimrecords.refusal(ErrorKind.PROTOCOL_ERROR)
+        self.time = self._next_time(getattr(command, "at", self.time))
+        self._expire()
+        return handler(command)
+
+    def _next_time(self, at):
+        """Return the time after a command: it never runs backwards."""
+        return max(self.time, at)
+
+    def _expire(self):
+        due_span = self._span(self.time - self.limits.result_retention_s)
+        # Spans are entered in ascending order, because time never runs backwards.
+        while self._keys_by_span:
+            span = next(iter(self._keys_by_span))
+            if span >= due_span:
+                break
+            for key in self._keys_by_span.pop(span):
+                data = self._live.get(key)
+                if data is not None and self._span(claimrecords.time_of(data)) == span:
+                    self._drop(key, data)
+                    self.expired.add(key, self.time)
+        self.expired.advance(self.time)
+
+    def _span(self, at):
+        return math.floor(at / EXPIRY_SPAN_S)
+
+    def _note_change(self, key):
+        self._keys_by_span.setdefault(self._span(self.time), []).append(key)
+
+    def _begin(self, command):
+        key = _key_of(command)
+        data = self._live.get(key)
+        if data is not None:
+            return self._answer_repeat(command, claimrecords.unpack(data), data)
+        if key in self.expired:
+            return claimrecords.refusal(ErrorKind.KEY_EXPIRED)
+        if command.incarnation < self._floor_by_host.get(command.host, 0):
+            return claimrecords.refusal(ErrorKind.STOPPING)
+        if self._is_full():
+            return claimrecords.refusal(ErrorKind.CLAIMS_FULL)
+        self._raise_floor(command.host, command.incarnation)
+        claim = claimrecords.Claim(
+            State.BEGUN,
+            self.time,
+            command.request_digest,
+            command.attempt,
+            command.incarnation,
+            command.host,
+        )
+        self._live[key] = claim.pack()
+        self._note_change(key)
+        owner = (command.host, command.incarnation)
+        self._open_by_owner.setdefault(owner, set()).add(key)
+        self._open_count += 1
+        return claimrecords.ClaimGranted()
+
+    def _is_full(self):
+        if len(self) >= self.limits.keys:
+            return True
+        # Every open claim may still bring a result of the largest size.
+        reserved = (self._open_count + 1) * self.limits.result_bytes
+        return self.result_bytes + reserved > self.limits.total_result_bytes
+
+    def _answer_repeat(self, command, claim, data):
+        is_same_request = claim.request_digest == command.request_digest
+        is_same = is_same_request and _is_same_attempt(command, claim)
+        if claim.state is State.BEGUN and is_same:
+            return claimrecords.ClaimGranted()
+        return self._answer_known(command, claim, data)
+
+    def _answer_known(self, command, claim, data):
+        if claim.request_digest != command.request_digest:
+            return claimrecords.refusal(ErrorKind.KEY_MISMATCH)
+        if claim.state is State.DONE:
+            return claimrecords.result_of(data)
+        kinds = {
+            State.BEGUN: ErrorKind.KEY_IN_PROGRESS,
+            State.DONE_WITHOUT_RESULT: ErrorKind.KEY_EXPIRED,
+            State.UNKNOWN: ErrorKind.RESULT_UNKNOWN,
+        }
+        return claimrecords.refusal(kinds[claim.state])
+
+    def _finish(self, command):
+        key = _key_of(command)
+        data = self._live.get(key)
+        claim = None if data is None else claimrecords.unpack(data)
+        if claim is None or not _is_same_attempt(command, claim):
+            return claimrecords.ClaimNoted()
+        if command.outcome == Outcome.NOT_EXECUTED:
+            self._drop(key, data)
+        elif command.outcome == Outcome.DONE:
+            self._settle(key, claim, claimrecords.pack_result(command))
+        elif claim.state is State.BEGUN:
+            self._settle_unknown(key, claim)
+        return claimrecords.ClaimNoted()
+
+    def _settle(self, key, claim, result):
+        self._close(key, claim)
+        # A result that arrives while the table is full may find no room: the claim of
+        # a lost owner no longer reserves any.
+        total = self.result_bytes + len(result)
+        reserved = self._open_count * self.limits.result_bytes
+        fits = total + reserved <= self.limits.total_result_bytes
+        claim.state = State.DONE
+        if len(result) > self.limits.result_bytes or not fits:
+            claim.state = State.DONE_WITHOUT_RESULT
+            result = b""
+        self.result_bytes += len(result)
+        if self._live[key][0] == State.BEGUN:
+            claim.at = self.time
+            self._note_change(key)
+        self._live[key] = claim.pack(result)
+
+    def _settle_unknown(self, key, claim):
+        self._close(key, claim)
+        claim.state = State.UNKNOWN
+        claim.at = self.time
+        self._live[key] = claim.pack()
+        self._note_change(key)
+
+    def _close(self, key, claim):
+        """Stop counting a claim as open."""
+        owner = (claim.host, claim.incarnation)
+        keys = self._open_by_owner.get(owner)
+        if keys is None or key not in keys:
+            return
+        keys.remove(key)
+        self._open_count -= 1
+        if not keys:
+            del self._open_by_owner[owner]
+
+    def _drop(self, key, data):
+        self._close(key, claimrecords.unpack(data))
+        self.result_bytes -= claimrecords.result_bytes(data)
+        del self._live[key]
+
+    def _query(self, command):
+        key = _key_of(command)
+        data = self._live.get(key)
+        if data is not None:
+            return self._answer_known(command, claimrecords.unpack(data), data)
+        if key in self.expired:
+            return claimrecords.refusal(ErrorKind.KEY_EXPIRED)
+        return claimrecords.ClaimAbsent()
+
+    def _lose_owner(self, command):
+        self._raise_floor(command.host, command.incarnation + 1)
+        return claimrecords.ClaimNoted()
+
+    def _raise_floor(self, host, floor):
+        """Accept only later incarnations of a host; claims of others are unknown."""
+        if floor <= self._floor_by_host.get(host, 0):
+            return
+        self._floor_by_host[host] = floor
+        while len(self._floor_by_host) > MAX_HOSTS:
+            del self._floor_by_host[next(iter(self._floor_by_host))]
+        lost = [
+            owner
+            for owner in self._open_by_owner
+            if owner[0] == host and owner[1] < floor
+        ]
+        for owner in lost:
+            for key in sorted(self._open_by_owner[owner]):
+                self._settle_unknown(key, claimrecords.unpack(self._live[key]))
+
+    def _advance_only(self, command):
+        return claimrecords.ClaimNoted()
+
+    def snapshot(self) -> bytes:
+        """Return the whole state; a fingerprint takes 16 bytes in it."""
+        entries = [
+            _ENTRY.pack(key, len(data)) + data
+            for key, data in sorted(self._live.items())
+        ]
+        return cbor2.dumps(
+            {
+                "time": self.time,
+                "floors": self._floor_by_host,
+                "live": b"".join(entries),
+                "expired": self.expired.to_plain(),
+            }
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by that of a snapshot."""
+        plain = cbor2.loads(data)
+        self._clear()
+        self.time = plain["time"]
+        self._floor_by_host = plain["floors"]
+        self.expired.restore(plain["expired"])
+        entries = plain["live"]
+        start = 0
+        while start < len(entries):
+            key, size = _ENTRY.unpack_from(entries, start)
+            start += _ENTRY.size
+            self._restore_claim(key, entries[start : start + size])
+            start += size
+        for key in sorted(self._live, key=self._time_of):
+            span = self._span(self._time_of(key))
+            self._keys_by_span.setdefault(span, []).append(key)
+
+    def _time_of(self, key):
+        return claimrecords.time_of(self._live[key])
+
+    def _restore_claim(self, key, data):
+        self._live[key] = data
+        self.result_bytes += claimrecords.result_bytes(data)
+        claim = claimrecords.unpack(data)
+        if claim.state is not State.BEGUN:
+            return
+        owner = (claim.host, claim.incarnation)
+        self._open_by_owner.setdefault(owner, set()).add(key)
+        self._open_count += 1
+
+
+def _key_of(command):
+    return claimrecords.fingerprint(command.organisation, command.service, command.key)
+
+
+def _is_same_attempt(command, claim):
+    return (claim.host, claim.incarnation, claim.attempt) == (
+        command.host,
+        command.incarnation,
+        command.attempt,
+    )
