--- a/kumquatproxy/orderbook.py
+++ b/kumquatproxy/orderbook.py
@@ -115,9 +115,15 @@
         self.reopen_after_restart(tracked)
 
     def reopen_after_restart(self, tracked: orderrules.Tracked) -> None:
-        """Open a closed order again if the engine has restarted since."""
+        """Open a closed order again if the engine has restarted since.
+
+        An order whose forgetting is proposed stays closed: a report that shows the
+        restart this late is later than ``report_lag_s``.
+        """
         view = self.ledger.views_by_id.get(tracked.intent.backend_id)
-        if view is None or view.report is None or tracked.is_open:
+        if view is None or view.report is None:
+            return
+        if tracked.is_open or tracked.is_closing:
             return
         if tracked.closed_incarnation < view.report.incarnation:
             tracked.stage = Stage.UNKNOWN
--- a/kumquatproxy/orderrecords.py
+++ b/kumquatproxy/orderrecords.py
@@ -1,6 +1,6 @@
 """Inputs and outputs of the order engine."""
 
-from kumquatproxy import orderrules, records, wire
+from kumquatproxy import configstate, orderrules, records, wire
 
 
 class Action(records.Record):
@@ -56,4 +56,4 @@
     __slots__ = ("command",)
 
     def __init__(self, command):
-        self.command: wire.Message = command
+        self.command: configstate.AcknowledgeShare = command
