--- /dev/null
+++ b/kumquatproxy/faultschedules.py
@@ -0,0 +1,385 @@
+"""Seeded schedules of faults over a simulated group, with all invariants checked."""
+
+import random
+
+from kumquatproxy import (
+    consensus,
+    errors,
+    groupinvariants,
+    histories,
+    records,
+    registermachine,
+    registry,
+    simgroup,
+    voterset,
+    wire,
+)
+
+FAULTS = registry.Registry("fault")
+"""Functions of a Schedule that start one fault, entered by ``register``."""
+
+FAULT_INTERVAL_S = (0.2, 2.5)
+CALL_INTERVAL_S = 0.05
+CALL_TIMEOUT_S = 4.0
+SETTLING_S = 25.0  # simulated time without faults at the end
+SPARE_HOSTS = ("s1", "s2")
+# Leases are read directly in this share of the calls.
+LEASE_READ_SHARE = 0.3
+MAX_CALLS = 200
+VALUES = 5
+
+
+class ViolationError(Exception):
+    """Tell the seed of a schedule in which an invariant or a check failed."""
+
+    def __init__(self, seed, voters, detail):
+        super().__init__(f"seed {seed} with {voters} voters: {detail}")
+
+
+class Outcome(records.Record):
+    """Count what happened in one schedule."""
+
+    __slots__ = ("calls", "checks", "commits", "elections", "faults")
+
+    def __init__(self, calls, checks, commits, elections, faults):
+        self.calls: int = calls
+        self.checks: int = checks
+        self.commits: int = commits
+        self.elections: int = elections
+        self.faults: int = faults
+
+
+class Schedule:
+    """Run one schedule: clients, faults, settling, verdict."""
+
+    def __init__(
+        self, seed, voters=3, faults=(), group_class=simgroup.Group, **options
+    ):
+        self.seed: int = seed
+        self.voters: int = voters
+        self.rng = random.Random(seed)
+        self.hosts = [f"h{number}" for number in range(1, voters + 1)]
+        options.setdefault("max_batch_entries", self.rng.choice([1, 3, 64]))
+        options.setdefault("max_in_flight", self.rng.choice([1, 4]))
+        options.setdefault("chunk_bytes", 4)
+        options.setdefault("retained_entries", self.rng.choice([0, 10]))
+        options.setdefault("learner_expiry_s", 5.0)
+        self.group = group_class(
+            seed,
+            self.hosts,
+            groupinvariants.Invariants(),
+            registermachine.RegisterMachine,
+            spare_hosts=SPARE_HOSTS,
+            **options,
+        )
+        self.operations: list[histories.Operation] = []
+        self.fault_count = 0
+        self._fault_names = list(faults) or FAULTS.aliases()
+        self._disks = 0
+        self._active = True
+
+    def run(self, duration_s: float = 30.0) -> Outcome:
+        """Run for ``duration_s`` of simulated time; raise ViolationError."""
+        try:
+            self.group.start()
+            self._next_fault()
+            for client in ("a", "b", "c"):
+                self._next_call(client, 0)
+            self.group.run(duration_s)
+            self._settle()
+        except (groupinvariants.InvariantError, errors.ProxyError) as error:
+            raise ViolationError(self.seed, self.voters, str(error)) from error
+        if not self._is_linearizable():
+            raise ViolationError(self.seed, self.voters, "history not linearizable")
+        invariants = self.group.invariants
+        return Outcome(
+            len(self.operations),
+            invariants.checks,
+            len(invariants.committed_by_index),
+            invariants.elections,
+            self.fault_count,
+        )
+
+    def _is_linearizable(self):
+        return histories.is_linearizable(
+            self.operations, histories.compare_and_set_register
+        )
+
+    def _next_fault(self):
+        self.group.at(self.rng.uniform(*FAULT_INTERVAL_S), self._start_fault)
+
+    def _start_fault(self):
+        if not self._active:
+            return
+        self.fault_count += 1
+        FAULTS.get(self.rng.choice(self._fault_names))(self)
+        self._next_fault()
+
+    def _next_call(self, client, number):
+        delay_s = self.rng.expovariate(1.0 / CALL_INTERVAL_S)
+        self.group.at(delay_s, self._call, client, number)
+
+    def _call(self, client, number):
+        if not self._active or len(self.operations) >= MAX_CALLS:
+            return
+        node = self.rng.choice(self.group.nodes or [None])
+        call = self._choose_call()
+        operation = histories.Operation(f"{client}{number}", call, self.group.now)
+        if node is None or node.paused or not self._submit(node, operation, client):
+            self._next_call(client, number)
+
+    def _choose_call(self):
+        kind = self.rng.random()
+        values = range(VALUES)
+        if kind < LEASE_READ_SHARE:
+            return ("read",)
+        if kind < 0.5:
+            return ("write", self.rng.choice(values))
+        return ("cas", self.rng.choice(values), self.rng.choice(values))
+
+    def _submit(self, node, operation, client):
+        """Start a call at a node; return whether the node took it."""
+        number = int(operation.client[1:])
+        if operation.call == ("read",):
+            if not node.member.is_serving(node.clock()):
+                return False
+            operation.result = node.applier.machine.value
+            operation.returned_at = self.group.now
+            self.operations.append(operation)
+            self._next_call(client, number)
+            return True
+        command = registermachine.RegisterCall(list(operation.call), b"")
+        try:
+            proposal = node.member.propose(wire.encode(command), node.clock())
+        except consensus.NotLeader:
+            return False
+        call = _Call(self, operation, client)
+        node.applier.wait(proposal, call.answer)
+        self.operations.append(operation)
+        self.group.at(CALL_TIMEOUT_S, call.time_out)
+        node.pump()
+        return True
+
+    def finish_call(self, client, number) -> None:
+        """Let a client make its next call."""
+        self._next_call(client, number)
+
+    def change_disk(self, host_id: str) -> None:
+        """Replace the disk of a host by an empty one."""
+        self._disks += 1
+        self.group.nodes_by_host[host_id].lose_disk(f"d{self._disks}")
+
+    def _settle(self):
+        """End all faults and check that the group makes progress and agrees."""
+        self._active = False
+        group = self.group
+        group.faults.__init__()
+        for node in group.nodes_by_host.values():
+            if node.member is None:
+                node.start()
+            elif node.paused:
+                node.resume()
+        group.run(SETTLING_S)
+        leader = group.leader()
+        if leader is None or not leader.member.has_lease(leader.clock()):
+            raise groupinvariants.InvariantError("no leader after all faults ended")
+        self._check_agreement(leader)
+
+    def _check_agreement(self, leader):
+        commit = leader.member.commit_index
+        for node in self.group.nodes:
+            if node.identity not in leader.member.voter_set.members:
+                continue
+            if node.applier.applied_index != commit:
+                raise groupinvariants.InvariantError(
+                    f"{node.identity} applied {node.applier.applied_index} of {commit} "
+                    "entries after all faults ended"
+                )
+
+
+class _Call:
+    """Follow one proposal until its outcome or its timeout."""
+
+    def __init__(self, schedule, operation, client):
+        self._schedule = schedule
+        self._operation = operation
+        self._client = client
+        self._finished = False
+
+    def answer(self, result):
+        if self._finished:
+            return
+        operation = self._operation
+        if isinstance(result, errors.ProxyError):
+            if result.executed == "no":
+                self._schedule.operations.remove(operation)
+        else:
+            operation.result = result.value
+            operation.returned_at = self._schedule.group.now
+        self._finish()
+
+    def time_out(self):
+        if not self._finished:
+            self._finish()
+
+    def _finish(self):
+        self._finished = True
+        number = int(self._operation.client[1:]) + 1
+        self._schedule.finish_call(self._client, number)
+
+
+@FAULTS.register("partition")
+def partition(schedule) -> None:
+    """Split the hosts in two parts for a while, sometimes in one direction only."""
+    group = schedule.group
+    hosts = list(group.nodes_by_host)
+    leader = group.leader()
+    part = set(schedule.rng.sample(hosts, schedule.rng.randint(1, len(hosts) // 2)))
+    if leader is not None and schedule.rng.random() < 0.4:
+        part = {leader.host_id}
+    rest = set(hosts) - part
+    pairs = {(a, b) for a in part for b in rest}
+    if schedule.rng.random() < 0.7:
+        pairs |= {(b, a) for a in part for b in rest}
+    group.faults.blocked |= pairs
+    group.at(
+        schedule.rng.uniform(0.5, 6.0), group.faults.blocked.difference_update, pairs
+    )
+
+
+@FAULTS.register("bad-network")
+def bad_network(schedule) -> None:
+    """Lose, repeat, delay and reorder messages for a while."""
+    faults = schedule.group.faults
+    faults.loss = schedule.rng.uniform(0, 0.3)
+    faults.duplication = schedule.rng.uniform(0, 0.3)
+    faults.slow_share = schedule.rng.uniform(0, 0.4)
+
+    def end():
+        faults.loss = faults.duplication = faults.slow_share = 0.0
+
+    schedule.group.at(schedule.rng.uniform(1.0, 6.0), end)
+
+
+@FAULTS.register("pause")
+def pause(schedule) -> None:
+    """Stop a process for a while; its clock goes on."""
+    node = _choose_node(schedule)
+    if node is None or node.paused:
+        return
+    node.paused = True
+    member = node.member
+
+    def end():
+        if node.member is member and node.paused:
+            node.resume()
+
+    schedule.group.at(schedule.rng.uniform(0.3, 5.0), end)
+
+
+@FAULTS.register("crash")
+def crash(schedule) -> None:
+    """Kill a process and start it again."""
+    node = _choose_node(schedule)
+    if node is not None:
+        node.crash()
+        _restart_later(schedule, node)
+
+
+@FAULTS.register("crash-all")
+def crash_all(schedule) -> None:
+    """Kill all processes at once."""
+    for node in schedule.group.nodes:
+        node.crash()
+        _restart_later(schedule, node)
+
+
+@FAULTS.register("lose-disk")
+def lose_disk(schedule) -> None:
+    """Kill a process and its disk, as long as a quorum keeps its disks."""
+    node = _choose_node(schedule)
+    if node is None or not _may_lose(schedule, node):
+        return
+    schedule.change_disk(node.host_id)
+    _restart_later(schedule, node)
+
+
+@FAULTS.register("full-disk")
+def full_disk(schedule) -> None:
+    """Let the disk of a host be full for a while."""
+    faults = schedule.group.faults
+    node = _choose_node(schedule)
+    if node is not None:
+        faults.full_disks.add(node.host_id)
+        delay_s = schedule.rng.uniform(0.5, 4.0)
+        schedule.group.at(delay_s, faults.full_disks.discard, node.host_id)
+
+
+@FAULTS.register("change-voters")
+def change_voters(schedule) -> None:
+    """Ask the leader to add or to remove a member."""
+    leader = schedule.group.leader()
+    if leader is None or leader.paused:
+        return
+    node = schedule.rng.choice(list(schedule.group.nodes_by_host.values()))
+    kind = schedule.rng.choice(
+        [voterset.ChangeKind.ADD_VOTER, voterset.ChangeKind.REMOVE]
+    )
+    if kind is voterset.ChangeKind.REMOVE:
+        if len(leader.member.voter_set.voters) <= min(3, schedule.voters):
+            return
+    change = voterset.Change(kind, node.identity)
+    try:
+        leader.member.propose_change(change, leader.clock())
+    except errors.ProxyError:
+        return
+    leader.pump()
+
+
+@FAULTS.register("transfer")
+def transfer(schedule) -> None:
+    """Ask the leader to hand over its leadership."""
+    leader = schedule.group.leader()
+    if leader is None or leader.paused:
+        return
+    target = schedule.rng.choice(leader.member.voter_set.voters)
+    try:
+        leader.member.transfer(target, leader.clock())
+    except errors.ProxyError:
+        return
+    leader.pump()
+
+
+def _choose_node(schedule):
+    leader = schedule.group.leader()
+    if leader is not None and schedule.rng.random() < 0.4:
+        return leader
+    nodes = schedule.group.nodes
+    return schedule.rng.choice(nodes) if nodes else None
+
+
+def _restart_later(schedule, node):
+    life_identity = node.identity
+
+    def start():
+        if node.member is None and node.identity == life_identity:
+            node.start()
+
+    schedule.group.at(schedule.rng.uniform(0.1, 4.0), start)
+
+
+def _may_lose(schedule, node):
+    """Return whether every voter set in use keeps a quorum of disks without ``node``.
+
+    Beyond that the log is lost by design, see the design page on placement groups.
+    """
+    kept = {
+        other.identity
+        for other in schedule.group.nodes_by_host.values()
+        if other is not node
+    }
+    for other in schedule.group.nodes:
+        voters = other.member.voter_set.voters
+        if len(kept.intersection(voters)) < len(voters) // 2 + 1:
+            return False
+    return True
--- /dev/null
+++ b/kumquatproxy/groupsettings.py
@@ -0,0 +1,162 @@
+"""Settings of one member of a replicated-log group, and its records for the edge."""
+
+from kumquatproxy import errors, records, replicalog, wire
+
+ELECTION_TIMEOUT_S = 1.2
+HEARTBEAT_S = 0.5
+# Covers clocks that each run up to 8% fast or slow during one election timeout.
+LEASE_MARGIN_S = 0.2
+# An append message must stay below wire.MAX_FRAME_BYTES with the overhead of its
+# entries, at most 20 bytes each, and of its own fields.
+MAX_BATCH_BYTES = 192 * 1024
+MAX_BATCH_ENTRIES = 1024
+MAX_COMMAND_BYTES = MAX_BATCH_BYTES
+CHUNK_BYTES = 128 * 1024
+MAX_IN_FLIGHT = 64  # append messages without a reply, for each peer
+RETAINED_ENTRIES = 1000  # kept below a snapshot for members that lag a little
+# A learner that does not answer for so long has lost its disk again.
+LEARNER_EXPIRY_S = 30.0
+
+
+class GroupSettings(records.Record):
+    """Hold the settings of one member."""
+
+    __slots__ = (
+        "chunk_bytes",
+        "election_timeout_s",
+        "group",
+        "heartbeat_s",
+        "identity",
+        "join_hosts",
+        "learner_expiry_s",
+        "lease_margin_s",
+        "max_batch_bytes",
+        "max_batch_entries",
+        "max_in_flight",
+        "retained_entries",
+    )
+
+    def __init__(
+        self,
+        group,
+        identity,
+        join_hosts=(),
+        election_timeout_s=ELECTION_TIMEOUT_S,
+        heartbeat_s=HEARTBEAT_S,
+        lease_margin_s=LEASE_MARGIN_S,
+        max_batch_entries=MAX_BATCH_ENTRIES,
+        max_batch_bytes=MAX_BATCH_BYTES,
+        max_in_flight=MAX_IN_FLIGHT,
+        chunk_bytes=CHUNK_BYTES,
+        retained_entries=RETAINED_ENTRIES,
+        learner_expiry_s=LEARNER_EXPIRY_S,
+    ):
+        self.group: str = group
+        self.identity: str = identity
+        self.join_hosts: tuple[str, ...] = tuple(join_hosts)
+        self.election_timeout_s: float = election_timeout_s
+        self.heartbeat_s: float = heartbeat_s
+        self.lease_margin_s: float = lease_margin_s
+        self.max_batch_entries: int = max_batch_entries
+        self.max_batch_bytes: int = max_batch_bytes
+        self.max_in_flight: int = max_in_flight
+        self.chunk_bytes: int = chunk_bytes
+        self.retained_entries: int = retained_entries
+        self.learner_expiry_s: float = learner_expiry_s
+
+
+class HardState(records.Record):
+    """Hold what must be durable before a member answers."""
+
+    __slots__ = ("term", "vote")
+
+    def __init__(self, term=0, vote=""):
+        self.term: int = term
+        self.vote: str = vote  # identity, empty if no vote was given in this term
+
+
+class PersistedState(records.Record):
+    """Hold what a member starts from."""
+
+    __slots__ = ("entries", "hard_state", "snapshot")
+
+    def __init__(self, hard_state, snapshot, entries=()):
+        self.hard_state: HardState = hard_state
+        self.snapshot: replicalog.Snapshot = snapshot
+        self.entries: list[replicalog.Entry] = list(entries)
+
+
+def bootstrap_state(voter_set=b"", base_term=0, data=b"") -> PersistedState:
+    """Return the first state of a member, with an encoded voter set.
+
+    A member that joins later starts from the empty set. ``base_term`` is the highest
+    fence recorded for a group that this one replaces as a whole.
+    """
+    snapshot = replicalog.Snapshot(0, 0, voter_set, data)
+    return PersistedState(HardState(base_term), snapshot)
+
+
+class Persist(records.Record):
+    """Hold what must be on disk before the messages of a Ready are sent.
+
+    The parts are written in the order snapshot, reset, hard state, entries. The first
+    entry replaces the one with the same index on disk and all later ones.
+    """
+
+    __slots__ = ("entries", "hard_state", "reset", "snapshot")
+
+    def __init__(self, hard_state=None, entries=(), snapshot=None, reset=False):
+        self.hard_state: HardState | None = hard_state
+        self.entries: list[replicalog.Entry] = list(entries)
+        self.snapshot: replicalog.Snapshot | None = snapshot
+        self.reset: bool = reset  # drop all entries; the log restarts at the snapshot
+
+    def is_empty(self) -> bool:
+        """Return whether there is nothing to write."""
+        return not (self.hard_state or self.entries or self.snapshot)
+
+
+class Ready(records.Record):
+    """Hold the outputs of a member since the last Ready.
+
+    ``replicate`` may be sent before ``persist`` is durable: these messages repeat log
+    entries of a leader that does not count itself before ``persisted``. ``snapshot``
+    must be restored before ``committed`` is applied.
+    """
+
+    __slots__ = ("committed", "messages", "persist", "replicate", "snapshot")
+
+    def __init__(self, persist, messages, committed, snapshot, replicate):
+        self.persist: Persist = persist
+        self.messages: list[wire.Send] = messages
+        self.committed: list[replicalog.Entry] = committed
+        self.snapshot: replicalog.Snapshot | None = snapshot
+        self.replicate: list[wire.Send] = replicate
+
+    def is_empty(self) -> bool:
+        """Return whether there is nothing to do."""
+        parts = (self.messages, self.committed, self.snapshot, self.replicate)
+        return self.persist.is_empty() and not any(parts)
+
+
+class Proposal(records.Record):
+    """Name the place of a proposed entry.
+
+    It is committed when the entry applied at ``index`` has ``term``; another term
+    there means that the proposal was dropped.
+    """
+
+    __slots__ = ("index", "term")
+
+    def __init__(self, index, term):
+        self.index: int = index
+        self.term: int = term
+
+
+class NotLeader(errors.ProxyError):
+    """Refuse a proposal that was certainly not added to the log."""
+
+    def __init__(self, leader_id):
+        self.leader_id: str | None = leader_id
+        detail = f"the leader is {leader_id or 'not known'}"
+        super().__init__(errors.ErrorKind.NOT_LEADER, detail)
--- /dev/null
+++ b/kumquatproxy/replicalog.py
@@ -0,0 +1,122 @@
+"""Entries of the replicated log in memory, on top of a snapshot."""
+
+import enum
+
+from kumquatproxy import records
+
+
+class EntryKind(enum.IntEnum):
+    """Tell what the data of an entry is."""
+
+    COMMAND = 0
+    CHANGE = 1  # data is an encoded voter set
+    NOOP = 2
+
+
+class Entry(records.Record):
+    """Hold one entry of the log."""
+
+    __slots__ = ("data", "index", "kind", "term")
+
+    def __init__(self, index, term, kind, data):
+        self.index: int = index
+        self.term: int = term
+        self.kind: EntryKind = kind
+        self.data: bytes = data
+
+
+class Snapshot(records.Record):
+    """Hold the state that all entries up to ``index`` lead to."""
+
+    __slots__ = ("data", "index", "term", "voter_set")
+
+    def __init__(self, index, term, voter_set, data):
+        self.index: int = index
+        self.term: int = term
+        self.voter_set: bytes = voter_set  # encoded
+        self.data: bytes = data
+
+
+class ReplicaLog:
+    """Keep the entries after ``base_index``; earlier ones are in the snapshot."""
+
+    __slots__ = ("_entries", "base_index", "base_term")
+
+    def __init__(self, base_index=0, base_term=0, entries=()):
+        self.base_index: int = base_index
+        self.base_term: int = base_term
+        self._entries: list[Entry] = list(entries)
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self._entries[-1].term if self._entries else self.base_term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of the entry at ``index``, None if it is not kept."""
+        if index == self.base_index:
+            return self.base_term
+        if not self.base_index < index <= self.last_index:
+            return None
+        return self._entries[index - self.base_index - 1].term
+
+    def slice(self, first: int, last: int) -> list[Entry]:
+        """Return the entries from ``first`` to ``last``, both included."""
+        return self._entries[first - self.base_index - 1 : last - self.base_index]
+
+    def batch(self, first: int, max_entries: int, max_bytes: int) -> list[Entry]:
+        """Return entries from ``first`` within both limits, at least one if any."""
+        entries = self.slice(first, min(self.last_index, first + max_entries - 1))
+        size = 0
+        for count, entry in enumerate(entries):
+            size += len(entry.data)
+            if size > max_bytes and count:
+                return entries[:count]
+        return entries
+
+    def append(self, entry: Entry) -> None:
+        """Add the entry that follows the last one."""
+        if entry.index != self.last_index + 1:
+            raise ValueError(f"entry {entry.index} does not follow {self.last_index}")
+        self._entries.append(entry)
+
+    def truncate_from(self, index: int) -> None:
+        """Drop the entry at ``index`` and all later ones."""
+        del self._entries[max(0, index - self.base_index - 1) :]
+
+    def compact(self, index: int) -> None:
+        """Drop the entries up to ``index``; a snapshot must cover them."""
+        term = self.term_at(index)
+        if term is None or index <= self.base_index:
+            return
+        del self._entries[: index - self.base_index]
+        self.base_index = index
+        self.base_term = term
+
+    def reset(self, index: int, term: int) -> None:
+        """Drop all entries and continue after ``index``."""
+        self._entries.clear()
+        self.base_index = index
+        self.base_term = term
+
+    def covers(self, last_index: int, last_term: int) -> bool:
+        """Return whether a log that ends as given is at least as recent as this one."""
+        return (last_term, last_index) >= (self.last_term, self.last_index)
+
+    def conflict_hint(self, index: int) -> int:
+        """Return the last index that may match after the one at ``index`` did not.
+
+        The whole conflicting term is skipped, so that one reply for each term is
+        enough to find the common part.
+        """
+        if index > self.last_index:
+            return self.last_index
+        term = self.term_at(index)
+        while index > self.base_index and self.term_at(index) == term:
+            index -= 1
+        return index
