--- a/kumquatproxy/faultschedules.py
+++ b/kumquatproxy/faultschedules.py
@@ -9,15 +9,11 @@
     histories,
     records,
     registermachine,
-    registry,
+    simfaults,
     simgroup,
-    voterset,
     wire,
 )
 
-FAULTS = registry.Registry("fault")
-"""Functions of a Schedule that start one fault, entered by ``register``."""
-
 FAULT_INTERVAL_S = (0.2, 2.5)
 CALL_INTERVAL_S = 0.05
 CALL_TIMEOUT_S = 4.0
@@ -74,9 +70,9 @@
         )
         self.operations: list[histories.Operation] = []
         self.fault_count = 0
-        self._fault_names = list(faults) or FAULTS.aliases()
+        self._fault_names = list(faults) or simfaults.FAULTS.aliases()
         self._disks = 0
-        self._active = True
+        self.is_active = True
 
     def run(self, duration_s: float = 30.0) -> Outcome:
         """Run for ``duration_s`` of simulated time; raise ViolationError."""
@@ -109,10 +105,10 @@
         self.group.at(self.rng.uniform(*FAULT_INTERVAL_S), self._start_fault)
 
     def _start_fault(self):
-        if not self._active:
+        if not self.is_active:
             return
         self.fault_count += 1
-        FAULTS.get(self.rng.choice(self._fault_names))(self)
+        simfaults.FAULTS.get(self.rng.choice(self._fault_names))(self)
         self._next_fault()
 
     def _next_call(self, client, number):
@@ -120,7 +116,7 @@
         self.group.at(delay_s, self._call, client, number)
 
     def _call(self, client, number):
-        if not self._active or len(self.operations) >= MAX_CALLS:
+        if not self.is_active or len(self.operations) >= MAX_CALLS:
             return
         node = self.rng.choice(self.group.nodes or [None])
         call = self._choose_call()
@@ -171,7 +167,7 @@
 
     def _settle(self):
         """End all faults and check that the group makes progress and agrees."""
-        self._active = False
+        self.is_active = False
         group = self.group
         group.faults.__init__()
         for node in group.nodes_by_host.values():
@@ -226,160 +222,3 @@
         self._finished = True
         number = int(self._operation.client[1:]) + 1
         self._schedule.finish_call(self._client, number)
-
-
-@FAULTS.register("partition")
-def partition(schedule) -> None:
-    """Split the hosts in two parts for a while, sometimes in one direction only."""
-    group = schedule.group
-    hosts = list(group.nodes_by_host)
-    leader = group.leader()
-    part = set(schedule.rng.sample(hosts, schedule.rng.randint(1, len(hosts) // 2)))
-    if leader is not None and schedule.rng.random() < 0.4:
-        part = {leader.host_id}
-    rest = set(hosts) - part
-    pairs = {(a, b) for a in part for b in rest}
-    if schedule.rng.random() < 0.7:
-        pairs |= {(b, a) for a in part for b in rest}
-    group.faults.blocked |= pairs
-    group.at(
-        schedule.rng.uniform(0.5, 6.0), group.faults.blocked.difference_update, pairs
-    )
-
-
-@FAULTS.register("bad-network")
-def bad_network(schedule) -> None:
-    """Lose, repeat, delay and reorder messages for a while."""
-    faults = schedule.group.faults
-    faults.loss = schedule.rng.uniform(0, 0.3)
-    faults.duplication = schedule.rng.uniform(0, 0.3)
-    faults.slow_share = schedule.rng.uniform(0, 0.4)
-
-    def end():
-        faults.loss = faults.duplication = faults.slow_share = 0.0
-
-    schedule.group.at(schedule.rng.uniform(1.0, 6.0), end)
-
-
-@FAULTS.register("pause")
-def pause(schedule) -> None:
-    """Stop a process for a while; its clock goes on."""
-    node = _choose_node(schedule)
-    if node is None or node.paused:
-        return
-    node.paused = True
-    member = node.member
-
-    def end():
-        if node.member is member and node.paused:
-            node.resume()
-
-    schedule.group.at(schedule.rng.uniform(0.3, 5.0), end)
-
-
-@FAULTS.register("crash")
-def crash(schedule) -> None:
-    """Kill a process and start it again."""
-    node = _choose_node(schedule)
-    if node is not None:
-        node.crash()
-        _restart_later(schedule, node)
-
-
-@FAULTS.register("crash-all")
-def crash_all(schedule) -> None:
-    """Kill all processes at once."""
-    for node in schedule.group.nodes:
-        node.crash()
-        _restart_later(schedule, node)
-
-
-@FAULTS.register("lose-disk")
-def lose_disk(schedule) -> None:
-    """Kill a process and its disk, as long as a quorum keeps its disks."""
-    node = _choose_node(schedule)
-    if node is None or not _may_lose(schedule, node):
-        return
-    schedule.change_disk(node.host_id)
-    _restart_later(schedule, node)
-
-
-@FAULTS.register("full-disk")
-def full_disk(schedule) -> None:
-    """Let the disk of a host be full for a while."""
-    faults = schedule.group.faults
-    node = _choose_node(schedule)
-    if node is not None:
-        faults.full_disks.add(node.host_id)
-        delay_s = schedule.rng.uniform(0.5, 4.0)
-        schedule.group.at(delay_s, faults.full_disks.discard, node.host_id)
-
-
-@FAULTS.register("change-voters")
-def change_voters(schedule) -> None:
-    """Ask the leader to add or to remove a member."""
-    leader = schedule.group.leader()
-    if leader is None or leader.paused:
-        return
-    node = schedule.rng.choice(list(schedule.group.nodes_by_host.values()))
-    kind = schedule.rng.choice(
-        [voterset.ChangeKind.ADD_VOTER, voterset.ChangeKind.REMOVE]
-    )
-    if kind is voterset.ChangeKind.REMOVE:
-        if len(leader.member.voter_set.voters) <= min(3, schedule.voters):
-            return
-    change = voterset.Change(kind, node.identity)
-    try:
-        leader.member.propose_change(change, leader.clock())
-    except errors.ProxyError:
-        return
-    leader.pump()
-
-
-@FAULTS.register("transfer")
-def transfer(schedule) -> None:
-    """Ask the leader to hand over its leadership."""
-    leader = schedule.group.leader()
-    if leader is None or leader.paused:
-        return
-    target = schedule.rng.choice(leader.member.voter_set.voters)
-    try:
-        leader.member.transfer(target, leader.clock())
-    except errors.ProxyError:
-        return
-    leader.pump()
-
-
-def _choose_node(schedule):
-    leader = schedule.group.leader()
-    if leader is not None and schedule.rng.random() < 0.4:
-        return leader
-    nodes = schedule.group.nodes
-    return schedule.rng.choice(nodes) if nodes else None
-
-
-def _restart_later(schedule, node):
-    life_identity = node.identity
-
-    def start():
-        if node.member is None and node.identity == life_identity:
-            node.start()
-
-    schedule.group.at(schedule.rng.uniform(0.1, 4.0), start)
-
-
-def _may_lose(schedule, node):
-    """Return whether every voter set in use keeps a quorum of disks without ``node``.
-
-    Beyond that the log is lost by design, see the design page on placement groups.
-    """
-    kept = {
-        other.identity
-        for other in schedule.group.nodes_by_host.values()
-        if other is not node
-    }
-    for other in schedule.group.nodes:
-        voters = other.member.voter_set.voters
-        if len(kept.intersection(voters)) < len(voters) // 2 + 1:
-            return False
-    return True
--- a/kumquatproxy/simgroup.py
+++ b/kumquatproxy/simgroup.py
@@ -76,6 +76,11 @@
         """Return the present identity of the host."""
         return self.settings.identity
 
+    @property
+    def is_syncing(self) -> bool:
+        """Return whether a batch is on its way to the disk."""
+        return self._syncing is not None
+
     def clock(self) -> float:
         """Return the time of this host's own clock, in seconds."""
         return self._offset + self._rate * self.group.now
