--- /dev/null
+++ b/kumquatproxy/frames.py
@@ -0,0 +1,62 @@
+"""Checksummed frames of files on disk: length, CRC32, body."""
+
+import struct
+import zlib
+
+from kumquatproxy import errors
+
+_HEADER = struct.Struct(">II")
+HEADER_BYTES = _HEADER.size
+MAX_BODY_BYTES = 1 << 30
+
+
+def encode(body: bytes) -> bytes:
+    """Return the frame of ``body``.
+
+    The checksum covers the length too: a file that a crash left full of zeros would
+    otherwise hold valid empty frames.
+    """
+    length = len(body).to_bytes(4, "big")
+    return _HEADER.pack(len(body), zlib.crc32(body, zlib.crc32(length))) + body
+
+
+def read(data: bytes, offset: int) -> bytes | None:
+    """Return the body of the frame at ``offset``, None if it is not valid."""
+    start = offset + HEADER_BYTES
+    if start > len(data):
+        return None
+    length, checksum = _HEADER.unpack_from(data, offset)
+    if length > MAX_BODY_BYTES or start + length > len(data):
+        return None
+    body = data[start : start + length]
+    if zlib.crc32(body, zlib.crc32(data[offset : offset + 4])) != checksum:
+        return None
+    return body
+
+
+def scan(data: bytes) -> tuple[list[bytes], int]:
+    """Return the bodies of the valid frames from the start, and where they end."""
+    bodies = []
+    offset = 0
+    while offset < len(data):
+        body = read(data, offset)
+        if body is None:
+            break
+        bodies.append(body)
+        offset += HEADER_BYTES + len(body)
+    return bodies, offset
+
+
+def find_frame_after(data: bytes, offset: int) -> int | None:
+    """Return the place of a valid frame anywhere after ``offset``, None without one."""
+    for place in range(offset + 1, len(data) - HEADER_BYTES + 1):
+        if read(data, place) is not None:
+            return place
+    return None
+
+
+def damaged(name: str, offset: int, detail: str) -> errors.ProxyError:
+    """Return the error for damage of the file ``name`` at a byte offset."""
+    return errors.ProxyError(
+        errors.ErrorKind.LOG_DAMAGED, f"file {name}, byte {offset}: {detail}"
+    )
--- /dev/null
+++ b/kumquatproxy/measure_consensus.py
@@ -0,0 +1,222 @@
+"""Figures of the replicated log: commits per sync, recovery, faults survived."""
+
+import os
+import pathlib
+import random
+import tempfile
+import time
+
+import gevent
+
+from kumquatproxy import (
+    consensus,
+    diskstore,
+    faultschedules,
+    groupsettings,
+    measure,
+    raftmessages,
+    registermachine,
+    replicalog,
+    replication,
+    voterset,
+    wire,
+)
+
+HOSTS = ("h1", "h2", "h3")
+CLIENTS = 64
+COMMAND_BYTES = 200
+PERIOD_S = 1.0  # of each of the runs compared
+ROUNDS = 3
+READY_TIMEOUT_S = 10.0
+RECOVERY_CHANGES = 10_000
+RECOVERY_BATCH = 10  # entries in each synced batch
+SCHEDULES = 150
+VOTERS = (3, 5, 7)
+
+
+class LocalGroup:
+    """Connect members with disks in one process."""
+
+    def __init__(self, directory, rng):
+        self._tasks_by_host = {}
+        identities = [voterset.make_identity(host, "0") for host in HOSTS]
+        state = groupsettings.bootstrap_state(voterset.VoterSet(identities).encode())
+        for host, identity in zip(HOSTS, identities):
+            path = directory / host
+            diskstore.format_directory(path, identity, state)
+            self._tasks_by_host[host] = self._make_task(host, path, rng)
+
+    def _make_task(self, host, path, rng):
+        store = diskstore.DiskStore(path)
+        settings = groupsettings.GroupSettings("measure", store.identity)
+        member = consensus.Member(settings, store.state, rng, time.monotonic())
+
+        def send(to, message):
+            self._tasks_by_host[to].receive(host, message)
+
+        machine = registermachine.RegisterMachine()
+        return replication.Replication(member, store, machine, send)
+
+    def start(self):
+        """Start all members and return the leader's task."""
+        for task in self._tasks_by_host.values():
+            task.start()
+        with gevent.Timeout(READY_TIMEOUT_S):
+            while True:
+                for task in self._tasks_by_host.values():
+                    if task.member.is_serving(time.monotonic()):
+                        return task
+                gevent.sleep(0.01)
+
+    def stop(self):
+        """Stop all members."""
+        for task in self._tasks_by_host.values():
+            task.stop()
+
+
+def _command(rng):
+    return registermachine.RegisterCall(
+        ["write", rng.randrange(1000)], rng.randbytes(COMMAND_BYTES)
+    )
+
+
+def count_syncs(directory: pathlib.Path, period_s: float) -> float:
+    """Return the bare appends with a sync of each that the disk does in a second."""
+    data = bytes(COMMAND_BYTES)
+    path = directory / "bare"
+    count = 0
+    with open(path, "wb", buffering=0) as stream:
+        start = time.monotonic()
+        while time.monotonic() - start < period_s:
+            stream.write(data)
+            os.fsync(stream.fileno())
+            count += 1
+        took_s = time.monotonic() - start
+    path.unlink()
+    return count / took_s
+
+
+def count_commits(task, clients: int, period_s: float, rng) -> float:
+    """Return the commands that concurrent clients get committed in a second."""
+    counts = [0] * clients
+    end = time.monotonic() + period_s
+
+    def run(client):
+        while time.monotonic() < end:
+            task.submit(_command(rng), READY_TIMEOUT_S)
+            counts[client] += 1
+
+    start = time.monotonic()
+    greenlets = [gevent.spawn(run, client) for client in range(clients)]
+    gevent.joinall(greenlets, raise_error=True)
+    return sum(counts) / (time.monotonic() - start)
+
+
+@measure.MEASUREMENTS.register("commit_per_fsync_ratio")
+def measure_commits(seed: int) -> list[measure.Figure]:
+    """Compare commits a second with bare syncs a second, the median of some rounds."""
+    rng = random.Random(seed)
+    ratios: dict[int, list[float]] = {1: [], CLIENTS: []}
+    with tempfile.TemporaryDirectory() as name:
+        directory = pathlib.Path(name)
+        group = LocalGroup(directory, rng)
+        try:
+            leader = group.start()
+            for _ in range(ROUNDS):
+                syncs = count_syncs(directory, PERIOD_S)
+                for clients, values in ratios.items():
+                    commits = count_commits(leader, clients, PERIOD_S, rng)
+                    values.append(commits / syncs)
+        finally:
+            group.stop()
+    medians = {
+        clients: sorted(values)[ROUNDS // 2] for clients, values in ratios.items()
+    }
+    return [
+        measure.Figure("commit_per_fsync_ratio_1_client", medians[1], low=0.5),
+        measure.Figure(
+            f"commit_per_fsync_ratio_{CLIENTS}_clients", medians[CLIENTS], low=3.0
+        ),
+    ]
+
+
+@measure.MEASUREMENTS.register("recovery_s_per_10k_changes")
+def measure_recovery(seed: int) -> list[measure.Figure]:
+    """Measure opening a store of 10,000 changes and applying them."""
+    rng = random.Random(seed)
+    command = wire.encode(_command(rng))
+    identity = voterset.make_identity("h1", "0")
+    voters = voterset.VoterSet([identity]).encode()
+    with tempfile.TemporaryDirectory() as name:
+        path = pathlib.Path(name) / "h1"
+        diskstore.format_directory(
+            path, identity, groupsettings.bootstrap_state(voters)
+        )
+        _fill(path, command)
+        start = time.monotonic()
+        store = diskstore.DiskStore(path)
+        settings = groupsettings.GroupSettings("measure", identity)
+        member = consensus.Member(settings, store.state, rng, 0.0)
+        machine = registermachine.RegisterMachine()
+        task = replication.Replication(member, store, machine, lambda *_: None)
+        while machine.applied < RECOVERY_CHANGES:
+            # Simulated time brings the election of the only voter forward.
+            task.tick(member.now + 1.0)
+        took_s = time.monotonic() - start
+        store.close()
+    return [measure.Figure("recovery_s_per_10k_changes", took_s)]
+
+
+def _fill(path, command):
+    store = diskstore.DiskStore(path)
+    for first in range(1, RECOVERY_CHANGES + 1, RECOVERY_BATCH):
+        entries = [
+            replicalog.Entry(index, 1, replicalog.EntryKind.COMMAND, command)
+            for index in range(first, first + RECOVERY_BATCH)
+        ]
+        hard_state = groupsettings.HardState(1, store.identity)
+        store.append(groupsettings.Persist(hard_state, entries))
+    store.close()
+
+
+@measure.MEASUREMENTS.register("append_bytes_per_entry")
+def measure_append_bytes(seed: int) -> list[measure.Figure]:
+    """Measure the wire size of an entry beyond its command, alone and in a batch."""
+    rng = random.Random(seed)
+    figures = []
+    for count in (1, CLIENTS):
+        entries = [
+            replicalog.Entry(
+                1000 + number, 7, replicalog.EntryKind.COMMAND, rng.randbytes(200)
+            )
+            for number in range(count)
+        ]
+        message = raftmessages.Append(
+            group="configuration",
+            source=voterset.make_identity("mu-north-1-entry-1", "0123456789ab"),
+            target=voterset.make_identity("mu-north-2-entry-1", "0123456789ab"),
+            term=7,
+            prev_index=999,
+            prev_term=7,
+            entries=raftmessages.pack(entries),
+            commit=999,
+            sent_at=12345.678,
+        )
+        size = len(wire.encode(message)) - sum(len(entry.data) for entry in entries)
+        name = f"append_bytes_per_entry_{count}"
+        figures.append(measure.Figure(name, size / count))
+    return figures
+
+
+@measure.MEASUREMENTS.register("faults_survived")
+def measure_faults(seed: int) -> list[measure.Figure]:
+    """Count the faults in seeded schedules; a violation raises ViolationError."""
+    faults = 0
+    for number in range(SCHEDULES):
+        voters = VOTERS[number % len(VOTERS)]
+        schedule = faultschedules.Schedule(seed * 1_000_000 + number, voters)
+        faults += schedule.run().faults
+    return [
+        measure.Figure("fault_schedules_survived", SCHEDULES, low=SCHEDULES),
+        measure.Figure("faults_survived", faults, low=SCHEDULES),
+    ]
