--- /dev/null
+++ b/kumquatproxy/arrivals.py
@@ -0,0 +1,206 @@
+"""Scenarios and traces of requests from fixed seeds, for experiments."""
+
+import math
+import random
+
+from kumquatproxy import loadmodel, records
+
+PREFIX_BLOCK_TOKENS = 128
+MEAN_TOKENS = 100.0
+BURST_FACTOR = 3.0
+BURST_SHARE = 0.1  # of the time that a model is in a burst
+BURST_S = 8.0
+SHIFT_FACTOR = 10.0
+
+REQUEST_CLASSES = (
+    # share, priority, deadline in seconds, service, median and largest length
+    (0.3, 8, 8.0, "interactive", 50.0, 130),
+    (0.4, 5, 20.0, "standard", 80.0, 350),
+    (0.3, 2, 30.0, "background", 120.0, 600),
+)
+
+
+class Scenario:
+    """Give the sizes and the load of one experiment."""
+
+    __slots__ = (
+        "cache_gap_share",
+        "data_centres",
+        "duration_s",
+        "hosts",
+        "models",
+        "name",
+        "organisation",
+        "report_delay_s",
+        "report_interval_s",
+        "report_loss",
+        "servers",
+        "shift_s",
+        "speed",
+        "utilisation",
+        "zipf",
+    )
+
+    def __init__(
+        self,
+        name,
+        organisation,
+        servers,
+        models,
+        hosts=6,
+        data_centres=3,
+        duration_s=180.0,
+        utilisation=0.9,
+        shift_s=60.0,
+        zipf=1.0,
+        report_interval_s=0.5,
+        report_delay_s=0.5,
+        report_loss=0.05,
+        cache_gap_share=0.02,
+        speed=None,
+    ):
+        self.name: str = name
+        self.organisation: str = organisation
+        self.servers: int = servers
+        self.models: int = models
+        self.hosts: int = hosts
+        self.data_centres: int = data_centres
+        self.duration_s: float = duration_s
+        self.utilisation: float = utilisation  # mean demand over full throughput
+        self.shift_s: float = shift_s  # duration of the tenfold shift; 0: none
+        self.zipf: float = zipf
+        self.report_interval_s: float = report_interval_s
+        self.report_delay_s: float = report_delay_s  # mean
+        self.report_loss: float = report_loss
+        self.cache_gap_share: float = cache_gap_share
+        self.speed: loadmodel.EngineSpeed = speed or loadmodel.EngineSpeed()
+
+    def capacity(self) -> float:
+        """Return the throughput of all servers in request steps per second."""
+        return self.servers * self.speed.steps_per_s()
+
+
+SCENARIOS = {
+    "port-louis": lambda **f: Scenario("port-louis", "port-louis", 5, 17, **f),
+    "cordillera": lambda **f: Scenario("cordillera", "cordillera", 5, 13, **f),
+    "tenth": lambda **f: Scenario(
+        "tenth", "design-size", 60, 170, **{"hosts": 12, "data_centres": 5, **f}
+    ),
+}
+
+
+class Trace:
+    """Hold the requests of one run and the average demand of each model."""
+
+    __slots__ = ("average_by_model", "jobs")
+
+    def __init__(self, jobs, average_by_model):
+        self.jobs: list[loadmodel.Job] = jobs
+        self.average_by_model: dict[str, float] = average_by_model
+
+
+def model_name(number: int) -> str:
+    """Return the name of a model of a scenario."""
+    return f"model-{number:03d}"
+
+
+def model_item(number: int) -> records.Item:
+    """Return the item of a model of a scenario."""
+    return records.Item("model", model_name(number), "1")
+
+
+def generate(scenario: Scenario, seed: int) -> Trace:
+    """Return the trace for a seed; the same seed gives the same trace."""
+    rng = random.Random(f"{scenario.name} {seed}")
+    weights = [1.0 / (rank + 1) ** scenario.zipf for rank in range(scenario.models)]
+    rng.shuffle(weights)
+    seconds = int(scenario.duration_s)
+    factors = [_factors(seconds, rng) for _ in weights]
+    if scenario.shift_s:
+        _shift(factors, weights, scenario, rng)
+    rates = [
+        [weight * factor for factor in row]
+        for weight, row in zip(weights, factors, strict=True)
+    ]
+    mean_total = sum(map(sum, rates)) / seconds
+    steps = MEAN_TOKENS + 2.5  # prompt chunks included
+    wanted = scenario.utilisation * scenario.capacity() / steps
+    jobs: list[loadmodel.Job] = []
+    for number, row in enumerate(rates):
+        for second, rate in enumerate(row):
+            for _ in range(_poisson(rate * wanted / mean_total, rng)):
+                arrived_at = second + rng.random()
+                jobs.append(_job(scenario, number, arrived_at, rng))
+    jobs.sort(key=lambda job: job.request.arrived_at)
+    total = sum(weights)
+    average = {model_name(n): weight / total for n, weight in enumerate(weights)}
+    return Trace(jobs, average)
+
+
+def _factors(seconds, rng):
+    row = []
+    bursting = False
+    for _ in range(seconds):
+        if bursting:
+            bursting = rng.random() >= 1.0 / BURST_S
+        else:
+            share = BURST_SHARE / (1.0 - BURST_SHARE)
+            bursting = rng.random() < share / BURST_S
+        row.append(BURST_FACTOR if bursting else 1.0)
+    return row
+
+
+def _shift(factors, weights, scenario, rng):
+    """Let a tenth of the models rise tenfold and as many popular ones fall."""
+    count = max(1, scenario.models // 10)
+    order = sorted(range(scenario.models), key=lambda number: weights[number])
+    lower_half = order[: scenario.models // 2]
+    rising = rng.sample(lower_half, count)
+    falling = order[-count:]
+    start = 0.3 * scenario.duration_s
+    for second in range(len(factors[0])):
+        progress = min(max((second - start) / scenario.shift_s, 0.0), 1.0)
+        for number in rising:
+            factors[number][second] *= SHIFT_FACTOR**progress
+        for number in falling:
+            factors[number][second] *= SHIFT_FACTOR**-progress
+
+
+def _poisson(mean, rng):
+    limit = math.exp(-mean)
+    count = 0
+    product = rng.random()
+    while product > limit:
+        count += 1
+        product *= rng.random()
+    return count
+
+
+def _job(scenario, number, arrived_at, rng):
+    draw = rng.random()
+    for share, priority, deadline_s, service, median, largest in REQUEST_CLASSES:
+        draw -= share
+        if draw < 0.0:
+            break
+    tokens = max(2, min(int(rng.lognormvariate(math.log(median), 0.6)), largest))
+    session = int(rng.paretovariate(1.0)) % 20
+    blocks = rng.randint(1, 6)
+    shared = min(blocks, 1 + session % 4)
+    digests = [f"{number}/{session}/{block}" for block in range(shared)]
+    unique = f"{rng.getrandbits(48):x}"
+    digests += [f"{unique}/{block}" for block in range(blocks - shared)]
+    name = model_name(number)
+    request = records.CallRequest(
+        unique,
+        scenario.organisation,
+        service,
+        model=name,
+        version="1",
+        priority=priority,
+        deadline=arrived_at + deadline_s,
+        prompt_tokens=blocks * PREFIX_BLOCK_TOKENS,
+        max_tokens=max(64, int(tokens * rng.uniform(1.0, 4.0))),
+        prefix_digests=digests,
+        arrived_at=arrived_at,
+    )
+    return loadmodel.Job(request, (model_item(number),), tokens)
--- /dev/null
+++ b/kumquatproxy/fixedplacement.py
@@ -0,0 +1,48 @@
+"""Fixed placements for experiments; the planner is measured elsewhere."""
+
+from kumquatproxy import arrivals, records
+
+
+def place(scenario, kind, average_by_model) -> list[set[records.Item]]:
+    """Return the fixed placement: the items of each server.
+
+    ``even`` gives every model the same number of replicas; ``demand`` gives replicas
+    by average demand, at least one each, and puts each at the least loaded server.
+    The average is the one before any burst or shift.
+    """
+    placed: list[set[records.Item]] = [set() for _ in range(scenario.servers)]
+    slots = scenario.servers * scenario.speed.max_items
+    names = [arrivals.model_name(number) for number in range(scenario.models)]
+    replicas = {
+        name: slots // scenario.models + (number < slots % scenario.models)
+        for number, name in enumerate(names)
+    }
+    weights = {name: 1.0 for name in names}
+    if kind == "demand":
+        weights = average_by_model
+        replicas = _replicas_by_demand(names, weights, slots, scenario.servers)
+    loads = [0.0] * scenario.servers
+    for name in sorted(names, key=lambda name: (-replicas[name], -weights[name])):
+        item = records.Item("model", name, "1")
+        share = weights[name] / replicas[name]
+        free = [
+            number
+            for number in range(scenario.servers)
+            if len(placed[number]) < scenario.speed.max_items
+        ]
+        free.sort(key=lambda number: (loads[number], len(placed[number])))
+        for number in free[: replicas[name]]:
+            placed[number].add(item)
+            loads[number] += share
+    return placed
+
+
+def _replicas_by_demand(names, weights, slots, servers):
+    replicas = {name: 1 for name in names}
+    for _ in range(slots - len(names)):
+        open_names = [name for name in names if replicas[name] < servers]
+        if not open_names:
+            break
+        neediest = max(open_names, key=lambda name: weights[name] / replicas[name])
+        replicas[neediest] += 1
+    return replicas
--- /dev/null
+++ b/kumquatproxy/loadmodel.py
@@ -0,0 +1,285 @@
+"""The project's own model of an engine, for experiments: a fake with real queues."""
+
+import collections
+import heapq
+import itertools
+
+from kumquatproxy import records
+
+
+class EngineSpeed:
+    """Give the speed and the sizes of one fake engine.
+
+    A step yields one token for each running request and takes
+    ``step_base_s + step_slope_s * batch``; a prompt is read in chunks of
+    ``chunk_tokens``, one per step.
+    """
+
+    __slots__ = (
+        "cache_blocks",
+        "chunk_tokens",
+        "kv_tokens",
+        "max_items",
+        "slots",
+        "step_base_s",
+        "step_slope_s",
+    )
+
+    def __init__(
+        self,
+        slots=24,
+        step_base_s=0.015,
+        step_slope_s=0.0012,
+        chunk_tokens=256,
+        kv_tokens=40_000,
+        cache_blocks=400,
+        max_items=5,
+    ):
+        self.slots: int = slots
+        self.step_base_s: float = step_base_s
+        self.step_slope_s: float = step_slope_s
+        self.chunk_tokens: int = chunk_tokens
+        self.kv_tokens: int = kv_tokens
+        self.cache_blocks: int = cache_blocks
+        self.max_items: int = max_items
+
+    def step_s(self, batch: int) -> float:
+        """Return the time of one step."""
+        return self.step_base_s + self.step_slope_s * batch
+
+    def steps_per_s(self) -> float:
+        """Return the largest throughput in request steps per second."""
+        return self.slots / self.step_s(self.slots)
+
+    def prompt_steps(self, tokens: float) -> int:
+        """Return the steps that read ``tokens`` of a prompt."""
+        return max(1, -(-int(tokens) // self.chunk_tokens))
+
+
+class Job:
+    """Hold one request of a trace and the length of its response."""
+
+    __slots__ = ("items", "request", "tokens")
+
+    def __init__(self, request, items, tokens):
+        self.request: records.CallRequest = request
+        self.items: tuple[records.Item, ...] = items
+        self.tokens: int = tokens  # known to the engine only
+
+
+class _Run:
+    """Hold one request at an engine; steps count from the engine's start."""
+
+    __slots__ = (
+        "cached_tokens",
+        "first_step",
+        "job",
+        "kv_tokens",
+        "last_step",
+        "skip",
+    )
+
+    def __init__(self, job, skip):
+        self.job: Job = job
+        self.skip: int = skip  # tokens delivered before a resume
+        self.first_step: float | None = None
+        self.last_step: float | None = None
+        self.cached_tokens: int = 0
+        self.kv_tokens: int = job.request.prompt_tokens + job.tokens
+
+
+class EngineEvent:
+    """Tell of the first token or the end of one request."""
+
+    __slots__ = ("at", "cached_tokens", "job", "kind")
+
+    def __init__(self, kind, job, at, cached_tokens):
+        self.kind: str = kind  # "first" or "complete"
+        self.job: Job = job
+        self.at: float = at
+        self.cached_tokens: int = cached_tokens
+
+
+class FakeEngine:
+    """Serve requests by continuous batching, in priority order.
+
+    Time is advanced by the caller. Between two changes of the batch all steps take
+    the same time, so the engine moves from change to change and not step by step.
+    """
+
+    __slots__ = (
+        "_cache",
+        "_kv_used",
+        "_milestones",
+        "_order",
+        "_running_by_id",
+        "_sequence",
+        "_steps",
+        "_updated_at",
+        "_waiting",
+        "_waiting_ids",
+        "alive",
+        "cache_events",
+        "event_sequence",
+        "failing_share",
+        "items",
+        "loading",
+        "server",
+        "speed",
+        "used_at",
+    )
+
+    def __init__(self, server, speed, items=()):
+        self.server: records.BackendServer = server
+        self.speed: EngineSpeed = speed
+        self.items: set[records.Item] = set(items)
+        self.loading: dict[records.Item, float] = {}  # item -> time it is loaded
+        self.used_at: dict[records.Item, float] = {}
+        self.alive: bool = True
+        self.failing_share: float = 0.0  # of requests that get an error
+        self.cache_events: list[tuple[int, tuple, tuple]] = []
+        self.event_sequence: int = 0
+        self._cache: collections.OrderedDict[str, None] = collections.OrderedDict()
+        self._kv_used: int = 0
+        self._milestones: list[tuple[float, int, str, _Run]] = []
+        self._order = itertools.count()
+        self._running_by_id: dict[str, _Run] = {}
+        self._sequence: int = 0
+        self._steps: float = 0.0
+        self._updated_at: float = 0.0
+        self._waiting: list[tuple[int, int, _Run]] = []
+        self._waiting_ids: set[str] = set()
+
+    @property
+    def running(self) -> int:
+        """Return the size of the batch."""
+        return len(self._running_by_id)
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self._waiting_ids)
+
+    def submit(self, job: Job, priority: int, now: float, skip: int = 0) -> None:
+        """Take in a request; ``skip`` tokens of its response are already known."""
+        run = _Run(job, skip)
+        heapq.heappush(self._waiting, (-priority, next(self._order), run))
+        self._waiting_ids.add(job.request.request_id)
+        for item in job.items:
+            self.used_at[item] = now
+        self._fill()
+
+    def cancel(self, request_id: str) -> None:
+        """Drop a request; call ``advance`` first."""
+        run = self._running_by_id.pop(request_id, None)
+        if run is not None:
+            self._kv_used -= run.kv_tokens
+        self._waiting_ids.discard(request_id)
+        self._fill()
+
+    def advance(self, now: float) -> list[EngineEvent]:
+        """Run until ``now``; return what happened, in order."""
+        events: list[EngineEvent] = []
+        while True:
+            at = self.next_event_at()
+            if at is None or at > now:
+                break
+            step, _, kind, run = heapq.heappop(self._milestones)
+            self._steps = step
+            self._updated_at = at
+            request_id = run.job.request.request_id
+            if kind == "complete":
+                del self._running_by_id[request_id]
+                self._kv_used -= run.kv_tokens
+                self._fill()
+            events.append(EngineEvent(kind, run.job, at, run.cached_tokens))
+        if self._running_by_id:
+            step_s = self.speed.step_s(len(self._running_by_id))
+            self._steps += (now - self._updated_at) / step_s
+        self._updated_at = now
+        return events
+
+    def next_event_at(self) -> float | None:
+        """Return when the next request gets its first token or ends."""
+        while self._milestones:
+            step, _, _, run = self._milestones[0]
+            if self._running_by_id.get(run.job.request.request_id) is run:
+                step_s = self.speed.step_s(len(self._running_by_id))
+                return self._updated_at + max(0.0, step - self._steps) * step_s
+            heapq.heappop(self._milestones)
+        return None
+
+    def report(self, now: float) -> records.LoadReport:
+        """Return a load report of this moment."""
+        self._sequence += 1
+        return records.LoadReport(
+            self.server.backend_id,
+            self.server.incarnation,
+            self._sequence,
+            self.running,
+            self.waiting,
+            self._kv_used / self.speed.kv_tokens,
+            sorted(self.items, key=records.Item.key),
+            sent_at=now,
+        )
+
+    def fail(self) -> list[tuple[Job, int]]:
+        """Stop for good; return the lost requests with the tokens delivered."""
+        lost = []
+        for run in self._running_by_id.values():
+            delivered = run.skip
+            if run.first_step is not None and self._steps >= run.first_step:
+                delivered += 1 + int(self._steps - run.first_step)
+            lost.append((run.job, min(delivered, run.job.tokens - 1)))
+        for _, _, run in self._waiting:
+            if run.job.request.request_id in self._waiting_ids:
+                lost.append((run.job, run.skip))
+        self.alive = False
+        self._running_by_id.clear()
+        self._waiting_ids.clear()
+        self._waiting.clear()
+        return lost
+
+    def _fill(self):
+        while self._waiting and len(self._running_by_id) < self.speed.slots:
+            run = self._waiting[0][2]
+            request = run.job.request
+            if request.request_id not in self._waiting_ids:
+                heapq.heappop(self._waiting)
+                continue
+            free = self.speed.kv_tokens - self._kv_used
+            if run.kv_tokens > free and self._running_by_id:
+                return
+            heapq.heappop(self._waiting)
+            self._waiting_ids.discard(request.request_id)
+            self._start(run)
+
+    def _start(self, run):
+        request = run.job.request
+        run.cached_tokens = self._use_cache(request)
+        prompt_tokens = request.prompt_tokens + run.skip - run.cached_tokens
+        run.first_step = self._steps + self.speed.prompt_steps(prompt_tokens)
+        run.last_step = run.first_step + run.job.tokens - run.skip - 1
+        self._running_by_id[request.request_id] = run
+        self._kv_used += run.kv_tokens
+        for step, kind in ((run.first_step, "first"), (run.last_step, "complete")):
+            heapq.heappush(self._milestones, (step, next(self._order), kind, run))
+
+    def _use_cache(self, request):
+        digests = request.prefix_digests
+        if not digests:
+            return 0
+        hits = 0
+        while hits < len(digests) and digests[hits] in self._cache:
+            hits += 1
+        for digest in digests:
+            self._cache[digest] = None
+            self._cache.move_to_end(digest)
+        evicted = []
+        while len(self._cache) > self.speed.cache_blocks:
+            evicted.append(self._cache.popitem(last=False)[0])
+        if hits < len(digests) or evicted:
+            self.event_sequence += 1
+            stored = digests[hits:]
+            self.cache_events.append((self.event_sequence, stored, tuple(evicted)))
+        return int(hits / len(digests) * request.prompt_tokens)
--- /dev/null
+++ b/kumquatproxy/ondemand.py
@@ -0,0 +1,56 @@
+"""Baseline: load on demand, eviction of the least recently used, least connections."""
+
+LOADS_PER_S = 1.0
+LOAD_S = 1.0
+
+
+class LoadOnDemand:
+    """Choose and load with perfect knowledge of all engines.
+
+    The baseline is given more than it would have: current loads of every engine, no
+    late reports, and a further replica of a model whose servers are all full, which
+    is loaded in the background while the weight store is idle.
+    """
+
+    __slots__ = ("_engines", "_store_free_at", "moves")
+
+    def __init__(self, engines):
+        self._engines = engines
+        self._store_free_at: float = 0.0
+        self.moves: int = 0
+
+    def choose(self, item, now):
+        """Return an engine for a model and the time at which it has the model."""
+        alive = [engine for engine in self._engines if engine.alive]
+        if not alive:
+            return None, now
+        holders = [engine for engine in alive if item in engine.items]
+        if not holders:
+            engine = min(alive, key=_connections)
+            return engine, self._load(engine, item, now)
+        ready = [engine for engine in holders if engine.loading.get(item, 0.0) <= now]
+        best = min(ready or holders, key=_connections)
+        if _connections(best) >= best.speed.slots and self._store_free_at <= now:
+            others = [engine for engine in alive if item not in engine.items]
+            spare = min(others, key=_connections, default=None)
+            if spare is not None and _connections(spare) < spare.speed.slots / 2:
+                self._load(spare, item, now)
+        best.used_at[item] = now
+        return best, max(now, best.loading.get(item, 0.0))
+
+    def _load(self, engine, item, now):
+        if len(engine.items) >= engine.speed.max_items:
+            oldest = min(engine.items, key=lambda item: engine.used_at.get(item, 0.0))
+            engine.items.discard(oldest)
+            engine.loading.pop(oldest, None)
+        start = max(now, self._store_free_at)
+        self._store_free_at = start + 1.0 / LOADS_PER_S
+        engine.items.add(item)
+        engine.loading[item] = start + LOAD_S
+        engine.used_at[item] = now
+        self.moves += 1
+        return engine.loading[item]
+
+
+def _connections(engine):
+    return engine.running + engine.waiting
--- /dev/null
+++ b/kumquatproxy/simulation.py
@@ -0,0 +1,438 @@
+"""Drive the routing, admission and retry decisions of several hosts with a trace."""
+
+import heapq
+import itertools
+import random
+
+from kumquatproxy import (
+    admission,
+    arrivals,
+    breaker,
+    estimates,
+    fixedplacement,
+    loadmodel,
+    ondemand,
+    records,
+    retries,
+    routing,
+)
+
+NETWORK_S = 0.001  # one way between host and engine
+ERROR_S = 0.01  # until a failing engine answers with an error
+EXPIRY_S = 3.0  # until a silent backend server is removed from the tables
+REMOTE_DELAY_S = 0.5  # further age of reports from other data centres
+MEASURED_FROM_S = 10.0  # requests before this time only warm up the tables
+
+
+class System:
+    """Name the decisions that one run uses."""
+
+    __slots__ = (
+        "admission",
+        "name",
+        "on_demand",
+        "placement",
+        "policy",
+        "retries",
+    )
+
+    def __init__(
+        self,
+        name,
+        policy="estimate",
+        placement="demand",
+        admission=True,
+        retries=True,
+        on_demand=False,
+    ):
+        self.name: str = name
+        self.policy: str = policy
+        self.placement: str = placement
+        self.admission: bool = admission
+        self.retries: bool = retries
+        self.on_demand: bool = on_demand
+
+
+SYSTEMS = {
+    "designed": System("designed"),
+    "no-admission": System("no-admission", admission=False),
+    "static": System("static", "random", "even", False, False),
+    "lru": System("lru", "least-connections", "even", False, False, True),
+    "demand-random": System("demand-random", "random", "demand", False, False),
+    "demand-least": System("demand-least", "least-connections", "demand", False, False),
+    "demand-turn": System("demand-turn", "round-robin", "demand", False, False),
+}
+
+
+class Fault:
+    """Change the engines at a given time: ``stop``, ``silent`` or ``errors``."""
+
+    __slots__ = ("at", "failing_share", "kind", "servers")
+
+    def __init__(self, at, kind, servers, failing_share=1.0):
+        self.at: float = at
+        self.kind: str = kind
+        self.servers: tuple[int, ...] = tuple(servers)
+        self.failing_share: float = failing_share
+
+
+class Result:
+    """Hold what one run showed."""
+
+    __slots__ = ("ends", "jobs", "moves", "refusals", "sends", "sent_ids")
+
+    def __init__(self, jobs):
+        self.jobs: list[loadmodel.Job] = jobs
+        self.ends: dict[str, str] = {}  # request id -> on-time, late, refused, failed
+        self.moves: int = 0
+        self.refusals: int = 0
+        self.sends: list[tuple[float, str]] = []
+        self.sent_ids: set[str] = set()
+
+    def measured(self, start=MEASURED_FROM_S, end=float("inf")):
+        """Return the jobs that arrived in a period."""
+        return [job for job in self.jobs if start <= job.request.arrived_at < end]
+
+    def attainment(self, start=MEASURED_FROM_S, end=float("inf"), keep=None) -> float:
+        """Return the share of requests answered within their deadline."""
+        jobs = [job for job in self.measured(start, end) if keep is None or keep(job)]
+        met = sum(self.ends.get(j.request.request_id) == "on-time" for j in jobs)
+        return met / max(len(jobs), 1)
+
+
+class _Call:
+    """Follow one job at its host."""
+
+    __slots__ = (
+        "attempts",
+        "backend_id",
+        "done",
+        "entry",
+        "first_at",
+        "host",
+        "job",
+        "sent_at",
+        "skip",
+    )
+
+    def __init__(self, job, host):
+        self.job: loadmodel.Job = job
+        self.host: Host = host
+        self.attempts = retries.Attempts()
+        self.backend_id: str = ""
+        self.done: bool = False
+        self.entry: admission.Queued | None = None
+        self.first_at: float | None = None
+        self.sent_at: float = 0.0
+        self.skip: int = 0
+
+
+class Host:
+    """Hold the decisions of one entry host."""
+
+    __slots__ = ("admission", "breakers", "budget", "data_centre", "rng", "table")
+
+    def __init__(self, data_centre, policy, report_lag_s, seed):
+        self.data_centre: str = data_centre
+        self.table = routing.RoutingTable(data_centre, policy, report_lag_s)
+        self.admission = admission.Admission()
+        self.breakers = breaker.Breakers()
+        self.budget = retries.RetryBudget()
+        self.rng = random.Random(seed)
+
+
+class Simulation:
+    """Run one trace through one system."""
+
+    def __init__(self, scenario, system, trace, seed, faults=()):
+        self.scenario: arrivals.Scenario = scenario
+        self.system: System = system
+        self.rng = random.Random(f"run {seed}")
+        self.now: float = 0.0
+        self.result = Result(trace.jobs)
+        self._events: list[tuple] = []
+        self._order = itertools.count()
+        self._wakes: dict[str, float] = {}
+        self._calls: dict[str, _Call] = {}
+        self.engines: dict[str, loadmodel.FakeEngine] = {}
+        self.hosts = [
+            Host(
+                self._data_centre(number),
+                system.policy,
+                scenario.report_delay_s,
+                f"host {number} {seed}",
+            )
+            for number in range(scenario.hosts)
+        ]
+        self._add_engines(trace)
+        self._on_demand: ondemand.LoadOnDemand | None = None
+        if system.on_demand:
+            self._on_demand = ondemand.LoadOnDemand(list(self.engines.values()))
+        for job in trace.jobs:
+            self._at(job.request.arrived_at, self._arrive, job)
+        for fault in faults:
+            self._at(fault.at, self._apply, fault)
+
+    def run(self) -> Result:
+        """Run until every request has ended."""
+        while self._events:
+            self.now, _, action, arguments = heapq.heappop(self._events)
+            action(*arguments)
+        return self.result
+
+    def _at(self, when, action, *arguments):
+        heapq.heappush(self._events, (when, next(self._order), action, arguments))
+
+    def _data_centre(self, number):
+        return f"dc{number % self.scenario.data_centres}"
+
+    def _add_engines(self, trace):
+        placed = fixedplacement.place(
+            self.scenario, self.system.placement, trace.average_by_model
+        )
+        for number in range(self.scenario.servers):
+            backend_id = f"b{number:03d}"
+            server = records.BackendServer(
+                backend_id, "", self._data_centre(number), "engine", "engines", 1
+            )
+            engine = loadmodel.FakeEngine(server, self.scenario.speed, placed[number])
+            self.engines[backend_id] = engine
+            for host in self.hosts:
+                host.table.update_server(server, -100.0)
+                host.table.report(engine.report(0.0), 0.0)
+            phase = self.rng.random() * self.scenario.report_interval_s
+            self._at(phase, self._report, engine)
+
+    # Reports
+
+    def _report(self, engine):
+        if self.now > self.scenario.duration_s + 60.0 or not engine.alive:
+            return
+        self._advance(engine)
+        report = engine.report(self.now)
+        events = engine.cache_events
+        engine.cache_events = []
+        for host in self.hosts:
+            if self.rng.random() < self.scenario.report_loss:
+                continue
+            delay_s = self.scenario.report_delay_s * self.rng.uniform(0.5, 1.5)
+            if host.data_centre != engine.server.data_centre:
+                delay_s += REMOTE_DELAY_S
+            self._at(self.now + delay_s, self._deliver, host, report, events)
+        self._at(self.now + self.scenario.report_interval_s, self._report, engine)
+
+    def _deliver(self, host, report, events):
+        host.table.report(report, self.now)
+        for sequence, stored, evicted in events:
+            if self.rng.random() >= self.scenario.cache_gap_share:
+                host.table.cache_event(report.backend_id, sequence, stored, evicted)
+
+    # Requests
+
+    def _arrive(self, job):
+        host = self.rng.choice(self.hosts)
+        call = self._calls[job.request.request_id] = _Call(job, host)
+        host.budget.request(job.request.service)
+        self._at(job.request.deadline, self._give_up, call)
+        self._dispatch(call)
+
+    def _dispatch(self, call):
+        if call.done:
+            return
+        if self._on_demand is not None:
+            engine, ready_at = self._on_demand.choose(call.job.items[0], self.now)
+            if engine is None:
+                self._end(call, "refused")
+                return
+            self.result.moves = self._on_demand.moves
+            self._at(ready_at, self._send_loaded, call, engine.server.backend_id)
+            return
+        host = call.host
+        request = call.job.request
+        excluded = call.attempts.tried_ids
+        if self.system.retries:
+            excluded = excluded | host.breakers.excluded_ids(self.now)
+        decision = host.table.choose(
+            request, call.job.items, excluded, self.now, host.rng
+        )
+        if isinstance(decision, routing.Refusal):
+            self._end(call, "refused")
+            return
+        if not self.system.admission:
+            self._send(call, decision.backend_id, request.priority)
+            return
+        verdict = host.admission.admit(request, decision, self.now)
+        if verdict.action == "admit":
+            self._send(call, decision.backend_id, verdict.priority)
+        elif verdict.action == "refuse":
+            self.result.refusals += 1
+            self._end(call, "refused")
+        else:
+            call.entry = verdict.entry
+            self._at(verdict.entry.latest_start + 0.001, self._expire, host)
+
+    def _send_loaded(self, call, backend_id):
+        if not call.done:
+            self._send(call, backend_id, call.job.request.priority)
+
+    def _expire(self, host):
+        for entry, _ in host.admission.expired(self.now):
+            call = self._calls[entry.request.request_id]
+            call.entry = None
+            self.result.refusals += 1
+            self._end(call, "refused")
+
+    def _send(self, call, backend_id, priority):
+        host = call.host
+        call.backend_id = backend_id
+        call.sent_at = self.now
+        call.first_at = None
+        call.attempts.started(backend_id)
+        host.table.started(backend_id, call.job.request, self.now)
+        host.breakers.started(backend_id, self.now)
+        self.result.sends.append((self.now, backend_id))
+        self.result.sent_ids.add(call.job.request.request_id)
+        self._at(self.now + NETWORK_S, self._submit, call, backend_id, priority)
+
+    def _submit(self, call, backend_id, priority):
+        engine = self.engines[backend_id]
+        if call.done:
+            return
+        if not engine.alive:
+            self._at(self.now + NETWORK_S, self._failed, call, retries.Failure.NOT_SENT)
+            return
+        if engine.failing_share and self.rng.random() < engine.failing_share:
+            self._at(self.now + ERROR_S, self._failed, call, retries.Failure.FAILED)
+            return
+        self._advance(engine)
+        engine.submit(call.job, priority, self.now, call.skip)
+        self._schedule(engine)
+
+    def _advance(self, engine):
+        for event in engine.advance(self.now):
+            call = self._calls[event.job.request.request_id]
+            if event.kind == "first":
+                call.first_at = event.at
+            else:
+                self._complete(call, event)
+
+    def _schedule(self, engine):
+        when = engine.next_event_at()
+        backend_id = engine.server.backend_id
+        if when is not None and self._wakes.get(backend_id) != when:
+            self._wakes[backend_id] = when
+            self._at(when, self._wake, engine, when)
+
+    def _wake(self, engine, when):
+        if self._wakes.get(engine.server.backend_id) != when:
+            return
+        del self._wakes[engine.server.backend_id]
+        self._advance(engine)
+        self._schedule(engine)
+
+    def _complete(self, call, event):
+        first_at = call.first_at if call.first_at is not None else event.at
+        outcome = estimates.Outcome(
+            "complete",
+            first_at - call.sent_at,
+            event.at - call.sent_at,
+            call.job.tokens - call.skip,
+            event.cached_tokens,
+        )
+        on_time = event.at <= call.job.request.deadline
+        self._end(call, "on-time" if on_time else "late")
+        self._finish_attempt(call, outcome)
+
+    def _finish_attempt(self, call, outcome):
+        host, backend_id, request = call.host, call.backend_id, call.job.request
+        call.backend_id = ""
+        host.table.finished(backend_id, request, outcome, self.now)
+        host.breakers.finished(backend_id, outcome.result, self.now, host.rng)
+        if not self.system.admission:
+            return
+        for entry in host.admission.finished(backend_id, request, outcome, self.now):
+            waiting = self._calls[entry.request.request_id]
+            waiting.entry = None
+            self._send(waiting, entry.backend_id, entry.request.priority)
+        self._expire(host)
+
+    def _give_up(self, call):
+        """Let the caller go away at its deadline."""
+        if call.done:
+            return
+        self._end(call, "late")
+        if call.entry is not None:
+            call.host.admission.abandon(call.entry)
+        if call.backend_id:
+            engine = self.engines[call.backend_id]
+            if engine.alive:
+                self._advance(engine)
+                engine.cancel(call.job.request.request_id)
+                self._schedule(engine)
+            if call.backend_id:
+                self._finish_attempt(call, estimates.Outcome("abandoned"))
+
+    def _end(self, call, how):
+        if not call.done:
+            call.done = True
+            self.result.ends[call.job.request.request_id] = how
+
+    # Faults and retries
+
+    def _apply(self, fault):
+        for number in fault.servers:
+            engine = self.engines[f"b{number:03d}"]
+            if fault.kind == "errors":
+                engine.failing_share = fault.failing_share
+                continue
+            self._advance(engine)
+            lost = engine.fail()
+            # A stopped process resets its connections; a lost data centre is silent
+            # until the progress deadline.
+            delay_s = NETWORK_S if fault.kind == "stop" else 1.0
+            for job, delivered in lost:
+                call = self._calls[job.request.request_id]
+                call.skip = delivered
+                kind = retries.Failure.LOST
+                if delivered:
+                    kind = retries.Failure.INTERRUPTED
+                self._at(self.now + delay_s, self._failed, call, kind)
+            self._at(self.now + EXPIRY_S, self._remove, engine)
+        if fault.kind == "silent":
+            self._lose_hosts(fault)
+
+    def _lose_hosts(self, fault):
+        lost = {self._data_centre(number) for number in fault.servers}
+        gone = [host for host in self.hosts if host.data_centre in lost]
+        self.hosts = [host for host in self.hosts if host.data_centre not in lost]
+        for call in self._calls.values():
+            if not call.done and call.host in gone:
+                self._give_up(call)
+                self.result.ends[call.job.request.request_id] = "failed"
+
+    def _remove(self, engine):
+        for host in self.hosts:
+            host.table.remove_server(engine.server.backend_id)
+            host.breakers.remove(engine.server.backend_id)
+            for entry in host.admission.remove_server(engine.server.backend_id):
+                call = self._calls[entry.request.request_id]
+                call.entry = None
+                self._dispatch(call)
+
+    def _failed(self, call, failure):
+        if call.done or not call.backend_id:
+            return
+        host = call.host
+        request = call.job.request
+        self._finish_attempt(call, estimates.Outcome("failed"))
+        if not self.system.retries:
+            self._end(call, "failed")
+            return
+        expected_s = call.job.tokens * self.scenario.speed.step_base_s
+        decision = retries.decide(
+            request, failure, call.attempts, host.budget, expected_s, self.now, host.rng
+        )
+        if decision.action == "give-up":
+            self._end(call, "failed")
+            return
+        self._at(self.now + decision.delay_s, self._dispatch, call)
