Predict waits by priority and keep one limit per class

Cause: the adaptive limit of all classes fell when low-priority requests ended late, and high-priority requests then waited at the host; a remote replica was used only after a long local queue; reports rebuilt item sets each time.

--- a/kumquatproxy/admission.py
+++ b/kumquatproxy/admission.py
@@ -78,19 +78,53 @@
             self._decreased_at = now
 
 
+class _Sent(records.Record):
+    """Hold one request in flight."""
+
+    __slots__ = ("level", "predicted_s", "started_at")
+
+    def __init__(self, started_at, predicted_s, level):
+        self.started_at: float = started_at
+        self.predicted_s: float = predicted_s
+        self.level: int = level
+
+
 class Gate:
-    """Hold limit, requests in flight and queue of one backend server at one host."""
+    """Hold limits, requests in flight and queue of one backend server at one host.
+
+    Each class has its own limit, which counts the requests of that class and of the
+    ones above. Engines serve higher classes first, so lower ones must neither use up
+    the places of the higher ones nor lower their limit by ending late.
+    """
 
-    __slots__ = ("in_flight_by_id", "limit", "queue")
+    __slots__ = ("_in_flight", "limits", "queue", "sent_by_id")
 
     def __init__(self, weights):
-        self.limit = AdaptiveLimit()
-        self.in_flight_by_id: dict[str, tuple[float, float]] = {}
+        self.limits = [AdaptiveLimit() for _ in range(fairqueue.CLASSES)]
+        self.sent_by_id: dict[str, _Sent] = {}
         self.queue = fairqueue.FairQueue(QUEUE_LIMIT, weights)
+        self._in_flight = [0] * fairqueue.CLASSES
 
-    def has_room(self) -> bool:
-        """Return whether one more request may be sent."""
-        return len(self.in_flight_by_id) < int(self.limit.limit)
+    def in_flight(self, level: int) -> int:
+        """Return the requests in flight of a class and of the ones above."""
+        return sum(self._in_flight[level:])
+
+    def has_room(self, level: int) -> bool:
+        """Return whether one more request of a class may be sent."""
+        return self.in_flight(level) < int(self.limits[level].limit)
+
+    def enter(self, request, predicted_s: float, now: float) -> None:
+        """Note that a request is sent."""
+        level = fairqueue.priority_class(request.priority)
+        self.sent_by_id[request.request_id] = _Sent(now, predicted_s, level)
+        self._in_flight[level] += 1
+
+    def leave(self, request) -> _Sent | None:
+        """Note the end of a request; return what was noted when it was sent."""
+        sent = self.sent_by_id.pop(request.request_id, None)
+        if sent is not None:
+            self._in_flight[sent.level] -= 1
+        return sent
 
 
 class Floor:
@@ -187,7 +221,8 @@
         wait_s = self._queue_wait_s(gate, request, decision.estimate)
         if needed_s + wait_s > left_s:
             return self._late(request, decision, left_s, needed_s + wait_s, now)
-        if gate.has_room() and gate.queue.ahead(request.priority) == 0:
+        level = fairqueue.priority_class(request.priority)
+        if gate.has_room(level) and gate.queue.ahead(request.priority) == 0:
             self._enter(gate, request, decision.estimate, now)
             return Verdict("admit", "in-time", request.priority)
         entry = Queued(request, decision, request.deadline - needed_s)
@@ -217,13 +252,14 @@
         return Verdict("refuse", kind.value, 0, refusal)
 
     def _queue_wait_s(self, gate, request, estimate):
-        if gate.has_room() and gate.queue.size == 0:
-            return 0.0
+        level = fairqueue.priority_class(request.priority)
         ahead = gate.queue.ahead(request.priority)
-        return ahead * estimate.duration_s / max(gate.limit.limit, 1.0)
+        if ahead == 0 and gate.has_room(level):
+            return 0.0
+        return (ahead + 1) * estimate.duration_s / gate.limits[level].limit
 
     def _enter(self, gate, request, estimate, now, floor=False):
-        gate.in_flight_by_id[request.request_id] = (now, estimate.duration_s)
+        gate.enter(request, estimate.duration_s, now)
         if not floor:
             self.floor.admitted(request.model, now)
 
@@ -233,21 +269,21 @@
         Each returned request counts as admitted at its ``backend_id``.
         """
         gate = self.gate(backend_id)
-        entered = gate.in_flight_by_id.pop(request.request_id, None)
-        if entered is not None:
-            in_flight = len(gate.in_flight_by_id) + 1
-            started_at, predicted_s = entered
+        sent = gate.leave(request)
+        if sent is not None:
+            in_flight = gate.in_flight(sent.level) + 1
             in_time = outcome.result == "complete" and now <= request.deadline
             if outcome.result != "abandoned" or now >= request.deadline:
-                gate.limit.observe(in_time, in_flight, started_at, now)
+                limit = gate.limits[sent.level]
+                limit.observe(in_time, in_flight, sent.started_at, now)
             if outcome.result == "complete" or now >= request.deadline:
-                self.margin(request).observe(predicted_s, now - started_at)
+                self.margin(request).observe(sent.predicted_s, now - sent.started_at)
         return self._release(gate, now)
 
     def _release(self, gate, now):
         released = []
-        while gate.has_room():
-            entry = gate.queue.pop()
+        while True:
+            entry = gate.queue.pop(gate.has_room)
             if entry is None:
                 break
             if now > entry.latest_start:
--- a/kumquatproxy/arrivals.py
+++ b/kumquatproxy/arrivals.py
@@ -26,6 +26,7 @@
     __slots__ = (
         "cache_gap_share",
         "data_centres",
+        "demand_servers",
         "duration_s",
         "hosts",
         "models",
@@ -58,6 +59,7 @@
         report_loss=0.05,
         cache_gap_share=0.02,
         speed=None,
+        demand_servers=None,
     ):
         self.name: str = name
         self.organisation: str = organisation
@@ -74,6 +76,8 @@
         self.report_loss: float = report_loss
         self.cache_gap_share: float = cache_gap_share
         self.speed: loadmodel.EngineSpeed = speed or loadmodel.EngineSpeed()
+        # The demand is that of so many servers, whatever number serves it.
+        self.demand_servers: int = demand_servers or servers
 
     def capacity(self) -> float:
         """Return the throughput of all servers in request steps per second."""
@@ -81,14 +85,23 @@
 
 
 SCENARIOS = {
-    "port-louis": lambda **f: Scenario("port-louis", "port-louis", 5, 17, **f),
-    "cordillera": lambda **f: Scenario("cordillera", "cordillera", 5, 13, **f),
-    "tenth": lambda **f: Scenario(
-        "tenth", "design-size", 60, 170, **{"hosts": 12, "data_centres": 5, **f}
-    ),
+    "port-louis": {"organisation": "port-louis", "servers": 5, "models": 17},
+    "cordillera": {"organisation": "cordillera", "servers": 5, "models": 13},
+    "tenth": {
+        "organisation": "design-size",
+        "servers": 60,
+        "models": 170,
+        "hosts": 12,
+        "data_centres": 5,
+    },
 }
 
 
+def scenario(name: str, **fields) -> Scenario:
+    """Return the scenario of a name with some fields changed."""
+    return Scenario(name, **{**SCENARIOS[name], **fields})
+
+
 class Trace:
     """Hold the requests of one run and the average demand of each model."""
 
@@ -124,7 +137,8 @@
     ]
     mean_total = sum(map(sum, rates)) / seconds
     steps = MEAN_TOKENS + 2.5  # prompt chunks included
-    wanted = scenario.utilisation * scenario.capacity() / steps
+    demand = scenario.demand_servers * scenario.speed.steps_per_s()
+    wanted = scenario.utilisation * demand / steps
     jobs: list[loadmodel.Job] = []
     for number, row in enumerate(rates):
         for second, rate in enumerate(row):
--- a/kumquatproxy/estimates.py
+++ b/kumquatproxy/estimates.py
@@ -10,6 +10,7 @@
 PRIOR_WEIGHT = 20.0  # observations that the priors count for
 FORGET = 0.995  # weight that an observation keeps with each later one
 SMOOTHING = 0.05
+PREFILL_OUTLIER = 4.0
 MIN_SPEED_FACTOR = 0.25
 MAX_SPEED_FACTOR = 8.0
 PRIORITIES = 10
@@ -83,17 +84,46 @@
         return base + slope * x
 
 
+class PriorityMix:
+    """Count requests by priority."""
+
+    __slots__ = ("counts", "total")
+
+    def __init__(self, start=0.0):
+        self.counts: list[float] = [start] * PRIORITIES
+        self.total: float = start * PRIORITIES
+
+    def add(self, priority: int, count: float = 1.0) -> None:
+        """Add ``count`` requests of a priority; a negative count takes them away."""
+        self.counts[level(priority)] += count
+        self.total += count
+
+    def share_below(self, priority: int) -> float:
+        """Return the share of lower priority."""
+        return sum(self.counts[: level(priority)]) / max(self.total, 1.0)
+
+    def share_above(self, priority: int) -> float:
+        """Return the share of higher priority."""
+        return sum(self.counts[level(priority) + 1 :]) / max(self.total, 1.0)
+
+
+def level(priority: int) -> int:
+    """Return the priority as an index from 0 to 9."""
+    return min(max(priority, 0), PRIORITIES - 1)
+
+
 class ServiceSpeed:
     """Learn how fast the backend servers of one service work."""
 
     __slots__ = (
-        "_arrivals_by_priority",
         "_gap",
         "_prefill_s",
         "_prefill_tokens",
+        "_tokens_by_level",
+        "arrivals",
+        "in_flight",
         "request_s",
         "slots",
-        "tokens",
     )
 
     def __init__(
@@ -103,10 +133,11 @@
         self._gap = LineFit(points, PRIOR_WEIGHT)
         self._prefill_tokens = PRIOR_WEIGHT * DEFAULT_PREFILL_TOKENS_PER_S * 0.1
         self._prefill_s = PRIOR_WEIGHT * 0.1 * min(first_token_s, 1.0)
+        self._tokens_by_level: list[float] = [DEFAULT_TOKENS] * PRIORITIES
         self.slots: float = DEFAULT_SLOTS
-        self.tokens: float = DEFAULT_TOKENS  # mean length of a response
         self.request_s: float = DEFAULT_TOKENS * token_gap_s  # mean time in the batch
-        self._arrivals_by_priority: list[float] = [1.0] * PRIORITIES
+        self.arrivals = PriorityMix(1.0)
+        self.in_flight = PriorityMix()  # own requests, running or waiting
 
     def observe_report(self, running: int, waiting: int) -> None:
         """Learn the batch limit: requests wait only when the batch is full."""
@@ -117,24 +148,33 @@
 
     def observe_arrival(self, priority: int) -> None:
         """Learn the mix of priorities."""
-        mix = self._arrivals_by_priority
-        mix[min(max(priority, 0), PRIORITIES - 1)] += 1.0
-        if sum(mix) > 1000.0:
-            self._arrivals_by_priority = [count * 0.5 for count in mix]
+        self.arrivals.add(priority)
+        self.in_flight.add(priority)
+        if self.arrivals.total > 1000.0:
+            self.arrivals.counts = [count * 0.5 for count in self.arrivals.counts]
+            self.arrivals.total *= 0.5
 
-    def observe_outcome(self, load, prompt_tokens, outcome) -> None:
+    def observe_outcome(self, load, request, outcome) -> None:
         """Learn from a complete response that began at ``load`` requests."""
         in_batch_s = outcome.duration_s
         if outcome.tokens > 1:
             streaming_s = outcome.duration_s - outcome.first_token_s
             gap_s = streaming_s / (outcome.tokens - 1)
             self._gap.observe(min(load, self.slots), gap_s)
-            self.tokens += SMOOTHING * (outcome.tokens - self.tokens)
-            in_batch_s = streaming_s + self.prefill_s(prompt_tokens)
+            index = level(request.priority)
+            mean = self._tokens_by_level[index]
+            self._tokens_by_level[index] = mean + SMOOTHING * (outcome.tokens - mean)
+            in_batch_s = streaming_s + self.prefill_s(request.prompt_tokens)
         self.request_s += SMOOTHING * (in_batch_s - self.request_s)
-        if load < self.slots * 0.5 and prompt_tokens > 0 and outcome.first_token_s > 0:
-            new_tokens = prompt_tokens - (outcome.cached_tokens or 0)
-            self._prefill_tokens = self._prefill_tokens * FORGET + max(new_tokens, 1)
+        if load < self.slots * 0.5 and request.prompt_tokens:
+            self._observe_prefill(request.prompt_tokens, outcome)
+
+    def _observe_prefill(self, prompt_tokens, outcome):
+        new_tokens = max(prompt_tokens - (outcome.cached_tokens or 0), 1)
+        # A much longer time than expected is a wait that the load did not show.
+        limit_s = PREFILL_OUTLIER * (self.prefill_s(new_tokens) + self.gap_s(1.0))
+        if 0.0 < outcome.first_token_s < limit_s:
+            self._prefill_tokens = self._prefill_tokens * FORGET + new_tokens
             self._prefill_s = self._prefill_s * FORGET + outcome.first_token_s
 
     def gap_s(self, load: float) -> float:
@@ -145,23 +185,29 @@
         """Return the time to read ``tokens`` of a prompt."""
         return tokens * self._prefill_s / self._prefill_tokens
 
-    def share_ahead(self, priority: int) -> float:
-        """Return the share of waiting requests that ``priority`` waits behind."""
-        mix = self._arrivals_by_priority
-        level = min(max(priority, 0), PRIORITIES - 1)
-        return (sum(mix[level + 1 :]) + 0.5 * mix[level]) / sum(mix)
+    def wait_s(self, priority: int, load: float) -> float:
+        """Return the time until a request that joins ``load`` others is started.
+
+        The engine serves waiting requests by priority. Reports do not tell the
+        priorities, so the own requests in flight stand for all, and those of lower
+        priority are taken to be the ones that wait.
+        """
+        excess = load + 1.0 - self.slots
+        if excess <= 0.0:
+            return 0.0
+        lower = self.in_flight.share_below(priority) * load
+        ahead = max(excess - lower, 0.0) + 1.0
+        # Requests of higher priority that arrive meanwhile go first as well.
+        left = max(1.0 - self.arrivals.share_above(priority), 0.1)
+        return ahead * self.request_s / self.slots / left
 
     def predict(self, request, load, cached_tokens=0.0, factor=1.0) -> Estimate:
         """Return the estimate for a request that joins ``load`` others."""
         gap_s = self.gap_s(load + 1.0) * factor
-        excess = load + 1.0 - self.slots
-        wait_s = 0.0
-        if excess > 0.0:
-            ahead = excess * self.share_ahead(request.priority) * 2.0
-            wait_s = min(ahead, excess) * self.request_s * factor / self.slots
+        wait_s = self.wait_s(request.priority, load) * factor
         prompt_s = self.prefill_s(max(request.prompt_tokens - cached_tokens, 0.0))
         first_token_s = wait_s + prompt_s * factor + gap_s
-        tokens = self.tokens
+        tokens = self._tokens_by_level[level(request.priority)]
         if request.max_tokens > 0:
             tokens = min(request.max_tokens, tokens)
         duration_s = first_token_s + max(tokens - 1.0, 0.0) * gap_s
--- a/kumquatproxy/fairqueue.py
+++ b/kumquatproxy/fairqueue.py
@@ -73,9 +73,13 @@
         self.size += 1
         return displaced
 
-    def pop(self):
-        """Take the next entry, or return None."""
-        levels = [level for level in range(CLASSES) if self._flows_by_class[level]]
+    def pop(self, has_room=lambda level: True):
+        """Take the next entry of a class that ``has_room``, or return None."""
+        levels = [
+            level
+            for level in range(CLASSES)
+            if self._flows_by_class[level] and has_room(level)
+        ]
         if not levels:
             return None
         self._taken += 1
--- a/kumquatproxy/fixedplacement.py
+++ b/kumquatproxy/fixedplacement.py
@@ -7,7 +7,8 @@
     """Return the fixed placement: the items of each server.
 
     ``even`` gives every model the same number of replicas; ``demand`` gives replicas
-    by average demand, at least one each, and puts each at the least loaded server.
+    by average demand, at least one each and two where memory allows, and puts each at
+    the least loaded server, in another data centre than the ones before if it can.
     The average is the one before any burst or shift.
     """
     placed: list[set[records.Item]] = [set() for _ in range(scenario.servers)]
@@ -30,16 +31,35 @@
             for number in range(scenario.servers)
             if len(placed[number]) < scenario.speed.max_items
         ]
-        free.sort(key=lambda number: (loads[number], len(placed[number])))
-        for number in free[: replicas[name]]:
+        for _ in range(replicas[name]):
+            number = _next_server(scenario, free, placed, item, loads)
+            free.remove(number)
             placed[number].add(item)
             loads[number] += share
     return placed
 
 
+def _next_server(scenario, free, placed, item, loads):
+    """Return the least loaded server, in a data centre without the item if possible."""
+    taken = {
+        number % scenario.data_centres
+        for number, items in enumerate(placed)
+        if item in items
+    }
+    return min(
+        free,
+        key=lambda number: (
+            number % scenario.data_centres in taken,
+            loads[number],
+            len(placed[number]),
+        ),
+    )
+
+
 def _replicas_by_demand(names, weights, slots, servers):
-    replicas = {name: 1 for name in names}
-    for _ in range(slots - len(names)):
+    least = 2 if slots >= 2 * len(names) and servers > 1 else 1
+    replicas = {name: least for name in names}
+    for _ in range(slots - least * len(names)):
         open_names = [name for name in names if replicas[name] < servers]
         if not open_names:
             break
--- a/kumquatproxy/loadmodel.py
+++ b/kumquatproxy/loadmodel.py
@@ -112,6 +112,7 @@
         "_kv_used",
         "_milestones",
         "_order",
+        "_reported",
         "_running_by_id",
         "_sequence",
         "_steps",
@@ -144,6 +145,7 @@
         self._milestones: list[tuple[float, int, str, _Run]] = []
         self._order = itertools.count()
         self._running_by_id: dict[str, _Run] = {}
+        self._reported: tuple[records.Item, ...] = ()
         self._sequence: int = 0
         self._steps: float = 0.0
         self._updated_at: float = 0.0
@@ -219,10 +221,17 @@
             self.running,
             self.waiting,
             self._kv_used / self.speed.kv_tokens,
-            sorted(self.items, key=records.Item.key),
+            self._loaded(),
             sent_at=now,
         )
 
+    def _loaded(self):
+        if len(self._reported) != len(self.items) or not self.items.issuperset(
+            self._reported
+        ):
+            self._reported = tuple(sorted(self.items, key=records.Item.key))
+        return self._reported
+
     def fail(self) -> list[tuple[Job, int]]:
         """Stop for good; return the lost requests with the tokens delivered."""
         lost = []
--- a/kumquatproxy/policies.py
+++ b/kumquatproxy/policies.py
@@ -6,7 +6,7 @@
 """Policies by alias; each has ``pick(table, request, candidates, now, rng)``."""
 
 SAMPLED = 2  # power of two choices: more choices on old reports herd
-REMOTE_PENALTY_S = 0.25  # a remote server must be better by this much
+REMOTE_PENALTY_S = 0.05  # a remote server must be better by this much
 MAX_AFFINITY_SHARE = 0.5  # of the request's first-token estimate without the cache
 MAX_AFFINITY_S = 0.5
 
--- a/kumquatproxy/routing.py
+++ b/kumquatproxy/routing.py
@@ -48,9 +48,10 @@
 class _Flight:
     """Hold one request of this host that is at a backend server."""
 
-    __slots__ = ("cached_share", "gap_s", "load", "started_at")
+    __slots__ = ("cached_share", "gap_s", "load", "priority", "started_at")
 
-    def __init__(self, started_at, load, gap_s, cached_share):
+    def __init__(self, started_at, load, gap_s, cached_share, priority):
+        self.priority: int = priority
         self.started_at: float = started_at
         self.load: float = load
         self.gap_s: float = gap_s
@@ -67,6 +68,7 @@
         "flights_by_id",
         "items",
         "leaving",
+        "loaded",
         "others",
         "own_at_report",
         "prefix_knowledge",
@@ -79,6 +81,7 @@
         self.server: records.BackendServer = server
         self.announced_at: float = now
         self.leaving: bool = server.leaving
+        self.loaded: tuple[records.Item, ...] = ()  # as reported
         self.items: frozenset[records.Item] = frozenset()
         self.report_order: tuple[int, int] = (server.incarnation, -1)
         self.reported_at: float | None = None
@@ -208,7 +211,7 @@
             return
         if state is None or server.incarnation > state.server.incarnation:
             if state is not None:
-                self._unindex(state)
+                self._forget(state)
             state = ServerState(server, now)
             self._states_by_id[server.backend_id] = state
             if server.kind == "plain":
@@ -226,7 +229,7 @@
         """Forget a backend server."""
         state = self._states_by_id.pop(backend_id, None)
         if state is not None:
-            self._unindex(state)
+            self._forget(state)
 
     def report(self, load_report: records.LoadReport, now: float) -> bool:
         """Take in a load report; return False if it is late or of an unknown server."""
@@ -246,10 +249,12 @@
             self.peer_ratio += 0.02 * (ratio - self.peer_ratio)
         speed = self.speed(state.server.service)
         speed.observe_report(load_report.running, load_report.waiting)
-        items = frozenset(load_report.loaded)
-        if state.server.kind != "plain" and items != state.items:
+        # Comparing tuples is cheap where the edge reuses equal items, and most reports
+        # repeat the items of the one before.
+        if state.server.kind != "plain" and load_report.loaded != state.loaded:
             self._unindex(state)
-            state.items = items
+            state.loaded = load_report.loaded
+            state.items = frozenset(load_report.loaded)
             self._index(state)
         return True
 
@@ -269,7 +274,7 @@
         speed.observe_arrival(request.priority)
         share = state.prefix_knowledge.cached_share(request.prefix_digests)
         gap_s = speed.gap_s(load + 1.0)
-        flight = _Flight(now, load, gap_s, share)
+        flight = _Flight(now, load, gap_s, share, request.priority)
         state.flights_by_id[request.request_id] = flight
         state.prefix_knowledge.add(request.prefix_digests)
 
@@ -282,10 +287,11 @@
         if flight is None:
             return
         state.finished.append((flight.started_at, now))
+        speed = self.speed(state.server.service)
+        speed.in_flight.add(request.priority, -1.0)
         if outcome.result != "complete":
             return
-        speed = self.speed(state.server.service)
-        speed.observe_outcome(flight.load, request.prompt_tokens, outcome)
+        speed.observe_outcome(flight.load, request, outcome)
         if outcome.tokens > 1:
             streaming_s = outcome.duration_s - outcome.first_token_s
             gap_s = streaming_s / (outcome.tokens - 1)
@@ -342,6 +348,12 @@
                 pool = self._pools_by_item[item] = Pool()
             (pool.local if local else pool.remote).append(state)
 
+    def _forget(self, state):
+        self._unindex(state)
+        speed = self.speed(state.server.service)
+        for flight in state.flights_by_id.values():
+            speed.in_flight.add(flight.priority, -1.0)
+
     def _unindex(self, state):
         for item in state.items:
             pool = self._pools_by_item.get(item)
