Fit the replication task to deferred answers

Cause: tasks.Task.handle gained the reply to set later; the task of a group member had the earlier signature. Change: the signature; no behaviour changes.

--- a/kumquatproxy/replication.py
+++ b/kumquatproxy/replication.py
@@ -117,7 +117,7 @@
         self.applier.fail_waiting("the member stops")
         self.store.close()
 
-    def handle(self, message, now: float):
+    def handle(self, message, now: float, reply=None):
         """Handle one message; outputs wait while more messages are there."""
         self._batched += 1
         try:
