Add group formation, proposals from any host and centre summaries

Cause: hosts that are not the leader need a way to the configuration group; voters without a disk cannot bootstrap a placement group by themselves; two hosts that register voters at once could have formed two groups.

--- a/kumquatproxy/configstate.py
+++ b/kumquatproxy/configstate.py
@@ -253,10 +253,14 @@
 
     def _set_voters(self, command):
         present = self.voters_by_data_centre.get(command.data_centre)
-        if present is not None and command.base_fence < present.base_fence:
-            detail = f"base fence {command.base_fence} is below {present.base_fence}"
-            return self._refuse(errors.ErrorKind.STALE_FENCE, detail)
         voters = Voters(base_fence=command.base_fence, voters=list(command.voters))
+        # Of two registrations with one base fence the first holds, so that two hosts
+        # that form a group at the same time cannot form two.
+        if present not in (None, voters) and command.base_fence <= present.base_fence:
+            detail = (
+                f"base fence {command.base_fence} is not above {present.base_fence}"
+            )
+            return self._refuse(errors.ErrorKind.STALE_FENCE, detail)
         if voters != present:
             self.voters_by_data_centre[command.data_centre] = voters
             self.revision += 1
--- /dev/null
+++ b/kumquatproxy/formation.py
@@ -0,0 +1,105 @@
+"""Formation of a data centre's placement group, decided in the configuration.
+
+Voters without a disk lose their state with their process. A new voter set is
+registered in the configuration, where the first registration above the present
+base fence wins. A host takes part in one group at a time and leaves the old one
+when it adopts the registration of the new one. Both quorums are majorities of
+the configured hosts, so they share a host and the old group cannot go on.
+"""
+
+from kumquatproxy import configstate, voterset, wire
+
+CANDIDATE_INTERVAL_S = 1.0
+CANDIDATE_EXPIRY_S = 4.0
+FULL_SET_WAIT_S = 5.0  # then a majority of the configured hosts is enough
+JOIN_PATIENCE_S = 15.0  # a live group admits a restarted member sooner
+FENCE_GAP = 1000  # more elections than a group holds between two registrations
+
+
+@wire.register("placement-candidate")
+class PlacementCandidate(wire.Message):
+    """Tell that a host's present identity takes part in no placement group."""
+
+    __slots__ = ("identity", "waiting_s")
+    identity: str
+    waiting_s: float
+
+
+class _Candidate:
+    __slots__ = ("heard_at", "identity", "waiting_s")
+
+    def __init__(self, identity, waiting_s, heard_at):
+        self.identity: str = identity
+        self.waiting_s: float = waiting_s
+        self.heard_at: float = heard_at
+
+
+class Formation:
+    """Follow the candidates of one data centre and propose a voter set."""
+
+    __slots__ = (
+        "_candidates_by_host",
+        "_configured",
+        "_data_centre",
+        "_host_id",
+        "_identity",
+        "_send_at",
+        "_since",
+    )
+
+    def __init__(self, host_id, data_centre, identity, configured, now):
+        self._host_id: str = host_id
+        self._data_centre: str = data_centre
+        self._identity: str = identity
+        self._configured: tuple[str, ...] = tuple(configured)
+        self._candidates_by_host: dict[str, _Candidate] = {}
+        self._since: float = now
+        self._send_at: float = now
+
+    def admitted(self, now: float) -> None:
+        """Note that this host is a voter of the live group."""
+        self._since = now
+
+    def hear(self, candidate: PlacementCandidate, now: float) -> None:
+        """Take the notice of another host."""
+        host_id = voterset.host_of(candidate.identity)
+        if host_id in self._configured:
+            self._candidates_by_host[host_id] = _Candidate(
+                candidate.identity, candidate.waiting_s, now
+            )
+
+    def tick(self, now: float) -> list:
+        """Return the notices that are due while this host is not admitted."""
+        if now < self._send_at:
+            return []
+        self._send_at = now + CANDIDATE_INTERVAL_S
+        notice = PlacementCandidate(self._identity, now - self._since)
+        self.hear(notice, now)
+        return [
+            wire.Send(host_id, notice)
+            for host_id in self._configured
+            if host_id != self._host_id
+        ]
+
+    def proposal(self, registered, fence_seen: int, now: float):
+        """Return the SetVoters command that is due, or None."""
+        live = {
+            host_id: candidate
+            for host_id, candidate in self._candidates_by_host.items()
+            if now - candidate.heard_at <= CANDIDATE_EXPIRY_S
+        }
+        if len(live) <= len(self._configured) // 2:
+            return None
+        waited_s = min(candidate.waiting_s for candidate in live.values())
+        if registered is None:
+            is_due = len(live) == len(self._configured) or waited_s > FULL_SET_WAIT_S
+            base_fence = fence_seen
+        else:
+            is_due = waited_s > JOIN_PATIENCE_S
+            base_fence = max(fence_seen, registered.base_fence) + FENCE_GAP
+        if not is_due:
+            return None
+        identities = sorted(candidate.identity for candidate in live.values())
+        return configstate.SetVoters(
+            base_fence=base_fence, data_centre=self._data_centre, voters=identities
+        )
--- /dev/null
+++ b/kumquatproxy/summaries.py
@@ -0,0 +1,149 @@
+"""What other data centres can serve, as their relays tell it."""
+
+import hashlib
+
+from kumquatproxy import records, trees, wire
+
+SUMMARY_INTERVAL_S = 2.0
+FULL_INTERVAL_S = 10.0
+SUMMARY_EXPIRY_S = 7.0
+FAN_OUT = 2
+
+
+@wire.register("centre-summary")
+class CentreSummary(wire.Message):
+    """Tell what one data centre serves and through which entry host to ask it.
+
+    ``items_by_service`` is empty while ``digest`` has not changed.
+    """
+
+    __slots__ = (
+        "address",
+        "data_centre",
+        "digest",
+        "host_id",
+        "items_by_service",
+        "number",
+    )
+    address: str
+    data_centre: str
+    digest: bytes
+    host_id: str
+    items_by_service: dict
+    number: int
+
+
+class RemoteCentre(records.Record):
+    """Hold the newest summary of one relay of another data centre."""
+
+    __slots__ = ("digest", "heard_at", "items_by_service", "summary")
+
+    def __init__(self, summary, heard_at):
+        self.summary: CentreSummary = summary
+        self.heard_at: float = heard_at
+        self.digest: bytes = b""
+        self.items_by_service: dict[str, tuple[str, ...]] = {}
+
+
+class Summaries:
+    """Send the own summary as a relay; keep and pass on those of others."""
+
+    __slots__ = (
+        "_address",
+        "_data_centre",
+        "_full_at",
+        "_host_id",
+        "_number",
+        "_remotes_by_host",
+        "_send_at",
+        "_sent_digest",
+    )
+
+    def __init__(self, host_id, data_centre, address, number):
+        self._host_id: str = host_id
+        self._data_centre: str = data_centre
+        self._address: str = address
+        self._number: int = number  # rises over restarts
+        self._remotes_by_host: dict[str, RemoteCentre] = {}
+        self._send_at = 0.0
+        self._full_at = 0.0
+        self._sent_digest = b""
+
+    def tick(self, items_by_service, remote_relays, now: float) -> list:
+        """Return the own summary for the relays of the other data centres."""
+        if now < self._send_at or not remote_relays:
+            return []
+        self._send_at = now + SUMMARY_INTERVAL_S
+        digest = _digest(items_by_service)
+        is_full = digest != self._sent_digest or now >= self._full_at
+        if is_full:
+            self._full_at = now + FULL_INTERVAL_S
+            self._sent_digest = digest
+        self._number += 1
+        summary = CentreSummary(
+            address=self._address,
+            data_centre=self._data_centre,
+            digest=digest,
+            host_id=self._host_id,
+            items_by_service=items_by_service if is_full else {},
+            number=self._number,
+        )
+        return [wire.Send(relay, summary) for relay in remote_relays]
+
+    def receive(self, sender, summary: CentreSummary, order, now: float) -> list:
+        """Keep a newer summary and pass it on along the tree of this data centre."""
+        if summary.data_centre == self._data_centre:
+            return []
+        known = self._remotes_by_host.get(summary.host_id)
+        if known is not None and summary.number <= known.summary.number:
+            return []
+        self._keep(summary, known, now)
+        neighbours = trees.neighbours_in(order, self._host_id, FAN_OUT)
+        return [wire.Send(name, summary) for name in neighbours if name != sender]
+
+    def _keep(self, summary, known, now):
+        remote = RemoteCentre(summary, now)
+        if summary.items_by_service or summary.digest == _digest({}):
+            remote.digest = summary.digest
+            remote.items_by_service = {
+                service: tuple(keys)
+                for service, keys in summary.items_by_service.items()
+            }
+        elif known is not None and known.digest == summary.digest:
+            remote.digest = known.digest
+            remote.items_by_service = known.items_by_service
+        self._remotes_by_host[summary.host_id] = remote
+
+    def expire(self, now: float) -> list[str]:
+        """Drop remotes that were not heard of and return their host ids."""
+        silent = [
+            host_id
+            for host_id, remote in self._remotes_by_host.items()
+            if now - remote.heard_at > SUMMARY_EXPIRY_S
+        ]
+        for host_id in silent:
+            del self._remotes_by_host[host_id]
+        return silent
+
+    def remotes(self) -> list[RemoteCentre]:
+        """Return what is known of the other data centres."""
+        return list(self._remotes_by_host.values())
+
+    def centres_by_item(self) -> dict[records.Item, tuple[str, ...]]:
+        """Return the other data centres that have an item loaded."""
+        names_by_item: dict[records.Item, set[str]] = {}
+        for remote in self._remotes_by_host.values():
+            for keys in remote.items_by_service.values():
+                for key in keys:
+                    names = names_by_item.setdefault(records.parse_item(key), set())
+                    names.add(remote.summary.data_centre)
+        return {item: tuple(sorted(names)) for item, names in names_by_item.items()}
+
+
+def _digest(items_by_service) -> bytes:
+    digest = hashlib.blake2b(digest_size=8)
+    for service in sorted(items_by_service):
+        digest.update(service.encode() + b"\0")
+        for key in items_by_service[service]:
+            digest.update(key.encode() + b"\0")
+    return digest.digest()
