--- /dev/null
+++ b/kumquatproxy/placement.py
@@ -0,0 +1,63 @@
+"""Planners: what should be loaded where, and the actions that lead there."""
+
+from kumquatproxy import (
+    placementbaselines,
+    placementcover,
+    placementlayout,
+    placementplan,
+    placementscale,
+)
+
+PLANNERS = placementplan.PLANNERS
+
+RATE_PER_ACCELERATOR = 200.0
+"""Default capacity in tokens per second; 450,000 tokens/s over 2,400 accelerators."""
+
+
+@PLANNERS.register("balanced")
+class Balanced(placementplan.Planner):
+    """Keep the current placement and change only what a rule requires.
+
+    Missing replicas come first, then replicas for demand within the move budget.
+    """
+
+    __slots__ = ("_rate_per_accelerator", "_spread")
+
+    def __init__(self, rate_per_accelerator=RATE_PER_ACCELERATOR, spread=True):
+        self._rate_per_accelerator: float = rate_per_accelerator
+        self._spread: bool = spread
+
+    def plan(self, sheet, backends, demand, current, weights):
+        """Return the plan; see ``placementplan.Planner.plan``."""
+        catalogue = placementlayout.Catalogue(sheet)
+        layout = placementlayout.Layout(
+            catalogue, backends, current, self._rate_per_accelerator
+        )
+        placementcover.drop_unlisted(layout)
+        scales = self._scales(layout, demand, weights, current.move_budget)
+        cover = placementcover.Cover(
+            layout,
+            lambda base, centre: scales[centre].split_group(base),
+            self._spread,
+        )
+        cover.run(catalogue.groups)
+        budget = current.move_budget
+        for scale in scales.values():
+            scale.spread()
+            scale.budget = budget
+            scale.run()
+            budget = scale.budget
+        placementcover.drop_misplaced(layout)
+        return placementbaselines.finish(
+            layout, cover.not_fitting, sheet.weight_store, current
+        )
+
+    def _scales(self, layout, demand, weights, budget):
+        centres = {slot.data_centre for slot in layout.slots.values() if slot.usable}
+        scales = {}
+        for centre in sorted(centres):
+            rates = demand.get(centre, {})
+            scale = placementscale.Scale(layout, centre, rates, weights, budget)
+            scale.spread()
+            scales[centre] = scale
+        return scales
--- /dev/null
+++ b/kumquatproxy/placementcheck.py
@@ -0,0 +1,171 @@
+"""Check of a plan: replay its actions one by one and list every broken rule."""
+
+import itertools
+
+from kumquatproxy import placementplan, records
+
+
+class Replay:
+    """Hold the loaded items while the actions of a plan are applied in order.
+
+    The check keeps its own state and shares no code with the planners.
+    """
+
+    __slots__ = (
+        "_closing",
+        "_elsewhere",
+        "_pairs",
+        "_reserved_mb",
+        "_servers",
+        "_sheet",
+        "faults",
+        "loaded",
+    )
+
+    def __init__(self, sheet, backends, current):
+        self._sheet = sheet
+        self._servers = {server.backend_id: server for server in backends}
+        self._elsewhere = current.elsewhere
+        self._reserved_mb = dict.fromkeys(self._servers, 0)
+        self._closing: set[tuple[str, records.Item]] = set()
+        self.faults: list[str] = []
+        self.loaded: dict[str, dict[records.Item, int]] = {
+            backend_id: dict(current.loaded.get(backend_id, {}))
+            for backend_id in self._servers
+        }
+        for intent in current.intents:
+            if intent.backend_id not in self._servers:
+                continue
+            if intent.action == placementplan.UNLOAD:
+                self._closing.add((intent.backend_id, intent.item))
+            elif intent.item not in self.loaded[intent.backend_id]:
+                self._reserved_mb[intent.backend_id] += intent.memory_mb
+        self._pairs = _listed_pairs(sheet)
+
+    def run(self, actions) -> list[str]:
+        """Apply all actions; return the faults."""
+        live = self.reachable()
+        for index, action in enumerate(actions):
+            self._apply(index, action)
+            now_live = self.reachable()
+            for pair in sorted(live - now_live):
+                self._fault(index, action, f"{pair} lost its last replica")
+            live = now_live
+        return self.faults
+
+    def _apply(self, index, action):
+        items = self.loaded.get(action.backend_id)
+        if items is None:
+            self._fault(index, action, "the backend server is unknown")
+            return
+        if action.action == placementplan.LOAD:
+            if action.item in items:
+                self._fault(index, action, "the item is loaded already")
+            items[action.item] = action.memory_mb
+            server = self._servers[action.backend_id]
+            used_mb = sum(items.values()) + self._reserved_mb[action.backend_id]
+            if used_mb > server.memory_mb:
+                text = f"{used_mb} MB exceed {server.memory_mb} MB"
+                self._fault(index, action, text)
+            if server.leaving:
+                self._fault(index, action, "the backend server is leaving")
+            return
+        if items.pop(action.item, None) is None:
+            self._fault(index, action, "the item is not loaded")
+
+    def _fault(self, index, action, text):
+        self.faults.append(f"action {index} ({action.line()}): {text}")
+
+    def reachable(self) -> set[str]:
+        """Return what callers can name and some server has loaded."""
+        holders: dict[records.Item, set[str]] = {}
+        for backend_id, loaded in self.loaded.items():
+            for item in loaded:
+                if self._counts(backend_id, item):
+                    holders.setdefault(item, set()).add(backend_id)
+        for item in self._elsewhere:
+            holders.setdefault(item, set()).add("elsewhere")
+        found = set()
+        for name, (base, adapter) in self._pairs.items():
+            together = holders.get(base, set())
+            if adapter is not None:
+                together = together & holders.get(adapter, set())
+            if together:
+                found.add(name)
+        return found
+
+    def _counts(self, backend_id, item):
+        """Return whether a loaded item stays: neither it nor its server leaves."""
+        if self._servers[backend_id].leaving:
+            return False
+        return (backend_id, item) not in self._closing
+
+
+def _listed_pairs(sheet):
+    pairs = {}
+    for model in sheet.models_by_name.values():
+        for version in model.versions:
+            pairs[f"{model.name}@{version}"] = (model.item(version), None)
+    for adapter in sheet.adapters_by_name.values():
+        model = sheet.models_by_name[adapter.model]
+        for version in model.versions:
+            name = f"{model.name}@{version}+{adapter.name}"
+            pairs[name] = (model.item(version), adapter.item())
+    return pairs
+
+
+def check(sheet, backends, current, plan) -> list[str]:
+    """Return every rule that a plan breaks when its actions run in order."""
+    replay = Replay(sheet, backends, current)
+    faults = replay.run(plan.actions)
+    loaded = {backend: set(items) for backend, items in replay.loaded.items()}
+    for intent in current.intents:
+        # An action waits for the open intents of its backend server.
+        if intent.action == placementplan.LOAD and intent.backend_id in loaded:
+            loaded[intent.backend_id].add(intent.item)
+    faults += check_adapters(sheet, loaded, plan.actions)
+    return faults + check_store(sheet.weight_store, plan.actions)
+
+
+def check_adapters(sheet, loaded, actions) -> list[str]:
+    """Return the adapters that the plan loads and leaves without a base model."""
+    touched = {
+        (action.backend_id, action.item)
+        for action in actions
+        if action.item.kind == "adapter" and action.action == placementplan.LOAD
+    }
+    faults = []
+    for backend_id, item in sorted(touched, key=lambda pair: (pair[0], pair[1].key())):
+        items = loaded[backend_id]
+        adapter = sheet.adapters_by_name[item.name]
+        model = sheet.models_by_name[adapter.model]
+        bases = [model.item(version) for version in model.versions]
+        if item in items and not any(base in items for base in bases):
+            faults.append(f"{item.key()} on {backend_id} has no base model")
+    return faults
+
+
+def check_store(store, actions) -> list[str]:
+    """Return where the start times exceed the limits of the weight store."""
+    faults = []
+    limits = {
+        "model": (store.concurrent_loads, store.model_seconds),
+        "adapter": (store.adapters_in_transit, store.adapter_seconds),
+    }
+    for kind, (limit, duration_s) in limits.items():
+        starts = sorted(
+            action.start_s
+            for action in actions
+            if action.action == placementplan.LOAD and action.item.kind == kind
+        )
+        for index in range(limit, len(starts)):
+            if starts[index] < starts[index - limit] + duration_s - 1e-9:
+                faults.append(f"more than {limit} loads of kind {kind} at once")
+                break
+        if kind == "model":
+            gap_s = 1.0 / store.loads_per_second
+            for earlier, later in itertools.pairwise(starts):
+                if later < earlier + gap_s - 1e-9:
+                    faults.append(f"loads start {later - earlier:.3f} s apart")
+                    break
+    return faults
--- /dev/null
+++ b/kumquatproxy/placementplan.py
@@ -0,0 +1,222 @@
+"""Records of placement plans and the registry of planners."""
+
+import heapq
+
+from kumquatproxy import records, registry
+
+PLANNERS = registry.Registry("planner")
+"""Planner classes by alias."""
+
+LOAD = "load"
+UNLOAD = "unload"
+
+
+class Intent(records.Record):
+    """Hold one open order: its effect is not yet seen in a report."""
+
+    __slots__ = ("action", "backend_id", "item", "memory_mb")
+
+    def __init__(self, action, backend_id, item, memory_mb):
+        self.action: str = action  # LOAD or UNLOAD
+        self.backend_id: str = backend_id
+        self.item: records.Item = item
+        self.memory_mb: int = memory_mb
+
+
+class Current(records.Record):
+    """Hold the placement as it is: loaded items and open intents.
+
+    ``elsewhere`` names the data centres, other than those of the given backend
+    servers, that have an item loaded.
+    """
+
+    __slots__ = ("elsewhere", "intents", "loaded", "move_budget")
+
+    def __init__(self, loaded=None, intents=(), elsewhere=None, move_budget=1000):
+        self.loaded: dict[str, dict[records.Item, int]] = loaded or {}
+        self.intents: tuple[Intent, ...] = tuple(intents)
+        self.elsewhere: dict[records.Item, tuple[str, ...]] = elsewhere or {}
+        # Loads that only serve demand; restoring a lost replica needs no budget.
+        self.move_budget: int = move_budget
+
+
+class Weights(records.Record):
+    """Hold the weights of one organisation."""
+
+    __slots__ = ("attainment", "move")
+
+    def __init__(self, attainment=1.0, move=1.0):
+        self.attainment: float = attainment
+        self.move: float = move
+
+
+def weights_of(parsed) -> dict[str, Weights]:
+    """Return the weights by organisation that a sheet sets."""
+    return {
+        entry.name: Weights(entry.attainment_weight, entry.move_weight)
+        for entry in parsed.organisations_by_name.values()
+    }
+
+
+class Action(records.Record):
+    """Load or unload one item on one backend server.
+
+    ``after`` holds the indices of the actions whose effect must be seen first.
+    ``start_s`` is the earliest start in seconds after the plan, by the limits of the
+    weight store.
+    """
+
+    __slots__ = (
+        "action",
+        "after",
+        "backend_id",
+        "item",
+        "memory_mb",
+        "reason",
+        "start_s",
+    )
+
+    def __init__(self, action, backend_id, item, memory_mb, reason):
+        self.action: str = action
+        self.backend_id: str = backend_id
+        self.item: records.Item = item
+        self.memory_mb: int = memory_mb
+        self.reason: str = reason
+        self.after: tuple[int, ...] = ()
+        self.start_s: float = 0.0
+
+    def line(self) -> str:
+        """Return the log line of the action."""
+        key = self.item.key()
+        return f"place: {self.action} {key} on {self.backend_id}: {self.reason}"
+
+
+class NotFitting(records.Record):
+    """Say which item has no replica in a data centre, and why.
+
+    An empty ``data_centre`` stands for all data centres.
+    """
+
+    __slots__ = ("data_centre", "item", "missing_mb", "reason")
+
+    def __init__(self, item, data_centre, missing_mb, reason):
+        self.item: records.Item = item
+        self.data_centre: str = data_centre
+        self.missing_mb: int = missing_mb
+        self.reason: str = reason
+
+
+class Plan(records.Record):
+    """Hold the intended placement and the actions that lead to it, in order."""
+
+    __slots__ = ("actions", "not_fitting", "target")
+
+    def __init__(self, target, actions, not_fitting):
+        self.target: dict[str, frozenset[records.Item]] = target
+        self.actions: tuple[Action, ...] = tuple(actions)
+        self.not_fitting: tuple[NotFitting, ...] = tuple(not_fitting)
+
+    def moves(self) -> int:
+        """Return the number of loads."""
+        return sum(1 for action in self.actions if action.action == LOAD)
+
+
+class MoveBudget:
+    """Limit the loads that only serve demand: ``limit`` per ``interval_s``."""
+
+    __slots__ = ("_interval_s", "_left", "_limit", "_updated_at")
+
+    def __init__(self, limit, interval_s, now):
+        self._limit: int = limit
+        self._interval_s: float = interval_s
+        self._left: float = limit
+        self._updated_at: float = now
+
+    def left(self, now: float) -> int:
+        """Return how many loads may be started at ``now``."""
+        elapsed_s = max(0.0, now - self._updated_at)
+        self._updated_at = max(now, self._updated_at)
+        earned = elapsed_s * self._limit / self._interval_s
+        self._left = min(self._limit, self._left + earned)
+        return int(self._left)
+
+    def spend(self, loads: int) -> None:
+        """Take the loads of a plan from the budget."""
+        self._left -= loads
+
+
+class Planner:
+    """Decide what should be loaded where."""
+
+    def plan(self, sheet, backends, demand, current, weights) -> Plan:
+        """Return the plan for a sheet and the backend servers.
+
+        ``demand`` gives the predicted rate by data centre and item, ``weights`` the
+        ``Weights`` by organisation.
+        """
+        raise NotImplementedError
+
+
+def schedule(actions, store, open_model_loads=0, open_adapter_loads=0) -> None:
+    """Set ``after`` and ``start_s`` of the actions within the store's limits.
+
+    ``store`` has the fields of ``sheet.WeightStore``. Open loads hold their slots for
+    one full load time.
+    """
+    slots = {
+        "model": _Slots(
+            store.concurrent_loads,
+            store.loads_per_second,
+            store.model_seconds,
+            open_model_loads,
+        ),
+        "adapter": _Slots(
+            store.adapters_in_transit, None, store.adapter_seconds, open_adapter_loads
+        ),
+    }
+    done_s: list[float] = []
+    loads_by_item: dict[records.Item, list[int]] = {}
+    unloads_by_backend: dict[str, list[int]] = {}
+    loads_by_backend: dict[str, list[int]] = {}
+    for index, action in enumerate(actions):
+        earlier_unloads = unloads_by_backend.setdefault(action.backend_id, [])
+        earlier_loads = loads_by_item.setdefault(action.item, [])
+        if action.action == LOAD:
+            after = list(earlier_unloads)
+            on_backend = loads_by_backend.setdefault(action.backend_id, [])
+            if action.item.kind == "adapter":
+                after += [i for i in on_backend if actions[i].item.kind == "model"]
+            on_backend.append(index)
+            earlier_loads.append(index)
+        else:
+            after = earlier_loads + earlier_unloads
+            earlier_unloads.append(index)
+        ready_s = max((done_s[i] for i in after), default=0.0)
+        action.after = tuple(sorted(set(after)))
+        action.start_s = ready_s
+        if action.action == LOAD:
+            action.start_s, end_s = slots[action.item.kind].take(ready_s)
+            done_s.append(end_s)
+        else:
+            done_s.append(ready_s)
+
+
+class _Slots:
+    """Give start times within a concurrency limit and a rate limit."""
+
+    __slots__ = ("_duration_s", "_free_at", "_gap_s", "_next_start_s")
+
+    def __init__(self, limit, rate, duration_s, taken):
+        free = [0.0] * max(limit - taken, 0) + [duration_s] * min(taken, limit)
+        self._free_at: list[float] = free
+        self._gap_s: float = 1.0 / rate if rate else 0.0
+        self._duration_s: float = duration_s
+        # The owner's token bucket starts empty, so the first load waits one gap.
+        self._next_start_s: float = self._gap_s
+
+    def take(self, ready_s):
+        start_s = max(ready_s, self._free_at[0], self._next_start_s)
+        end_s = start_s + self._duration_s
+        heapq.heapreplace(self._free_at, end_s)
+        self._next_start_s = start_s + self._gap_s
+        return start_s, end_s
--- /dev/null
+++ b/tests/test_demand.py
@@ -0,0 +1,69 @@
+"""The prediction follows real changes within their time and ignores noise."""
+
+import random
+
+import pytest
+
+from kumquatproxy import demand, records
+
+ITEM = records.Item("model", "m", "1")
+STEP_S = 5.0
+
+
+def run(rate_at, until_s, seed, size=20.0):
+    """Feed random arrivals of a rate; return the predictions by time."""
+    rng = random.Random(seed)
+    predictor = demand.Predictor()
+    predictions = []
+    for step in range(int(until_s / STEP_S)):
+        now = step * STEP_S
+        mean = rate_at(now) * STEP_S / size
+        arrivals = max(0, round(rng.gauss(mean, mean**0.5)))
+        if arrivals:
+            predictor.count(ITEM, arrivals * size, now, arrivals)
+        predictions.append(predictor.rates(now).get(ITEM, 0.0))
+    return predictions
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_tenfold_step_is_followed_within_a_minute(seed):
+    """Guards against a prediction that lags behind a sudden rise."""
+    predictions = run(lambda now: 100.0 if now < 3600 else 1000.0, 3660, seed)
+    assert predictions[-1] > 850.0
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_tenfold_rise_within_an_hour_is_followed(seed):
+    """Guards against a prediction that stays behind a steady rise."""
+    predictions = run(lambda now: 100.0 * 10 ** min(now / 3600, 1.0), 3600, seed)
+    for index in (240, 480, 719):
+        actual = 100.0 * 10 ** (index * STEP_S / 3600)
+        assert predictions[index] > 0.8 * actual
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_noise_does_not_move_the_prediction(seed):
+    """Guards against moves that follow the noise of random arrivals."""
+    predictions = run(lambda now: 200.0, 4 * 3600, seed)
+    settled = predictions[len(predictions) // 2 :]
+    assert max(settled) / min(settled) < 1.15
+
+
+def test_a_short_dip_is_bridged_and_a_long_one_is_followed():
+    """Guards against unloading what is needed again a few minutes later."""
+    predictions = run(lambda now: 300.0 if now < 3600 else 0.0, 5 * 3600, 1)
+    assert predictions[720 + 24] > 0.8 * predictions[719]
+    assert predictions[-1] < 0.05 * predictions[719]
+
+
+def test_memory_is_bounded():
+    """Guards against growth by items that are never listed."""
+    predictor = demand.Predictor(max_items=100)
+    for index in range(1000):
+        predictor.count(records.Item("model", f"m{index}", "1"), 1.0 + index, 1.0)
+    assert len(predictor) == 100
+    predictor.retain({ITEM})
+    assert len(predictor) == 0
+    predictor.count(ITEM, 5.0, 2.0)
+    assert predictor.rates(2.0)[ITEM] > 0.0
+    assert predictor.rates(1e6) == {}
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,309 @@
+"""Plans are replayed action by action by a checker that shares no planner code."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from kumquatproxy import (
+    errors,
+    placement,
+    placementcheck,
+    placementplan,
+    records,
+    sheet,
+)
+
+CENTRES = ("a", "b", "c")
+
+
+def server(index, memory_mb, centre="a", leaving=False, service="s"):
+    return records.BackendServer(
+        f"b{index:02d}",
+        f"10.0.0.{index}:80",
+        centre,
+        "engine",
+        service,
+        1,
+        memory_mb,
+        1,
+        True,
+        leaving,
+    )
+
+
+def make_sheet(models, adapters=(), store=""):
+    """Return a sheet of (memory, versions) and of (model index, memory)."""
+    parts = [f"[weight-store]\n{store}", "[organisation o]", "[service s]"]
+    parts.append("organisation = o")
+    for index, (memory_mb, versions) in enumerate(models):
+        names = ", ".join(str(version) for version in range(1, versions + 1))
+        parts.append(f"[model m{index}]\nservice = s\nversions = {names}")
+        parts.append(f"memory = {memory_mb}MB\npriority = {index % 9 + 1}")
+    for index, (model, memory_mb) in enumerate(adapters):
+        parts.append(f"[adapter d{index}]\nmodel = m{model}\nmemory = {memory_mb}MB")
+    return sheet.parse("\n".join(parts))
+
+
+def apply(current, plan):
+    """Return the placement after all actions and open loads."""
+    loaded = {backend: dict(items) for backend, items in current.loaded.items()}
+    for intent in current.intents:
+        items = loaded.setdefault(intent.backend_id, {})
+        if intent.action == placementplan.LOAD:
+            items[intent.item] = intent.memory_mb
+        else:
+            items.pop(intent.item, None)
+    for action in plan.actions:
+        items = loaded.setdefault(action.backend_id, {})
+        if action.action == placementplan.LOAD:
+            items[action.item] = action.memory_mb
+        else:
+            items.pop(action.item)
+    return placementplan.Current(loaded, elsewhere=current.elsewhere)
+
+
+def plan_of(parsed, backends, current=None, demand=None, alias="balanced"):
+    planner = placement.PLANNERS.get(alias)()
+    weights = placementplan.weights_of(parsed)
+    current = current or placementplan.Current()
+    return planner.plan(parsed, backends, demand or {}, current, weights)
+
+
+@st.composite
+def worlds(draw):
+    """Draw a sheet, servers, a current placement with intents, and demand."""
+    models = draw(
+        st.lists(
+            st.tuples(st.integers(5, 40), st.integers(1, 2)), min_size=1, max_size=7
+        )
+    )
+    adapters = draw(
+        st.lists(
+            st.tuples(st.integers(0, len(models) - 1), st.integers(1, 5)), max_size=6
+        )
+    )
+    parsed = make_sheet(models, adapters)
+    backends = [
+        server(
+            index,
+            draw(st.integers(20, 100)),
+            draw(st.sampled_from(CENTRES)),
+            draw(st.integers(0, 9)) == 0,
+        )
+        for index in range(draw(st.integers(1, 8)))
+    ]
+    demand = {
+        centre: {
+            item: draw(st.sampled_from((0.0, 20.0, 150.0, 400.0)))
+            for item in parsed.memory_by_item()
+        }
+        for centre in CENTRES
+    }
+    older = [
+        (memory_mb, versions) for memory_mb, versions in models if draw(st.booleans())
+    ]
+    current = placementplan.Current()
+    if older:
+        older_sheet = make_sheet(older + [(30, 1)])
+        current = apply(current, plan_of(older_sheet, backends))
+    current = _with_intents(draw, parsed, backends, current)
+    return parsed, backends, current, demand
+
+
+def _with_intents(draw, parsed, backends, current):
+    """Add an open load and an open unload where they are possible."""
+    memory = parsed.memory_by_item()
+    intents = []
+    for backend in backends:
+        items = current.loaded.setdefault(backend.backend_id, {})
+        used_mb = sum(items.values())
+        if items and draw(st.booleans()):
+            item = sorted(items, key=records.Item.key)[0]
+            unload = placementplan.UNLOAD
+            intents.append(
+                placementplan.Intent(unload, backend.backend_id, item, items[item])
+            )
+        item = draw(st.sampled_from(sorted(memory, key=records.Item.key)))
+        fits = used_mb + memory[item] <= backend.memory_mb
+        if item not in items and fits and draw(st.booleans()):
+            load = placementplan.LOAD
+            intents.append(
+                placementplan.Intent(load, backend.backend_id, item, memory[item])
+            )
+    return placementplan.Current(current.loaded, intents)
+
+
+def _settle(parsed, backends, current, demand, rounds=6):
+    for _ in range(rounds):
+        plan = plan_of(parsed, backends, current, demand)
+        current = apply(current, plan)
+        if not plan.actions:
+            return current, plan
+    return current, plan
+
+
+@hypothesis.given(worlds())
+def test_every_step_of_a_plan_keeps_memory_and_last_replicas(world):
+    """Guards against overcommitted memory and a model lost while a plan runs."""
+    parsed, backends, current, demand = world
+    plan = plan_of(parsed, backends, current, demand)
+    assert placementcheck.check(parsed, backends, current, plan) == []
+    assert all(action.reason for action in plan.actions)
+
+
+@hypothesis.given(worlds())
+def test_the_same_input_gives_the_same_plan(world):
+    """Guards against plans that depend on the order of hashing or of arrival."""
+    parsed, backends, current, demand = world
+    plan = plan_of(parsed, backends, current, demand)
+    again = plan_of(parsed, backends[::-1], current, demand)
+    assert plan == again
+
+
+@hypothesis.given(worlds())
+def test_repeated_plans_come_to_rest(world):
+    """Guards against replicas that are loaded and evicted in turns."""
+    parsed, backends, current, demand = world
+    _, plan = _settle(parsed, backends, current, demand, rounds=12)
+    assert plan.actions == ()
+
+
+@hypothesis.given(worlds())
+def test_a_listed_model_is_placed_or_reported(world):
+    """Guards against a model that is neither loaded nor named as not fitting."""
+    parsed, backends, current, demand = world
+    current, plan = _settle(parsed, backends, current, demand, rounds=12)
+    reported = {(fault.item, fault.data_centre) for fault in plan.not_fitting}
+    centres = {b.data_centre for b in backends if not b.leaving}
+    for model in parsed.models_by_name.values():
+        for version in model.versions:
+            item = model.item(version)
+            for centre in centres:
+                held = any(
+                    item in current.loaded.get(b.backend_id, {})
+                    for b in backends
+                    if b.data_centre == centre and not b.leaving
+                )
+                assert held or (item, centre) in reported
+
+
+def _relocation():
+    """Return a world that needs a relocation before the new model fits."""
+    parsed = make_sheet([(40, 1), (40, 1), (80, 1)])
+    backends = [server(1, 100), server(2, 100)]
+    items = [parsed.models_by_name[f"m{i}"].item() for i in range(3)]
+    loaded = {"b01": {items[0]: 40}, "b02": {items[1]: 40}}
+    return parsed, backends, placementplan.Current(loaded)
+
+
+def test_the_check_sees_a_broken_order():
+    """Guards against a check that cannot fail."""
+    parsed, backends, current = _relocation()
+    plan = plan_of(parsed, backends, current)
+    assert placementcheck.check(parsed, backends, current, plan) == []
+    kinds = [action.action for action in plan.actions]
+    assert kinds == ["load", "unload", "load"]
+    broken = placementplan.Plan(plan.target, plan.actions[::-1], ())
+    text = " ".join(placementcheck.check(parsed, backends, current, broken))
+    assert "exceed 100 MB" in text
+    unload_first = (plan.actions[1], plan.actions[0], plan.actions[2])
+    broken = placementplan.Plan(plan.target, unload_first, ())
+    text = " ".join(placementcheck.check(parsed, backends, current, broken))
+    assert "lost its last replica" in text
+
+
+def test_the_check_sees_an_exceeded_weight_store():
+    """Guards against a check of the store's limits that cannot fail."""
+    parsed = make_sheet([(10, 1)] * 4)
+    backends = [server(1, 100)]
+    plan = plan_of(parsed, backends)
+    assert placementcheck.check_store(parsed.weight_store, plan.actions) == []
+    for action in plan.actions:
+        action.start_s = 0.0
+    assert placementcheck.check_store(parsed.weight_store, plan.actions)
+
+
+def test_replicas_spread_over_hosts_and_data_centres():
+    """Guards against replicas that one fault takes away together."""
+    parsed = make_sheet([(10, 1)])
+    backends = [server(i, 100, CENTRES[i % 3]) for i in range(6)]
+    item = parsed.models_by_name["m0"].item()
+    demand = {"a": {item: 300.0}}
+    plan = plan_of(parsed, backends, None, demand)
+    placed = [action.backend_id for action in plan.actions]
+    assert len(set(placed)) == len(placed)
+    assert {"b00", "b03"} <= set(placed)
+
+
+def test_lost_replicas_come_before_replicas_for_demand():
+    """Guards against a lost model that waits behind optional loads."""
+    parsed = make_sheet([(20, 1), (20, 1)])
+    hot, lost = (parsed.models_by_name[f"m{i}"].item() for i in range(2))
+    backends = [server(1, 100), server(2, 100)]
+    current = placementplan.Current({"b01": {hot: 20}})
+    plan = plan_of(parsed, backends, current, {"a": {hot: 390.0}})
+    loads = [a.item for a in plan.actions]
+    assert loads[0] == lost
+    assert hot in loads[1:]
+
+
+def test_a_returning_server_causes_no_move():
+    """Guards against a storm of moves when a backend server returns."""
+    parsed = make_sheet([(20, 1)] * 6)
+    backends = [server(i, 100) for i in range(4)]
+    current, _ = _settle(parsed, backends, placementplan.Current(), {})
+    current, _ = _settle(parsed, backends[1:], current, {})
+    current.loaded["b00"] = {}
+    assert plan_of(parsed, backends, current).actions == ()
+
+
+def test_the_budget_limits_loads_for_demand_only():
+    """Guards against more moves in an interval than the budget allows."""
+    parsed = make_sheet([(10, 1)] * 5)
+    items = [model.item() for model in parsed.models_by_name.values()]
+    backends = [server(i, 100) for i in range(8)]
+    demand = {"a": dict.fromkeys(items, 300.0)}
+    current = placementplan.Current(move_budget=2)
+    assert plan_of(parsed, backends, current, demand).moves() == 5 + 2
+    budget = placementplan.MoveBudget(limit=4, interval_s=60.0, now=0.0)
+    budget.spend(4)
+    assert [budget.left(now) for now in (0.0, 15.0, 600.0)] == [0, 1, 4]
+
+
+def test_what_does_not_fit_is_reported_with_the_reason():
+    """Guards against a silent gap in the placement."""
+    parsed = make_sheet([(500, 1)])
+    plan = plan_of(parsed, [server(1, 100)])
+    (fault,) = plan.not_fitting
+    assert (fault.missing_mb, fault.data_centre) == (400, "a")
+    assert "needs 500 MB on one backend server of s" in fault.reason
+
+
+def test_owners_do_not_give_up_the_same_item_together():
+    """Guards against two data centres that each count on the other's replica."""
+    parsed = make_sheet([(60, 1), (60, 1)])
+    kept = parsed.models_by_name["m0"].item()
+    given_up = 0
+    for own, other in (("a", "b"), ("b", "a")):
+        loaded = {"b01": {kept: 60}}
+        current = placementplan.Current(loaded, elsewhere={kept: (other,)})
+        plan = plan_of(parsed, [server(1, 100, own)], current)
+        given_up += any(action.item == kept for action in plan.actions)
+    assert given_up == 1
+
+
+@pytest.mark.parametrize("alias", ["static-even", "lru"])
+@hypothesis.given(world=worlds())
+def test_baselines_never_overcommit_memory(alias, world):
+    """Guards against comparing with a baseline that uses memory it does not have."""
+    parsed, backends, current, demand = world
+    plan = plan_of(parsed, backends, current, demand, alias)
+    faults = placementcheck.Replay(parsed, backends, current).run(plan.actions)
+    assert [fault for fault in faults if "last replica" not in fault] == []
+
+
+def test_planners_are_chosen_by_alias():
+    """Guards against an alias that is not entered or an unclear refusal."""
+    assert placement.PLANNERS.aliases() == ["balanced", "lru", "static-even"]
+    with pytest.raises(errors.ProxyError, match="did you mean 'balanced'"):
+        placement.PLANNERS.get("balance")
