--- a/kumquatproxy/cli.py
+++ b/kumquatproxy/cli.py
@@ -45,6 +45,15 @@
 
 
 def _add_process_commands(commands):
+    serve = commands.add_parser("serve", help="run one host until SIGTERM")
+    serve.add_argument("--config", required=True, help="settings file of the host")
+    serve.set_defaults(run=run_serve)
+    initialise = commands.add_parser(
+        "init-voter",
+        help="format the data folder of a voter of a new deployment, once",
+    )
+    initialise.add_argument("--config", required=True)
+    initialise.set_defaults(run=run_init_voter)
     check = commands.add_parser("check-config", help="check a settings file")
     check.add_argument("file")
     check.set_defaults(run=run_check_config)
@@ -55,8 +64,10 @@
     demo.add_argument("--port", type=int, default=0, help="port for callers")
     demo.add_argument("--admin-port", type=int, default=0, help="port for operators")
     demo.add_argument("--seed", type=int, default=1)
-    demo.add_argument("--sample", choices=("port-louis", "cordillera"))
-    demo.set_defaults(run=run_demo, sample="port-louis")
+    demo.add_argument(
+        "--sample", choices=("port-louis", "cordillera"), default="port-louis"
+    )
+    demo.set_defaults(run=run_demo)
     bench = commands.add_parser("bench", help="run one measurement, or all")
     bench.add_argument("name", help="name of a measurement, or 'all' or 'list'")
     bench.add_argument("--seed", type=int, default=1)
@@ -144,6 +155,22 @@
         print(line)
 
 
+def run_serve(arguments) -> int:
+    """Run one host until SIGTERM."""
+    from kumquatproxy import host
+
+    return host.serve(arguments.config)
+
+
+def run_init_voter(arguments) -> int:
+    """Format the data folder of a voter of a new deployment."""
+    from kumquatproxy import host
+
+    host.initialise_voter(host.read_settings(arguments.config))
+    print("ok: the data folder is initialised")
+    return EXIT_OK
+
+
 def run_check_config(arguments) -> int:
     """Check a settings file and print the host that it describes."""
     parsed = settings.parse(_read(arguments.file), arguments.file)
@@ -155,6 +182,10 @@
     """Run the main job in one process, or serve until SIGTERM."""
     from kumquatproxy import demo
 
+    if arguments.serve:
+        return demo.serve(
+            arguments.port, arguments.admin_port, arguments.sample, arguments.seed
+        )
     return EXIT_OK if demo.run(seed=arguments.seed) else EXIT_FAILED
 
 
--- a/kumquatproxy/control.py
+++ b/kumquatproxy/control.py
@@ -1,145 +1,635 @@
-"""Control task of a host: configuration, backend servers, placement orders."""
+"""Control task of a host: the owner of its membership and shared state."""
 
-import gevent
+import time
 
 from kumquatproxy import (
     adminmessages,
+    adminviews,
     backendapi,
+    claimmessages,
+    claimrecords,
+    claims,
+    configstate,
+    configurationgroup,
+    demandreports,
     dispatch,
-    drivers,
+    dissemination,
     entry,
+    errors,
+    formation,
+    loadreports,
     logs,
+    membermessages,
+    membership,
+    messagerouting,
+    orderrecords,
+    placementcontrol,
+    proposals,
+    raftmessages,
     records,
+    replication,
+    reportstore,
+    sheet_fit,
+    summaries,
     tasks,
+    trees,
+    versionmessages,
+    wire,
 )
 from kumquatproxy import sheet as sheets
 
-SERVER_EXPIRY_S = 1.5
-ORDER_TIMEOUT_S = 2.0
-ORDER_LIFETIME_S = 10.0
+SUBMIT_TIMEOUT_S = 8.0
+CLAIM_TIMEOUT_S = 3.0
+OWNER_LOST_TIMEOUT_S = 30.0
+PUSH_FAN_OUT = 4
 
 
-class ServerEntry:
-    """Hold one backend server with its reserved memory and last signs of life."""
+class Received(records.Record):
+    """Hold a message of another host."""
 
-    __slots__ = ("heard_at", "reported", "reserved_by_item", "server")
+    __slots__ = ("message", "sender")
 
-    def __init__(self, server, heard_at):
-        self.server: records.BackendServer = server
-        self.heard_at: float = heard_at
-        self.reported: frozenset[records.Item] = frozenset()
-        self.reserved_by_item: dict[records.Item, int] = {}
+    def __init__(self, sender, message):
+        self.sender: str = sender
+        self.message: wire.Message = message
 
-    def free_mb(self) -> int:
-        """Return the memory that is not reserved, in megabytes."""
-        return self.server.memory_mb - sum(self.reserved_by_item.values())
+
+class Answered(records.Record):
+    """Hold the outcome of a command that another host asked this voter for."""
+
+    __slots__ = ("answer", "number", "sender")
+
+    def __init__(self, sender, number, answer):
+        self.sender: str = sender
+        self.number: int = number
+        self.answer = answer  # a message or a ProxyError
+
+
+class StartLeaving(records.Record):
+    """Announce that this host takes no new work."""
+
+    __slots__ = ()
+
+
+class Finish(records.Record):
+    """Hand over all leaderships; the host has no request in flight."""
+
+    __slots__ = ()
 
 
 class ControlTask(tasks.Task):
-    """Own the configuration and the placement of one host."""
+    """Own membership, reports, versions, proposals and the placement side."""
 
-    def __init__(self, dispatcher, entry_application, pool):
+    def __init__(self, settings, parts, rng, now):
         super().__init__()
-        self._dispatcher: dispatch.Dispatcher = dispatcher
-        self._entry: entry.EntryApplication = entry_application
-        self._driver = drivers.OpenAIDriver(pool)
-        self._entries_by_id: dict[str, ServerEntry] = {}
-        self._sheet: sheets.Sheet | None = None
-        self._version = 0
-        self._fence = 1
-        self._orders_sent = 0
-        self._log = logs.Log("place")
+        self.settings = settings
+        self.host_id: str = settings.host.id
+        self.data_centre: str = settings.host.data_centre
+        self.dispatcher: dispatch.Dispatcher = parts.dispatcher
+        self.membership = membership.Membership(parts.member_settings, rng, now)
+        self.reports = loadreports.LoadReports(self.host_id, rng, now)
+        self.versions = dissemination.Dissemination(
+            self.host_id, rng, now, parts.stored_version
+        )
+        self.proposals = proposals.Proposals(settings.groups.configuration_voters, rng)
+        self.summaries = summaries.Summaries(
+            self.host_id,
+            self.data_centre,
+            settings.host.callers,
+            parts.member_settings.incarnation,
+        )
+        self.configuration: replication.Replication | None = parts.configuration
+        self.placement = placementcontrol.PlacementControl(
+            self, settings, parts.store_factory, parts.identity, rng, now
+        )
+        self.content: configurationgroup.Content | None = None
+        self.leaving_ids: set[str] = set()
+        self._entry: entry.EntryApplication = parts.entry
+        self._transport = parts.transport
+        self._save_version = parts.save_version
+        self._counter: demandreports.DemandCounter = parts.demand_counter
+        self._metrics = parts.metrics
+        self._claim_clock: tuple[int, claims.LeaderClock] | None = None
+        self._published_revision = 0
+        self._live_ids: set[str] = set()
+        self._remote_ids: set[str] = set()
+        self._log = logs.Log("control")
+        self._member_log = logs.Log("member")
+        self._config_log = logs.Log("config")
+        self.versions.set_targets(self._push_targets)
+        if parts.stored_version is not None:
+            stored = parts.stored_version
+            self._adopt(stored.number, stored.content, now)
+
+    # What the placement side needs of this task
+
+    def sheet(self) -> sheets.Sheet | None:
+        """Return the sheet in force."""
+        return self.content.sheet if self.content else None
+
+    def store_share(self):
+        """Return version and size of this data centre's share of the store."""
+        if self.content is None:
+            return 0, configstate.storeshare.NO_SHARE
+        return self.content.share_version, self.content.share_of(self.data_centre)
+
+    def engines(self, now: float) -> list[records.BackendServer]:
+        """Return the live engines of this data centre."""
+        live = self.membership.backends.live(now)
+        return [server for server in live if server.kind == "engine"]
+
+    def server(self, backend_id: str) -> records.BackendServer | None:
+        """Return a backend server of this data centre."""
+        return self.membership.backends.get(backend_id)
+
+    def reports_by_id(self) -> dict[str, records.LoadReport]:
+        """Return the newest load report of each backend server."""
+        return self.reports.reports_by_id
+
+    def centres_by_item(self):
+        """Return the other data centres that have an item loaded."""
+        return self.summaries.centres_by_item()
+
+    def known_memory(self, item: records.Item) -> int:
+        """Return the memory that an item no longer listed held, in megabytes."""
+        group = self.placement.replication
+        if group is None:
+            return 0
+        for observed in group.machine.observed_by_backend.values():
+            if item.key() in observed.memory_by_item:
+                return observed.memory_by_item[item.key()]
+        return 0
+
+    def highest_fence_seen(self) -> int:
+        """Return the highest fence that a load report has shown."""
+        reports = self.reports.reports_by_id.values()
+        return max((report.fence_seen for report in reports), default=0)
+
+    def send_message(self, host_id: str, message: wire.Message) -> None:
+        """Send a message to another host, or hand it to this one."""
+        if host_id == self.host_id:
+            self.tell(Received(host_id, message))
+            return
+        self._learn_address(host_id)
+        self._transport.send(host_id, message, messagerouting.is_droppable(message))
+
+    def propose_configuration(self, command, done=None, timeout_s=5.0) -> None:
+        """Propose a command to the configuration group."""
+        now = time.monotonic()
+        done = done or (lambda answer: None)
+        self._emit(self.proposals.propose(command, now + timeout_s, done, now), now)
+
+    # Messages and time
 
     def handle(self, message, now, reply):
-        """Handle one message of the backend API or the administration API."""
-        if isinstance(message, backendapi.Announce):
-            return self._announce(message.server, now)
-        if isinstance(message, backendapi.Report):
-            return self._report(message.report, now)
-        if isinstance(message, adminmessages.SubmitSheet):
-            return self._submit(message)
-        raise TypeError(f"unexpected message {type(message).__name__}")
+        """Handle one message of another task or host."""
+        return _HANDLERS[type(message)](self, message, now, reply)
 
     def tick(self, now):
-        """Expire silent backend servers and place what is missing."""
-        for backend_id, entry_ in list(self._entries_by_id.items()):
-            if now - entry_.heard_at > SERVER_EXPIRY_S:
-                del self._entries_by_id[backend_id]
-                self._dispatcher.remove_server(backend_id)
-        if self._sheet is not None:
-            self._place(self._sheet, now)
-
-    def _announce(self, server, now):
-        known = self._entries_by_id.get(server.backend_id)
-        if known is None or known.server.incarnation < server.incarnation:
-            self._entries_by_id[server.backend_id] = ServerEntry(server, now)
-        elif known.server.incarnation == server.incarnation:
-            known.server = server
-            known.heard_at = now
-        else:
+        """Do what is due."""
+        self.membership.version = self.versions.status()
+        self._emit(self.membership.tick(now), now)
+        order = self.membership.report_order()
+        self.reports.set_order(order, now)
+        self._emit(self.reports.tick(now), now)
+        self._emit(self.versions.tick(now), now)
+        self._emit(self.proposals.tick(now), now)
+        self._publish(now)
+        self._tick_summaries(now)
+        self._expire_servers(now)
+        self._send_demand(now)
+        self.placement.tick(now)
+        logs.flush()
+
+    def _emit(self, outputs, now):
+        for output in outputs:
+            if isinstance(output, wire.Send):
+                self.send_message(output.to, output.message)
+            elif type(output) in _OUTPUTS:
+                _OUTPUTS[type(output)](self, output, now)
+
+    def _learn_address(self, host_id):
+        entry_ = self.membership.table.entries_by_id.get(host_id)
+        address = (
+            entry_.address if entry_ else self.membership.links.address_of(host_id)
+        )
+        if not address and host_id in self.settings.peers_by_id:
+            address = self.settings.peers_by_id[host_id].address
+        if address:
+            self._transport.learn(host_id, address)
+
+    def _push_targets(self, root):
+        order = sorted(self.membership.table.working())
+        if root not in order:
+            root = self.host_id
+        order = [root, *(name for name in order if name != root)]
+        targets = trees.children_in(order, self.host_id, PUSH_FAN_OUT)
+        if self.host_id in self.membership.relays():
+            targets = [*targets, *self.membership.links.relays()]
+        return root, targets
+
+    # Configuration
+
+    def _publish(self, now):
+        if self.configuration is None:
+            return
+        state = self.configuration.machine.configuration
+        if state.revision > self._published_revision:
+            self._published_revision = state.revision
+            if state.revision > self.versions.number:
+                content = configurationgroup.encode_content(state)
+                self._emit(self.versions.publish(state.revision, content, now), now)
+
+    def _on_adopted(self, adopted, now):
+        self._save_version(adopted.number, adopted.content)
+        self._adopt(adopted.number, adopted.content, now)
+
+    def _adopt(self, number, data, now):
+        self.content = configurationgroup.decode_content(data)
+        content = self.content
+        if content.sheet is not None:
+            self.dispatcher.set_sheet(content.sheet)
+            self._entry.view = entry.ConfigurationView(content.version, content.sheet)
+            self._metrics.configuration_version.set(content.version)
+        self._config_log.write(
+            now, f"revision {number} with sheet {content.version} is in force"
+        )
+        registered = content.voters_by_data_centre.get(self.data_centre)
+        self.placement.register(registered, now)
+
+    def _on_refused(self, refused, now):
+        self._config_log.write(now, f"refused a version: {refused!r}")
+
+    def _on_propose(self, received, now):
+        message = received.message
+        group = self.configuration
+        if group is None or group.member.leader is None:
+            leader = group.member.leader_id if group else ""
+            host_id = replication.voterset.host_of(leader) if leader else ""
+            error = errors.ErrorKind.NOT_LEADER
+            self._answer(
+                received.sender, message.number, None, error.value, "", host_id
+            )
             return
-        self._dispatcher.update_server(server, now)
+        self._stamp(message.command, group, now)
+        request = replication.Submit(wire.encode(message.command))
+
+        def done(result):
+            answer = result.get() if result.successful() else result.exception
+            self.tell(Answered(received.sender, message.number, answer))
+
+        request.reply.rawlink(done)
+        group.tell(request)
 
-    def _report(self, report, now):
-        known = self._entries_by_id.get(report.backend_id)
-        if known is None or known.server.incarnation != report.incarnation:
+    def _stamp(self, command, group, now):
+        """Set the time of a claim command from the time in the log."""
+        if not configurationgroup.is_claim_command(command):
             return
-        known.heard_at = now
-        known.reported = frozenset(report.loaded)
-        self._dispatcher.table.report(report, now)
+        term = group.member.term
+        if self._claim_clock is None or self._claim_clock[0] != term:
+            log_time = group.machine.claims.time
+            self._claim_clock = (term, claims.LeaderClock(log_time, now))
+        command.at = self._claim_clock[1].stamp(now)
+
+    def _on_answered(self, answered, now, reply):
+        answer = answered.answer
+        if isinstance(answer, errors.ProxyError):
+            self._answer(
+                answered.sender, answered.number, None, answer.kind.value, answer.detail
+            )
+        else:
+            self._answer(answered.sender, answered.number, answer, "", "", self.host_id)
+
+    def _answer(self, to, number, answer, kind, detail, leader=""):
+        message = proposals.ProposeAnswer(
+            answer=answer, detail=detail, kind=kind, leader=leader, number=number
+        )
+        self.send_message(to, message)
+
+    def _on_proposal_answer(self, received, now):
+        self._emit(self.proposals.receive(received.message, now), now)
 
-    def _submit(self, message):
+    def _on_submit(self, message, now, reply):
         parsed = sheets.parse(message.text)
-        self._version += 1
-        self._sheet = parsed
-        self._dispatcher.set_sheet(parsed)
-        self._entry.view = entry.ConfigurationView(self._version, parsed)
-        return self._version
-
-    def _place(self, sheet, now):
-        memory_by_item = sheet.memory_by_item()
-        for adapter in sheet.adapters_by_name.values():
-            model = sheet.models_by_name[adapter.model]
-            self._ensure(sheet, model, (model.item(), adapter.item()), memory_by_item)
-        for model in sheet.models_by_name.values():
-            for version in model.versions:
-                self._ensure(sheet, model, (model.item(version),), memory_by_item)
-
-    def _ensure(self, sheet, model, items, memory_by_item):
-        entries = [
-            entry_
-            for entry_ in self._entries_by_id.values()
-            if entry_.server.service == model.service and not entry_.server.leaving
+        command = configstate.SubmitSheet(
+            follows=message.follows,
+            limits=configstate.limits_of(parsed),
+            submitted_at=time.time(),
+            submitter=self.host_id,
+            text=configstate.compress(message.text),
+        )
+        misfits = self._misfits(parsed, now)
+        if misfits:
+            raise errors.ProxyError(errors.ErrorKind.DOES_NOT_FIT, "; ".join(misfits))
+
+        def done(answer):
+            if isinstance(answer, configstate.SheetAccepted):
+                reply.set({"version": answer.version, "digest": answer.digest})
+            else:
+                reply.set_exception(_error_of(answer))
+
+        self.propose_configuration(command, done, SUBMIT_TIMEOUT_S)
+        return tasks.LATER
+
+    def _misfits(self, parsed, now):
+        """Return a sentence for each model that fits nowhere.
+
+        Memory of other data centres is not known here, so only a deployment of one
+        data centre can refuse a sheet for it.
+        """
+        if self.membership.links.data_centres():
+            return []
+        servers = self.engines(now)
+        return [
+            f"{fit.item.key()}: {fit.reason}, {fit.missing_mb} MB are missing"
+            for fit in sheet_fit.not_fitting(parsed, servers)
         ]
-        if any(set(items) <= set(entry_.reserved_by_item) for entry_ in entries):
+
+    def _on_check(self, message, now, reply):
+        parsed = sheets.parse(message.text)
+        return {
+            "models": len(parsed.models_by_name),
+            "adapters": len(parsed.adapters_by_name),
+            "digest": parsed.digest,
+            "misfits": self._misfits(parsed, now),
+        }
+
+    # Claims
+
+    def _on_begin_claim(self, message, now, reply):
+        key = message.key
+        key.incarnation = self.membership.me.incarnation
+        command = claimrecords.BeginClaim(
+            at=0.0,
+            attempt=message.attempt,
+            host=self.host_id,
+            incarnation=key.incarnation,
+            key=key.key,
+            organisation=key.organisation,
+            request_digest=key.digest,
+            service=key.service,
+        )
+        self.propose_configuration(command, _reply_to(reply), CLAIM_TIMEOUT_S)
+        return tasks.LATER
+
+    def _on_finish_claim(self, message, now, reply):
+        key = message.key
+        command = claimrecords.FinishClaim(
+            at=0.0,
+            attempt=message.attempt,
+            body=message.body,
+            headers=[list(pair) for pair in message.headers],
+            host=self.host_id,
+            incarnation=key.incarnation,
+            key=key.key,
+            organisation=key.organisation,
+            outcome=int(message.outcome),
+            service=key.service,
+            status=message.status,
+        )
+        self.propose_configuration(command, _reply_to(reply), SUBMIT_TIMEOUT_S)
+        return tasks.LATER
+
+    # Hosts and backend servers
+
+    def _on_host_changed(self, changed, now):
+        self._member_log.write(now, f"host {changed.host_id} is {changed.state.name}")
+        gone = (membermessages.HostState.DEAD, membermessages.HostState.LEFT)
+        if changed.state in gone:
+            self._transport.forget(changed.host_id)
+            if self.host_id == self.membership.relays()[0]:
+                self._report_lost(changed.host_id)
+
+    def _report_lost(self, host_id):
+        entry_ = self.membership.table.entries_by_id[host_id]
+        command = claimrecords.OwnerLost(
+            at=0.0, host=host_id, incarnation=entry_.incarnation
+        )
+        self.propose_configuration(command, timeout_s=OWNER_LOST_TIMEOUT_S)
+
+    def _on_announce(self, message, now, reply):
+        self._emit(self.membership.announce(message.server, now), now)
+        self.membership.backends.heard(
+            message.server.backend_id, message.server.incarnation, now
+        )
+
+    def _on_backend_changed(self, changed, now):
+        server = changed.server
+        state = "leaving" if server.leaving else "present"
+        self._member_log.write(now, f"backend server {server.backend_id} is {state}")
+        self.dispatcher.update_server(server, now)
+        self._live_ids.add(server.backend_id)
+
+    def _on_report(self, message, now, reply):
+        if self.reports.accept(message.report, now):
+            self._take_report(message.report, now)
+
+    def _on_report_seen(self, seen, now):
+        report = self.reports.reports_by_id.get(seen.backend_id)
+        if report is not None:
+            self._take_report(report, now)
+
+    def _take_report(self, report, now):
+        known = self.membership.backends.get(report.backend_id)
+        if known is None or known.incarnation != report.incarnation:
+            return
+        self.membership.backends.heard(report.backend_id, report.incarnation, now)
+        if report.backend_id not in self._live_ids:
+            self._live_ids.add(report.backend_id)
+            self.dispatcher.update_server(known, now)
+        self.dispatcher.table.report(report, now)
+        self.placement.observe(report)
+
+    def _expire_servers(self, now):
+        live = {server.backend_id for server in self.membership.backends.live(now)}
+        for backend_id in self._live_ids - live:
+            self._member_log.write(now, f"backend server {backend_id} is silent")
+            self.dispatcher.remove_server(backend_id)
+            self.placement.server_gone(backend_id, now)
+        self._live_ids &= live
+
+    def _send_demand(self, now):
+        counts = self._counter.tick(now)
+        if counts is None:
+            return
+        for host_id in self.settings.groups.placement_voters:
+            self.send_message(host_id, counts)
+
+    # Other data centres
+
+    def _tick_summaries(self, now):
+        if self.host_id in self.membership.relays():
+            relays = self.membership.links.relays()
+            served = adminviews.items_by_service(self, now)
+            self._emit(self.summaries.tick(served, relays, now), now)
+        for host_id in self.summaries.expire(now):
+            self._member_log.write(now, f"no summary of relay {host_id}")
+        present = {remote.summary.host_id for remote in self.summaries.remotes()}
+        for host_id in self._remote_ids - present:
+            self.dispatcher.remove_remote(host_id)
+        self._remote_ids = present
+
+    def _on_summary(self, received, now):
+        order = self.membership.report_order()
+        summary = received.message
+        self._emit(self.summaries.receive(received.sender, summary, order, now), now)
+        for remote in self.summaries.remotes():
+            if remote.summary is summary:
+                self.dispatcher.update_remote(
+                    summary.host_id,
+                    summary.data_centre,
+                    summary.address,
+                    summary.number,
+                    remote.items_by_service,
+                    now,
+                )
+
+    # Administration
+
+    def _on_admin(self, message, now, reply):
+        return adminviews.VIEWS[type(message)](self, message, now)
+
+    def _on_drain(self, message, now, reply):
+        server = self.membership.backends.get(message.name)
+        if server is None:
+            raise errors.ProxyError(
+                errors.ErrorKind.NOT_FOUND,
+                f"{message.name!r} is no backend server of {self.data_centre!r}; "
+                "a host is drained by its stop signal",
+            )
+        if not server.leaving:
+            leaving = adminviews.leaving(server)
+            self._emit(self.membership.announce(leaving, now), now)
+        state = self.dispatcher.table.state(message.name)
+        in_flight = len(state.flights_by_id) if state else 0
+        return {
+            "name": message.name,
+            "state": f"leaving, {in_flight} requests of this host in flight",
+        }
+
+    def _on_start_leaving(self, message, now, reply):
+        self._emit(self.membership.leave(now), now)
+
+    def _on_finish(self, message, now, reply):
+        self.placement.stop(now)
+        if self.configuration is not None:
+            self.configuration.tell(replication.GiveUpLeadership())
+        self._emit(self.membership.left(now), now)
+        return True
+
+    def _on_received(self, received, now, reply):
+        message = received.message
+        if isinstance(message, raftmessages.GroupMessage):
+            self._route_group_message(received)
             return
-        for entry_ in sorted(entries, key=lambda one: -one.free_mb()):
-            missing = [item for item in items if item not in entry_.reserved_by_item]
-            needed_mb = sum(memory_by_item[item] for item in missing)
-            if needed_mb <= entry_.free_mb():
-                for item in missing:
-                    self._send_load(entry_, item, memory_by_item[item])
+        for core, classes in (
+            (self.membership, _MEMBER_MESSAGES),
+            (self.reports, _REPORT_MESSAGES),
+            (self.versions, _VERSION_MESSAGES),
+        ):
+            if isinstance(message, classes):
+                self._observe_version(received, now)
+                self._emit(core.receive(received.sender, message, now), now)
                 return
+        handler = _PEER_HANDLERS.get(type(message))
+        if handler is None:
+            raise errors.ProxyError(
+                errors.ErrorKind.PROTOCOL_ERROR, f"unexpected message {message.tag!r}"
+            )
+        handler(self, received, now)
 
-    def _send_load(self, entry_, item, memory_mb):
-        now = gevent.get_hub().loop.now()
-        entry_.reserved_by_item[item] = memory_mb
-        self._orders_sent += 1
-        order = records.Order(
-            f"order-{self._orders_sent}",
-            self._fence,
-            entry_.server.backend_id,
-            "load",
-            item,
-            memory_mb,
-            tasks.time.monotonic() + ORDER_LIFETIME_S,
-        )
-        self._log.write(now, f"load {item.key()} on {entry_.server.backend_id}")
-        gevent.spawn(self._deliver, entry_.server.address, order)
-
-    def _deliver(self, address, order):
-        try:
-            self._driver.send_order(address, order, ORDER_TIMEOUT_S)
-        except drivers.CallFailed as failure:
-            now = tasks.time.monotonic()
-            self._log.write(now, f"{order.order_id} failed: {failure.detail}")
+    def _observe_version(self, received, now):
+        version = getattr(received.message, "version", None)
+        if isinstance(version, list):
+            self._emit(self.versions.observe(received.sender, version, now), now)
+
+    def _route_group_message(self, received):
+        group = received.message.group
+        for member in (self.configuration, self.placement.replication):
+            if member is not None and member.member.settings.group == group:
+                member.receive(received.sender, received.message)
+
+    def _on_candidate(self, received, now):
+        self.placement.hear_candidate(received.message, now)
+
+    def _on_demand(self, received, now):
+        self.placement.count(received.message, now)
+
+    def _on_command_done(self, done, now, reply):
+        self.placement.command_done(done, now)
+
+    def _on_order_answer(self, answer, now, reply):
+        self.placement.answered(answer)
+
+
+def _reply_to(reply):
+    def done(answer):
+        if reply is None:
+            return
+        if isinstance(answer, errors.ProxyError):
+            reply.set_exception(answer)
+        else:
+            reply.set(answer)
+
+    return done
+
+
+def _error_of(answer) -> errors.ProxyError:
+    """Return the error for a refused submission."""
+    if isinstance(answer, errors.ProxyError):
+        return answer
+    detail = answer.detail
+    if answer.digest:
+        detail = f"{detail}; it has the digest {answer.digest}"
+    return errors.ProxyError(errors.ErrorKind(answer.kind), detail)
+
+
+_MEMBER_MESSAGES = (
+    membermessages.Probe,
+    membermessages.ProbeAck,
+    membermessages.ProbeRequest,
+    membermessages.MemberSync,
+    membermessages.MemberPush,
+    membermessages.BackendPull,
+    membermessages.RelayNotice,
+)
+_REPORT_MESSAGES = tuple(loadreports._HANDLERS)
+_VERSION_MESSAGES = (
+    versionmessages.VersionPush,
+    versionmessages.VersionPull,
+    versionmessages.VersionChunk,
+    versionmessages.VersionHave,
+)
+_PEER_HANDLERS = {
+    proposals.ProposeCommand: ControlTask._on_propose,
+    proposals.ProposeAnswer: ControlTask._on_proposal_answer,
+    formation.PlacementCandidate: ControlTask._on_candidate,
+    demandreports.DemandCounts: ControlTask._on_demand,
+    summaries.CentreSummary: ControlTask._on_summary,
+}
+_OUTPUTS = {
+    membermessages.HostChanged: ControlTask._on_host_changed,
+    membermessages.BackendChanged: ControlTask._on_backend_changed,
+    reportstore.ReportSeen: ControlTask._on_report_seen,
+    versionmessages.Adopted: ControlTask._on_adopted,
+    versionmessages.Refused: ControlTask._on_refused,
+}
+_HANDLERS = {
+    Received: ControlTask._on_received,
+    Answered: ControlTask._on_answered,
+    claimmessages.BeginClaim: ControlTask._on_begin_claim,
+    claimmessages.FinishClaim: ControlTask._on_finish_claim,
+    StartLeaving: ControlTask._on_start_leaving,
+    Finish: ControlTask._on_finish,
+    backendapi.Announce: ControlTask._on_announce,
+    backendapi.Report: ControlTask._on_report,
+    adminmessages.SubmitSheet: ControlTask._on_submit,
+    adminmessages.CheckSheet: ControlTask._on_check,
+    adminmessages.Drain: ControlTask._on_drain,
+    adminmessages.GetStatus: ControlTask._on_admin,
+    adminmessages.GetSheet: ControlTask._on_admin,
+    adminmessages.GetHistory: ControlTask._on_admin,
+    adminmessages.ExplainModel: ControlTask._on_admin,
+    placementcontrol.CommandDone: ControlTask._on_command_done,
+    orderrecords.OrderAnswer: ControlTask._on_order_answer,
+}
--- a/kumquatproxy/dispatch.py
+++ b/kumquatproxy/dispatch.py
@@ -22,6 +22,8 @@
     sheet,
 )
 
+REMOTE_INCARNATION = 1
+FORWARDED_HEADER = "X-Kumquatproxy-Forwarded"
 MIN_PROGRESS_TIMEOUT_S = 0.1  # scheduling delays of a busy host stay below this
 
 
@@ -57,6 +59,9 @@
     def __init__(self, data_centre, policy, rng, instruments):
         self.table = routing.RoutingTable(data_centre, policy)
         self.in_flight = 0
+        self._remote_ids_by_host: dict[str, set[str]] = {}
+        self._remote_ids: set[str] = set()
+        self._plain_services: set[str] = set()
         self._rng: random.Random = rng
         self._metrics: metrics.Metrics = instruments
         self._breakers = breaker.Breakers()
@@ -84,9 +89,39 @@
 
     def set_sheet(self, parsed: sheet.Sheet) -> None:
         """Take the services of a new configuration."""
-        for service in parsed.services_by_name.values():
+        services = parsed.services_by_name.values()
+        self._plain_services = {one.name for one in services if one.kind == "plain"}
+        for service in services:
             self.table.set_service(service)
 
+    def update_remote(
+        self, host_id, data_centre, address, number, items_by_service, now
+    ) -> None:
+        """Take what another data centre serves through its entry host ``host_id``.
+
+        For routing it stands as one backend server for each service.
+        """
+        for service, keys in items_by_service.items():
+            backend_id = f"{data_centre}/{host_id}/{service}"
+            kind = "plain" if service in self._plain_services else "engine"
+            server = records.BackendServer(
+                backend_id, address, data_centre, kind, service, REMOTE_INCARNATION
+            )
+            self._remote_ids_by_host.setdefault(host_id, set()).add(backend_id)
+            self._remote_ids.add(backend_id)
+            self.table.update_server(server, now)
+            items = [records.parse_item(key) for key in keys]
+            report = records.LoadReport(
+                backend_id, REMOTE_INCARNATION, number, loaded=items
+            )
+            self.table.report(report, now)
+
+    def remove_remote(self, host_id: str) -> None:
+        """Forget what another data centre serves through an entry host."""
+        for backend_id in self._remote_ids_by_host.pop(host_id, ()):
+            self._remote_ids.discard(backend_id)
+            self.remove_server(backend_id)
+
     def has_server(self, items) -> bool:
         """Return whether some backend server can take a call for the items."""
         probe = records.CallRequest("", "", "")
@@ -116,7 +151,8 @@
 
         def send(attempt, now):
             timeout_s = _completion_timeout_s(call, target.service, attempt, now)
-            return driver.complete(attempt.server, path, body, timeout_s)
+            headers = self._extra_headers(attempt.server)
+            return driver.complete(attempt.server, path, headers, body, timeout_s)
 
         return self._call(call, target.items(), send)
 
@@ -127,10 +163,19 @@
 
         def send(attempt, now):
             timeout_s = call.deadline - now
-            return make(attempt.server, method, path, headers, body, timeout_s)
+            server = attempt.server
+            is_remote = server.backend_id in self._remote_ids
+            target = f"/services/{service.name}{path}" if is_remote else path
+            all_headers = [*headers, *self._extra_headers(server)]
+            return make(server, method, target, all_headers, body, timeout_s)
 
         return self._call(call, (routing.service_item(service.name),), send)
 
+    def _extra_headers(self, server):
+        if server.backend_id in self._remote_ids:
+            return [(FORWARDED_HEADER, self.table.data_centre)]
+        return []
+
     def _call(self, call, items, send):
         attempts = retries.Attempts()
         self._budget.request(call.service)
@@ -158,17 +203,20 @@
     def _events(self, call, target, path, body):
         attempts = retries.Attempts()
         progress = retries.StreamProgress()
+        # A data centre that forwards a resumed stream asks for its later part.
+        first = body.get("resume_from", 0) if call.is_forwarded else 0
         self._budget.request(call.service)
         while not progress.complete:
             attempt = self._start(call, target.items(), attempts, time.monotonic())
             source = None
             result = "abandoned"
             try:
-                position = progress.resume_position()
+                position = first + progress.resume_position()
                 driver = self.engine_driver(target.service)
                 wait_s = _first_token_timeout_s(call, target.service, attempt)
+                headers = self._extra_headers(attempt.server)
                 source = driver.open_stream(
-                    attempt.server, path, body, position, wait_s
+                    attempt.server, path, headers, body, position, wait_s
                 )
                 yield from self._relay(call, target.service, attempt, source, progress)
                 result = "complete"
@@ -224,10 +272,13 @@
 
     def _choose(self, call, items, attempts, now):
         open_ids = self._breakers.excluded_ids(now)
+        # A call that another data centre has forwarded is not forwarded again.
+        never_ids = self._remote_ids if call.is_forwarded else set()
         # A server that was tried or has an open breaker is better than none: it may
         # be the only one with the model.
         refusals = []
-        for excluded_ids in (open_ids | attempts.tried_ids, attempts.tried_ids, ()):
+        tried_ids = attempts.tried_ids | never_ids
+        for excluded_ids in (open_ids | tried_ids, tried_ids, never_ids):
             decision = self.table.choose(call, items, excluded_ids, now, self._rng)
             if isinstance(decision, routing.Decision):
                 return decision
--- a/kumquatproxy/drivers.py
+++ b/kumquatproxy/drivers.py
@@ -22,6 +22,7 @@
 # An engine answers 404 for a model that it has unloaded, 429 and 503 when full.
 _NOT_RUN_STATUSES = frozenset((404, 429, 503))
 
+_ORDER_ANSWERS_BY_STATUS = {200: "accepted", 202: "accepted", 507: "refused"}
 _JSON_HEADERS = [("Content-Type", "application/json")]
 _HOP_HEADERS = frozenset(
     (
@@ -233,18 +234,23 @@
 class EngineDriver(Driver):
     """Base of the drivers for model engines."""
 
-    def complete(self, server, path, body: bytes, timeout_s) -> BackendReply:
+    def complete(self, server, path, headers, body: bytes, timeout_s) -> BackendReply:
         """Return the whole answer of a completion; raise CallFailed."""
         raise NotImplementedError
 
     def open_stream(
-        self, server, path, body: dict, delivered, timeout_s
+        self, server, path, headers, body: dict, delivered, timeout_s
     ) -> EventStream:
         """Start a stream behind ``delivered`` tokens; raise CallFailed."""
         raise NotImplementedError
 
     def send_order(self, address: str, order: records.Order, timeout_s) -> str:
-        """Send an order; return ``accepted`` or ``refused``; raise CallFailed."""
+        """Send an order and return the engine's answer; raise CallFailed.
+
+        ``accepted``: it is done or under way. ``refused``: the engine has noted the
+        order id and will refuse every copy. ``unknown``: a stale fence or an expired
+        order, which says nothing about other copies.
+        """
         raise NotImplementedError
 
 
@@ -256,9 +262,10 @@
     ``POST /orders`` takes loads, unloads and role changes.
     """
 
-    def complete(self, server, path, body: bytes, timeout_s) -> BackendReply:
+    def complete(self, server, path, headers, body: bytes, timeout_s) -> BackendReply:
         """Return the whole answer of a completion; raise CallFailed."""
-        reply = self.call(server, "POST", path, _JSON_HEADERS, body, timeout_s)
+        all_headers = [*_JSON_HEADERS, *headers]
+        reply = self.call(server, "POST", path, all_headers, body, timeout_s)
         if reply.status == 200:
             return reply
         refused = reply.status in _NOT_RUN_STATUSES
@@ -269,7 +276,7 @@
         raise CallFailed(failure, f"{server.address} answered {reply.status}: {detail}")
 
     def open_stream(
-        self, server, path, body: dict, delivered, timeout_s
+        self, server, path, headers, body: dict, delivered, timeout_s
     ) -> EventStream:
         """Start a stream behind ``delivered`` tokens; raise CallFailed."""
         if delivered:
@@ -280,7 +287,7 @@
                     server.address,
                     "POST",
                     path,
-                    _JSON_HEADERS,
+                    [*_JSON_HEADERS, *headers],
                     json.dumps(body).encode(),
                 )
                 if response.status_code == 200:
@@ -301,7 +308,7 @@
         )
 
     def send_order(self, address: str, order: records.Order, timeout_s) -> str:
-        """Send an order; return ``accepted`` or ``refused``; raise CallFailed."""
+        """Send an order and return the engine's answer; raise CallFailed."""
         expires_in_s = order.expires_at - time.monotonic()
         if expires_in_s <= 0:
             raise CallFailed(
@@ -321,7 +328,7 @@
             return "accepted"
         if reply.status in (400, 404, 409, 507):
             return "refused"
-        raise CallFailed(retries.Failure.LOST, f"{address} answered {reply.status}")
+        return _ORDER_ANSWERS_BY_STATUS.get(reply.status, "unknown")
 
 
 def driver_alias(service) -> str:
--- a/kumquatproxy/entry.py
+++ b/kumquatproxy/entry.py
@@ -4,12 +4,25 @@
 import json
 import uuid
 
-from kumquatproxy import dispatch, errors, httpapi, records, sheet
+from kumquatproxy import (
+    claimclient,
+    demandreports,
+    dispatch,
+    errors,
+    httpapi,
+    metrics,
+    records,
+    sheet,
+)
 
 MAX_TIMEOUT_S = 24 * 3600.0
 MAX_KEY_LENGTH = 255  # characters
+BYTES_PER_TOKEN = 4  # of text, on average
+DEFAULT_TOKENS = 100  # counted as demand for a call that sets no limit
 
+_METRICS_TYPE = ("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
 _COMPLETION_PATHS = ("/v1/chat/completions", "/v1/completions")
+_OWN_HEADERS = ("Idempotency-Key", dispatch.FORWARDED_HEADER)
 _SERVICES_PREFIX = "/services/"
 
 
@@ -23,14 +36,46 @@
         self.sheet: sheet.Sheet | None = parsed
 
 
+class _ActiveBody:
+    """Pass a body on and end the request's activity when the server closes it."""
+
+    __slots__ = ("_application", "_body")
+
+    def __init__(self, application, body):
+        self._application = application
+        self._body = body
+
+    def __iter__(self):
+        return iter(self._body)
+
+    def close(self):
+        """Note the end of the request; the server calls this once."""
+        self._application.active -= 1
+        if hasattr(self._body, "close"):
+            self._body.close()
+
+
 class EntryApplication(httpapi.Application):
     """Answer callers: models, completions, plain services, health."""
 
-    def __init__(self, dispatcher, claims=None):
+    def __init__(self, dispatcher, instruments, counter, claims=None):
         self._dispatcher: dispatch.Dispatcher = dispatcher
-        self._claims = claims
+        self._metrics: metrics.Metrics = instruments
+        self._counter: demandreports.DemandCounter = counter
+        self.claims: claimclient.ClaimClient | None = claims
         self.view = ConfigurationView()
         self.stopping = False
+        self.active = 0  # requests whose answer has not been written yet
+
+    def __call__(self, environ, start_response):
+        """Answer a request and count it as active until its answer is written."""
+        self.active += 1
+        try:
+            body = super().__call__(environ, start_response)
+        except BaseException:
+            self.active -= 1
+            raise
+        return _ActiveBody(self, body)
 
     def answer(self, request, now):
         """Return the reply to a caller's request; raise ProxyError to refuse it."""
@@ -38,6 +83,8 @@
             return httpapi.text_reply("ok\n")
         if request.path == "/readyz":
             return self._ready()
+        if request.path == "/metrics":
+            return httpapi.Reply(200, self._metrics.page(), [_METRICS_TYPE])
         parsed = self._sheet()
         if request.path in _COMPLETION_PATHS:
             _require_method(request, ("POST",))
@@ -77,6 +124,8 @@
         call.model = target.model.name
         call.priority = _priority(request, target.model.priority)
         call.max_tokens = _positive_int(body, "max_tokens")
+        call.prompt_tokens = len(data) // BYTES_PER_TOKEN
+        self._counter.count(target.items(), call.max_tokens or DEFAULT_TOKENS)
         if body.get("stream"):
             events = self._dispatcher.stream(call, target, request.path, body)
             headers = [
@@ -102,9 +151,17 @@
         target = f"{path}?{query}" if query else path
         headers = _service_headers(request)
         body = request.body()
-        reply = self._dispatcher.call_service(
-            call, service, request.method, target, headers, body
-        )
+
+        def send():
+            return self._dispatcher.call_service(
+                call, service, request.method, target, headers, body
+            )
+
+        if call.key and not call.idempotent and self.claims is not None:
+            digest = claimclient.request_digest(request.method, target, body)
+            reply = self.claims.call_once(call, digest, send)
+        else:
+            reply = send()
         return httpapi.Reply(reply.status, reply.body, reply.headers)
 
 
@@ -130,7 +187,7 @@
 
 
 def _call_request(request, service, now):
-    return records.CallRequest(
+    call = records.CallRequest(
         request.header("X-Request-Id") or _new_request_id(),
         service.organisation,
         service.name,
@@ -139,6 +196,8 @@
         key=_key(request),
         arrived_at=now,
     )
+    call.is_forwarded = bool(request.header(dispatch.FORWARDED_HEADER))
+    return call
 
 
 def _key(request):
@@ -184,6 +243,9 @@
     for name, value in request.environ.items():
         if name.startswith("HTTP_"):
             headers.append((name[5:].replace("_", "-").title(), value))
+    # The claim is held here: a data centre that the call is forwarded to must not
+    # take another one.
+    headers = [pair for pair in headers if pair[0] not in _OWN_HEADERS]
     if request.environ.get("CONTENT_TYPE"):
         headers.append(("Content-Type", request.environ["CONTENT_TYPE"]))
     return dispatch.drivers.forwarded_headers(headers)
--- a/kumquatproxy/fakes.py
+++ b/kumquatproxy/fakes.py
@@ -175,7 +175,7 @@
         if not self._has(body["model"]):
             return httpapi.json_reply({"error": "not loaded"}, 404)
         count = min(int(body.get("max_tokens") or DEFAULT_TOKENS), MAX_TOKENS)
-        tokens = tokens_for(body["model"], prompt_of(body), count)
+        tokens = self._tokens(body["model"], prompt_of(body), count)
         if body.get("stream"):
             first = int(body.get("resume_from", 0))
             events = self._events(body["model"], tokens, first, chat)
@@ -186,6 +186,8 @@
         self._running -= 1
         return httpapi.json_reply(_completion(body["model"], "".join(tokens), chat))
 
+    _tokens = staticmethod(tokens_for)
+
     def _has(self, model_field):
         name, _, adapter = model_field.partition("+")
         name = name.partition("@")[0]
--- /dev/null
+++ b/kumquatproxy/host.py
@@ -0,0 +1,337 @@
+"""One host: its tasks and servers, built from settings; start and planned stop."""
+
+import pathlib
+import random
+import secrets
+import signal
+import time
+
+import cbor2
+import gevent
+import gevent.event
+
+from kumquatproxy import (
+    admin,
+    backendapi,
+    claimclient,
+    claims,
+    configurationgroup,
+    consensus,
+    control,
+    demandreports,
+    diskstore,
+    dispatch,
+    dissemination,
+    durablefiles,
+    entry,
+    errors,
+    groupsettings,
+    hello,
+    httpapi,
+    logs,
+    membermessages,
+    metrics,
+    replication,
+    settings,
+    transport,
+    voterset,
+)
+
+CONFIGURATION_GROUP = "configuration"
+FIRST_DISK_ID = "first"  # of the voters that form the configuration group
+VERSION_FILE = "version"
+IDENTITY_FILE = "identity"
+INCARNATION_FILE = "incarnation"
+DRAIN_POLL_S = 0.05
+CLOSE_TIMEOUT_S = 5.0
+
+
+class Parts:
+    """Carry what a control task is built from."""
+
+    __slots__ = (
+        "configuration",
+        "demand_counter",
+        "dispatcher",
+        "entry",
+        "identity",
+        "member_settings",
+        "metrics",
+        "save_version",
+        "store_factory",
+        "stored_version",
+        "transport",
+    )
+
+    def __init__(
+        self,
+        configuration,
+        demand_counter,
+        dispatcher,
+        entry_application,
+        identity,
+        member_settings,
+        instruments,
+        folder,
+        links,
+    ):
+        self.configuration: replication.Replication | None = configuration
+        self.demand_counter: demandreports.DemandCounter = demand_counter
+        self.dispatcher: dispatch.Dispatcher = dispatcher
+        self.entry: entry.EntryApplication = entry_application
+        self.identity: str = identity
+        self.member_settings: membermessages.Settings = member_settings
+        self.metrics: metrics.Metrics = instruments
+        self.save_version = folder.save_version
+        self.store_factory = folder.store
+        self.stored_version: dissemination.Version | None = folder.stored_version()
+        self.transport: transport.Transport = links
+
+
+class DataFolder:
+    """Keep the durable files of one host; without a folder nothing is kept."""
+
+    def __init__(self, path: str):
+        self.path: pathlib.Path | None = pathlib.Path(path) if path else None
+        if self.path is not None:
+            self.path.mkdir(parents=True, exist_ok=True)
+
+    def read(self, name: str) -> bytes:
+        """Return the content of a file, or nothing."""
+        if self.path is None or not (self.path / name).exists():
+            return b""
+        return (self.path / name).read_bytes()
+
+    def write(self, name: str, data: bytes) -> None:
+        """Make data the durable content of a file, if there is a folder."""
+        if self.path is not None:
+            durablefiles.replace(self.path / name, data)
+
+    def next_incarnation(self, wall_time_s: float) -> int:
+        """Return a number that rises with each start of this host.
+
+        Without a folder the wall clock gives it; membership lets a host whose clock
+        went back refute the higher number that others remember.
+        """
+        known = int(self.read(INCARNATION_FILE) or b"0")
+        incarnation = max(known + 1, int(wall_time_s * 1000))
+        self.write(INCARNATION_FILE, str(incarnation).encode())
+        return incarnation
+
+    def disk_id(self) -> str:
+        """Return the id of this disk; a host without one gets a new id each time."""
+        known = self.read(IDENTITY_FILE).decode()
+        if known:
+            return known
+        fresh = secrets.token_hex(8)
+        self.write(IDENTITY_FILE, fresh.encode())
+        return fresh
+
+    def save_version(self, number: int, content: bytes) -> None:
+        """Keep the configuration in force for the next start."""
+        self.write(VERSION_FILE, cbor2.dumps([number, content]))
+
+    def stored_version(self) -> dissemination.Version | None:
+        """Return the configuration that was kept."""
+        data = self.read(VERSION_FILE)
+        if not data:
+            return None
+        number, content = cbor2.loads(data)
+        return dissemination.Version(number, content)
+
+    def store(self, group: str, identity: str, state):
+        """Return the store of a group's member, formatted if it is new."""
+        if self.path is None:
+            return diskstore.MemoryStore(identity, state)
+        directory = self.path / group.replace(":", "-")
+        if not diskstore.is_formatted(directory):
+            diskstore.format_directory(directory, identity, state)
+        return diskstore.DiskStore(directory)
+
+
+def initialise_voter(host_settings) -> None:
+    """Format the data folder of a voter of a new deployment.
+
+    A voter whose disk was replaced must not be initialised again: it may have voted.
+    It starts without, joins as a learner and is made a voter by the others.
+    """
+    folder = DataFolder(host_settings.host.data_folder)
+    voters = host_settings.groups.configuration_voters
+    if folder.path is None or host_settings.host.id not in voters:
+        raise errors.ProxyError(
+            errors.ErrorKind.INVALID_CONFIGURATION,
+            f"host {host_settings.host.id!r} is no configuration voter with a folder",
+        )
+    identities = [voterset.make_identity(name, FIRST_DISK_ID) for name in voters]
+    state = groupsettings.bootstrap_state(voterset.VoterSet(identities).encode())
+    identity = voterset.make_identity(host_settings.host.id, FIRST_DISK_ID)
+    folder.write("configuration-" + IDENTITY_FILE, identity.encode())
+    diskstore.format_directory(folder.path / CONFIGURATION_GROUP, identity, state)
+
+
+class Host:
+    """Own the tasks and servers of one host."""
+
+    def __init__(self, host_settings, key: bytes, roles_by_token, seed: int = 0):
+        now = time.monotonic()
+        self.settings: settings.HostSettings = host_settings
+        host = host_settings.host
+        self._rng = random.Random(seed or secrets.randbits(64))
+        self._folder = DataFolder(host.data_folder)
+        self._log = logs.Log("host")
+        self._is_closed = False
+        self.metrics = metrics.Metrics()
+        self.dispatcher = dispatch.Dispatcher(
+            host.data_centre, host_settings.decisions.routing, self._rng, self.metrics
+        )
+        counter = demandreports.DemandCounter()
+        self.entry = entry.EntryApplication(self.dispatcher, self.metrics, counter)
+        self.transport = transport.Transport(
+            transport.Settings(host.peers, self._identity(key)), self._on_message
+        )
+        self.configuration = self._configuration_member(now)
+        self.control = control.ControlTask(
+            host_settings, self._parts(counter), self._rng, now
+        )
+        self.entry.claims = claimclient.ClaimClient(self.control)
+        connections = host_settings.limits.connections
+        self._entry_server = httpapi.Server(host.callers, self.entry, connections)
+        self._backend_server = httpapi.Server(
+            host.backend_servers, backendapi.BackendApplication(self.control)
+        )
+        self._admin_server = httpapi.Server(
+            host.administration, admin.AdminApplication(self.control, roles_by_token)
+        )
+
+    def _identity(self, key):
+        peers = self.settings.peers_by_id
+        data_centres = {peer.data_centre for peer in peers.values()}
+        data_centres.add(self.settings.host.data_centre)
+        return hello.Identity(
+            self.settings.host.id, self.settings.host.data_centre, key, data_centres
+        )
+
+    def _parts(self, counter):
+        host = self.settings.host
+        incarnation = self._folder.next_incarnation(time.time())
+        member_settings = membermessages.Settings(
+            host.id, host.data_centre, host.peers, incarnation, self._seeds()
+        )
+        return Parts(
+            self.configuration,
+            counter,
+            self.dispatcher,
+            self.entry,
+            voterset.make_identity(host.id, self._folder.disk_id()),
+            member_settings,
+            self.metrics,
+            self._folder,
+            self.transport,
+        )
+
+    def _seeds(self):
+        return [
+            membermessages.Seed(host_id, peer.data_centre, peer.address)
+            for host_id, peer in self.settings.peers_by_id.items()
+        ]
+
+    def start(self) -> None:
+        """Start all tasks and servers; raise OSError if an address is taken."""
+        self.transport.start()
+        if self.configuration is not None:
+            self.configuration.start()
+        self.control.start()
+        self._backend_server.start()
+        self._admin_server.start()
+        self._entry_server.start()
+        host = self.settings.host
+        self._log.write(time.monotonic(), f"{host.id} serves callers at {host.callers}")
+
+    def _on_message(self, sender, message):
+        self.control.tell(control.Received(sender, message))
+
+    def _configuration_member(self, now):
+        host_id = self.settings.host.id
+        voters = self.settings.groups.configuration_voters
+        if host_id not in voters:
+            return None
+        name = "configuration-" + IDENTITY_FILE
+        identity = self._folder.read(name).decode()
+        if not identity:
+            identity = voterset.make_identity(host_id, self._folder.disk_id())
+            self._folder.write(name, identity.encode())
+        state = groupsettings.bootstrap_state()
+        store = self._folder.store(CONFIGURATION_GROUP, identity, state)
+        group = groupsettings.GroupSettings(CONFIGURATION_GROUP, identity, voters)
+        member = consensus.Member(group, store.state, self._rng, now)
+        machine = configurationgroup.ConfigurationMachine(self._claim_limits())
+        return replication.Replication(member, store, machine, self._send)
+
+    def _claim_limits(self):
+        return claims.Limits(
+            result_retention_s=self.settings.claims.result_retention,
+            fingerprint_retention_s=self.settings.claims.key_retention,
+        )
+
+    def _send(self, host_id, message):
+        self.control.send_message(host_id, message)
+
+    def stop(self) -> None:
+        """Stop as planned: not ready, drain, hand over, close."""
+        host = self.settings.host
+        self._log.write(time.monotonic(), f"{host.id} is stopping")
+        self.entry.stopping = True
+        self.control.ask(control.StartLeaving(), CLOSE_TIMEOUT_S)
+        gevent.sleep(host.settle_time)
+        self._entry_server.close()
+        self._wait_until_drained(host.drain_timeout)
+        self.control.ask(control.Finish(), CLOSE_TIMEOUT_S)
+        gevent.sleep(DRAIN_POLL_S * 4)  # the last messages go out
+        self.kill()
+
+    def _wait_until_drained(self, timeout_s):
+        end = time.monotonic() + timeout_s
+        while self.entry.active and time.monotonic() < end:
+            gevent.sleep(DRAIN_POLL_S)
+
+    def kill(self) -> None:
+        """Stop at once, without hand-over; requests in flight are cut off."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        self._entry_server.stop(0.1)
+        self._backend_server.stop(0.1)
+        self._admin_server.stop(0.1)
+        self.control.stop()
+        if self.configuration is not None:
+            self.configuration.stop()
+        if self.control.placement.replication is not None:
+            self.control.placement.replication.stop()
+        self.transport.stop()
+        self.dispatcher.close()
+        self.metrics.close()
+        logs.flush()
+
+
+def read_settings(path: str) -> settings.HostSettings:
+    """Return the settings of a file; raise ProxyError or OSError."""
+    return settings.parse(pathlib.Path(path).read_text(encoding="utf-8"), path)
+
+
+def serve(path: str) -> int:
+    """Run one host until SIGTERM; return the exit code."""
+    parsed = read_settings(path)
+    stream = open(parsed.log.file, "a", encoding="utf-8") if parsed.log.file else None
+    logs.to_stream(stream)
+    key = pathlib.Path(parsed.host.key_file).read_bytes().strip()
+    tokens = pathlib.Path(parsed.host.token_file).read_text(encoding="utf-8")
+    roles_by_token = admin.parse_tokens(tokens)
+    host = Host(parsed, key, roles_by_token, parsed.decisions.seed)
+    host.start()
+    stop_requested = gevent.event.Event()
+    gevent.signal_handler(signal.SIGTERM, stop_requested.set)
+    gevent.signal_handler(signal.SIGINT, stop_requested.set)
+    print(f"serving {parsed.host.callers}", flush=True)
+    stop_requested.wait()
+    host.stop()
+    return 0
--- a/kumquatproxy/link.py
+++ b/kumquatproxy/link.py
@@ -144,7 +144,8 @@
             self._write(sock)
             return False
         self._write(sock)
-        while self.peer_id and len(self._unsent) < MAX_UNSENT_BYTES:
+        # A close frame of the other end may just have been read.
+        while self._may_send() and len(self._unsent) < MAX_UNSENT_BYTES:
             data = self._owner.next_data(self)
             if data is None:
                 break
@@ -152,6 +153,9 @@
             self._write(sock)
         return self._protocol.state in (State.CONNECTING, State.OPEN)
 
+    def _may_send(self):
+        return bool(self.peer_id) and self._protocol.state is State.OPEN
+
     def _check_silence(self, now):
         if now - self.heard_at >= self._timing.silent_s:
             raise errors.ProxyError(
--- a/kumquatproxy/measure_proxy.py
+++ b/kumquatproxy/measure_proxy.py
@@ -18,6 +18,7 @@
 import psutil
 
 from kumquatproxy import (
+    demandreports,
     dispatch,
     drivers,
     entry,
@@ -75,9 +76,8 @@
 def product(address) -> httpapi.Application:
     """Return an entry host that knows one engine with the model loaded."""
     parsed = sheet.parse(samples.generate("port-louis"))
-    dispatcher = dispatch.Dispatcher(
-        "dc-1", "estimate", random.Random(1), metrics.Metrics()
-    )
+    instruments = metrics.Metrics()
+    dispatcher = dispatch.Dispatcher("dc-1", "estimate", random.Random(1), instruments)
     server = records.BackendServer(
         "engine-1", address, "dc-1", "engine", "gait-models", 1, memory_mb=80_000
     )
@@ -86,7 +86,9 @@
     loaded = [parsed.models_by_name[MODEL].item()]
     dispatcher.table.report(records.LoadReport("engine-1", 1, 1, loaded=loaded), now)
     dispatcher.set_sheet(parsed)
-    application = entry.EntryApplication(dispatcher)
+    application = entry.EntryApplication(
+        dispatcher, instruments, demandreports.DemandCounter()
+    )
     application.view = entry.ConfigurationView(1, parsed)
     return application
 
--- /dev/null
+++ b/kumquatproxy/placementcontrol.py
@@ -0,0 +1,404 @@
+"""The placement side of a host's control: group, ownership, plans, orders."""
+
+import collections
+
+import gevent
+
+from kumquatproxy import (
+    configstate,
+    consensus,
+    demand,
+    demandreports,
+    drivers,
+    errors,
+    formation,
+    groupsettings,
+    logs,
+    orderrecords,
+    orderrules,
+    orders,
+    placement,
+    placementplan,
+    placementstate,
+    records,
+    replication,
+    tasks,
+    voterset,
+    wire,
+)
+
+PLAN_INTERVAL_S = 1.0
+ORDER_TIMEOUT_S = 5.0
+MOVE_LIMIT = 20  # loads for demand only, in MOVE_INTERVAL_S
+MOVE_INTERVAL_S = 600.0
+KEPT_DECISIONS = 500
+GROUP_PREFIX = "placement:"
+
+
+class CommandDone(records.Record):
+    """Tell the control task of the outcome of a placement command."""
+
+    __slots__ = ("answer", "command")
+
+    def __init__(self, command, answer):
+        self.command = command
+        self.answer = answer  # a PlacementAnswer or a ProxyError
+
+
+class PlacementControl:
+    """Take part in the data centre's placement group, and own it when it leads.
+
+    ``context`` is the control task: it gives the sheet, the backend servers and
+    the reports, sends messages and takes ``CommandDone`` and ``OrderAnswer``.
+    """
+
+    def __init__(self, context, settings, store_factory, identity, rng, now):
+        self._context = context
+        self._host_id: str = settings.host.id
+        self._data_centre: str = settings.host.data_centre
+        self._store_factory = store_factory
+        self._identity: str = identity
+        self._rng = rng
+        self._voters: tuple[str, ...] = tuple(settings.groups.placement_voters)
+        self._planner = placement.PLANNERS.get(settings.decisions.placement)()
+        self._formation = formation.Formation(
+            self._host_id, self._data_centre, identity, self._voters, now
+        )
+        self._registered: configstate.Voters | None = None
+        self._plan_at = now
+        self._taking_term = 0
+        self._driver = drivers.OpenAIDriver(drivers.Pool())
+        self._budget = placementplan.MoveBudget(MOVE_LIMIT, MOVE_INTERVAL_S, now)
+        self._log = logs.Log("place")
+        self._order_log = logs.Log("order")
+        self.replication: replication.Replication | None = None
+        self.engine: orders.OrderEngine | None = None
+        self.predictor = demand.Predictor()
+        self.plan: placementplan.Plan | None = None
+        self.decisions: collections.deque = collections.deque(maxlen=KEPT_DECISIONS)
+
+    @property
+    def is_voter(self) -> bool:
+        """Return whether the settings name this host as a placement voter."""
+        return self._host_id in self._voters
+
+    @property
+    def owner(self) -> str:
+        """Return the host id of the owner, as this voter knows it."""
+        return self.replication.machine.owner if self.replication else ""
+
+    @property
+    def fence(self) -> int:
+        """Return the highest fence that this voter knows."""
+        return self.replication.machine.fence if self.replication else 0
+
+    def register(self, voters: configstate.Voters | None, now: float) -> None:
+        """Take the voter set of this data centre from a new configuration."""
+        if not self.is_voter or voters is None:
+            return
+        known = self._registered
+        if known is not None and voters.base_fence <= known.base_fence:
+            return
+        self._registered = voters
+        self._leave_group(now)
+        self._join_group(voters, now, log_was_lost=known is not None)
+
+    def _leave_group(self, now):
+        self._end_ownership(now, "a new voter set is registered")
+        if self.replication is not None:
+            self.replication.stop()
+            self.replication = None
+
+    def _join_group(self, voters, now, log_was_lost):
+        group = f"{GROUP_PREFIX}{self._data_centre}:{voters.base_fence}"
+        is_first = self._identity in voters.voters
+        voter_set = voterset.VoterSet(voters.voters).encode() if is_first else b""
+        state = groupsettings.bootstrap_state(voter_set, voters.base_fence)
+        hosts = [voterset.host_of(identity) for identity in voters.voters]
+        settings = groupsettings.GroupSettings(group, self._identity, hosts)
+        store = self._store_factory(group, self._identity, state)
+        member = consensus.Member(settings, store.state, self._rng, now)
+        machine = placementstate.PlacementState(voters.base_fence)
+        self._log_was_lost = log_was_lost
+        self.replication = replication.Replication(
+            member, store, machine, self._context.send_message
+        )
+        self.replication.start()
+        self._log.write(now, f"joined {group} as {self._identity}")
+
+    def hear_candidate(self, message, now: float) -> None:
+        """Take the notice of a host that is in no group."""
+        self._formation.hear(message, now)
+
+    def count(self, message: demandreports.DemandCounts, now: float) -> None:
+        """Take the demand that an entry host counted."""
+        demandreports.apply_counts(message, self.predictor, now)
+
+    def tick(self, now: float) -> None:
+        """Form the group, take ownership, plan and issue orders as is due."""
+        if not self.is_voter:
+            return
+        self._tick_formation(now)
+        if self.replication is None:
+            return
+        member = self.replication.member
+        if self.engine is not None and not _still_owns(self.engine, member):
+            self._end_ownership(now, "this host no longer leads the group")
+        if self.engine is None:
+            self._take_ownership(member, now)
+        if self.engine is not None:
+            self._tick_owner(self.engine, member, now)
+
+    def _tick_formation(self, now):
+        if self._is_admitted():
+            self._formation.admitted(now)
+            return
+        for send in self._formation.tick(now):
+            self._context.send_message(send.to, send.message)
+        command = self._formation.proposal(
+            self._registered, self._context.highest_fence_seen(), now
+        )
+        if command is not None:
+            self._context.propose_configuration(command)
+
+    def _is_admitted(self):
+        if self.replication is None:
+            return False
+        return self._identity in self.replication.member.voter_set.voters
+
+    def _take_ownership(self, member, now):
+        if not member.is_serving(now) or self._taking_term == member.term:
+            return
+        self._taking_term = member.term
+        self._submit(placementstate.TakeOwnership(member.term, self._host_id))
+
+    def _begin_ownership(self, machine, now):
+        self.engine = orders.OrderEngine(
+            self._data_centre,
+            machine,
+            self._rng,
+            now,
+            log_was_lost=self._log_was_lost,
+        )
+        for server in self._context.engines(now):
+            self.engine.set_server(server)
+        for report in self._context.reports_by_id().values():
+            self.engine.observe(report)
+        self._plan_at = now
+        self._log.write(now, f"{self._host_id} owns placement, fence {self.fence}")
+
+    def _end_ownership(self, now, reason):
+        if self.engine is None:
+            return
+        self.engine.stop()
+        self.engine = None
+        self._log.write(now, f"{self._host_id} owns placement no longer: {reason}")
+
+    def _tick_owner(self, engine, member, now):
+        if now >= self._plan_at:
+            self._plan_at = now + PLAN_INTERVAL_S
+            self._make_plan(engine, now)
+        version, share = self._context.store_share()
+        engine.offer_share(version, share)
+        for output in engine.tick(now, member.lease_until):
+            if isinstance(output, orderrecords.SendOrder):
+                gevent.spawn(self._deliver, engine, output)
+            elif isinstance(output, orderrecords.Acknowledge):
+                self._acknowledge(engine, output.command)
+            else:
+                self._submit(output.command)
+
+    def _make_plan(self, engine, now):
+        sheet = self._context.sheet()
+        if sheet is None:
+            return
+        servers = self._context.engines(now)
+        for server in servers:
+            engine.set_server(server)
+        current = placementplan.Current(
+            self._loaded(sheet),
+            self._open_intents(engine),
+            self._context.centres_by_item(),
+            self._budget.left(now),
+        )
+        rates = {self._data_centre: self.predictor.rates(now)}
+        weights = placementplan.weights_of(sheet)
+        self.plan = self._planner.plan(sheet, servers, rates, current, weights)
+        engine.set_desired(self._desired(self.plan, sheet))
+
+    def _loaded(self, sheet):
+        memory_by_item = sheet.memory_by_item()
+        return {
+            backend_id: {
+                item: memory_by_item.get(item, self._context.known_memory(item))
+                for item in report.loaded
+            }
+            for backend_id, report in self._context.reports_by_id().items()
+        }
+
+    def _open_intents(self, engine):
+        return [
+            placementplan.Intent(
+                tracked.intent.action,
+                tracked.intent.backend_id,
+                tracked.item,
+                tracked.intent.memory_mb,
+            )
+            for tracked, _ in engine.book.open_orders()
+            if not tracked.is_barrier
+        ]
+
+    def _desired(self, plan, sheet):
+        """Return the actions that may begin, in the order of the plan.
+
+        An unload waits until no load of the plan names its item: the new replica
+        must be seen before the old one goes.
+        """
+        loads = {one.item for one in plan.actions if one.action == placementplan.LOAD}
+        desired = []
+        for action in plan.actions:
+            if action.action == placementplan.UNLOAD and action.item in loads:
+                continue
+            needs = _base_model(sheet, action)
+            desired.append(
+                orderrecords.Action(
+                    action.action,
+                    action.backend_id,
+                    action.item,
+                    action.memory_mb,
+                    needs,
+                )
+            )
+        return desired
+
+    def _submit(self, command):
+        if self.replication is None:
+            return
+        request = replication.Submit(wire.encode(command))
+
+        def done(result):
+            answer = result.get() if result.successful() else result.exception
+            self._context.tell(CommandDone(command, answer))
+
+        request.reply.rawlink(done)
+        self.replication.tell(request)
+
+    def command_done(self, done: CommandDone, now: float) -> None:
+        """Continue after the outcome of a placement command is known."""
+        refused = isinstance(done.answer, errors.ProxyError) or done.answer.kind
+        if isinstance(done.command, placementstate.TakeOwnership):
+            if not refused and self.replication is not None:
+                if self.replication.machine.fence == done.command.fence:
+                    self._begin_ownership(self.replication.machine, now)
+            return
+        if self.engine is None or done.command.fence != self.engine.fence:
+            return
+        if not refused:
+            self._note(done.command, now)
+            self.engine.committed(done.command, now)
+        elif _is_certain(done.answer):
+            self.engine.rejected(done.command)
+        else:
+            # The command may still be committed; another term settles it.
+            self._end_ownership(now, "the outcome of a command is not known")
+            if self.replication is not None:
+                self.replication.tell(replication.GiveUpLeadership())
+
+    def _note(self, command, now):
+        if not isinstance(command, placementstate.IntendOrders):
+            return
+        reasons = {}
+        if self.plan is not None:
+            for action in self.plan.actions:
+                reasons[action.action, action.backend_id, action.item.key()] = (
+                    action.reason
+                )
+        for intent in command.intents:
+            place = (intent.action, intent.backend_id, intent.item)
+            reason = reasons.get(place, "settles an earlier order")
+            sentence = f"{intent.action} {intent.item} on {intent.backend_id}: {reason}"
+            self._log.write(now, sentence, order_id=intent.order_id)
+            self.decisions.append((intent.item, sentence))
+
+    def _acknowledge(self, engine, command):
+        def done(answer):
+            if isinstance(answer, configstate.ConfigDone):
+                engine.share_acknowledged(command.share_version)
+
+        self._context.propose_configuration(command, done)
+
+    def _deliver(self, engine, output):
+        order = output.order
+        server = self._context.server(order.backend_id)
+        if server is None or self.replication is None:
+            return
+        now = tasks.time.monotonic()
+        if not engine.may_send(output, now, self.replication.member.lease_until):
+            self._order_log.write(now, f"{order.order_id} not sent: no lease")
+            return
+        stage = orderrules.Stage.UNKNOWN
+        detail = "no answer"
+        try:
+            answer = self._driver.send_order(server.address, order, ORDER_TIMEOUT_S)
+            stage, detail = _STAGES_BY_ANSWER[answer], answer
+        except drivers.CallFailed as failure:
+            detail = failure.detail
+        self._order_log.write(
+            tasks.time.monotonic(),
+            f"{order.order_id} {order.action} {order.item.key()} at "
+            f"{order.backend_id}: {detail}",
+        )
+        self._context.tell(
+            orderrecords.OrderAnswer(order.order_id, output.incarnation, stage)
+        )
+
+    def answered(self, answer: orderrecords.OrderAnswer) -> None:
+        """Pass an engine's answer to the order engine."""
+        if self.engine is not None:
+            self.engine.answered(answer)
+
+    def observe(self, report: records.LoadReport) -> None:
+        """Pass a load report to the order engine."""
+        if self.engine is not None:
+            self.engine.observe(report)
+
+    def server_gone(self, backend_id: str, now: float) -> None:
+        """Note that membership lost a backend server."""
+        if self.engine is not None:
+            self.engine.remove_server(backend_id, now)
+
+    def stop(self, now: float) -> None:
+        """Hand the ownership over and leave the group."""
+        if self.replication is None:
+            return
+        self._end_ownership(now, "the host stops")
+        self.replication.tell(replication.GiveUpLeadership())
+        gevent.sleep(0.2)  # the transfer needs a round trip
+        self.replication.stop()
+
+
+_STAGES_BY_ANSWER = {
+    "accepted": orderrules.Stage.ACCEPTED,
+    "refused": orderrules.Stage.REFUSED,
+    "unknown": orderrules.Stage.UNKNOWN,
+}
+
+
+def _still_owns(engine, member) -> bool:
+    return member.leader is not None and member.term == engine.fence
+
+
+def _is_certain(answer) -> bool:
+    """Return whether a refused command certainly changes nothing."""
+    if isinstance(answer, errors.ProxyError):
+        return answer.executed == "no"
+    return True
+
+
+def _base_model(sheet, action):
+    if action.action != placementplan.LOAD or action.item.kind != "adapter":
+        return None
+    adapter = sheet.adapters_by_name.get(action.item.name)
+    if adapter is None:
+        return None
+    return sheet.models_by_name[adapter.model].item()
--- a/kumquatproxy/records.py
+++ b/kumquatproxy/records.py
@@ -174,6 +174,7 @@
         "arrived_at",
         "deadline",
         "idempotent",
+        "is_forwarded",
         "key",
         "max_tokens",
         "model",
@@ -212,6 +213,7 @@
         self.priority: int = priority  # 1 (lowest) to 9 (highest)
         self.deadline: float = deadline  # seconds, same clock as ``now``
         self.idempotent: bool = idempotent
+        self.is_forwarded: bool = False  # by an entry host of another data centre
         self.key: str = key
         self.prompt_tokens: int = prompt_tokens
         self.max_tokens: int = max_tokens
--- a/kumquatproxy/settings.py
+++ b/kumquatproxy/settings.py
@@ -79,7 +79,7 @@
 ]
 DECISION_OPTIONS = [
     Option("routing", "text", "estimate", help="routing policy"),
-    Option("placement", "text", "replicas", help="placement planner"),
+    Option("placement", "text", "balanced", help="placement planner"),
     Option("seed", "int", 0, low=0, help="seed of random choices; 0 draws one"),
 ]
 CLAIM_OPTIONS = [
