--- a/kumquatproxy/dissemination.py
+++ b/kumquatproxy/dissemination.py
@@ -131,7 +131,7 @@
                 f"version {number} is known with another digest",
             )
         if self._may_adopt(number):
-            self._adopt(Version(number, content), self.host_id, now)
+            self._adopt(Version(number, content), self.host_id, self.host_id, now)
         return self._take()
 
     def observe(self, sender: str, status: list, now: float) -> list:
@@ -171,11 +171,13 @@
     def _may_adopt(self, number):
         return number > self.number
 
-    def _adopt(self, version, root, now):
+    def _adopt(self, version, root, source, now):
         self.version = version
         self._transfer = None
         self._out.append(
-            versionmessages.Adopted(version.number, version.digest, version.content)
+            versionmessages.Adopted(
+                version.number, version.digest, version.content, source
+            )
         )
         root, targets = self._targets_of(root)
         self._offers_by_host = {
@@ -317,7 +319,8 @@
             return
         version = Version(offer.number, content, packed)
         if self._may_adopt(version.number):
-            self._adopt(version, offer.root or self.host_id, now)
+            root = offer.root or self.host_id
+            self._adopt(version, root, transfer.source, now)
             self._send(transfer.source, versionmessages.VersionHave(number=self.number))
 
     def _matches(self, content, offer):
--- a/kumquatproxy/fakenetwork.py
+++ b/kumquatproxy/fakenetwork.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 import random
+from typing import Any
 
 from kumquatproxy import records, wire
 
@@ -57,7 +58,7 @@
     def __init__(self, seed, tick_s=0.05, conditions_of=None, on_output=None):
         self.rng = random.Random(seed)
         self.now = 0.0
-        self.hosts_by_id: dict[str, object] = {}
+        self.hosts_by_id: dict[str, Any] = {}
         self.traffic_by_id: dict[str, Traffic] = {}
         self.paused: set[str] = set()
         self._tick_s = tick_s
@@ -124,12 +125,10 @@
         host = self.hosts_by_id.get(to)
         if host is None or to in self.paused:
             return
-        message = self.decode(to, data)
-        self.traffic_by_id[to].count(message.tag, len(data) + FRAME_BYTES, False)
-        self.handle(to, self.receive_host(to, host, sender, message))
+        self.handle(to, self.receive_host(to, host, sender, data))
 
     def _send(self, sender, to, message):
-        data = self.encode(sender, message)
+        data = wire.encode(message)
         self.traffic_by_id[sender].count(message.tag, len(data) + FRAME_BYTES, True)
         conditions = self._conditions_of(sender, to)
         if to not in self.hosts_by_id or self._is_cut(sender, to):
@@ -140,20 +139,12 @@
                 delay_s = conditions.delay_s + self.rng.random() * conditions.jitter_s
                 self._put(self.now + delay_s, ("message", sender, to, data))
 
-    # Replaced by measurements that take the time of one host
-
     def tick_host(self, host_id, host) -> list:
-        """Tick one host."""
+        """Tick one host; recorders extend this."""
         return host.tick(self.now)
 
-    def receive_host(self, host_id, host, sender, message) -> list:
-        """Hand one message to a host."""
+    def receive_host(self, host_id, host, sender, data) -> list:
+        """Hand the data of one message to a host; recorders extend this."""
+        message = wire.decode(data)
+        self.traffic_by_id[host_id].count(message.tag, len(data) + FRAME_BYTES, False)
         return host.receive(sender, message, self.now)
-
-    def encode(self, host_id, message) -> bytes:
-        """Return the form in which a host sends a message."""
-        return wire.encode(message)
-
-    def decode(self, host_id, data) -> wire.Message:
-        """Return the message of data that a host received."""
-        return wire.decode(data)
--- a/kumquatproxy/loadmessages.py
+++ b/kumquatproxy/loadmessages.py
@@ -73,6 +73,11 @@
     return item
 
 
+def forget_items() -> None:
+    """Drop the shared items, so that a measurement counts its own."""
+    _items_by_key.clear()
+
+
 def detail_of(report: records.LoadReport) -> Detail:
     """Return the detail of a report."""
     facts = {f"i:{item.key()}" for item in report.loaded}
--- a/kumquatproxy/loadreports.py
+++ b/kumquatproxy/loadreports.py
@@ -188,7 +188,8 @@
         neighbour = self._neighbours_by_id.get(sender)
         if neighbour is None and not batch.down:
             neighbour = self._neighbours_by_id[sender] = self._new_neighbour(now)
-        if neighbour is not None:
+        if neighbour is not None and not batch.down:
+            # Two hosts that send down to each other would never part again.
             neighbour.heard_at = now
         details = self.store.details_in(batch)
         for key, detail in details.items():
--- a/kumquatproxy/membership.py
+++ b/kumquatproxy/membership.py
@@ -103,7 +103,7 @@
         self._check_suspects(now)
         self._contact_missing(now)
         if self.host_id in self.relays():
-            self._out += self.links.tick(self._notice(True), now)
+            self._out += self.links.tick(self._notice, now)
         if now >= self._forget_at:
             self._forget_at = now + FORGET_INTERVAL_S
             self.table.forget_old(now)
--- a/kumquatproxy/relaylinks.py
+++ b/kumquatproxy/relaylinks.py
@@ -60,14 +60,19 @@
                 return centre.addresses_by_id[host_id]
         return ""
 
-    def tick(self, notice: membermessages.RelayNotice, now: float) -> list:
-        """Return the notices to the relays of the other data centres."""
+    def tick(self, notice_of, now: float) -> list:
+        """Return the notices that are due; ``notice_of(answer)`` makes them.
+
+        Known relays send notices of their own, so only seeds are asked to answer.
+        """
         if now < self._notice_at:
             return []
         self._notice_at = now + NOTICE_INTERVAL_S
-        targets = set(self.relays())
-        for name, seeds in self._seeds_by_centre.items():
+        relays = self.relays()
+        seeds = set()
+        for name, known in self._seeds_by_centre.items():
             centre = self._centres_by_name.get(name)
             if centre is None or now - centre.heard_at > SILENT_AFTER_S:
-                targets.add(self._rng.choice(seeds))
-        return [wire.Send(target, notice) for target in sorted(targets)]
+                seeds.add(self._rng.choice(known))
+        sends = [wire.Send(relay, notice_of(False)) for relay in relays]
+        return sends + [wire.Send(seed, notice_of(True)) for seed in sorted(seeds)]
--- a/kumquatproxy/versionmessages.py
+++ b/kumquatproxy/versionmessages.py
@@ -47,12 +47,13 @@
 class Adopted(records.Record):
     """Tell the host's other parts that a version is now in force here."""
 
-    __slots__ = ("content", "digest", "number")
+    __slots__ = ("content", "digest", "number", "source")
 
-    def __init__(self, number, digest, content):
+    def __init__(self, number, digest, content, source):
         self.number: int = number
         self.digest: bytes = digest
         self.content: bytes = content
+        self.source: str = source  # the host that it came from
 
 
 class Refused(records.Record):
