Run the demo in three data centres and leave a refusing one as a whole

Cause: a request forwarded to a data centre that had just lost its replica was tried again through that data centre's other relay and used up its attempts; a new host's retry budget was nearly empty.

--- a/kumquatproxy/demo.py
+++ b/kumquatproxy/demo.py
@@ -9,6 +9,7 @@
 import gevent
 import gevent.event
 import geventhttpclient
+import geventhttpclient.response
 
 from kumquatproxy import demosystem, fakes, httpapi, samples, sheet
 
@@ -90,7 +91,10 @@
         body = {"model": name, "prompt": prompt, "max_tokens": TOKENS}
         if stream:
             body["stream"] = True
-        status, data = post(self._address(), "/v1/completions", body)
+        try:
+            status, data = post(self._address(), "/v1/completions", body)
+        except geventhttpclient.response.HTTPParseError as error:
+            status, data = 0, f"interrupted: {error}".encode()
         expected = "".join(fakes.tokens_for(name, prompt, TOKENS))
         service = self._system.size.service
         if status in (429, 503):
@@ -145,7 +149,12 @@
 
 def run(requests=REQUESTS, actions=ACTIONS, seed=1, text="", engine_options=None):
     """Run the main job; return whether every promise held."""
-    system = demosystem.System(seed=seed, text=text, engine_options=engine_options)
+    system = demosystem.System(
+        layout=demosystem.THREE_CENTRES,
+        seed=seed,
+        text=text,
+        engine_options=engine_options,
+    )
     system.start()
     try:
         return _run(system, requests, actions, seed)
--- a/kumquatproxy/dispatch.py
+++ b/kumquatproxy/dispatch.py
@@ -171,6 +171,19 @@
 
         return self._call(call, (routing.service_item(service.name),), send)
 
+    def _same_centre_ids(self, server):
+        """Return the other ways into the data centre of a remote server.
+
+        Its entry hosts know the same backend servers and would refuse as well.
+        """
+        if server.backend_id not in self._remote_ids:
+            return set()
+        return {
+            backend_id
+            for backend_id in self._remote_ids
+            if self.table.server(backend_id).data_centre == server.data_centre
+        }
+
     def _extra_headers(self, server):
         if server.backend_id in self._remote_ids:
             return [(FORWARDED_HEADER, self.table.data_centre)]
@@ -190,6 +203,7 @@
                 return reply
             except drivers.CallFailed as failure:
                 result = _result_of(failure.failure)
+                attempts.tried_ids |= self._same_centre_ids(attempt.server)
                 self._after_failure(call, failure.failure, failure, attempts, 0.0)
             finally:
                 self._finish(call, attempt, result)
@@ -222,6 +236,7 @@
                 result = "complete"
             except drivers.CallFailed as failed:
                 result = _result_of(failed.failure)
+                attempts.tried_ids |= self._same_centre_ids(attempt.server)
                 failure = failed.failure
                 if progress.delivered:
                     failure = retries.Failure.INTERRUPTED
--- a/kumquatproxy/retries.py
+++ b/kumquatproxy/retries.py
@@ -6,7 +6,9 @@
 
 BUDGET_SHARE = 0.1  # retries per request of a service
 BUDGET_CAP = 10.0  # retries that a quiet period can save up
-BUDGET_START = 1.0  # a new host may retry once before it has seen ten requests
+# A new host starts with a full budget: the first requests after a start must not be
+# lost to one dead backend server.
+BUDGET_START = BUDGET_CAP
 MAX_ATTEMPTS = 3
 FIRST_DELAY_S = 0.05
 MAX_DELAY_S = 1.0
