--- a/kumquatproxy/placementbaselines.py
+++ b/kumquatproxy/placementbaselines.py
@@ -24,13 +24,20 @@
     other, each on the server with the most free memory.
     """
 
+    def __init__(self):
+        self._inputs: tuple = ()
+        self._target: dict[str, frozenset[records.Item]] = {}
+
     def plan(self, sheet, backends, demand, current, weights):
         """Return the plan; see ``placementplan.Planner.plan``."""
         catalogue = placementlayout.Catalogue(sheet)
-        ideal = placementlayout.Layout(catalogue, backends, placementplan.Current())
-        _fill_evenly(ideal)
+        inputs = (sheet.digest, list(backends))
+        if inputs != self._inputs:
+            ideal = placementlayout.Layout(catalogue, backends, placementplan.Current())
+            _fill_evenly(ideal)
+            self._inputs, self._target = inputs, ideal.target()
         layout = placementlayout.Layout(catalogue, backends, current)
-        transition(layout, ideal.target())
+        transition(layout, self._target)
         return finish(layout, _missing(layout), sheet.weight_store, current)
 
 
--- a/kumquatproxy/placementcover.py
+++ b/kumquatproxy/placementcover.py
@@ -132,6 +132,8 @@
     def _make_room(self, group, centre, level, reason):
         layout = self._layout
         items = group.items()
+        # Another version on the slot shares the adapters, so it must stay with them.
+        keep = group.versions
         slots = [
             slot
             for slot in layout.all_slots(group.service, centre)
@@ -139,7 +141,7 @@
         ]
         for slot in slots:
             need_mb = layout.need_mb(slot, items)
-            chosen = placementroom.surplus_on(layout, slot, need_mb, level)
+            chosen = placementroom.surplus_on(layout, slot, need_mb, level, keep)
             if chosen is not None:
                 for base in chosen:
                     text = f"makes room for {group.item.key()}, other replicas remain"
@@ -148,7 +150,7 @@
                 return slot
         for slot in slots:
             need_mb = layout.need_mb(slot, items)
-            moves = placementroom.relocations(layout, slot, need_mb)
+            moves = placementroom.relocations(layout, slot, need_mb, keep)
             if moves is not None:
                 text = f"moves to make room for {group.item.key()}"
                 placementroom.relocate(layout, slot, moves, text)
@@ -181,7 +183,7 @@
             if slot.free_mb >= need_mb:
                 return slot
             level = placementroom.SAME_CENTRE
-            keep = (group.item,)
+            keep = group.versions
             chosen = placementroom.surplus_on(layout, slot, need_mb, level, keep)
             if chosen is not None:
                 for base in chosen:
--- a/kumquatproxy/placementlayout.py
+++ b/kumquatproxy/placementlayout.py
@@ -12,10 +12,20 @@
 class Group(records.Record):
     """Hold one model version with the adapters that belong to the model."""
 
-    __slots__ = ("adapters", "item", "memory_mb", "model", "priority", "service")
+    __slots__ = (
+        "adapters",
+        "item",
+        "memory_mb",
+        "model",
+        "priority",
+        "service",
+        "versions",
+    )
 
-    def __init__(self, item, model, adapters, memory_by_item):
+    def __init__(self, item, model, versions, adapters, memory_by_item):
         self.item: records.Item = item
+        # All versions of the model, which share its adapters; the first is default.
+        self.versions: tuple[records.Item, ...] = versions
         self.model = model
         self.service: str = model.service
         self.priority: int = model.priority
@@ -47,7 +57,7 @@
             own = adapters.get(model.name, [])
             versions = tuple(model.item(version) for version in model.versions)
             for item in versions:
-                group = Group(item, model, own, self.memory_by_item)
+                group = Group(item, model, versions, own, self.memory_by_item)
                 self.groups.append(group)
                 self.groups_by_item[item] = group
             for adapter in own:
--- a/kumquatproxy/placementscale.py
+++ b/kumquatproxy/placementscale.py
@@ -12,7 +12,8 @@
 ADAPTER_MOVE = 0.1  # an adapter is about a hundredth of a model in memory and time
 # Share of a server's capacity that one model move must relieve at equal weights.
 GAIN_PER_MOVE = 0.1
-GROUPS_PER_SERVER = 8  # hottest groups tried on an overloaded server
+GROUPS_PER_SERVER = 4  # hottest groups tried on an overloaded server
+DESTINATIONS_TRIED = 6  # best destinations that are searched for evictions
 FILL_PASSES = 2
 
 
@@ -75,7 +76,7 @@
                 continue
             own = rates[item]
             units = []
-            if item == group.model.item():
+            if item == group.versions[0]:
                 for adapter in group.adapters:
                     rate = rates.get(adapter, 0.0)
                     own -= rate
@@ -182,9 +183,8 @@
     def _destination(self, group, items, slot, moved):
         """Return the best slot for more replicas and what it must evict, or None."""
         layout = self._layout
-        best = None
-        best_score: tuple = ()
         hosts = {s.host for s in layout.holders_in(group.item, self._centre).values()}
+        scored = []
         for other in self._candidates(group, items):
             room = LOW * other.capacity - other.load
             lacking = layout.lacking(other, items)
@@ -196,19 +196,16 @@
                 continue
             if not layout.is_open_to(other, items):
                 continue
-            evicted = self._evictions(other, layout.need_mb(other, items), items[0])
-            if evicted is None:
-                continue
-            score = (
-                -round(worth, 2),
-                len(evicted),
-                other.host in hosts,
-                other.utilisation(),
-                other.backend_id,
-            )
-            if best is None or score < best_score:
-                best, best_score = (other, evicted), score
-        return best
+            need_mb = layout.need_mb(other, items)
+            full = other.free_mb < need_mb
+            score = (-round(worth, 2), full, other.host in hosts, other.utilisation())
+            scored.append((score, other.backend_id, need_mb))
+        for _, backend_id, need_mb in sorted(scored)[:DESTINATIONS_TRIED]:
+            other = layout.slots[backend_id]
+            evicted = self._evictions(other, need_mb, group.versions)
+            if evicted is not None:
+                return other, evicted
+        return None
 
     def _candidates(self, group, items):
         layout = self._layout
@@ -223,7 +220,7 @@
             found.update({slot.backend_id: slot for slot in any_slots})
         return found.values()
 
-    def _evictions(self, slot, need_mb, base):
+    def _evictions(self, slot, need_mb, keep):
         if slot.free_mb >= need_mb:
             return []
         return placementroom.surplus_on(
@@ -231,7 +228,7 @@
             slot,
             need_mb,
             placementroom.SAME_CENTRE,
-            (base,),
+            keep,
             self._is_idle,
         )
 
--- a/kumquatproxy/records.py
+++ b/kumquatproxy/records.py
@@ -34,6 +34,21 @@
         self.name: str = name
         self.version: str = version
 
+    # Items are the keys of most tables of a plan, so they compare without the loop
+    # over the fields.
+    def __eq__(self, other):
+        if self is other:
+            return True
+        return (
+            type(other) is Item
+            and self.name == other.name
+            and self.version == other.version
+            and self.kind == other.kind
+        )
+
+    def __hash__(self):
+        return hash((self.kind, self.name, self.version))
+
     def key(self) -> str:
         """Return the text form ``kind:name@version`` used on the wire."""
         return f"{self.kind}:{self.name}@{self.version}"
