Choose the emptiest server and follow the mean utilisation

Cause: at 60% load the planner served less than it could: coverage packed loaded servers by utilisation, searches stopped at full servers, and no server lay below the fixed bound of 60%.

Change: worst fit for coverage, best fit only in sheet_fit; servers with free memory are always tried; both bounds rise with the mean utilisation.

Conclusion: worst fit and relative bounds kept.

--- a/kumquatproxy/placementlayout.py
+++ b/kumquatproxy/placementlayout.py
@@ -230,7 +230,7 @@
             picked = index[first:]
         else:
             picked = [
-                index[first + i * count // MAX_CANDIDATES]
+                index[first + (i + 1) * count // MAX_CANDIDATES - 1]
                 for i in range(MAX_CANDIDATES)
             ]
         return [self.slots[backend_id] for _, backend_id in picked]
--- a/kumquatproxy/placementroom.py
+++ b/kumquatproxy/placementroom.py
@@ -178,8 +178,9 @@
 def choose(layout, service, data_centre, items, taken_hosts, spread=True):
     """Return the best slot with free memory for the items, or None.
 
-    Another host than those of the other replicas comes first, then the lower expected
-    load, then more free memory, which spreads demand that is not yet known.
+    Another host than those of the other replicas comes first, then most free memory
+    (worst fit), which leaves room for demand on every server, or with ``spread`` off
+    the least (best fit), which leaves room for large models.
     """
     need_mb = sum(layout.catalogue.memory_by_item[item] for item in items)
     best = None
@@ -187,9 +188,8 @@
     for slot in layout.candidates(service, data_centre, need_mb):
         if items[0] in slot.present or not layout.is_open_to(slot, items):
             continue
-        free = -slot.free_mb if spread else slot.free_mb
-        load = round(slot.utilisation(), 1) if spread else 0.0
-        score = (slot.host in taken_hosts, load, free, slot.backend_id)
+        free_mb = -slot.free_mb if spread else slot.free_mb
+        score = (slot.host in taken_hosts, free_mb, slot.utilisation(), slot.backend_id)
         if best is None or score < best_score:
             best, best_score = slot, score
     return best
--- a/kumquatproxy/placementscale.py
+++ b/kumquatproxy/placementscale.py
@@ -8,12 +8,14 @@
 # before it is relieved again; without the gap, noise around HIGH causes moves.
 HIGH = 0.8
 LOW = 0.6
+# With a mean utilisation above LOW both bounds rise, or no server could take demand.
+MARGIN = 0.1
 MODEL_MOVE = 1.0
 ADAPTER_MOVE = 0.1  # an adapter is about a hundredth of a model in memory and time
 # Share of a server's capacity that one model move must relieve at equal weights.
 GAIN_PER_MOVE = 0.1
 GROUPS_PER_SERVER = 4  # hottest groups tried on an overloaded server
-DESTINATIONS_TRIED = 6  # best destinations that are searched for evictions
+EVICTION_SEARCHES = 6  # best destinations without free memory that are searched
 FILL_PASSES = 2
 
 
@@ -52,7 +54,9 @@
 
     __slots__ = (
         "_centre",
+        "_high",
         "_layout",
+        "_low",
         "_units_by_group",
         "_units_by_slot",
         "_weights",
@@ -64,6 +68,8 @@
         self._centre: str = centre
         self._weights: dict[str, placementplan.Weights] = weights
         self.budget: int = budget
+        self._low: float = LOW
+        self._high: float = HIGH
         self._units_by_group: dict[records.Item, list[Unit]] = {}
         self._units_by_slot: dict[str, dict[records.Item, Unit]] = {}
         self._make_units(rates)
@@ -99,6 +105,17 @@
         for _ in range(FILL_PASSES):
             for unit, slots in slots_by_unit:
                 self._split(unit, slots)
+        self._set_bounds()
+
+    def _set_bounds(self):
+        slots = [
+            slot
+            for slot in self._layout.slots.values()
+            if slot.usable and slot.data_centre == self._centre
+        ]
+        mean = sum(s.load for s in slots) / sum(s.capacity for s in slots)
+        self._low = max(LOW, mean + MARGIN)
+        self._high = max(HIGH, self._low + MARGIN)
 
     def _split(self, unit, slots):
         for backend_id, share in unit.shares.items():
@@ -114,12 +131,12 @@
         heap: list[tuple[float, str]] = []
         for backend_id in self._units_by_slot:
             slot = self._layout.slots[backend_id]
-            if slot.utilisation() > HIGH:
+            if slot.utilisation() > self._high:
                 heapq.heappush(heap, (-slot.utilisation(), backend_id))
         while heap and self.budget > 0:
             _, backend_id = heapq.heappop(heap)
             slot = self._layout.slots[backend_id]
-            if slot.utilisation() > LOW and self._relieve(slot):
+            if slot.utilisation() > self._low and self._relieve(slot):
                 heapq.heappush(heap, (-slot.utilisation(), backend_id))
 
     def _relieve(self, slot):
@@ -136,7 +153,7 @@
 
     def _add_replica(self, slot, base, share):
         layout = self._layout
-        excess = min(share, slot.load - LOW * slot.capacity)
+        excess = min(share, slot.load - self._low * slot.capacity)
         units = [
             unit
             for unit in self._units_by_group[base]
@@ -186,7 +203,7 @@
         hosts = {s.host for s in layout.holders_in(group.item, self._centre).values()}
         scored = []
         for other in self._candidates(group, items):
-            room = LOW * other.capacity - other.load
+            room = self._low * other.capacity - other.load
             lacking = layout.lacking(other, items)
             if other is slot or room <= 0.0 or not lacking:
                 continue
@@ -200,8 +217,12 @@
             full = other.free_mb < need_mb
             score = (-round(worth, 2), full, other.host in hosts, other.utilisation())
             scored.append((score, other.backend_id, need_mb))
-        for _, backend_id, need_mb in sorted(scored)[:DESTINATIONS_TRIED]:
+        searches = 0
+        for score, backend_id, need_mb in sorted(scored):
             other = layout.slots[backend_id]
+            searches += score[1]
+            if score[1] and searches > EVICTION_SEARCHES:
+                continue
             evicted = self._evictions(other, need_mb, group.versions)
             if evicted is not None:
                 return other, evicted
@@ -237,7 +258,7 @@
         for unit in self._units_by_group.get(base, ()):
             share = unit.shares.get(slot.backend_id, 0.0)
             room = sum(
-                max(LOW * other.capacity - other.load, 0.0)
+                max(self._low * other.capacity - other.load, 0.0)
                 for other in self._slots_of(unit)
                 if other is not slot and unit.item in other.live
             )
