--- a/kumquatproxy/placementcheck.py
+++ b/kumquatproxy/placementcheck.py
@@ -13,7 +13,8 @@
 
     __slots__ = (
         "_closing",
-        "_elsewhere",
+        "_holders",
+        "_names_by_item",
         "_pairs",
         "_reserved_mb",
         "_servers",
@@ -25,7 +26,6 @@
     def __init__(self, sheet, backends, current):
         self._sheet = sheet
         self._servers = {server.backend_id: server for server in backends}
-        self._elsewhere = current.elsewhere
         self._reserved_mb = dict.fromkeys(self._servers, 0)
         self._closing: set[tuple[str, records.Item]] = set()
         self.faults: list[str] = []
@@ -41,18 +41,33 @@
             elif intent.item not in self.loaded[intent.backend_id]:
                 self._reserved_mb[intent.backend_id] += intent.memory_mb
         self._pairs = _listed_pairs(sheet)
+        self._names_by_item: dict[records.Item, list[str]] = {}
+        for name, pair in self._pairs.items():
+            for item in pair:
+                self._names_by_item.setdefault(item, []).append(name)
+        self._holders: dict[records.Item, set[str]] = {}
+        for backend_id, items in self.loaded.items():
+            for item in items:
+                self._enter(backend_id, item)
+        for item in current.elsewhere:
+            self._holders.setdefault(item, set()).add("elsewhere")
 
     def run(self, actions) -> list[str]:
         """Apply all actions; return the faults."""
-        live = self.reachable()
         for index, action in enumerate(actions):
-            self._apply(index, action)
-            now_live = self.reachable()
-            for pair in sorted(live - now_live):
-                self._fault(index, action, f"{pair} lost its last replica")
-            live = now_live
+            _, lost = self.step(index, action)
+            for name in sorted(lost):
+                self._fault(index, action, f"{name} lost its last replica")
         return self.faults
 
+    def step(self, index, action) -> tuple[set[str], set[str]]:
+        """Apply one action; return the names that it made reachable and lost."""
+        names = self._names_by_item.get(action.item, [])
+        before = {name for name in names if self._is_reachable(name)}
+        self._apply(index, action)
+        after = {name for name in names if self._is_reachable(name)}
+        return after - before, before - after
+
     def _apply(self, index, action):
         items = self.loaded.get(action.backend_id)
         if items is None:
@@ -62,6 +77,7 @@
             if action.item in items:
                 self._fault(index, action, "the item is loaded already")
             items[action.item] = action.memory_mb
+            self._enter(action.backend_id, action.item)
             server = self._servers[action.backend_id]
             used_mb = sum(items.values()) + self._reserved_mb[action.backend_id]
             if used_mb > server.memory_mb:
@@ -72,40 +88,34 @@
             return
         if items.pop(action.item, None) is None:
             self._fault(index, action, "the item is not loaded")
+        self._holders.get(action.item, set()).discard(action.backend_id)
 
     def _fault(self, index, action, text):
         self.faults.append(f"action {index} ({action.line()}): {text}")
 
     def reachable(self) -> set[str]:
         """Return what callers can name and some server has loaded."""
-        holders: dict[records.Item, set[str]] = {}
-        for backend_id, loaded in self.loaded.items():
-            for item in loaded:
-                if self._counts(backend_id, item):
-                    holders.setdefault(item, set()).add(backend_id)
-        for item in self._elsewhere:
-            holders.setdefault(item, set()).add("elsewhere")
-        found = set()
-        for name, (base, adapter) in self._pairs.items():
-            together = holders.get(base, set())
-            if adapter is not None:
-                together = together & holders.get(adapter, set())
-            if together:
-                found.add(name)
-        return found
-
-    def _counts(self, backend_id, item):
-        """Return whether a loaded item stays: neither it nor its server leaves."""
-        if self._servers[backend_id].leaving:
-            return False
-        return (backend_id, item) not in self._closing
+        return {name for name in self._pairs if self._is_reachable(name)}
+
+    def _is_reachable(self, name):
+        base, *rest = self._pairs[name]
+        together = self._holders.get(base, set())
+        for item in rest:
+            together = together & self._holders.get(item, set())
+        return bool(together)
+
+    def _enter(self, backend_id, item):
+        """Count an item as held if neither it nor its server is about to leave."""
+        if self._servers[backend_id].leaving or (backend_id, item) in self._closing:
+            return
+        self._holders.setdefault(item, set()).add(backend_id)
 
 
 def _listed_pairs(sheet):
-    pairs = {}
+    pairs: dict[str, tuple[records.Item, ...]] = {}
     for model in sheet.models_by_name.values():
         for version in model.versions:
-            pairs[f"{model.name}@{version}"] = (model.item(version), None)
+            pairs[f"{model.name}@{version}"] = (model.item(version),)
     for adapter in sheet.adapters_by_name.values():
         model = sheet.models_by_name[adapter.model]
         for version in model.versions:
--- a/kumquatproxy/placementlayout.py
+++ b/kumquatproxy/placementlayout.py
@@ -7,6 +7,7 @@
 # A choice looks at this many backend servers with room, evenly picked from all of
 # them, so that the cost of a choice does not grow with the number of servers.
 MAX_CANDIDATES = 24
+MAX_EXTREMES = 8  # enough to find one on another host
 
 
 class Group(records.Record):
@@ -235,6 +236,15 @@
             ]
         return [self.slots[backend_id] for _, backend_id in picked]
 
+    def extremes(self, service, data_centre, need_mb, most_free) -> list[Slot]:
+        """Return the slots with ``need_mb`` free that have the most or least free."""
+        index = self.by_free.get((service, data_centre), [])
+        first = bisect.bisect_left(index, (need_mb, ""))
+        picked = index[first : first + MAX_EXTREMES]
+        if most_free:
+            picked = index[max(first, len(index) - MAX_EXTREMES) :]
+        return [self.slots[backend_id] for _, backend_id in picked]
+
     def all_slots(self, service: str, data_centre: str) -> list[Slot]:
         """Return every usable backend server, most free first."""
         index = self.by_free.get((service, data_centre), [])
--- a/kumquatproxy/placementroom.py
+++ b/kumquatproxy/placementroom.py
@@ -185,7 +185,7 @@
     need_mb = sum(layout.catalogue.memory_by_item[item] for item in items)
     best = None
     best_score: tuple = ()
-    for slot in layout.candidates(service, data_centre, need_mb):
+    for slot in layout.extremes(service, data_centre, need_mb, spread):
         if items[0] in slot.present or not layout.is_open_to(slot, items):
             continue
         free_mb = -slot.free_mb if spread else slot.free_mb
