--- a/kumquatproxy/placementlayout.py
+++ b/kumquatproxy/placementlayout.py
@@ -7,15 +7,26 @@
 # A choice looks at this many backend servers with room, evenly picked from all of
 # them, so that the cost of a choice does not grow with the number of servers.
 MAX_CANDIDATES = 24
+MAX_EXTREMES = 8  # enough to find one on another host
 
 
 class Group(records.Record):
     """Hold one model version with the adapters that belong to the model."""
 
-    __slots__ = ("adapters", "item", "memory_mb", "model", "priority", "service")
+    __slots__ = (
+        "adapters",
+        "item",
+        "memory_mb",
+        "model",
+        "priority",
+        "service",
+        "versions",
+    )
 
-    def __init__(self, item, model, adapters, memory_by_item):
+    def __init__(self, item, model, versions, adapters, memory_by_item):
         self.item: records.Item = item
+        # All versions of the model, which share its adapters; the first is default.
+        self.versions: tuple[records.Item, ...] = versions
         self.model = model
         self.service: str = model.service
         self.priority: int = model.priority
@@ -47,7 +58,7 @@
             own = adapters.get(model.name, [])
             versions = tuple(model.item(version) for version in model.versions)
             for item in versions:
-                group = Group(item, model, own, self.memory_by_item)
+                group = Group(item, model, versions, own, self.memory_by_item)
                 self.groups.append(group)
                 self.groups_by_item[item] = group
             for adapter in own:
@@ -220,11 +231,20 @@
             picked = index[first:]
         else:
             picked = [
-                index[first + i * count // MAX_CANDIDATES]
+                index[first + (i + 1) * count // MAX_CANDIDATES - 1]
                 for i in range(MAX_CANDIDATES)
             ]
         return [self.slots[backend_id] for _, backend_id in picked]
 
+    def extremes(self, service, data_centre, need_mb, most_free) -> list[Slot]:
+        """Return the slots with ``need_mb`` free that have the most or least free."""
+        index = self.by_free.get((service, data_centre), [])
+        first = bisect.bisect_left(index, (need_mb, ""))
+        picked = index[first : first + MAX_EXTREMES]
+        if most_free:
+            picked = index[max(first, len(index) - MAX_EXTREMES) :]
+        return [self.slots[backend_id] for _, backend_id in picked]
+
     def all_slots(self, service: str, data_centre: str) -> list[Slot]:
         """Return every usable backend server, most free first."""
         index = self.by_free.get((service, data_centre), [])
--- a/kumquatproxy/records.py
+++ b/kumquatproxy/records.py
@@ -37,6 +37,8 @@
     # Items are the keys of the routing table, so their hash is on the path of
     # every request.
     def __eq__(self, other):
+        if self is other:
+            return True
         return (
             type(other) is Item
             and self.name == other.name
