Keep reopened orders within the store share

Change: an unsent intent is dropped; a reopened order is resent only while the use is within the share, and otherwise expires and is settled by an unload.

--- a/kumquatproxy/orderbook.py
+++ b/kumquatproxy/orderbook.py
@@ -106,12 +106,13 @@
         tracked = self.tracked_by_id.get(closing.order_id)
         if tracked is None:
             return
+        if closing.outcome == placementstate.UNSENT:
+            self.drop(closing.order_id)  # no copy exists that could arrive late
+            return
         tracked.stage = Stage.OBSERVED
         tracked.is_closing = False
         tracked.closed_incarnation = closing.incarnation
         self.share.release(closing.order_id)
-        if closing.outcome == placementstate.UNSENT:
-            self.ledger.release(closing.order_id, tracked.intent.backend_id)
         self.reopen_after_restart(tracked)
 
     def reopen_after_restart(self, tracked: orderrules.Tracked) -> None:
@@ -127,7 +128,7 @@
             return
         if tracked.closed_incarnation < view.report.incarnation:
             tracked.stage = Stage.UNKNOWN
-            tracked.is_closing = False
+            tracked.is_reopened = True
             self._hold_slot(tracked)
             self._hold_memory(tracked)
 
--- a/kumquatproxy/orderrules.py
+++ b/kumquatproxy/orderrules.py
@@ -60,6 +60,7 @@
         "is_barrier",
         "is_closing",
         "is_inherited",
+        "is_reopened",
         "item",
         "next_send_at",
         "refused_incarnation",
@@ -84,6 +85,7 @@
         self.is_abandoned = False  # no copy is sent any more; a barrier resolves it
         self.is_barrier = False  # an unload that resolves an abandoned load
         self.is_closing = False  # its closing is proposed
+        self.is_reopened = False  # it was closed before the engine restarted
 
     @property
     def is_load(self) -> bool:
@@ -199,5 +201,5 @@
         return True
     # An engine that ignores fences may still take an old copy, so the order is
     # completed rather than left open until it expires.
-    completes = tracked.is_inherited and not view.server.checks_fencing
-    return completes and now < tracked.expires_at
+    completes = tracked.is_inherited and not tracked.is_reopened
+    return completes and not view.server.checks_fencing and now < tracked.expires_at
--- a/kumquatproxy/orders.py
+++ b/kumquatproxy/orders.py
@@ -254,7 +254,9 @@
         for tracked, view in open_orders:
             if tracked.place() in taken:
                 continue
-            wanted = self._is_wanted(tracked) and not tracked.is_abandoned
+            # A reopened order that is not resent expires and gives up its slot.
+            is_kept = not tracked.is_abandoned and not tracked.is_reopened
+            wanted = is_kept and self._is_wanted(tracked)
             if orderrules.needs_barrier(tracked, view, wanted, self.settings, now):
                 tracked.is_abandoned = True
                 barrier = self.book.track(
@@ -281,8 +283,12 @@
         return outputs
 
     def _may_send_copy(self, tracked, view, is_wanted, now):
-        is_committed = tracked.stage is not Stage.PROPOSED
-        return is_committed and orderrules.may_resend(tracked, view, is_wanted, now)
+        if tracked.stage is Stage.PROPOSED:
+            return False
+        share = self.book.share
+        if tracked.is_reopened and not share.is_use_within(share.share):
+            return False  # a restart may reopen more loads than the share allows
+        return orderrules.may_resend(tracked, view, is_wanted, now)
 
     def _send_copy(self, tracked, view, now):
         settings = self.settings
--- a/kumquatproxy/placementstate.py
+++ b/kumquatproxy/placementstate.py
@@ -228,6 +228,9 @@
             recorded = self.recorded_by_id.get(closing.order_id)
             if recorded is None:
                 continue
+            if closing.outcome == UNSENT:
+                del self.recorded_by_id[closing.order_id]
+                continue
             recorded.outcome = closing.outcome
             recorded.incarnation = closing.incarnation
             self._record_observed(recorded.intent, closing)
