Add the sheet application run and measurements of the control core

Cause: a sheet applied while a server fails left models without a replica. Change: sheetapply and measure_control.

--- a/kumquatproxy/ledger.py
+++ b/kumquatproxy/ledger.py
@@ -68,13 +68,15 @@
 
     def used_mb(self, backend_id: str) -> int:
         """Return the memory that is loaded or reserved on a backend server."""
-        view = self.views_by_id[backend_id]
-        memory_by_item: dict[records.Item, int] = {}
+        return sum(self._used_by_item(self.views_by_id[backend_id]).values())
+
+    def _used_by_item(self, view):
+        used: dict[records.Item, int] = {}
         for item in view.report.loaded if view.report is not None else ():
-            memory_by_item[item] = self._memory_by_item.get(item, view.server.memory_mb)
+            used[item] = self._memory_by_item.get(item, view.server.memory_mb)
         for item, memory_mb in view.memory_by_order.values():
-            memory_by_item[item] = max(memory_mb, memory_by_item.get(item, 0))
-        return sum(memory_by_item.values())
+            used[item] = max(memory_mb, used.get(item, 0))
+        return used
 
     def can_reserve(self, backend_id: str, item: records.Item, memory_mb: int) -> bool:
         """Return whether an item fits; never without a report of the server."""
@@ -83,7 +85,10 @@
             return False
         if item in view.report.loaded:
             return False
-        return self.used_mb(backend_id) + memory_mb <= view.server.memory_mb
+        used = self._used_by_item(view)
+        # An earlier order may still hold memory for the same item.
+        used[item] = max(memory_mb, used.get(item, 0))
+        return sum(used.values()) <= view.server.memory_mb
 
     def reserve(
         self, order_id: str, backend_id: str, item: records.Item, memory_mb: int
--- /dev/null
+++ b/kumquatproxy/measure_control.py
@@ -0,0 +1,121 @@
+"""Measurements of the claims, the order life cycle and the application of a sheet."""
+
+import gc
+import time
+import tracemalloc
+
+from kumquatproxy import claimrecords, claims, measure, orderschedules, sheetapply
+
+SCHEDULES = 40
+MEMORY_CLAIMS = 20_000
+RATE_CLAIMS = 10_000
+RESULT_BODY = b"x" * 200
+SHEET_RUNS = 5
+
+
+@measure.MEASUREMENTS.register("order-schedules")
+def measure_order_schedules(seed: int) -> list[measure.Figure]:
+    """Count schedules of faults that the order engine survives without a violation."""
+    survived = 0
+    for number in range(SCHEDULES):
+        world = orderschedules.World(seed * SCHEDULES + number)
+        survived += not world.run()
+    return [
+        measure.Figure("order_schedules_survived", survived, low=SCHEDULES),
+        measure.Figure("order_schedules_run", SCHEDULES),
+    ]
+
+
+@measure.MEASUREMENTS.register("claims")
+def measure_claims(seed: int) -> list[measure.Figure]:
+    """Measure the memory of a claim and the claims that one core applies."""
+    limits = claims.Limits(total_result_bytes=2**40)
+    table = claims.ClaimTable(limits)
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    for number in range(MEMORY_CLAIMS):
+        table.apply(_begin(seed, number))
+        table.apply(_finish(seed, number))
+    live = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    snapshot = len(table.snapshot())
+    # Two steps: the first makes fingerprints of the claims, the second seals them.
+    late = limits.result_retention_s + limits.fingerprint_span_s
+    table.apply(claimrecords.AdvanceClaims(at=late))
+    table.apply(claimrecords.AdvanceClaims(at=late + limits.fingerprint_span_s))
+    fingerprints = len(table.snapshot())
+    return [
+        measure.Figure("claim_bytes_each", live / MEMORY_CLAIMS, high=600),
+        measure.Figure("claim_snapshot_bytes_each", snapshot / MEMORY_CLAIMS),
+        measure.Figure(
+            "claim_fingerprint_snapshot_bytes_each", fingerprints / MEMORY_CLAIMS
+        ),
+        measure.Figure("claims_per_second_core", _claims_per_second(seed), low=1800),
+    ]
+
+
+def _claims_per_second(seed):
+    """Return begun and finished claims per second of processor time."""
+    table = claims.ClaimTable(claims.Limits(total_result_bytes=2**40))
+    commands = []
+    for number in range(RATE_CLAIMS):
+        commands.append(_begin(seed, number))
+        commands.append(_finish(seed, number))
+    started = time.process_time()
+    for command in commands:
+        table.apply(command)
+    return RATE_CLAIMS / (time.process_time() - started)
+
+
+def _begin(seed, number):
+    return claimrecords.BeginClaim(
+        at=number / 1000,
+        attempt=number,
+        host="entry-07",
+        incarnation=3,
+        key=f"{seed}-{number:012d}",
+        organisation="port-louis",
+        request_digest=number.to_bytes(claimrecords.DIGEST_BYTES, "big"),
+        service="clinic-desk",
+    )
+
+
+def _finish(seed, number):
+    return claimrecords.FinishClaim(
+        at=number / 1000,
+        attempt=number,
+        body=RESULT_BODY,
+        headers=[["content-type", "application/json"]],
+        host="entry-07",
+        incarnation=3,
+        key=f"{seed}-{number:012d}",
+        organisation="port-louis",
+        outcome=int(claimrecords.Outcome.DONE),
+        service="clinic-desk",
+        status=200,
+    )
+
+
+@measure.MEASUREMENTS.register("sheet-apply")
+def measure_sheet_apply(seed: int) -> list[measure.Figure]:
+    """Apply a sheet while a backend server fails and the store is at its limit."""
+    runs = [
+        sheetapply.apply_sheet(seed * SHEET_RUNS + number)
+        for number in range(SHEET_RUNS)
+    ]
+    return [
+        measure.Figure(
+            "sheet_apply_lost_models", sum(run.lost_models for run in runs), high=0
+        ),
+        measure.Figure(
+            "sheet_apply_lost_adapters", sum(run.lost_adapters for run in runs), high=0
+        ),
+        measure.Figure(
+            "sheet_apply_memory_violations",
+            sum(run.overcommits for run in runs),
+            high=0,
+        ),
+        measure.Figure("sheet_apply_seconds", max(run.seconds for run in runs)),
+        measure.Figure("sheet_apply_store_rate_use", min(run.rate_use for run in runs)),
+    ]
--- a/kumquatproxy/orders.py
+++ b/kumquatproxy/orders.py
@@ -41,7 +41,12 @@
         self._rng = rng
         self._desired: list[orderrecords.Action] = []
         self._wanted: set[tuple] = set()
-        self._gone_at_by_server: dict[str, float] = {}
+        # A server counts as gone until its first report: orders of predecessors to a
+        # server that nobody hears of must not hold slots for ever.
+        self._gone_at_by_server: dict[str, float] = {
+            tracked.intent.backend_id: now
+            for tracked in self.book.tracked_by_id.values()
+        }
         self._adoption = shareadoption.ShareAdoption(data_centre, state)
         self._retry_at_by_place: dict[tuple, float] = {}
         self._repeat_at_by_server: dict[str, float] = {}
@@ -57,7 +62,10 @@
     def set_server(self, server: records.BackendServer) -> None:
         """Add a backend server or change its description."""
         self.book.set_server(server)
-        self._gone_at_by_server.pop(server.backend_id, None)
+
+    def learn_sizes(self, memory_by_item: dict[records.Item, int]) -> None:
+        """Note the sizes in megabytes that the sheet lists."""
+        self.book.ledger.learn_sizes(memory_by_item)
 
     def remove_server(self, backend_id: str, now: float) -> None:
         """Note that membership lost a server; its records go when all loads ended."""
--- a/kumquatproxy/orderschedules.py
+++ b/kumquatproxy/orderschedules.py
@@ -26,7 +26,7 @@
     resend_first_s=0.5,
     resend_most_s=2.0,
 )
-LIMITS = storeshare.Share(adapters=5, rate=2.0, slots=4)
+STORE_RATES = (0.5, 2.0)
 SIZES_BY_KIND = {"model": 9, "adapter": 1}
 MODELS = [records.Item("model", f"m{index}", "1") for index in range(6)]
 ADAPTERS = [records.Item("adapter", f"a{index}", "1") for index in range(6)]
@@ -100,12 +100,19 @@
         if command.fence != self.centre.group.term:
             return
         self.engine = self._world.engine_class(
-            self.centre.name, self.state, self._world.rng, self.clock(now), SETTINGS
+            self.centre.name,
+            self.state,
+            self._world.rng,
+            self.clock(now),
+            self._world.settings,
         )
+        self.engine.learn_sizes(self.centre.sizes)
         for engine in self.centre.engines:
             self.engine.set_server(engine.description())
         for report in self.reports.values():
             self.engine.observe(report)
+        for backend_id in self.centre.gone:
+            self.engine.remove_server(backend_id, self.clock(now))
 
     def _perform(self, engine, output, now):
         if isinstance(output, orderrecords.SendOrder):
@@ -144,6 +151,8 @@
             for index in range(2)
         ]
         self.hosts = [Host(f"{name}-h{index}", world, self) for index in range(3)]
+        self.gone: set[str] = set()  # servers that membership has lost
+        self.sizes: dict[records.Item, int] = {}  # the owner learns others itself
         self.targets: dict[str, list[records.Item]] = {}
         self._rng = rng
         self.choose_targets()
@@ -181,18 +190,26 @@
     def __init__(self, seed, engine_class=orders.OrderEngine):
         self.rng = random.Random(seed)
         self.engine_class = engine_class
+        self.settings = SETTINGS
         self.configuration = configstate.ConfigState()
-        self.configuration.limits = LIMITS
         # Copies either end with the connection to one incarnation of an engine, or
         # wait outside and also reach a later one.
         self.copies_survive_restart = self.rng.random() < 0.3
         self.violations: list[str] = []
         self.sent = 0
         self.is_faulty = True
+        self.transfer_chance = 0.01  # of the leadership, at each step
         self._in_flight: list[tuple] = []
         self._rate_level = 0.0
         self._rate_at = 0.0
         names = ["dc-a", "dc-b", "dc-c"][: self.rng.randint(1, 3)]
+        # Hardly more than one of each for a data centre, so that the share is scarce.
+        self.limits = storeshare.Share(
+            adapters=len(names) + self.rng.randint(0, 2),
+            rate=self.rng.choice(STORE_RATES),
+            slots=len(names) + self.rng.randint(0, 1),
+        )
+        self.configuration.limits = self.limits
         self.centres = [Centre(name, self) for name in names]
         for name in names[: self.rng.randint(1, len(names))]:
             self.configuration.apply(configstate.SetVoters(0, name, []))
@@ -235,14 +252,14 @@
             self._in_flight.append((arrives_at, host, call))
 
     def _delay_s(self, longest_s):
-        if self.is_faulty and self.rng.random() < 0.15:
+        if self.is_faulty and self.rng.random() < 0.25:
             return self.rng.uniform(0.0, longest_s)
         return self.rng.uniform(0.0, 0.5)
 
     def _inject(self, now):
         rng = self.rng
         for centre in self.centres:
-            if rng.random() < 0.02:
+            if rng.random() < 0.04:
                 centre.choose_targets()
             for host in centre.hosts:
                 if rng.random() < 0.01:
@@ -283,7 +300,7 @@
         is_led = leader is not None and leader.is_reachable(now)
         if is_led:
             group.step(now)
-        if is_led and not (self.is_faulty and self.rng.random() < 0.005):
+        if is_led and not (self.is_faulty and self.rng.random() < self.transfer_chance):
             return
         if is_led:  # a planned transfer gives up the lease first
             leader.lease_until = 0.0
@@ -323,7 +340,7 @@
 
     def _deliver_order(self, host, call, now):
         engine, incarnation, order, expires_at = call
-        if now < engine.up_at or now > expires_at + SETTINGS.margin_s / 2:
+        if now < engine.up_at or now > expires_at + self.settings.margin_s / 2:
             return
         if incarnation != engine.incarnation and not self.copies_survive_restart:
             return
@@ -355,8 +372,8 @@
         Each data centre may hold one load in its bucket, and orders may wait in the
         queue of their host for up to a lease.
         """
-        burst = len(self.centres) + LIMITS.rate * schedulefakes.LEASE_S
-        drained = (now - self._rate_at) * LIMITS.rate
+        burst = len(self.centres) + self.limits.rate * schedulefakes.LEASE_S
+        drained = (now - self._rate_at) * self.limits.rate
         self._rate_level = max(0.0, self._rate_level - drained) + 1.0
         self._rate_at = now
         if self._rate_level > burst:
@@ -370,7 +387,10 @@
                 self._violate(now, f"{engine.backend_id} used {detail}")
         if self.copies_survive_restart:
             return
-        for kind, limit in (("model", LIMITS.slots), ("adapter", LIMITS.adapters)):
+        for kind, limit in (
+            ("model", self.limits.slots),
+            ("adapter", self.limits.adapters),
+        ):
             running = sum(engine.transfers(kind) for engine in engines)
             if running > limit:
                 self._violate(now, f"{running} {kind} transfers, limit {limit}")
--- /dev/null
+++ b/kumquatproxy/sheetapply.py
@@ -0,0 +1,192 @@
+"""Application of a sheet to fake engines while one of them fails halfway."""
+
+import random
+
+from kumquatproxy import (
+    configstate,
+    orderrecords,
+    orderrules,
+    orderschedules,
+    placementstate,
+    records,
+    samples,
+    schedulefakes,
+    sheet,
+    storeshare,
+)
+
+SAMPLE = "port-louis"
+BACKEND_SERVERS = 5
+# Four servers hold the whole sheet, three do not.
+MEMORY_MB = 48_000
+DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
+LONGEST_S = 900.0
+# Membership notices a server that is gone after this time.
+DETECTION_S = 3.0
+OLD_MODELS = 10
+
+
+class Run:
+    """Hold the outcome of one application."""
+
+    __slots__ = ("lost_adapters", "lost_models", "overcommits", "rate_use", "seconds")
+
+    def __init__(self, lost_models, lost_adapters, overcommits, rate_use, seconds):
+        self.lost_models: int = lost_models
+        self.lost_adapters: int = lost_adapters
+        self.overcommits: int = overcommits
+        self.rate_use: float = rate_use  # share of the store's rate until the end
+        self.seconds: float = seconds
+
+
+class SheetCentre(orderschedules.Centre):
+    """Hold the five servers of one data centre, loaded with an earlier sheet."""
+
+    def __init__(self, name, world):
+        super().__init__(name, world)
+        self.parsed = sheet.parse(samples.generate(SAMPLE))
+        self.sizes = self.parsed.memory_by_item()
+        self.engines = [
+            schedulefakes.FakeEngine(
+                f"{name}-e{index}", name, MEMORY_MB, index % 2 == 0, world.rng
+            )
+            for index in range(BACKEND_SERVERS)
+        ]
+        self._load_earlier_sheet()
+        self.plan(self.engines)
+
+    def _load_earlier_sheet(self):
+        """Load half of the models under an earlier version, half as listed now."""
+        for index, model in enumerate(self.parsed.models_by_name.values()):
+            item = model.item()
+            if index % 2:
+                item = records.Item("model", model.name, "0")
+                self.sizes[item] = model.memory
+            if index < OLD_MODELS:
+                engine = self.engines[index % len(self.engines)]
+                engine.loaded[item] = self.sizes[item]
+
+    def plan(self, engines):
+        """Assign each model and its adapters to one server; keep what is loaded."""
+        free_mb = {engine.backend_id: engine.memory_mb for engine in engines}
+        self.targets = {engine.backend_id: [] for engine in self.engines}
+        for model in self.parsed.models_by_name.values():
+            items = [model.item()]
+            for adapter in self.parsed.adapters_by_name.values():
+                if adapter.model == model.name:
+                    items.append(adapter.item())
+            needed_mb = sum(self.sizes[item] for item in items)
+            backend_id = self._choose(engines, items[0], free_mb, needed_mb)
+            free_mb[backend_id] -= needed_mb
+            self.targets[backend_id].extend(items)
+
+    def _choose(self, engines, model, free_mb, needed_mb):
+        holders = [
+            engine.backend_id
+            for engine in engines
+            if model in engine.loaded and free_mb[engine.backend_id] >= needed_mb
+        ]
+        return holders[0] if holders else max(free_mb, key=lambda name: free_mb[name])
+
+    def desired(self, engine):
+        """Return unloads, then loads in the order of the sheet."""
+        actions = []
+        for backend_id, view in engine.book.ledger.views_by_id.items():
+            loaded = view.report.loaded if view.report is not None else ()
+            targets = self.targets[backend_id]
+            for item in loaded:
+                if item not in targets:
+                    actions.append(
+                        self._action(placementstate.UNLOAD, backend_id, item)
+                    )
+            actions.extend(
+                self._action(placementstate.LOAD, backend_id, item) for item in targets
+            )
+        return actions
+
+    def _action(self, action, backend_id, item):
+        needs = None
+        if item.kind == "adapter" and action == placementstate.LOAD:
+            adapter = self.parsed.adapters_by_name[item.name]
+            needs = self.parsed.models_by_name[adapter.model].item()
+        return orderrecords.Action(action, backend_id, item, self.sizes[item], needs)
+
+    def missing(self, kind):
+        """Return how many listed items of a kind no engine holds."""
+        listed = {item for items in self.targets.values() for item in items}
+        held = {item for engine in self.engines for item in engine.loaded}
+        return sum(1 for item in listed - held if item.kind == kind)
+
+
+class SheetWorld(orderschedules.World):
+    """Apply the sheet in one data centre; the other shares are in use elsewhere."""
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.rng = random.Random(seed)
+        self.settings = orderrules.Settings()
+        self.copies_survive_restart = False
+        self.transfer_chance = 0.001  # one transfer in about four minutes
+        parsed = sheet.parse(samples.generate(SAMPLE))
+        store = parsed.weight_store
+        self.limits = storeshare.Share(
+            adapters=store.adapters_in_transit,
+            rate=store.loads_per_second,
+            slots=store.concurrent_loads,
+        )
+        self.configuration = configstate.ConfigState()
+        self.configuration.limits = self.limits
+        for name in DATA_CENTRES:
+            self.configuration.apply(configstate.SetVoters(0, name, []))
+        shares = storeshare.split(self.limits, DATA_CENTRES)
+        self.share = shares[DATA_CENTRES[0]]
+        self.centre = SheetCentre(DATA_CENTRES[0], self)
+        self.centres = [self.centre]
+        self.model_loads = 0
+        self.last_load_at = 0.0
+
+    def transmit(self, host, send, now):
+        """Count the model loads that reach the store."""
+        if send.order.action == placementstate.LOAD and send.order.item.kind == "model":
+            self.model_loads += 1
+            self.last_load_at = now
+        super().transmit(host, send, now)
+
+    def apply(self) -> Run:
+        """Run until everything listed is loaded, with one failure halfway."""
+        now = 0.0
+        failed_at = None
+        listed = len(self.centre.parsed.models_by_name)
+        while now < LONGEST_S:
+            now += orderschedules.STEP_S
+            self._step(now)
+            missing = self.centre.missing("model")
+            if failed_at is None and missing <= listed // 4:
+                failed_at = now
+                victim = self.rng.choice(self.centre.engines)
+                victim.restart(now, LONGEST_S)
+            elif failed_at is not None and now == failed_at + DETECTION_S:
+                self._replan(victim, now)
+            elif failed_at is not None and not missing:
+                if not self.centre.missing("adapter"):
+                    break
+        return Run(
+            self.centre.missing("model"),
+            self.centre.missing("adapter"),
+            len(self.violations),
+            self.model_loads / (self.last_load_at * self.share.rate),
+            now,
+        )
+
+    def _replan(self, victim, now):
+        rest = [engine for engine in self.centre.engines if engine is not victim]
+        self.centre.plan(rest)
+        self.centre.gone.add(victim.backend_id)
+        for host in self.centre.hosts:
+            if host.engine is not None:
+                host.engine.remove_server(victim.backend_id, host.clock(now))
+
+
+def apply_sheet(seed: int) -> Run:
+    """Return the outcome of one application with seeded losses and delays."""
+    return SheetWorld(seed).apply()
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -42,6 +42,16 @@
     assert book.used_mb("e1") == 0
 
 
+def test_a_second_order_for_an_item_needs_no_further_memory():
+    """Guard against a closed order that keeps its own item from being loaded."""
+    book = make_ledger()
+    book.observe(report(1))
+    book.reserve("o1", "e1", A, 15)
+    assert book.can_reserve("e1", A, 15)
+    assert not book.can_reserve("e1", A, 21)
+    assert not book.can_reserve("e1", B, 6)
+
+
 def test_late_reports_are_discarded():
     book = make_ledger()
     assert book.observe(report(2, [A]))
