--- a/kumquatproxy/orders.py
+++ b/kumquatproxy/orders.py
@@ -41,7 +41,12 @@
         self._rng = rng
         self._desired: list[orderrecords.Action] = []
         self._wanted: set[tuple] = set()
-        self._gone_at_by_server: dict[str, float] = {}
+        # A server counts as gone until its first report: orders of predecessors to a
+        # server that nobody hears of must not hold slots for ever.
+        self._gone_at_by_server: dict[str, float] = {
+            tracked.intent.backend_id: now
+            for tracked in self.book.tracked_by_id.values()
+        }
         self._adoption = shareadoption.ShareAdoption(data_centre, state)
         self._retry_at_by_place: dict[tuple, float] = {}
         self._repeat_at_by_server: dict[str, float] = {}
@@ -57,7 +62,10 @@
     def set_server(self, server: records.BackendServer) -> None:
         """Add a backend server or change its description."""
         self.book.set_server(server)
-        self._gone_at_by_server.pop(server.backend_id, None)
+
+    def learn_sizes(self, memory_by_item: dict[records.Item, int]) -> None:
+        """Note the sizes in megabytes that the sheet lists."""
+        self.book.ledger.learn_sizes(memory_by_item)
 
     def remove_server(self, backend_id: str, now: float) -> None:
         """Note that membership lost a server; its records go when all loads ended."""
@@ -254,7 +262,9 @@
         for tracked, view in open_orders:
             if tracked.place() in taken:
                 continue
-            wanted = self._is_wanted(tracked) and not tracked.is_abandoned
+            # A reopened order that is not resent expires and gives up its slot.
+            is_kept = not tracked.is_abandoned and not tracked.is_reopened
+            wanted = is_kept and self._is_wanted(tracked)
             if orderrules.needs_barrier(tracked, view, wanted, self.settings, now):
                 tracked.is_abandoned = True
                 barrier = self.book.track(
@@ -281,8 +291,12 @@
         return outputs
 
     def _may_send_copy(self, tracked, view, is_wanted, now):
-        is_committed = tracked.stage is not Stage.PROPOSED
-        return is_committed and orderrules.may_resend(tracked, view, is_wanted, now)
+        if tracked.stage is Stage.PROPOSED:
+            return False
+        share = self.book.share
+        if tracked.is_reopened and not share.is_use_within(share.share):
+            return False  # a restart may reopen more loads than the share allows
+        return orderrules.may_resend(tracked, view, is_wanted, now)
 
     def _send_copy(self, tracked, view, now):
         settings = self.settings
