Keep backend servers without reports alive; random faults

Cause: other hosts hear of a backend server by its reports alone, so one that only announces itself expired everywhere but at its collector. Change: an announcement is passed on again when the last news is 4 s old; new relays of other data centres and seeds are told to the transport as HostChanged; seeds are parsed from text; a fuzz test with random faults under the marker fuzz.

--- a/kumquatproxy/backendtable.py
+++ b/kumquatproxy/backendtable.py
@@ -8,17 +8,22 @@
 """A backend server not heard of for this long gets no requests; reports come each
 second, so this passes over a change of collector."""
 
+REFRESH_S = 4.0
+"""The other hosts hear of a backend server by its reports. Where these are missing, an
+announcement is passed on to them if the last news is older than this."""
+
 FORGET_S = 3600.0
 
 _HASH = struct.Struct(">Q")
 
 
 class _Entry:
-    __slots__ = ("hash", "heard_at", "server")
+    __slots__ = ("hash", "heard_at", "server", "told_at")
 
     def __init__(self, server, heard_at):
         self.server: records.BackendServer = server
         self.heard_at: float = heard_at
+        self.told_at: float = heard_at  # what the other hosts know as heard_at
         text = f"{server.backend_id} {server.incarnation} {server.leaving}"
         self.hash: int = membermessages.short_hash(text)
 
@@ -54,7 +59,7 @@
         return [server for server in self.live(now) if not server.leaving]
 
     def announce(self, server: records.BackendServer, now: float) -> bool:
-        """Enter an announcement; return whether it is news for the other hosts.
+        """Enter an announcement; return whether it is to be passed on.
 
         Raise ProxyError if it is of another data centre, older than a known one, or
         differs from a known one with the same incarnation.
@@ -67,7 +72,10 @@
         return self.merge(server, 0.0, now)
 
     def merge(self, server: records.BackendServer, age_s: float, now: float) -> bool:
-        """Take a record heard ``age_s`` ago if it is newer; return whether it was."""
+        """Take a record heard ``age_s`` ago; return whether it is to be passed on.
+
+        It is if it is newer than the known record or was heard much later.
+        """
         if age_s > FORGET_S or server.data_centre != self.data_centre:
             return False
         entry = self._entries_by_id.get(server.backend_id)
@@ -75,15 +83,20 @@
         if entry is None or _rank(server) > _rank(entry.server):
             self._replace(entry, _Entry(server, heard_at))
             return True
-        if server.incarnation == entry.server.incarnation:
-            entry.heard_at = max(entry.heard_at, heard_at)
-        return False
+        if server.incarnation != entry.server.incarnation:
+            return False
+        entry.heard_at = max(entry.heard_at, heard_at)
+        if heard_at - entry.told_at < REFRESH_S:
+            return False
+        entry.told_at = heard_at
+        return True
 
     def heard(self, backend_id: str, incarnation: int, heard_at: float) -> None:
         """Note a report of a backend server at a time."""
         entry = self._entries_by_id.get(backend_id)
         if entry is not None and entry.server.incarnation == incarnation:
             entry.heard_at = max(entry.heard_at, heard_at)
+            entry.told_at = max(entry.told_at, heard_at)
 
     def forget_old(self, now: float) -> list[str]:
         """Drop what was not heard of for ``FORGET_S``; return the ids."""
--- a/kumquatproxy/hosttable.py
+++ b/kumquatproxy/hosttable.py
@@ -54,6 +54,11 @@
             if entry.state in membermessages.PRESENT_STATES
         )
 
+    def present_lists(self) -> list[list]:
+        """Return the message form of the present hosts that have been heard of."""
+        entries = [self.entries_by_id[name] for name in self.present()]
+        return [entry.to_list() for entry in entries if entry.incarnation]
+
     def working(self) -> list[str]:
         """Return the ids of the present hosts that are not leaving, in order."""
         return sorted(
--- a/kumquatproxy/membermessages.py
+++ b/kumquatproxy/membermessages.py
@@ -3,7 +3,7 @@
 import enum
 import hashlib
 
-from kumquatproxy import records, wire
+from kumquatproxy import errors, records, wire
 
 SHORT_DIGEST_BYTES = 8
 
@@ -45,6 +45,22 @@
         self.seeds: tuple[Seed, ...] = tuple(seeds)
 
 
+def parse_seed(text: str) -> Seed:
+    """Return the seed of a text ``HOST-ID/DATA-CENTRE/IP:PORT``.
+
+    Raise ProxyError if it has another form.
+    """
+    parts = text.split("/")
+    if len(parts) == 3 and all(parts):
+        host, _, port = parts[2].rpartition(":")
+        if host and port.isdecimal() and 0 < int(port) < 65536:
+            return Seed(*parts)
+    raise errors.ProxyError(
+        errors.ErrorKind.INVALID_CONFIGURATION,
+        f"seed {text!r} is not of the form HOST-ID/DATA-CENTRE/IP:PORT",
+    )
+
+
 class HostEntry(records.Record):
     """Hold what is known of one host of the own data centre."""
 
--- a/kumquatproxy/membership.py
+++ b/kumquatproxy/membership.py
@@ -72,8 +72,8 @@
         self._sync_interval_s = MIN_SYNC_INTERVAL_S
         self._pull_at = now
         self._forget_at = now + FORGET_INTERVAL_S
-        for seed in self._own_seeds():
-            self.table.put(HostEntry(seed.host_id, 0, 0, seed.address), now)
+        for seed in settings.seeds:
+            self._enter_seed(seed, now)
         own = HostEntry(self.host_id, 0, settings.incarnation, settings.address)
         self.table.put(own, now)
 
@@ -94,6 +94,17 @@
         """
         return self.table.working()[::-1]
 
+    def _enter_seed(self, seed, now):
+        if seed.host_id == self.host_id:
+            return
+        if seed.data_centre == self.settings.data_centre:
+            self.table.put(HostEntry(seed.host_id, 0, 0, seed.address), now)
+        self._out.append(
+            membermessages.HostChanged(
+                seed.host_id, seed.data_centre, HostState.ALIVE, seed.address
+            )
+        )
+
     def tick(self, now: float) -> list:
         """Return what is due at ``now``."""
         self._pass_over_pause(now)
@@ -123,21 +134,14 @@
 
         Raise ProxyError if it is invalid or out of date.
         """
+        known = self.backends.get(server.backend_id)
         if self.backends.announce(server, now):
-            self._out.append(membermessages.BackendChanged(server))
-            values = membermessages.list_of_server(server, 0.0)
-            self._push([], [values], "")
+            self._note_server(known, server)
+            self._push([], [membermessages.list_of_server(server, 0.0)], "")
         return self._take()
 
-    def leave(self, now: float) -> list:
-        """Announce that this host takes no new work."""
-        return self._announce_self(HostState.LEAVING, now)
-
-    def left(self, now: float) -> list:
-        """Announce that this host has stopped."""
-        return self._announce_self(HostState.LEFT, now)
-
-    def _announce_self(self, state, now):
+    def announce_self(self, state: HostState, now: float) -> list:
+        """Tell all hosts that this one is LEAVING, takes no new work, or has LEFT."""
         me = self.me
         entry = HostEntry(self.host_id, state, me.incarnation + 1, me.address)
         self.table.put(entry, now)
@@ -152,13 +156,10 @@
     def _send(self, to, message):
         self._out.append(wire.Send(to, message))
 
-    def _own_seeds(self):
-        return [
-            seed
-            for seed in self.settings.seeds
-            if seed.data_centre == self.settings.data_centre
-            and seed.host_id != self.host_id
-        ]
+    def _own_seed_ids(self):
+        centre = self.settings.data_centre
+        seeds = [seed for seed in self.settings.seeds if seed.data_centre == centre]
+        return [seed.host_id for seed in seeds if seed.host_id != self.host_id]
 
     def _others(self):
         return [name for name in self.table.present() if name != self.host_id]
@@ -167,8 +168,6 @@
         others = [name for name in self._others() if name != but]
         return self._rng.sample(others, min(count, len(others)))
 
-    # Probing
-
     def _sums(self):
         return _SUMS.pack(self.table.sum & _MASK, self.backends.sum & _MASK)
 
@@ -180,15 +179,18 @@
         self._send(target, self._probe_message(target, self._prober.skip_number()))
 
     def _probe_message(self, target, number):
-        entry = self.table.get(target)
-        first_id = target if entry and entry.state >= HostState.SUSPECT else ""
-        return membermessages.Probe(
-            me=self.me.to_list(),
-            news=self.table.news(first_id),
-            number=number,
-            sums=self._sums(),
-            version=self.version,
-        )
+        return membermessages.Probe(number=number, **self._status(target))
+
+    def _status(self, receiver):
+        """Return the fields that probes and acks share."""
+        entry = self.table.get(receiver)
+        first_id = receiver if entry and entry.state >= HostState.SUSPECT else ""
+        return {
+            "me": self.me.to_list(),
+            "news": self.table.news(first_id),
+            "sums": self._sums(),
+            "version": self.version,
+        }
 
     def _probe_next(self, now):
         target = self._prober.next_target(self._others())
@@ -247,16 +249,16 @@
     def _contact_missing(self, now):
         if not self._is_joined and now >= self._join_at:
             self._join_at = now + JOIN_INTERVAL_S
-            seeds = [seed.host_id for seed in self._own_seeds()]
+            seeds = self._own_seed_ids()
             self._is_joined = not seeds
             for seed in self._rng.sample(seeds, min(2, len(seeds))):
                 self._send(seed, self._sync_message(True))
         if now < self._recontact_at:
             return
         self._recontact_at = now + RECONTACT_INTERVAL_S
-        missing = set(self.table.dead())
-        seeds = [seed.host_id for seed in self._own_seeds()]
-        missing |= {name for name in seeds if not self.table.is_present(name)}
+        seeds = self._own_seed_ids()
+        missing = {name for name in seeds if not self.table.is_present(name)}
+        missing.update(self.table.dead())
         if missing:
             self._contact(self._rng.choice(sorted(missing)))
 
@@ -267,16 +269,8 @@
         self._send(sender, self._ack(probe.number, self.host_id, sender))
 
     def _ack(self, number, about, asker):
-        entry = self.table.get(asker)
-        first_id = asker if entry and entry.state >= HostState.SUSPECT else ""
-        return membermessages.ProbeAck(
-            about=about,
-            me=self.me.to_list(),
-            news=self.table.news(first_id),
-            number=number,
-            sums=self._sums(),
-            version=self.version,
-        )
+        status = self._status(asker)
+        return membermessages.ProbeAck(number=number, about=about, **status)
 
     def _on_ack(self, sender, ack, now):
         self._on_status(sender, ack, now)
@@ -306,8 +300,7 @@
             self._send(sender, membermessages.BackendPull(known=known))
 
     def _sync_message(self, answer):
-        present = [self.table.entries_by_id[name] for name in self.table.present()]
-        hosts = [entry.to_list() for entry in present if entry.incarnation]
+        hosts = self.table.present_lists()
         return membermessages.MemberSync(answer=answer, hosts=hosts)
 
     def _on_sync(self, sender, sync, now):
@@ -329,12 +322,17 @@
         servers = []
         for values in push.servers:
             server, age_s = membermessages.parse_server(values)
+            known = self.backends.get(server.backend_id)
             if self.backends.merge(server, age_s, now):
-                self._out.append(membermessages.BackendChanged(server))
+                self._note_server(known, server)
                 servers.append(values)
         if hosts or servers:
             self._push(hosts, servers, sender)
 
+    def _note_server(self, known, server):
+        if known != server:
+            self._out.append(membermessages.BackendChanged(server))
+
     def _push(self, hosts, servers, sender):
         """Send changes to the neighbours in the tree and to some other hosts.
 
@@ -348,7 +346,7 @@
             self._send(target, message)
 
     def _on_notice(self, sender, notice, now):
-        self.links.learn(notice, now)
+        self._out += self.links.learn(notice, now)
         if notice.answer:
             self._send(sender, self._notice(False))
 
--- a/kumquatproxy/relaylinks.py
+++ b/kumquatproxy/relaylinks.py
@@ -41,24 +41,22 @@
         """Return the other data centres that are known, in order."""
         return sorted(self._centres_by_name)
 
-    def learn(self, notice: membermessages.RelayNotice, now: float) -> None:
-        """Take the relays that a host of another data centre told of."""
+    def learn(self, notice: membermessages.RelayNotice, now: float) -> list:
+        """Take the relays of another data centre; return those that are new."""
         name = notice.data_centre
-        if name == self._settings.data_centre:
-            return
-        if len(self._centres_by_name) >= MAX_DATA_CENTRES:
-            if name not in self._centres_by_name:
-                return
+        known = self._centres_by_name.get(name)
+        is_full = known is None and len(self._centres_by_name) >= MAX_DATA_CENTRES
+        if name == self._settings.data_centre or is_full:
+            return []
         addresses = {str(host): str(address) for host, address in notice.relays}
         if addresses:
             self._centres_by_name[name] = _Centre(addresses, now)
-
-    def address_of(self, host_id: str) -> str:
-        """Return the address of a relay of another data centre, or nothing."""
-        for centre in self._centres_by_name.values():
-            if host_id in centre.addresses_by_id:
-                return centre.addresses_by_id[host_id]
-        return ""
+        alive = membermessages.HostState.ALIVE
+        return [
+            membermessages.HostChanged(host, name, alive, address)
+            for host, address in sorted(addresses.items())
+            if known is None or known.addresses_by_id.get(host) != address
+        ]
 
     def tick(self, notice_of, now: float) -> list:
         """Return the notices that are due; ``notice_of(answer)`` makes them.
--- /dev/null
+++ b/tests/test_members_fuzz.py
@@ -0,0 +1,72 @@
+"""Random faults on a cluster, then quiet: all hosts must agree again."""
+
+import os
+import random
+
+import clusters
+import pytest
+
+FIRST_SEED = int(os.environ.get("FUZZ_SEED", "1")) * 1000
+
+
+class Faults:
+    """Kill, restart, pause and cut hosts at random, and publish versions."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.cluster = clusters.Cluster(seed, 9, centres=("a", "b"))
+        self.incarnation = 10
+        self.number = 0
+
+    def step(self):
+        kinds = ("kill", "restart", "pause", "resume", "cut", "heal", "publish")
+        getattr(self, self.rng.choice(kinds))()
+        self.cluster.run_for(self.rng.random() * 6.0)
+
+    def kill(self):
+        running = sorted(self.cluster.network.hosts_by_id)
+        if len(running) > 8:
+            self.cluster.network.kill(self.rng.choice(running))
+
+    def restart(self):
+        self.incarnation += 1
+        host_id = self.rng.choice(sorted(self.cluster.centres_by_id))
+        self.cluster.start(host_id, self.incarnation)
+        self.cluster.adoptions_by_id.pop(host_id, None)
+
+    def pause(self):
+        running = sorted(self.cluster.network.hosts_by_id)
+        self.cluster.network.paused.add(self.rng.choice(running))
+
+    def resume(self):
+        self.cluster.network.paused.clear()
+
+    def cut(self):
+        some = set(self.rng.sample(sorted(self.cluster.centres_by_id), 6))
+        self.cluster.network.cut(lambda sender, to: (sender in some) != (to in some))
+
+    def heal(self):
+        self.cluster.network.cut(lambda sender, to: False)
+
+    def publish(self):
+        self.number += 1
+        running = sorted(set(self.cluster.network.hosts_by_id))
+        content = f"version {self.number}".encode() * 500
+        self.cluster.publish(self.rng.choice(running), self.number, content)
+
+
+@pytest.mark.fuzz
+@pytest.mark.parametrize("seed", range(FIRST_SEED, FIRST_SEED + 40))
+def test_all_hosts_agree_after_random_faults(seed):
+    faults = Faults(seed)
+    cluster = faults.cluster
+    cluster.run_for(10.0)
+    for _ in range(25):
+        faults.step()
+    faults.heal()
+    faults.resume()
+    faults.publish()
+    cluster.run_for(60.0)
+    assert cluster.wrong_views() == {}
+    assert cluster.behind(faults.number) == []
+    assert cluster.fallen_versions() == []
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,9 +3,11 @@
 import clusters
 import pytest
 
-from kumquatproxy import errors, membership
+from kumquatproxy import errors, membermessages, membership
 
 SETTLE_S = 40.0
+LEAVING = membermessages.HostState.LEAVING
+LEFT = membermessages.HostState.LEFT
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -18,6 +20,14 @@
     assert cluster.wrong_views() == {}
 
 
+def test_the_death_of_the_only_other_host_is_noticed():
+    cluster = clusters.Cluster(1, 2)
+    cluster.run_for(10.0)
+    cluster.network.kill("a-01")
+    cluster.run_for(SETTLE_S)
+    assert cluster.wrong_views() == {}
+
+
 def partition_and_heal(seed):
     """Return the wrong views some time after a long partition into halves."""
     cluster = clusters.Cluster(seed, 12)
@@ -83,12 +93,12 @@
     cluster = clusters.Cluster(7, 16)
     cluster.run_for(10.0)
     leaving = cluster.host("a-00").membership
-    cluster.network.handle("a-00", leaving.leave(cluster.network.now))
+    cluster.network.handle("a-00", leaving.announce_self(LEAVING, cluster.network.now))
     cluster.run_for(1.0)
     assert {tuple(host.membership.relays()) for host in cluster.hosts()} == {
         ("a-01", "a-02")
     }
-    cluster.network.handle("a-00", leaving.left(cluster.network.now))
+    cluster.network.handle("a-00", leaving.announce_self(LEFT, cluster.network.now))
     cluster.network.kill("a-00")
     cluster.run_for(1.0)
     assert cluster.wrong_views() == {}
@@ -137,6 +147,19 @@
     assert cluster.host("a-06").membership.backends.get("gpu-1") is not None
 
 
+def test_a_server_without_reports_lives_by_its_announcements():
+    cluster = clusters.Cluster(12, 8)
+    cluster.run_for(8.0)
+    for _ in range(8):
+        cluster.announce("a-03", clusters.server_of("desk-1"))
+        cluster.run_for(2.0)
+    now = cluster.network.now
+    assert all(host.membership.backends.live(now) for host in cluster.hosts())
+    cluster.run_for(20.0)  # the server is silent
+    now = cluster.network.now
+    assert not any(host.membership.backends.live(now) for host in cluster.hosts())
+
+
 def test_announcements_out_of_date_are_refused():
     backends = clusters.Cluster(9, 1).host("a-00").membership.backends
     assert backends.announce(clusters.server_of("b", 5), 0.0)
@@ -176,6 +199,14 @@
     assert "b-02" in cluster.host("c-01").membership.links.relays()
 
 
+def test_seeds_are_parsed():
+    seed = membermessages.parse_seed("h-1/mu-1/10.0.0.1:7400")
+    assert seed == membermessages.Seed("h-1", "mu-1", "10.0.0.1:7400")
+    for text in ("h-1/mu-1", "h-1//10.0.0.1:1", "h/d/10.0.0.1", "h/d/10.0.0.1:x"):
+        with pytest.raises(errors.ProxyError, match="invalid-configuration"):
+            membermessages.parse_seed(text)
+
+
 def test_malformed_messages_are_refused():
     cluster = clusters.Cluster(11, 2)
     host = cluster.host("a-00")
