Check the types of fields and test the cores over real links

Cause: a message with fields of other types could raise in a later tick and end the task that owns the cores. Change: field types are checked against the message classes; a hypothesis test sends malformed messages; five hosts over real links share hosts and a version.

--- a/kumquatproxy/dissemination.py
+++ b/kumquatproxy/dissemination.py
@@ -136,7 +136,7 @@
 
     def observe(self, sender: str, status: list, now: float) -> list:
         """Compare the version that a probe told with the own one."""
-        number, digest = status
+        number, digest = membermessages.parse_version(status)
         self._holders[sender] = number
         if number == self.number and self.version is not None:
             if digest != short(self.version.digest):
--- a/kumquatproxy/membermessages.py
+++ b/kumquatproxy/membermessages.py
@@ -84,10 +84,8 @@
 
 def parse_host(values) -> HostEntry:
     """Return the entry of a list made by ``HostEntry.to_list``."""
-    host_id, state, incarnation, address = values
-    if not isinstance(host_id, str) or not isinstance(address, str):
-        raise ValueError("host id and address of an entry must be texts")
-    return HostEntry(host_id, state, int(incarnation), address)
+    _check_types(values, (str, int, int, str))
+    return HostEntry(*values)
 
 
 class HostChanged(records.Record):
@@ -128,12 +126,27 @@
     ]
 
 
+_SERVER_TYPES = (str, str, str, str, str, int, int, int, bool, bool)
+
+
 def parse_server(values) -> tuple[records.BackendServer, float]:
     """Return a backend server and the seconds since it was last heard of."""
     *fields, age_s = values
+    _check_types(fields, _SERVER_TYPES)
     return records.BackendServer(*fields), float(age_s)
 
 
+def parse_version(values) -> tuple[int, bytes]:
+    """Return number and short digest of a version that a probe told."""
+    _check_types(values, (int, bytes))
+    return values[0], values[1]
+
+
+def _check_types(values, types):
+    if [type(value) for value in values] != list(types):
+        raise TypeError(f"fields of other types than {types}: {values!r:.100}")
+
+
 def short_hash(text: str) -> int:
     """Return a 64-bit hash; sets of entries are compared by the XOR of these."""
     digest = hashlib.blake2b(text.encode(), digest_size=SHORT_DIGEST_BYTES).digest()
--- a/kumquatproxy/peers.py
+++ b/kumquatproxy/peers.py
@@ -119,6 +119,7 @@
         return []
 
     def _receive(self, sender, message, now):
+        _check_fields(message)
         if isinstance(message, _REPORTS):
             return self._follow_reports(self.reports.receive(sender, message, now))
         if isinstance(message, _VERSIONS):
@@ -149,6 +150,14 @@
         return out
 
 
+def _check_fields(message):
+    """Raise TypeError if a field has not the type that its class declares."""
+    for name, kind in type(message).__annotations__.items():
+        value = getattr(message, name)
+        if type(value) is not kind:
+            raise TypeError(f"field {name} is a {type(value).__name__}")
+
+
 def _malformed(sender, message, error):
     return errors.ProxyError(
         errors.ErrorKind.PROTOCOL_ERROR,
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,126 @@
+"""The joined cores: malformed messages, and hosts over real links."""
+
+import random
+import time
+
+import clusters
+import gevent
+import hypothesis
+import test_transport
+from hypothesis import strategies
+
+from kumquatproxy import errors, hello, membermessages, peers, transport, wire
+
+CLASSES = sorted(
+    peers._MEMBERSHIP + peers._REPORTS + peers._VERSIONS, key=lambda cls: cls.tag
+)
+plain = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-5, 2**40)
+    | strategies.floats()
+    | strategies.text(max_size=4)
+    | strategies.binary(max_size=20)
+    | strategies.just("a-01"),
+    lambda inner: strategies.lists(inner, max_size=5),
+    max_leaves=12,
+)
+lists = strategies.lists(plain, max_size=5)
+entry = strategies.tuples(
+    strategies.sampled_from(["a-00", "a-01", "x"]),
+    strategies.integers(-1, 6),
+    strategies.integers(-1, 30),
+    strategies.sampled_from(["127.0.0.1:1", ""]),
+).map(list)
+BY_TYPE = {
+    bool: strategies.booleans(),
+    bytes: strategies.binary(max_size=40) | strategies.just(b"\0" * 18),
+    int: strategies.integers(-2, 2000),
+    list: lists | strategies.lists(entry, max_size=3) | entry,
+    str: strategies.sampled_from(["a-01", "", "zz"]),
+}
+
+
+def messages_of(cls):
+    fields = {name: BY_TYPE[kind] | plain for name, kind in cls.__annotations__.items()}
+    return strategies.builds(cls, **fields)
+
+
+@hypothesis.given(
+    strategies.lists(strategies.sampled_from(CLASSES).flatmap(messages_of), max_size=8)
+)
+def test_malformed_messages_raise_only_proxy_errors(messages):
+    """Guard against a message that ends the task which owns the cores."""
+    cluster = clusters.Cluster(1, 2)
+    host = cluster.host("a-00")
+    host.publish(1, b"content" * 100, 0.0)
+    now = 0.0
+    for message in messages:
+        now += 0.7
+        try:
+            host.receive("a-01", message, now)
+        except errors.ProxyError as error:
+            assert error.kind is errors.ErrorKind.PROTOCOL_ERROR
+        for output in host.tick(now):
+            if isinstance(output, wire.Send):
+                wire.encode(output.message)
+
+
+class Host:
+    """Drive the cores of one host over real links."""
+
+    def __init__(self, host_id, seeds):
+        self.inbox = []
+        identity = hello.Identity(host_id, "a", test_transport.KEY, ["a"])
+        settings = transport.Settings("127.0.0.1:0", identity)
+        self.transport = transport.Transport(settings, self._put)
+        self.transport.start()
+        address = self.transport.address
+        settings = membermessages.Settings(host_id, "a", address, 5, seeds)
+        rng = random.Random(host_id)
+        self.peers = peers.Peers(settings, rng, time.monotonic())
+        self.greenlet = gevent.spawn(self._run)
+
+    def _put(self, sender, message):
+        self.inbox.append((sender, message))
+
+    def _run(self):
+        while True:
+            gevent.sleep(0.02)
+            taken, self.inbox = self.inbox, []
+            for sender, message in taken:
+                self.handle(self.peers.receive(sender, message, time.monotonic()))
+            self.handle(self.peers.tick(time.monotonic()))
+
+    def handle(self, outputs):
+        for output in outputs:
+            if isinstance(output, wire.Send):
+                self.transport.send(output.to, output.message)
+            elif isinstance(output, membermessages.HostChanged):
+                self.transport.learn(output.host_id, output.address)
+
+    def stop(self):
+        self.greenlet.kill()
+        self.transport.stop()
+
+
+def test_hosts_over_real_links_share_hosts_and_versions():
+    hosts = [Host("a-00", [])]
+    seed = membermessages.Seed("a-00", "a", hosts[0].transport.address)
+    hosts += [Host(f"a-{index:02d}", [seed]) for index in range(1, 5)]
+    names = [host.peers.host_id for host in hosts]
+    try:
+        test_transport.wait_until(
+            lambda: all(
+                host.peers.membership.table.present() == names for host in hosts
+            )
+        )
+        content = random.Random(1).randbytes(200_000)
+        hosts[3].handle(hosts[3].peers.publish(1, content, time.monotonic()))
+        test_transport.wait_until(
+            lambda: all(host.peers.versions.number == 1 for host in hosts)
+        )
+        assert all(host.peers.versions.version.content == content for host in hosts)
+    finally:
+        for host in hosts:
+            host.stop()
