--- a/kumquatproxy/membermessages.py
+++ b/kumquatproxy/membermessages.py
@@ -3,7 +3,7 @@
 import enum
 import hashlib
 
-from kumquatproxy import records, wire
+from kumquatproxy import errors, records, wire
 
 SHORT_DIGEST_BYTES = 8
 
@@ -45,6 +45,22 @@
         self.seeds: tuple[Seed, ...] = tuple(seeds)
 
 
+def parse_seed(text: str) -> Seed:
+    """Return the seed of a text ``HOST-ID/DATA-CENTRE/IP:PORT``.
+
+    Raise ProxyError if it has another form.
+    """
+    parts = text.split("/")
+    if len(parts) == 3 and all(parts):
+        host, _, port = parts[2].rpartition(":")
+        if host and port.isdecimal() and 0 < int(port) < 65536:
+            return Seed(*parts)
+    raise errors.ProxyError(
+        errors.ErrorKind.INVALID_CONFIGURATION,
+        f"seed {text!r} is not of the form HOST-ID/DATA-CENTRE/IP:PORT",
+    )
+
+
 class HostEntry(records.Record):
     """Hold what is known of one host of the own data centre."""
 
@@ -68,10 +84,8 @@
 
 def parse_host(values) -> HostEntry:
     """Return the entry of a list made by ``HostEntry.to_list``."""
-    host_id, state, incarnation, address = values
-    if not isinstance(host_id, str) or not isinstance(address, str):
-        raise ValueError("host id and address of an entry must be texts")
-    return HostEntry(host_id, state, int(incarnation), address)
+    _check_types(values, (str, int, int, str))
+    return HostEntry(*values)
 
 
 class HostChanged(records.Record):
@@ -112,12 +126,27 @@
     ]
 
 
+_SERVER_TYPES = (str, str, str, str, str, int, int, int, bool, bool)
+
+
 def parse_server(values) -> tuple[records.BackendServer, float]:
     """Return a backend server and the seconds since it was last heard of."""
     *fields, age_s = values
+    _check_types(fields, _SERVER_TYPES)
     return records.BackendServer(*fields), float(age_s)
 
 
+def parse_version(values) -> tuple[int, bytes]:
+    """Return number and short digest of a version that a probe told."""
+    _check_types(values, (int, bytes))
+    return values[0], values[1]
+
+
+def _check_types(values, types):
+    if [type(value) for value in values] != list(types):
+        raise TypeError(f"fields of other types than {types}: {values!r:.100}")
+
+
 def short_hash(text: str) -> int:
     """Return a 64-bit hash; sets of entries are compared by the XOR of these."""
     digest = hashlib.blake2b(text.encode(), digest_size=SHORT_DIGEST_BYTES).digest()
