--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -175,6 +175,30 @@
     )
 
 
+@pytest.mark.parametrize("message_class", [raftmessages.PreVote, raftmessages.Vote])
+@pytest.mark.parametrize("last, granted", [((1, 9), False), ((2, 1), True)])
+def test_votes_go_only_to_logs_that_are_as_recent(message_class, last, granted):
+    """A leader with an older log would replace committed entries."""
+    member = make_member()
+    kind = replicalog.EntryKind.NOOP
+    for index in (1, 2):
+        member.state.append(replicalog.Entry(index, index, kind, b""))
+    member.term = 2
+    fields = {"transfer": False} if message_class is raftmessages.Vote else {}
+    message = message_class(
+        group="g",
+        source="h2/0",
+        target="h1/0",
+        term=3,
+        last_term=last[0],
+        last_index=last[1] + 1,
+        **fields,
+    )
+    member.receive("h2", message, 110.0)
+    replies = [send.message.granted for send in member.take_ready().messages]
+    assert replies == [granted]
+
+
 def test_a_transfer_gives_up_the_lease_before_the_target_is_asked():
     group = make_group()
     leader = group.leader()
--- /dev/null
+++ b/tests/test_replication.py
@@ -0,0 +1,207 @@
+"""The task around a member: commits, restarts, full disks, answers to proposers."""
+
+import errno
+import os
+import random
+import time
+
+import gevent
+import pytest
+
+from kumquatproxy import (
+    consensus,
+    diskstore,
+    errors,
+    groupsettings,
+    histories,
+    registermachine,
+    replication,
+    voterset,
+    wire,
+)
+
+HOSTS = ("h1", "h2", "h3")
+IDENTITIES = [voterset.make_identity(host, "0") for host in HOSTS]
+TIMEOUT_S = 20.0
+
+
+class Members:
+    """Run three members whose messages pass through their wire form."""
+
+    def __init__(self, directory):
+        self.directory = directory
+        self.tasks_by_host = {}
+        self.full_hosts = set()
+        self.tick_s = 0.01
+        voters = voterset.VoterSet(IDENTITIES).encode()
+        for host, identity in zip(HOSTS, IDENTITIES):
+            state = groupsettings.bootstrap_state(voters)
+            diskstore.format_directory(directory / host, identity, state)
+
+    def start(self, host):
+        def sync(descriptor):
+            if host in self.full_hosts:
+                raise OSError(errno.ENOSPC, "No space left on device")
+            os.fsync(descriptor)
+
+        def send(to, message):
+            if to in self.tasks_by_host:
+                decoded = wire.decode(wire.encode(message))
+                self.tasks_by_host[to].receive(host, decoded)
+
+        store = diskstore.DiskStore(self.directory / host, sync=sync)
+        settings = groupsettings.GroupSettings(
+            "test",
+            store.identity,
+            election_timeout_s=0.2,
+            heartbeat_s=0.05,
+            lease_margin_s=0.05,
+            retained_entries=0,
+        )
+        rng = random.Random(host)
+        member = consensus.Member(settings, store.state, rng, time.monotonic())
+        task = replication.Replication(
+            member,
+            store,
+            registermachine.RegisterMachine(),
+            send,
+            snapshot_every=20,
+            tick_interval_s=self.tick_s,
+        )
+        self.tasks_by_host[host] = task
+        task.start()
+
+    def stop(self, host):
+        self.tasks_by_host.pop(host).stop()
+
+    def wait_for(self, is_reached):
+        """Wait for a state; the limit only ends a test that hangs."""
+        with gevent.Timeout(TIMEOUT_S):
+            while not is_reached():
+                gevent.sleep(0.005)
+
+    def leader(self):
+        """Return the task of a leader that serves, after waiting for it."""
+        found = []
+
+        def look():
+            now = time.monotonic()
+            tasks = self.tasks_by_host.values()
+            found[:] = [task for task in tasks if task.member.is_serving(now)]
+            return found
+
+        self.wait_for(look)
+        return found[0]
+
+
+@pytest.fixture
+def members(tmp_path):
+    running = Members(tmp_path)
+    for host in HOSTS:
+        running.start(host)
+    yield running
+    for host in list(running.tasks_by_host):
+        running.stop(host)
+
+
+def write(task, value):
+    command = registermachine.RegisterCall(["write", value], b"")
+    return task.submit(command, TIMEOUT_S).value
+
+
+def host_of(task):
+    return voterset.host_of(task.member.settings.identity)
+
+
+def test_commands_survive_a_restart_of_all_members(members):
+    leader = members.leader()
+    for value in range(50):
+        assert write(leader, value) is True
+    for host in HOSTS:
+        members.stop(host)
+    for host in HOSTS:
+        members.start(host)
+    leader = members.leader()
+    assert leader.machine.value == 49 and leader.machine.applied == 50
+
+
+def test_concurrent_clients_get_a_linearizable_history(members):
+    """An answer given to the wrong proposal, or before its commit, would show."""
+    rng = random.Random(5)
+    operations = []
+
+    def run(client):
+        for _ in range(15):
+            call = ("cas", rng.randrange(3), rng.randrange(3))
+            if rng.random() < 0.3:
+                call = ("write", rng.randrange(3))
+            if rng.random() < 0.3:
+                call = ("read",)
+            while not submit(histories.Operation(client, call, time.monotonic())):
+                pass
+
+    def submit(operation):
+        """Return whether the call may have run."""
+        command = registermachine.RegisterCall(list(operation.call), b"")
+        try:
+            operation.result = members.leader().submit(command, TIMEOUT_S).value
+            operation.returned_at = time.monotonic()
+        except errors.ProxyError as error:
+            if error.executed == "no":
+                return False
+        operations.append(operation)
+        return True
+
+    clients = [gevent.spawn(run, name) for name in "abcd"]
+    gevent.sleep(0.02)
+    first = members.leader()
+    first.ask(replication.GiveUpLeadership(), TIMEOUT_S)
+    members.wait_for(lambda: members.leader() is not first)
+    gevent.joinall(clients, raise_error=True)
+    assert len(operations) == 60
+    assert histories.is_linearizable(operations, histories.compare_and_set_register)
+
+
+def test_a_full_disk_hands_over_and_recovers(members):
+    leader = members.leader()
+    assert write(leader, 1) is True
+    members.full_hosts.add(host_of(leader))
+    pending = gevent.spawn(write, leader, 2)
+    members.wait_for(lambda: leader.storage_error is not None)
+    assert leader.storage_error.kind is errors.ErrorKind.DISK_FULL
+    assert not leader.member.has_lease(time.monotonic())
+    successor = members.leader()
+    assert successor is not leader
+    write(successor, 3)
+    members.full_hosts.clear()
+    members.wait_for(lambda: leader.storage_error is None)
+    members.wait_for(lambda: leader.machine.value == 3)
+    assert pending.get(timeout=TIMEOUT_S) is True
+
+
+def test_a_follower_refuses_with_not_leader(members):
+    leader = members.leader()
+    follower = next(t for t in members.tasks_by_host.values() if t is not leader)
+    with pytest.raises(consensus.NotLeader) as caught:
+        write(follower, 1)
+    assert caught.value.executed == "no"
+    assert caught.value.leader_id == leader.member.settings.identity
+
+
+def test_without_a_quorum_the_outcome_is_unknown(members):
+    """Stating that the command did not run would be false if it commits later."""
+    leader = members.leader()
+    for host in set(HOSTS) - {host_of(leader)}:
+        members.stop(host)
+    with pytest.raises(errors.ProxyError) as caught:
+        leader.submit(registermachine.RegisterCall(["write", 1], b""), 0.1)
+    assert caught.value.executed == "unknown"
+
+
+def test_a_malformed_command_is_answered_and_changes_nothing(members):
+    leader = members.leader()
+    request = replication.Submit(b"\xff")
+    leader.tell(request)
+    result = request.reply.get(timeout=TIMEOUT_S)
+    assert result.kind is errors.ErrorKind.PROTOCOL_ERROR
+    assert write(leader, 4) is True
--- /dev/null
+++ b/tests/test_voterset.py
@@ -0,0 +1,51 @@
+"""Voter sets: every change keeps quorums overlapping; limits; encoding."""
+
+import itertools
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kumquatproxy import errors, voterset
+
+IDENTITIES = [f"h{host}/{disk}" for host in range(9) for disk in range(2)]
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(list(voterset.ChangeKind)), st.sampled_from(IDENTITIES)
+        ),
+        max_size=40,
+    )
+)
+def test_quorums_before_and_after_a_change_overlap(steps):
+    """Without an overlap two leaders could be elected in one term."""
+    current = voterset.VoterSet(["h0/0", "h1/0", "h2/0"])
+    for kind, identity in steps:
+        try:
+            changed = current.changed(voterset.Change(kind, identity))
+        except errors.ProxyError:
+            continue
+        assert 1 <= len(changed.voters) <= voterset.MAX_VOTERS
+        assert set(changed.promoting) <= set(changed.learners)
+        assert not set(changed.voters) & set(changed.learners)
+        assert voterset.decode(changed.encode()) == changed
+        for old in itertools.combinations(current.voters, current.quorum):
+            for new in itertools.combinations(changed.voters, changed.quorum):
+                assert set(old) & set(new)
+        current = changed
+
+
+def test_a_returning_host_replaces_its_learner_and_keeps_its_voter():
+    group = voterset.VoterSet(["h0/0", "h1/0", "h2/0"], ["h1/1"], ["h1/1"])
+    add = voterset.Change(voterset.ChangeKind.ADD_VOTER, "h1/2")
+    changed = group.changed(add)
+    assert changed.learners == changed.promoting == ("h1/2",)
+    assert "h1/0" in changed.voters
+
+
+@pytest.mark.parametrize("count, expected", [(1, 5), (2, 4), (3, 4), (4, 3), (5, 3)])
+def test_reached_is_the_value_of_a_quorum(count, expected):
+    values = dict(zip(IDENTITIES, (5, 4, 3, 2, 1)))
+    assert voterset.VoterSet(IDENTITIES[:count]).reached(values) == expected
