--- a/kumquatproxy/consensus.py
+++ b/kumquatproxy/consensus.py
@@ -8,6 +8,7 @@
     groupsettings,
     leadership,
     logstate,
+    outbox,
     raftmessages,
     replicalog,
     voterset,
@@ -16,8 +17,6 @@
 
 NotLeader = groupsettings.NotLeader
 
-_EARLY = (raftmessages.Append, raftmessages.SnapshotChunk)
-
 
 class Role(enum.Enum):
     """Name the roles of a member."""
@@ -44,7 +43,7 @@
         self.step_down_reason = ""
         self._rng = rng
         self._hard_state_changed = False
-        self._messages: list[wire.Send] = []
+        self._outbox = outbox.Outbox(settings)
         self._granted: set[str] = set()
         self._followership = followership.Followership(self)
         # Before a restart the member may have answered a leader whose lease relies on
@@ -95,7 +94,7 @@
         if self._is_voter():
             self._start_pre_vote(now)
         elif self.settings.identity not in self.voter_set.members:
-            self._announce()
+            self._outbox.announce()
 
     def receive(self, sender: str, message: wire.Message, now: float) -> None:
         """Handle a message of the host ``sender``."""
@@ -155,21 +154,16 @@
         hard_state = None
         if self._hard_state_changed:
             hard_state = groupsettings.HardState(self.term, self.vote)
-        messages, replicate = self._take_messages()
+        # A leader counts itself only after the sync, so its appends need not wait,
+        # unless its own term is not durable yet.
+        splits = self.leader is not None and hard_state is None
+        messages, replicate = self._outbox.take(splits)
         self._hard_state_changed = False
         persist = self.state.take_persist(hard_state)
         installed = self.state.take_installed()
         committed = self.state.take_committed()
         return groupsettings.Ready(persist, messages, committed, installed, replicate)
 
-    def _take_messages(self):
-        messages, self._messages = self._messages, []
-        if self.leader is None or self._hard_state_changed:
-            return messages, []
-        early = [send for send in messages if isinstance(send.message, _EARLY)]
-        late = [send for send in messages if not isinstance(send.message, _EARLY)]
-        return late, early
-
     def persisted(self, index: int, term: int) -> None:
         """Note that the log up to the entry with this index and term is durable."""
         self.state.note_persisted(index, term)
@@ -220,13 +214,7 @@
     def send(self, message_class, target: str, **fields) -> None:
         """Queue a message to the member ``target``, in the present term by default."""
         fields.setdefault("term", self.term)
-        message = message_class(
-            group=self.settings.group,
-            source=self.settings.identity,
-            target=target,
-            **fields,
-        )
-        self._messages.append(wire.Send(voterset.host_of(target), message))
+        self._outbox.put(message_class, target, **fields)
 
     def step_down(self, now: float, reason: str) -> None:
         """Become a follower in the present term."""
@@ -278,17 +266,6 @@
         self.vote = ""
         self._hard_state_changed = True
 
-    def _announce(self):
-        for host in self.settings.join_hosts:
-            if host != voterset.host_of(self.settings.identity):
-                message = raftmessages.Join(
-                    group=self.settings.group,
-                    source=self.settings.identity,
-                    target=host,
-                    term=raftmessages.NO_TERM,
-                )
-                self._messages.append(wire.Send(host, message))
-
     def _start_pre_vote(self, now):
         self.role = Role.PRE_CANDIDATE
         self.leader_id = None
