Refuse malformed group messages and sending times from the future

Cause: a field of a wrong type from a peer ended the task that owns the member, and a reply with a sending time ahead of the leader's clock extended its lease. Change: every field is checked against its declared type; sending times are bounded.

--- a/kumquatproxy/consensus.py
+++ b/kumquatproxy/consensus.py
@@ -97,10 +97,11 @@
             self._outbox.announce()
 
     def receive(self, sender: str, message: wire.Message, now: float) -> None:
-        """Handle a message of the host ``sender``."""
+        """Handle a message of the host ``sender``; raise ProxyError if malformed."""
         self.now = now
         if self.halted or not isinstance(message, raftmessages.GroupMessage):
             return
+        raftmessages.check(message)
         if not self._is_addressed(sender, message):
             return
         if message.term > self.term and raftmessages.tells_term(message):
--- a/kumquatproxy/leadership.py
+++ b/kumquatproxy/leadership.py
@@ -190,7 +190,9 @@
         peer = self.progress_by_identity.get(message.source)
         if peer is not None:
             peer.contact_at = now
-            peer.acked_sent_at = max(peer.acked_sent_at, message.sent_at)
+            # A time that this leader has not reached yet cannot be its own.
+            sent_at = min(message.sent_at, now)
+            peer.acked_sent_at = max(peer.acked_sent_at, sent_at)
         return peer
 
     def start_transfer(self, target, now) -> None:
--- a/kumquatproxy/measure_consensus.py
+++ b/kumquatproxy/measure_consensus.py
@@ -64,6 +64,10 @@
         """Start all members and return the leader's task."""
         for task in self._tasks_by_host.values():
             task.start()
+        return self.leader()
+
+    def leader(self):
+        """Return the leader's task once there is one."""
         with gevent.Timeout(READY_TIMEOUT_S):
             while True:
                 for task in self._tasks_by_host.values():
@@ -106,14 +110,17 @@
     return count / took_s
 
 
-def count_commits(task, clients: int, period_s: float, rng) -> float:
+def count_commits(group, clients: int, period_s: float, rng) -> float:
     """Return the commands that concurrent clients get committed in a second."""
     counts = [0] * clients
     end = time.monotonic() + period_s
 
     def run(client):
         while time.monotonic() < end:
-            task.submit(_command(rng), READY_TIMEOUT_S)
+            try:
+                group.leader().submit(_command(rng), READY_TIMEOUT_S)
+            except consensus.NotLeader:
+                continue  # a busy machine can delay heartbeats
             counts[client] += 1
 
     start = time.monotonic()
@@ -130,11 +137,11 @@
         directory = pathlib.Path(name)
         group = LocalGroup(directory, rng, sync)
         try:
-            leader = group.start()
+            group.start()
             for _ in range(ROUNDS):
                 syncs = count_syncs(directory, PERIOD_S, sync)
                 for clients, values in ratios.items():
-                    commits = count_commits(leader, clients, PERIOD_S, rng)
+                    commits = count_commits(group, clients, PERIOD_S, rng)
                     values.append(commits / syncs)
         finally:
             group.stop()
--- a/kumquatproxy/raftmessages.py
+++ b/kumquatproxy/raftmessages.py
@@ -4,6 +4,8 @@
 must not reach the present one, which may not know how the earlier one voted.
 """
 
+import typing
+
 from kumquatproxy import errors, replicalog, wire
 
 NO_TERM = 0  # of a message from a member that is in no term yet
@@ -145,6 +147,27 @@
     __slots__ = ("group", "source", "target", "term")
 
 
+_FIELD_TYPES = {
+    cls: [(name, typing.get_type_hints(cls)[name]) for name in cls._fields()]
+    for cls in GroupMessage.__subclasses__()
+}
+_ACCEPTED = {float: (int, float)}
+
+
+def check(message: GroupMessage) -> None:
+    """Raise ProxyError if a field has another type or a number is negative."""
+    for name, kind in _FIELD_TYPES[type(message)]:
+        value = getattr(message, name)
+        is_kind = isinstance(value, _ACCEPTED.get(kind, kind))
+        is_number = kind in (int, float)
+        if is_kind and not (is_number and (isinstance(value, bool) or not value >= 0)):
+            continue
+        raise errors.ProxyError(
+            errors.ErrorKind.PROTOCOL_ERROR,
+            f"field {name!r} of message {message.tag!r} is not a valid {kind.__name__}",
+        )
+
+
 def tells_term(message: GroupMessage) -> bool:
     """Return whether a higher term in ``message`` must be adopted at once.
 
