--- a/tests/test_diskstore.py
+++ b/tests/test_diskstore.py
@@ -281,3 +281,11 @@
 
 TestStoreAgreesWithModel = StoreAgreesWithModel.TestCase
 TestStoreAgreesWithModel.settings = settings(max_examples=40, stateful_step_count=30)
+
+
+class LongerStoreRun(StoreAgreesWithModel):
+    """The same with more and longer runs."""
+
+
+TestLongerStoreRun = pytest.mark.fuzz(LongerStoreRun.TestCase)
+TestLongerStoreRun.settings = settings(max_examples=500, stateful_step_count=60)
--- a/tests/test_measure_consensus.py
+++ b/tests/test_measure_consensus.py
@@ -9,7 +9,7 @@
 SMALL = {
     "PERIOD_S": 0.05,
     "ROUNDS": 1,
-    "SLOW_SYNC_S": 0.001,
+    "SLOW_SYNC_S": 0.003,
     "RECOVERY_CHANGES": 200,
     "SCHEDULES": 3,
 }
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -6,6 +6,7 @@
 import time
 
 import gevent
+import gevent.monkey
 import pytest
 
 from kumquatproxy import (
@@ -23,6 +24,7 @@
 HOSTS = ("h1", "h2", "h3")
 IDENTITIES = [voterset.make_identity(host, "0") for host in HOSTS]
 TIMEOUT_S = 20.0
+sleep = gevent.monkey.get_original("time", "sleep")
 
 
 class Members:
@@ -33,6 +35,7 @@
         self.tasks_by_host = {}
         self.full_hosts = set()
         self.tick_s = 0.01
+        self.sync_s = 0.0
         voters = voterset.VoterSet(IDENTITIES).encode()
         for host, identity in zip(HOSTS, IDENTITIES):
             state = groupsettings.bootstrap_state(voters)
@@ -40,6 +43,7 @@
 
     def start(self, host):
         def sync(descriptor):
+            sleep(self.sync_s)
             if host in self.full_hosts:
                 raise OSError(errno.ENOSPC, "No space left on device")
             os.fsync(descriptor)
@@ -162,7 +166,10 @@
     assert histories.is_linearizable(operations, histories.compare_and_set_register)
 
 
-def test_a_full_disk_hands_over_and_recovers(members):
+@pytest.mark.parametrize("sync_s", [0.0, 2 * replication.INLINE_WRITE_S])
+def test_a_full_disk_hands_over_and_recovers(members, sync_s):
+    """Writes to a slow disk are done in a thread; its errors must arrive too."""
+    members.sync_s = sync_s
     leader = members.leader()
     assert write(leader, 1) is True
     members.full_hosts.add(host_of(leader))
