--- a/tests/test_faultschedules.py
+++ b/tests/test_faultschedules.py
@@ -31,6 +31,13 @@
         self._heard_at = float("-inf")
 
 
+class ReadsWithoutLease(consensus.Member):
+    """Let a leader answer reads that may have been replaced."""
+
+    def is_serving(self, now):
+        return self.leader is not None
+
+
 class CommitsAnyTerm(consensus.Member):
     """Commit entries of earlier terms by counting."""
 
@@ -62,6 +69,7 @@
 @pytest.mark.parametrize(
     "seed, fault, options, violation",
     [
+        (0, "pause", {"member_class": ReadsWithoutLease}, "not linearizable"),
         (0, "crash-in-sync", {"syncs_first": False}, "fell from term"),
         (68, "stale-leader", {"lease_margin_s": 0.0}, "hold leases"),
         (26, "stale-leader", {"member_class": VotesAnytime}, "hold leases"),
@@ -75,6 +83,18 @@
     assert f"seed {seed} " in str(caught.value)
 
 
+def test_a_host_without_its_disk_under_its_old_identity_is_caught(monkeypatch):
+    """The identity has forgotten its votes and what it acknowledged."""
+    faultschedules.Schedule(0, 3, faults=["lose-disk"]).run()
+
+    def keep_identity(schedule, host_id):
+        schedule.group.nodes_by_host[host_id].lose_disk("0")
+
+    monkeypatch.setattr(faultschedules.Schedule, "change_disk", keep_identity)
+    with pytest.raises(faultschedules.ViolationError, match="fell from term"):
+        faultschedules.Schedule(0, 3, faults=["lose-disk"]).run()
+
+
 def run_until(group, is_reached, limit_s=10.0):
     end = group.now + limit_s
     while not is_reached():
