--- a/kumquatproxy/consensus.py
+++ b/kumquatproxy/consensus.py
@@ -8,6 +8,7 @@
     groupsettings,
     leadership,
     logstate,
+    outbox,
     raftmessages,
     replicalog,
     voterset,
@@ -15,10 +16,6 @@
 )
 
 NotLeader = groupsettings.NotLeader
-Proposal = groupsettings.Proposal
-Ready = groupsettings.Ready
-
-_EARLY = (raftmessages.Append, raftmessages.SnapshotChunk)
 
 
 class Role(enum.Enum):
@@ -46,7 +43,7 @@
         self.step_down_reason = ""
         self._rng = rng
         self._hard_state_changed = False
-        self._messages: list[wire.Send] = []
+        self._outbox = outbox.Outbox(settings)
         self._granted: set[str] = set()
         self._followership = followership.Followership(self)
         # Before a restart the member may have answered a leader whose lease relies on
@@ -97,13 +94,14 @@
         if self._is_voter():
             self._start_pre_vote(now)
         elif self.settings.identity not in self.voter_set.members:
-            self._announce()
+            self._outbox.announce()
 
     def receive(self, sender: str, message: wire.Message, now: float) -> None:
-        """Handle a message of the host ``sender``."""
+        """Handle a message of the host ``sender``; raise ProxyError if malformed."""
         self.now = now
         if self.halted or not isinstance(message, raftmessages.GroupMessage):
             return
+        raftmessages.check(message)
         if not self._is_addressed(sender, message):
             return
         if message.term > self.term and raftmessages.tells_term(message):
@@ -115,7 +113,7 @@
         else:
             _HANDLERS[type(message)](self, message, now)
 
-    def propose(self, command: bytes, now: float) -> Proposal:
+    def propose(self, command: bytes, now: float) -> groupsettings.Proposal:
         """Add a command to the log; raise NotLeader if this member does not lead."""
         self.now = now
         self._check_leads()
@@ -127,18 +125,22 @@
             )
         return self.append_entry(replicalog.EntryKind.COMMAND, command)
 
-    def propose_change(self, change: voterset.Change, now: float) -> Proposal:
+    def propose_change(
+        self, change: voterset.Change, now: float
+    ) -> groupsettings.Proposal:
         """Add a change of the voter set; raise ProxyError if it is not possible now."""
         self.now = now
         leader = self._check_leads()
         if not leader.may_change():
             raise _refused("an earlier change of the voter set is not committed")
-        if change.identity == self.settings.identity:
+        if change == voterset.Change(voterset.ChangeKind.REMOVE, self.leader_id):
             raise _refused("the leader must transfer its leadership first")
         if change.kind is voterset.ChangeKind.PROMOTE:
             if not leader.has_caught_up(change.identity):
                 raise _refused(f"{change.identity} has not caught up")
         changed = self.voter_set.changed(change)
+        if not leader.quorum_answers(changed, now):
+            raise _refused("too few of the remaining voters answer")
         return self.append_entry(replicalog.EntryKind.CHANGE, changed.encode())
 
     def transfer(self, target: str, now: float) -> None:
@@ -146,27 +148,22 @@
         self.now = now
         self._check_leads().start_transfer(target, now)
 
-    def take_ready(self) -> Ready:
+    def take_ready(self) -> groupsettings.Ready:
         """Return and clear the outputs since the last call."""
         if self.leader is not None and not self.halted:
             self.leader.replicate()
         hard_state = None
         if self._hard_state_changed:
             hard_state = groupsettings.HardState(self.term, self.vote)
-        messages, replicate = self._take_messages()
+        # A leader counts itself only after the sync, so its appends need not wait,
+        # unless its own term is not durable yet.
+        splits = self.leader is not None and hard_state is None
+        messages, replicate = self._outbox.take(splits)
         self._hard_state_changed = False
         persist = self.state.take_persist(hard_state)
         installed = self.state.take_installed()
         committed = self.state.take_committed()
-        return Ready(persist, messages, committed, installed, replicate)
-
-    def _take_messages(self):
-        messages, self._messages = self._messages, []
-        if self.leader is None or self._hard_state_changed:
-            return messages, []
-        early = [send for send in messages if isinstance(send.message, _EARLY)]
-        late = [send for send in messages if not isinstance(send.message, _EARLY)]
-        return late, early
+        return groupsettings.Ready(persist, messages, committed, installed, replicate)
 
     def persisted(self, index: int, term: int) -> None:
         """Note that the log up to the entry with this index and term is durable."""
@@ -205,24 +202,20 @@
         if not self._is_voter():
             self.step_down(self.now, "no longer a voter")
 
-    def append_entry(self, kind: replicalog.EntryKind, data: bytes) -> Proposal:
+    def append_entry(
+        self, kind: replicalog.EntryKind, data: bytes
+    ) -> groupsettings.Proposal:
         """Add an entry of this term to the log."""
         entry = replicalog.Entry(self.state.log.last_index + 1, self.term, kind, data)
         self.state.append(entry)
         if kind is replicalog.EntryKind.CHANGE and self.leader is not None:
             self.leader.update_members(self.now)
-        return Proposal(entry.index, entry.term)
+        return groupsettings.Proposal(entry.index, entry.term)
 
     def send(self, message_class, target: str, **fields) -> None:
         """Queue a message to the member ``target``, in the present term by default."""
         fields.setdefault("term", self.term)
-        message = message_class(
-            group=self.settings.group,
-            source=self.settings.identity,
-            target=target,
-            **fields,
-        )
-        self._messages.append(wire.Send(voterset.host_of(target), message))
+        self._outbox.put(message_class, target, **fields)
 
     def step_down(self, now: float, reason: str) -> None:
         """Become a follower in the present term."""
@@ -274,17 +267,6 @@
         self.vote = ""
         self._hard_state_changed = True
 
-    def _announce(self):
-        for host in self.settings.join_hosts:
-            if host != voterset.host_of(self.settings.identity):
-                message = raftmessages.Join(
-                    group=self.settings.group,
-                    source=self.settings.identity,
-                    target=host,
-                    term=0,
-                )
-                self._messages.append(wire.Send(host, message))
-
     def _start_pre_vote(self, now):
         self.role = Role.PRE_CANDIDATE
         self.leader_id = None
@@ -319,8 +301,8 @@
                 )
 
     def _has_quorum(self):
-        voters = self._granted & set(self.voter_set.voters)
-        return len(voters) >= self.voter_set.quorum
+        granted = self._granted.intersection(self.voter_set.voters)
+        return len(granted) >= self.voter_set.quorum
 
     def _become_leader(self, now):
         self.role = Role.LEADER
@@ -376,8 +358,8 @@
             self._start_election(now, transfer=True)
 
     def _receive_as_leader(self, message, now):
-        is_join = isinstance(message, raftmessages.Join)
-        if self.leader is not None and (is_join or message.term == self.term):
+        is_current = message.term in (self.term, raftmessages.NO_TERM)
+        if self.leader is not None and is_current:
             _LEADER_HANDLERS[type(message)](self.leader, message, now)
 
 
