Add experiments and measurements of routing, admission and retries

Cause: the decisions need figures against baselines and a bound. Change: margin of admission at the median of actual over predicted time; a request without a first token is cancelled at the last moment at which it could still end in time; named experiments; the measurements of measure_routing.

--- a/kumquatproxy/admission.py
+++ b/kumquatproxy/admission.py
@@ -11,7 +11,8 @@
 LIMIT_DECREASE = 0.9
 LIMIT_INCREASE = 1.0  # per limit's worth of requests that ended in time
 QUEUE_LIMIT = 64  # waiting requests for one backend server at one host
-MARGIN_QUANTILE = 0.9  # share of admitted requests whose prediction must hold
+MARGIN_QUANTILE = 0.5  # share of admitted requests whose prediction must hold
+LATEST_START_SHARE = 0.8  # of the predicted time after the wait
 MARGIN_STEP = 0.02
 MIN_MARGIN = 0.5
 MAX_MARGIN = 4.0
@@ -172,6 +173,15 @@
         self.factor = min(max(self.factor, MIN_MARGIN), MAX_MARGIN)
 
 
+def latest_first_token(request, estimate) -> float:
+    """Return when a request without a first token is to be cancelled and refused.
+
+    Started later it would take the place of requests that can still end in time.
+    """
+    served_s = estimate.duration_s - estimate.wait_s
+    return request.deadline - served_s * LATEST_START_SHARE
+
+
 class Admission:
     """Decide on admission at one entry host."""
 
--- /dev/null
+++ b/kumquatproxy/experiments.py
@@ -0,0 +1,246 @@
+"""Named experiments on routing, admission and retries over several seeds."""
+
+import functools
+import math
+import statistics
+import time
+
+from kumquatproxy import arrivals, bounds, measure, records, registry, simulation
+
+EXPERIMENTS = registry.Registry("experiment")
+"""Functions of a list of seeds that return rows of figures by label."""
+
+SEEDS = 10
+GOAL = 0.95  # attainment that a fleet has to reach
+FAULT_AT_S = 40.0
+FAULT_PERIOD_S = 60.0
+FAULT_UTILISATION = 0.5  # a data centre with 2 of 5 servers can be lost
+ORGANISATIONS = ("port-louis", "cordillera")
+
+
+def run(name, system, seed, faults=(), **fields) -> simulation.Result:
+    """Run one system on the trace of a scenario."""
+    scenario = arrivals.scenario(name, **fields)
+    trace = arrivals.generate(scenario, seed)
+    chosen = simulation.SYSTEMS[system]
+    return simulation.Simulation(scenario, chosen, trace, seed, faults).run()
+
+
+def is_high(job) -> bool:
+    """Return whether a job has a high priority."""
+    return job.request.priority >= 7
+
+
+class Fleet(records.Record):
+    """Hold the smallest fleet of a system that reaches the goal."""
+
+    __slots__ = ("attainment", "moves", "servers")
+
+    def __init__(self, servers, attainment, moves):
+        self.servers: int = servers
+        self.attainment: float = attainment
+        self.moves: int = moves
+
+    def per_server(self) -> float:
+        """Return attainment per server; a server stands for its accelerators."""
+        return self.attainment / self.servers
+
+
+@functools.lru_cache(maxsize=256)
+def smallest_fleet(name, system, seed, step=1, **fields) -> Fleet:
+    """Return the smallest fleet that reaches ``GOAL`` on the same demand.
+
+    Fleets up to 2.5 times the scenario's are tried by bisection; if none reaches the
+    goal, the largest one counts with what it reached.
+    """
+    base = arrivals.scenario(name, **fields)
+    least = math.ceil(base.models / base.speed.max_items / step)
+    sizes = list(range(least * step, int(base.servers * 2.5) + 1, step))
+    low, high = 0, len(sizes) - 1
+    best = None
+    while low <= high:
+        middle = (low + high) // 2
+        servers = sizes[middle]
+        result = run(
+            name, system, seed, servers=servers, demand_servers=base.servers, **fields
+        )
+        fleet = Fleet(servers, result.attainment(), result.moves)
+        if fleet.attainment >= GOAL:
+            best = fleet
+            high = middle - 1
+        else:
+            low = middle + 1
+            if best is None and middle == len(sizes) - 1:
+                best = fleet
+    assert best is not None
+    return best
+
+
+def fleet_ratio(name, baseline, seed, step=1, **fields) -> float:
+    """Return attainment per accelerator, designed over baseline."""
+    designed = smallest_fleet(name, "designed", seed, step, **fields)
+    other = smallest_fleet(name, baseline, seed, step, **fields)
+    return designed.per_server() / other.per_server()
+
+
+def bound_ratio(name, seed, utilisation=0.9, **fields) -> float:
+    """Return attainment over the clairvoyant bound for the same trace."""
+    scenario = arrivals.scenario(name, utilisation=utilisation, **fields)
+    trace = arrivals.generate(scenario, seed)
+    result = run(name, "designed", seed, utilisation=utilisation, **fields)
+    start = simulation.MEASURED_FROM_S
+    bound = bounds.attainment_bound(
+        trace, scenario, scenario.capacity(), start, float("inf")
+    )
+    return result.attainment() / bound
+
+
+class Overload(records.Record):
+    """Hold what 3 times saturation shows."""
+
+    __slots__ = ("goodput_ratio", "high", "token_ratio")
+
+    def __init__(self, goodput_ratio, token_ratio, high):
+        self.goodput_ratio: float = goodput_ratio
+        self.token_ratio: float = token_ratio
+        self.high: float = high
+
+
+@functools.lru_cache(maxsize=64)
+def overload(name, seed) -> Overload:
+    """Compare 3 times the demand of saturation with saturation."""
+    at_saturation = run(name, "designed", seed, utilisation=1.0)
+    above = run(name, "designed", seed, utilisation=3.0)
+    return Overload(
+        _goodput(above, False) / _goodput(at_saturation, False),
+        _goodput(above, True) / _goodput(at_saturation, True),
+        above.attainment(keep=is_high),
+    )
+
+
+def _goodput(result, by_tokens):
+    met = [
+        job.tokens if by_tokens else 1
+        for job in result.measured()
+        if result.ends.get(job.request.request_id) == "on-time"
+    ]
+    return sum(met)
+
+
+def retry_amplification(name, seed) -> float:
+    """Return attempts per request sent while a third of the servers fail."""
+    servers = arrivals.scenario(name).servers
+    failing = range(0, servers, 3)
+    fault = simulation.Fault(FAULT_AT_S, "errors", failing)
+    result = run(name, "designed", seed, [fault], utilisation=FAULT_UTILISATION)
+    ids = {job.request.request_id for job in result.measured(FAULT_AT_S)}
+    sends = sum(request_id in ids for _, _, request_id in result.sends)
+    return sends / len(ids & result.sent_ids)
+
+
+def fault_ratio(name, kind, seed) -> float:
+    """Return attainment in the 60 s after a loss over the bound of what remains."""
+    fields = {
+        "utilisation": FAULT_UTILISATION,
+        "duration_s": FAULT_AT_S + FAULT_PERIOD_S + 20.0,
+        "shift_s": 0.0,
+        "speed": arrivals.loadmodel.EngineSpeed(max_items=8),
+    }
+    scenario = arrivals.scenario(name, **fields)
+    lost = [0]
+    if kind == "silent":
+        lost = list(range(0, scenario.servers, scenario.data_centres))
+    fault = simulation.Fault(FAULT_AT_S, kind, lost)
+    result = run(name, "designed", seed, [fault], **fields)
+    end = FAULT_AT_S + FAULT_PERIOD_S
+    trace = arrivals.generate(scenario, seed)
+    left = 1.0 - len(lost) / scenario.servers
+    bound = bounds.attainment_bound(
+        trace, scenario, scenario.capacity() * left, FAULT_AT_S, end
+    )
+    return result.attainment(FAULT_AT_S, end) / bound
+
+
+def herding_ratio(policy, seed, servers=16, interval_s=0.5) -> float:
+    """Return the largest share of requests at one server over the even share.
+
+    One model is on all servers; the mean over the report intervals of a run counts.
+    """
+    fields = {
+        "servers": servers,
+        "models": 1,
+        "data_centres": 1,
+        "hosts": 8,
+        "duration_s": 60.0,
+        "utilisation": 0.8,
+        "shift_s": 0.0,
+    }
+    result = run("port-louis", policy, seed, **fields)
+    counts: dict[int, dict[str, int]] = {}
+    for at, backend_id, _ in result.sends:
+        if simulation.MEASURED_FROM_S <= at < fields["duration_s"]:
+            interval = counts.setdefault(int(at / interval_s), {})
+            interval[backend_id] = interval.get(backend_id, 0) + 1
+    ratios = [
+        max(by_server.values()) * servers / sum(by_server.values())
+        for by_server in counts.values()
+    ]
+    return statistics.fmean(ratios)
+
+
+def spread(name, values, low=None, high=None) -> list[measure.Figure]:
+    """Return median and worst as figures; the target tells which end is worst."""
+    worst = max(values) if high is not None or low is None else min(values)
+    return [
+        measure.Figure(f"{name}_median", statistics.median(values), low, high),
+        measure.Figure(f"{name}_worst", worst, low, high),
+    ]
+
+
+@EXPERIMENTS.register("systems")
+def compare_systems(seeds, utilisations=(0.6, 0.9, 1.3, 3.0)) -> list[measure.Figure]:
+    """Compare attainment of all systems at several utilisations."""
+    figures = []
+    for name in ORGANISATIONS:
+        for utilisation in utilisations:
+            for system in simulation.SYSTEMS:
+                values = [
+                    run(name, system, seed, utilisation=utilisation).attainment()
+                    for seed in seeds
+                ]
+                label = f"{name}/{utilisation}/{system}"
+                figures += spread(label, values, low=0.0)
+    return figures
+
+
+@EXPERIMENTS.register("hour")
+def compare_hour(seeds) -> list[measure.Figure]:
+    """Compare attainment while demand shifts tenfold within an hour."""
+    figures = []
+    fields = {"duration_s": 3600.0, "shift_s": 2400.0, "utilisation": 0.9}
+    for name in ORGANISATIONS:
+        for system in ("designed", "static", "lru"):
+            values = [run(name, system, seed, **fields).attainment() for seed in seeds]
+            figures += spread(f"{name}/hour/{system}", values, low=0.0)
+    return figures
+
+
+@EXPERIMENTS.register("tenth")
+def compare_tenth(seeds) -> list[measure.Figure]:
+    """Compare attainment at a tenth of the design size, with a shift in a minute."""
+    figures = []
+    fields = {"duration_s": 90.0, "utilisation": 0.9}
+    for system in ("designed", "static", "lru", "demand-least"):
+        values = [run("tenth", system, seed, **fields).attainment() for seed in seeds]
+        figures += spread(f"tenth/{system}", values, low=0.0)
+    return figures
+
+
+def run_named(name: str, seed: int, count: int = SEEDS) -> list[measure.Figure]:
+    """Run one experiment over ``count`` seeds from ``seed`` on and print it."""
+    began = time.perf_counter()
+    figures = EXPERIMENTS.get(name)(range(seed, seed + count))
+    for figure in figures:
+        print(figure.line(), flush=True)
+    print(f"experiment {name}: {time.perf_counter() - began:.0f} s", flush=True)
+    return figures
--- a/kumquatproxy/simulation.py
+++ b/kumquatproxy/simulation.py
@@ -86,7 +86,7 @@
         self.ends: dict[str, str] = {}  # request id -> on-time, late, refused, failed
         self.moves: int = 0
         self.refusals: int = 0
-        self.sends: list[tuple[float, str]] = []
+        self.sends: list[tuple[float, str, str]] = []
         self.sent_ids: set[str] = set()
 
     def measured(self, start=MEASURED_FROM_S, end=float("inf")):
@@ -262,6 +262,8 @@
             self._send(call, decision.backend_id, request.priority)
             return
         verdict = host.admission.admit(request, decision, self.now)
+        latest = admission.latest_first_token(request, decision.estimate)
+        self._at(max(latest, self.now), self._stop_waiting, call)
         if verdict.action == "admit":
             self._send(call, decision.backend_id, verdict.priority)
         elif verdict.action == "refuse":
@@ -290,7 +292,7 @@
         call.attempts.started(backend_id)
         host.table.started(backend_id, call.job.request, self.now)
         host.breakers.started(backend_id, self.now)
-        self.result.sends.append((self.now, backend_id))
+        self.result.sends.append((self.now, backend_id, call.job.request.request_id))
         self.result.sent_ids.add(call.job.request.request_id)
         self._at(self.now + NETWORK_S, self._submit, call, backend_id, priority)
 
@@ -372,6 +374,17 @@
             if call.backend_id:
                 self._finish_attempt(call, estimates.Outcome("abandoned"))
 
+    def _stop_waiting(self, call):
+        """Cancel a request that was started nowhere and would end too late."""
+        if call.done or not call.backend_id or call.first_at is not None:
+            return
+        engine = self.engines[call.backend_id]
+        if engine.alive:
+            self._advance(engine)
+        if call.first_at is None and not call.done:
+            self._give_up(call)
+            self.result.ends[call.job.request.request_id] = "refused"
+
     def _end(self, call, how):
         if not call.done:
             call.done = True
