Weigh load reports by their age and ignore small speed differences

Cause: with reports that are old against the requests, the policy herded more than random routing did. Change: others' requests in a report are forgotten at the rate at which requests end, towards the server's mean; measured speed factors within 1.4 are not applied, since they are chance; the prefix discount is at most a fifth.

--- a/kumquatproxy/estimates.py
+++ b/kumquatproxy/estimates.py
@@ -11,6 +11,8 @@
 FORGET = 0.995  # weight that an observation keeps with each later one
 SMOOTHING = 0.05
 PREFILL_OUTLIER = 4.0
+FACTOR_SMOOTHING = 0.05
+FACTOR_DEAD_BAND = 1.4
 MIN_SPEED_FACTOR = 0.25
 MAX_SPEED_FACTOR = 8.0
 PRIORITIES = 10
@@ -215,9 +217,18 @@
 
 
 def next_factor(factor: float, expected_s: float, observed_s: float) -> float:
-    """Return a server's speed factor after one more observation."""
+    """Return a server's measured speed factor after one more observation."""
     if expected_s <= 0.0 or observed_s <= 0.0:
         return factor
-    ratio = observed_s / expected_s
-    factor += 0.1 * (ratio - factor)
+    factor += FACTOR_SMOOTHING * (observed_s / expected_s - factor)
     return min(max(factor, MIN_SPEED_FACTOR), MAX_SPEED_FACTOR)
+
+
+def applied_factor(factor: float) -> float:
+    """Return the factor to predict with; small differences are not applied.
+
+    They are chance, and would make every host favour the same servers.
+    """
+    if 1.0 / FACTOR_DEAD_BAND <= factor <= FACTOR_DEAD_BAND:
+        return 1.0
+    return factor
--- a/kumquatproxy/policies.py
+++ b/kumquatproxy/policies.py
@@ -1,13 +1,13 @@
 """Routing policies: the designed one and the baselines it is measured against."""
 
-from kumquatproxy import registry
+from kumquatproxy import estimates, registry
 
 POLICIES = registry.Registry("routing policy")
 """Policies by alias; each has ``pick(table, request, candidates, now, rng)``."""
 
 SAMPLED = 2  # power of two choices: more choices on old reports herd
 REMOTE_PENALTY_S = 0.05  # a remote server must be better by this much
-MAX_AFFINITY_SHARE = 0.5  # of the request's first-token estimate without the cache
+MAX_AFFINITY_SHARE = 0.2  # of the request's first-token estimate without the cache
 MAX_AFFINITY_S = 0.5
 
 
@@ -43,7 +43,7 @@
             sampled = _slow_start(sampled, now, rng)
         best = None
         for state in sampled:
-            score = _score(table, request, state)
+            score = _score(table, request, state, now)
             if best is None or score < best[0]:
                 best = (score, state, "estimate")
         return best
@@ -54,12 +54,13 @@
     return kept or states
 
 
-def _score(table, request, state):
+def _score(table, request, state, now):
     speed = table.speed(state.server.service)
-    load = table.load(state)
-    plain = speed.predict(request, load, 0.0, state.factor).first_token_s
+    load = table.load(state, now)
+    factor = estimates.applied_factor(state.factor)
+    plain = speed.predict(request, load, 0.0, factor).first_token_s
     share = state.prefix_knowledge.cached_share(request.prefix_digests)
-    discount_s = speed.prefill_s(share * request.prompt_tokens) * state.factor
+    discount_s = speed.prefill_s(share * request.prompt_tokens) * factor
     return plain - min(discount_s, MAX_AFFINITY_SHARE * plain, MAX_AFFINITY_S)
 
 
--- a/kumquatproxy/routing.py
+++ b/kumquatproxy/routing.py
@@ -1,6 +1,7 @@
 """Which backend server gets a request: the routing table and its policies."""
 
 import collections
+import math
 
 from kumquatproxy import errors, estimates, policies, prefixes, records
 
@@ -10,6 +11,7 @@
 SLOW_START_S = 10.0  # a new server's caches are cold and its speed is unknown
 SLOW_START_MIN_SHARE = 0.1
 RECENT_FINISHED = 64  # per server; more cannot end within one report lag
+OTHERS_SMOOTHING = 0.1  # weight of one report in the mean of others' requests
 FULL_SCAN = 8  # pools up to this size are filtered whole, larger ones sampled
 
 
@@ -70,7 +72,7 @@
         "leaving",
         "loaded",
         "others",
-        "own_at_report",
+        "others_mean",
         "prefix_knowledge",
         "report_order",
         "reported_at",
@@ -86,7 +88,7 @@
         self.report_order: tuple[int, int] = (server.incarnation, -1)
         self.reported_at: float | None = None
         self.others: float = 0.0  # requests of other hosts at the last report
-        self.own_at_report: int = 0
+        self.others_mean: float = 0.0
         self.flights_by_id: dict[str, _Flight] = {}
         self.finished: collections.deque = collections.deque(maxlen=RECENT_FINISHED)
         self.prefix_knowledge = prefixes.PrefixKnowledge()
@@ -171,7 +173,6 @@
         "_speeds_by_service",
         "_states_by_id",
         "data_centre",
-        "peer_ratio",
         "policy",
         "report_lag_s",
     )
@@ -182,7 +183,6 @@
         self.data_centre: str = data_centre
         self.policy = POLICIES.get(policy)()
         self.report_lag_s: float = report_lag_s
-        self.peer_ratio: float = 0.0  # requests of other hosts for each own one
         self._states_by_id: dict[str, ServerState] = {}
         self._pools_by_item: dict[records.Item, Pool] = {}
         self._speeds_by_service: dict[str, estimates.ServiceSpeed] = {}
@@ -240,13 +240,12 @@
         if load_report.incarnation != state.server.incarnation:
             return False
         state.report_order = order
+        own = state.own_at(now - self.report_lag_s)
+        state.others = max(0.0, load_report.running + load_report.waiting - own)
+        if state.reported_at is None:
+            state.others_mean = state.others
+        state.others_mean += OTHERS_SMOOTHING * (state.others - state.others_mean)
         state.reported_at = now
-        state.own_at_report = state.own_at(now - self.report_lag_s)
-        total = load_report.running + load_report.waiting
-        state.others = max(0.0, total - state.own_at_report)
-        if state.own_at_report:
-            ratio = state.others / state.own_at_report
-            self.peer_ratio += 0.02 * (ratio - self.peer_ratio)
         speed = self.speed(state.server.service)
         speed.observe_report(load_report.running, load_report.waiting)
         # Comparing tuples is cheap where the edge reuses equal items, and most reports
@@ -269,7 +268,7 @@
         state = self._states_by_id.get(backend_id)
         if state is None:
             return
-        load = self.load(state)
+        load = self.load(state, now)
         speed = self.speed(state.server.service)
         speed.observe_arrival(request.priority)
         share = state.prefix_knowledge.cached_share(request.prefix_digests)
@@ -300,16 +299,28 @@
             seen = outcome.cached_tokens / request.prompt_tokens
             state.prefix_knowledge.observe(flight.cached_share, seen)
 
-    def load(self, state: ServerState) -> float:
-        """Return the requests now at a server: own ones, and others as reported."""
-        return state.others + len(state.flights_by_id)
-
-    def estimate(self, state: ServerState, request) -> estimates.Estimate:
+    def load(self, state: ServerState, now: float) -> float:
+        """Return the requests expected now at a server, own ones and others'.
+
+        What a report says of others' requests is forgotten at the rate at which
+        requests end, in favour of the server's mean. All hosts see the same report,
+        and would otherwise send to the server that was idle some time ago.
+        """
+        others = state.others
+        if state.reported_at is not None:
+            age_s = now - state.reported_at + self.report_lag_s
+            trust = math.exp(-age_s / self.speed(state.server.service).request_s)
+            others = state.others_mean + trust * (others - state.others_mean)
+        return others + len(state.flights_by_id)
+
+    def estimate(self, state: ServerState, request, now) -> estimates.Estimate:
         """Predict a request at a backend server."""
         share = state.prefix_knowledge.cached_share(request.prefix_digests)
         speed = self.speed(state.server.service)
         cached_tokens = share * request.prompt_tokens
-        return speed.predict(request, self.load(state), cached_tokens, state.factor)
+        load = self.load(state, now)
+        factor = estimates.applied_factor(state.factor)
+        return speed.predict(request, load, cached_tokens, factor)
 
     def choose(self, request, items, excluded_ids, now, rng) -> Decision | Refusal:
         """Choose a backend server that has all ``items``, or refuse."""
@@ -321,7 +332,7 @@
         if picked is None:
             return self._refuse(items, "is loaded only on servers that are excluded")
         state, reason = picked
-        return Decision(state.backend_id, reason, self.estimate(state, request))
+        return Decision(state.backend_id, reason, self.estimate(state, request, now))
 
     def _smallest_pool(self, items):
         smallest = None
