Test admission, the load model and runs with faults

Cause: the decisions under load had no tests of their own. Change: tests of admission, fair queue, fake engine, placement, bound and of histories with lost servers, with one that breaks the removal of a lost server and sees the history check fail; fuzz marker; the mean of others' requests takes its first reports evenly, since a test showed that it learned too slowly from 0. Conclusion: every request of the runs has exactly one end.

--- a/kumquatproxy/experiments.py
+++ b/kumquatproxy/experiments.py
@@ -5,7 +5,15 @@
 import statistics
 import time
 
-from kumquatproxy import arrivals, bounds, measure, records, registry, simulation
+from kumquatproxy import (
+    arrivals,
+    bounds,
+    measure,
+    records,
+    registry,
+    simulation,
+    systems,
+)
 
 EXPERIMENTS = registry.Registry("experiment")
 """Functions of a list of seeds that return rows of figures by label."""
@@ -18,11 +26,11 @@
 ORGANISATIONS = ("port-louis", "cordillera")
 
 
-def run(name, system, seed, faults=(), **fields) -> simulation.Result:
+def run(name, system, seed, faults=(), **fields) -> systems.Result:
     """Run one system on the trace of a scenario."""
     scenario = arrivals.scenario(name, **fields)
     trace = arrivals.generate(scenario, seed)
-    chosen = simulation.SYSTEMS[system]
+    chosen = systems.SYSTEMS[system]
     return simulation.Simulation(scenario, chosen, trace, seed, faults).run()
 
 
@@ -88,7 +96,7 @@
     scenario = arrivals.scenario(name, utilisation=utilisation, **fields)
     trace = arrivals.generate(scenario, seed)
     result = run(name, "designed", seed, utilisation=utilisation, **fields)
-    start = simulation.MEASURED_FROM_S
+    start = systems.MEASURED_FROM_S
     bound = bounds.attainment_bound(
         trace, scenario, scenario.capacity(), start, float("inf")
     )
@@ -131,7 +139,7 @@
     """Return attempts per request sent while a third of the servers fail."""
     servers = arrivals.scenario(name).servers
     failing = range(0, servers, 3)
-    fault = simulation.Fault(FAULT_AT_S, "errors", failing)
+    fault = systems.Fault(FAULT_AT_S, "errors", failing)
     result = run(name, "designed", seed, [fault], utilisation=FAULT_UTILISATION)
     ids = {job.request.request_id for job in result.measured(FAULT_AT_S)}
     sends = sum(request_id in ids for _, _, request_id in result.sends)
@@ -150,7 +158,7 @@
     lost = [0]
     if kind == "silent":
         lost = list(range(0, scenario.servers, scenario.data_centres))
-    fault = simulation.Fault(FAULT_AT_S, kind, lost)
+    fault = systems.Fault(FAULT_AT_S, kind, lost)
     result = run(name, "designed", seed, [fault], **fields)
     end = FAULT_AT_S + FAULT_PERIOD_S
     trace = arrivals.generate(scenario, seed)
@@ -182,7 +190,7 @@
     result = run("port-louis", policy, seed, **fields)
     counts: dict[int, dict[str, int]] = {}
     for at, backend_id, _ in result.sends:
-        if simulation.MEASURED_FROM_S <= at < fields["duration_s"]:
+        if systems.MEASURED_FROM_S <= at < fields["duration_s"]:
             interval = counts.setdefault(int(at / interval_s), {})
             interval[backend_id] = interval.get(backend_id, 0) + 1
     ratios = [
@@ -207,7 +215,7 @@
     figures = []
     for name in ORGANISATIONS:
         for utilisation in utilisations:
-            for system in simulation.SYSTEMS:
+            for system in systems.SYSTEMS:
                 values = [
                     run(name, system, seed, utilisation=utilisation).attainment()
                     for seed in seeds
--- a/kumquatproxy/routing.py
+++ b/kumquatproxy/routing.py
@@ -11,7 +11,7 @@
 SLOW_START_S = 10.0  # a new server's caches are cold and its speed is unknown
 SLOW_START_MIN_SHARE = 0.1
 RECENT_FINISHED = 64  # per server; more cannot end within one report lag
-OTHERS_SMOOTHING = 0.1  # weight of one report in the mean of others' requests
+OTHERS_SMOOTHING = 0.02  # weight of one report in the mean of others' requests
 FULL_SCAN = 8  # pools up to this size are filtered whole, larger ones sampled
 
 
@@ -76,6 +76,7 @@
         "prefix_knowledge",
         "report_order",
         "reported_at",
+        "reports",
         "server",
     )
 
@@ -87,6 +88,7 @@
         self.items: frozenset[records.Item] = frozenset()
         self.report_order: tuple[int, int] = (server.incarnation, -1)
         self.reported_at: float | None = None
+        self.reports: int = 0
         self.others: float = 0.0  # requests of other hosts at the last report
         self.others_mean: float = 0.0
         self.flights_by_id: dict[str, _Flight] = {}
@@ -242,9 +244,9 @@
         state.report_order = order
         own = state.own_at(now - self.report_lag_s)
         state.others = max(0.0, load_report.running + load_report.waiting - own)
-        if state.reported_at is None:
-            state.others_mean = state.others
-        state.others_mean += OTHERS_SMOOTHING * (state.others - state.others_mean)
+        state.reports += 1
+        weight = max(1.0 / state.reports, OTHERS_SMOOTHING)
+        state.others_mean += weight * (state.others - state.others_mean)
         state.reported_at = now
         speed = self.speed(state.server.service)
         speed.observe_report(load_report.running, load_report.waiting)
--- a/kumquatproxy/simulation.py
+++ b/kumquatproxy/simulation.py
@@ -15,89 +15,13 @@
     records,
     retries,
     routing,
+    systems,
 )
 
 NETWORK_S = 0.001  # one way between host and engine
 ERROR_S = 0.01  # until a failing engine answers with an error
 EXPIRY_S = 3.0  # until a silent backend server is removed from the tables
 REMOTE_DELAY_S = 0.5  # further age of reports from other data centres
-MEASURED_FROM_S = 10.0  # requests before this time only warm up the tables
-
-
-class System:
-    """Name the decisions that one run uses."""
-
-    __slots__ = (
-        "admission",
-        "name",
-        "on_demand",
-        "placement",
-        "policy",
-        "retries",
-    )
-
-    def __init__(
-        self,
-        name,
-        policy="estimate",
-        placement="demand",
-        admission=True,
-        retries=True,
-        on_demand=False,
-    ):
-        self.name: str = name
-        self.policy: str = policy
-        self.placement: str = placement
-        self.admission: bool = admission
-        self.retries: bool = retries
-        self.on_demand: bool = on_demand
-
-
-SYSTEMS = {
-    "designed": System("designed"),
-    "no-admission": System("no-admission", admission=False),
-    "static": System("static", "random", "even", False, False),
-    "lru": System("lru", "least-connections", "even", False, False, True),
-    "demand-random": System("demand-random", "random", "demand", False, False),
-    "demand-least": System("demand-least", "least-connections", "demand", False, False),
-    "demand-turn": System("demand-turn", "round-robin", "demand", False, False),
-}
-
-
-class Fault:
-    """Change the engines at a given time: ``stop``, ``silent`` or ``errors``."""
-
-    __slots__ = ("at", "failing_share", "kind", "servers")
-
-    def __init__(self, at, kind, servers, failing_share=1.0):
-        self.at: float = at
-        self.kind: str = kind
-        self.servers: tuple[int, ...] = tuple(servers)
-        self.failing_share: float = failing_share
-
-
-class Result:
-    """Hold what one run showed."""
-
-    __slots__ = ("ends", "jobs", "moves", "refusals", "sends", "sent_ids")
-
-    def __init__(self, jobs):
-        self.jobs: list[loadmodel.Job] = jobs
-        self.ends: dict[str, str] = {}  # request id -> on-time, late, refused, failed
-        self.moves: int = 0
-        self.refusals: int = 0
-        self.sends: list[tuple[float, str, str]] = []
-        self.sent_ids: set[str] = set()
-
-    def measured(self, start=MEASURED_FROM_S, end=float("inf")):
-        """Return the jobs that arrived in a period."""
-        return [job for job in self.jobs if start <= job.request.arrived_at < end]
-
-    def attainment(self, start=MEASURED_FROM_S, end=float("inf"), keep=None) -> float:
-        """Return the share of requests answered within their deadline."""
-        jobs = [job for job in self.measured(start, end) if keep is None or keep(job)]
-        met = sum(self.ends.get(j.request.request_id) == "on-time" for j in jobs)
-        return met / max(len(jobs), 1)
 
 
 class _Call:
@@ -146,10 +70,10 @@
 
     def __init__(self, scenario, system, trace, seed, faults=()):
         self.scenario: arrivals.Scenario = scenario
-        self.system: System = system
+        self.system: systems.System = system
         self.rng = random.Random(f"run {seed}")
         self.now: float = 0.0
-        self.result = Result(trace.jobs)
+        self.result = systems.Result(trace.jobs)
         self._events: list[tuple] = []
         self._order = itertools.count()
         self._wakes: dict[str, float] = {}
@@ -173,7 +97,7 @@
         for fault in faults:
             self._at(fault.at, self._apply, fault)
 
-    def run(self) -> Result:
+    def run(self) -> systems.Result:
         """Run until every request has ended."""
         while self._events:
             self.now, _, action, arguments = heapq.heappop(self._events)
--- /dev/null
+++ b/kumquatproxy/systems.py
@@ -0,0 +1,81 @@
+"""What a simulated run is made of: the system, the faults and the result."""
+
+from kumquatproxy import loadmodel
+
+MEASURED_FROM_S = 10.0  # requests before this time only warm up the tables
+
+
+class System:
+    """Name the decisions that one run uses."""
+
+    __slots__ = (
+        "admission",
+        "name",
+        "on_demand",
+        "placement",
+        "policy",
+        "retries",
+    )
+
+    def __init__(
+        self,
+        name,
+        policy="estimate",
+        placement="demand",
+        admission=True,
+        retries=True,
+        on_demand=False,
+    ):
+        self.name: str = name
+        self.policy: str = policy
+        self.placement: str = placement
+        self.admission: bool = admission
+        self.retries: bool = retries
+        self.on_demand: bool = on_demand
+
+
+SYSTEMS = {
+    "designed": System("designed"),
+    "no-admission": System("no-admission", admission=False),
+    "static": System("static", "random", "even", False, False),
+    "lru": System("lru", "least-connections", "even", False, False, True),
+    "demand-random": System("demand-random", "random", "demand", False, False),
+    "demand-least": System("demand-least", "least-connections", "demand", False, False),
+    "demand-turn": System("demand-turn", "round-robin", "demand", False, False),
+}
+
+
+class Fault:
+    """Change the engines at a given time: ``stop``, ``silent`` or ``errors``."""
+
+    __slots__ = ("at", "failing_share", "kind", "servers")
+
+    def __init__(self, at, kind, servers, failing_share=1.0):
+        self.at: float = at
+        self.kind: str = kind
+        self.servers: tuple[int, ...] = tuple(servers)
+        self.failing_share: float = failing_share
+
+
+class Result:
+    """Hold what one run showed."""
+
+    __slots__ = ("ends", "jobs", "moves", "refusals", "sends", "sent_ids")
+
+    def __init__(self, jobs):
+        self.jobs: list[loadmodel.Job] = jobs
+        self.ends: dict[str, str] = {}  # request id -> on-time, late, refused, failed
+        self.moves: int = 0
+        self.refusals: int = 0
+        self.sends: list[tuple[float, str, str]] = []
+        self.sent_ids: set[str] = set()
+
+    def measured(self, start=MEASURED_FROM_S, end=float("inf")):
+        """Return the jobs that arrived in a period."""
+        return [job for job in self.jobs if start <= job.request.arrived_at < end]
+
+    def attainment(self, start=MEASURED_FROM_S, end=float("inf"), keep=None) -> float:
+        """Return the share of requests answered within their deadline."""
+        jobs = [job for job in self.measured(start, end) if keep is None or keep(job)]
+        met = sum(self.ends.get(j.request.request_id) == "on-time" for j in jobs)
+        return met / max(len(jobs), 1)
--- /dev/null
+++ b/tests/test_simulation.py
@@ -0,0 +1,188 @@
+"""The load model and the decisions under load: histories, bounds and faults."""
+
+import collections
+
+import pytest
+
+from kumquatproxy import (
+    arrivals,
+    bounds,
+    experiments,
+    fixedplacement,
+    loadmodel,
+    measure_routing,
+    records,
+    simulation,
+    systems,
+)
+
+SHORT = {"duration_s": 30.0, "shift_s": 10.0, "utilisation": 1.3}
+
+
+def job(number, priority=5, tokens=10, prompt_tokens=100, digests=()):
+    request = records.CallRequest(
+        f"r{number}",
+        "o",
+        "s",
+        priority=priority,
+        prompt_tokens=prompt_tokens,
+        prefix_digests=digests,
+        deadline=100.0,
+    )
+    return loadmodel.Job(request, (), tokens)
+
+
+def engine(**fields):
+    server = records.BackendServer("a", "", "dc0", "engine", "s", 1)
+    return loadmodel.FakeEngine(server, loadmodel.EngineSpeed(**fields))
+
+
+def completions(events):
+    return [event.job.request.request_id for event in events if event.kind != "first"]
+
+
+def check_history(result, faults=()):
+    """Raise AssertionError unless each request ends once and is sent as allowed."""
+    ids = [job.request.request_id for job in result.jobs]
+    assert sorted(result.ends) == sorted(ids), "a request has no end or an extra one"
+    sent = collections.Counter(request_id for _, _, request_id in result.sends)
+    assert max(sent.values()) <= 3, "more attempts than allowed"
+    for at, backend_id, _ in result.sends:
+        for fault in faults:
+            stopped = {f"b{number:03d}" for number in fault.servers}
+            late = at > fault.at + simulation.EXPIRY_S
+            assert not (late and backend_id in stopped), "sent to a removed server"
+
+
+def test_step_time_grows_with_the_batch():
+    """Guards against an engine whose capacity has no limit."""
+    fake = engine(slots=2, step_base_s=0.01, step_slope_s=0.01, chunk_tokens=100)
+    fake.submit(job(1), 5, 0.0)
+    fake.submit(job(2), 5, 0.0)
+    # One prompt step and nine more tokens, each 0.03 s at a batch of two.
+    assert completions(fake.advance(0.29)) == []
+    assert sorted(completions(fake.advance(0.31))) == ["r1", "r2"]
+
+
+def test_engine_serves_waiting_requests_by_priority():
+    """Guards against a fake that would hide faults in the handling of priorities."""
+    fake = engine(slots=1)
+    for number, priority in ((1, 5), (2, 1), (3, 9)):
+        fake.submit(job(number, priority), priority, 0.0)
+    assert completions(fake.advance(100.0)) == ["r1", "r3", "r2"]
+
+
+def test_cached_prefix_shortens_the_prompt_and_evictions_are_reported():
+    """Guards against a cache that is never hit or never evicts."""
+    fake = engine(cache_blocks=2)
+    first = job(1, prompt_tokens=2560, digests=("x", "y"))
+    fake.submit(first, 5, 0.0)
+    cold = next(event for event in fake.advance(10.0) if event.kind == "first")
+    fake.submit(job(2, prompt_tokens=2560, digests=("x", "y")), 5, 10.0)
+    warm = next(event for event in fake.advance(20.0) if event.kind == "first")
+    assert warm.cached_tokens == 2560 and cold.cached_tokens == 0
+    assert warm.at - 10.0 < cold.at / 5
+    fake.submit(job(3, digests=("z",)), 5, 20.0)
+    assert fake.cache_events[-1] == (2, ("z",), ("x",))
+
+
+def test_failed_engine_returns_every_request_with_its_progress():
+    """Guards against requests that vanish with an engine."""
+    fake = engine(slots=1)
+    fake.submit(job(1, tokens=100), 5, 0.0)
+    fake.submit(job(2), 5, 0.0)
+    fake.advance(0.5)
+    lost = {job.request.request_id: delivered for job, delivered in fake.fail()}
+    assert 20 < lost["r1"] < 40 and lost["r2"] == 0
+
+
+def test_same_seed_gives_the_same_run():
+    """Guards against hidden state that makes figures irreproducible."""
+    runs = [experiments.run("port-louis", "designed", 1, **SHORT) for _ in range(2)]
+    assert runs[0].ends == runs[1].ends and runs[0].sends == runs[1].sends
+    other = experiments.run("port-louis", "designed", 2, **SHORT)
+    assert other.ends != runs[0].ends
+
+
+@pytest.mark.parametrize("kind", ["stop", "silent"])
+def test_history_of_a_run_with_a_lost_server(kind):
+    """Guards against requests without an end and work for removed servers."""
+    faults = [systems.Fault(12.0, kind, [0])]
+    result = experiments.run("cordillera", "designed", 3, faults, **SHORT)
+    check_history(result, faults)
+    assert any(attempt[1] == "b000" for attempt in result.sends)
+
+
+def test_history_check_sees_a_server_that_is_not_removed(monkeypatch):
+    """Guards against a history check that passes whatever a run does."""
+    monkeypatch.setattr(simulation.Simulation, "_remove", lambda self, engine: None)
+    monkeypatch.setattr("kumquatproxy.breaker.CircuitBreaker.allows", lambda *_: True)
+    faults = [systems.Fault(12.0, "stop", [0])]
+    result = experiments.run("cordillera", "designed", 3, faults, **SHORT)
+    with pytest.raises(AssertionError, match="sent to a removed server"):
+        check_history(result, faults)
+
+
+@pytest.mark.parametrize("system", systems.SYSTEMS)
+def test_no_system_exceeds_the_bound(system):
+    """Guards against a bound that is none, which would flatter the ratio."""
+    scenario = arrivals.scenario("port-louis", **SHORT)
+    trace = arrivals.generate(scenario, 1)
+    bound = bounds.attainment_bound(trace, scenario, scenario.capacity(), 10.0, 99.0)
+    result = experiments.run("port-louis", system, 1, **SHORT)
+    assert result.attainment() <= bound + 1e-9
+
+
+def test_bound_falls_with_capacity():
+    """Guards against a bound that never binds."""
+    scenario = arrivals.scenario("port-louis", **SHORT)
+    trace = arrivals.generate(scenario, 1)
+    tight = bounds.attainment_bound(trace, scenario, 200.0, 10.0, 99.0)
+    assert tight < 0.7
+
+
+def test_placement_is_within_memory_and_reaches_every_model():
+    """Guards against a baseline or experiment with an impossible placement."""
+    scenario = arrivals.scenario("tenth")
+    average = arrivals.generate(
+        arrivals.scenario("tenth", duration_s=1.0), 1
+    ).average_by_model
+    for kind in ("even", "demand"):
+        placed = fixedplacement.place(scenario, kind, average)
+        assert max(map(len, placed)) <= scenario.speed.max_items
+        assert len(set().union(*placed)) == scenario.models
+
+
+def test_shift_moves_demand_tenfold():
+    """Guards against traces without the shift that they promise."""
+    scenario = arrivals.scenario("tenth", duration_s=60.0, shift_s=20.0)
+    jobs = arrivals.generate(scenario, 1).jobs
+    early = collections.Counter(
+        j.request.model for j in jobs if j.request.arrived_at < 18.0
+    )
+    late = collections.Counter(
+        j.request.model for j in jobs if j.request.arrived_at > 42.0
+    )
+    assert sum(late[model] > 5 * count for model, count in early.items()) >= 10
+
+
+def test_target_of_a_spread_is_checked_against_its_worst_value():
+    """Guards against a worst figure that is the best one."""
+    low = experiments.spread("x", [0.5, 1.0, 2.0], low=1.3)
+    high = experiments.spread("y", [0.5, 1.0, 2.0], high=1.1)
+    assert [figure.value for figure in low + high] == [1.0, 0.5, 1.0, 2.0]
+    assert not low[1].meets_target() and not high[1].meets_target()
+    assert measure_routing.measure.MEASUREMENTS.get("herding_ratio")
+
+
+@pytest.mark.fuzz
+@pytest.mark.parametrize("seed", range(20))
+def test_histories_over_many_seeds(seed):
+    """Guards against rare orders of events that lose a request."""
+    faults = [
+        systems.Fault(12.0, "errors", [1], 0.5),
+        systems.Fault(15.0, "stop", [0]),
+        systems.Fault(20.0, "silent", [2]),
+    ]
+    result = experiments.run("port-louis", "designed", seed, faults, **SHORT)
+    check_history(result, faults[1:])
