Send a second attempt when the first token is late

Change: HedgeDelay learns the 0.95 quantile of the time to first token; a second attempt takes from the retry budget; the attempt with the first token goes on and the other is cancelled. The simulation runs it; slow engines as a fault.

--- a/kumquatproxy/experiments.py
+++ b/kumquatproxy/experiments.py
@@ -8,6 +8,7 @@
 from kumquatproxy import (
     arrivals,
     bounds,
+    hedging,
     measure,
     records,
     registry,
@@ -31,7 +32,8 @@
     scenario = arrivals.scenario(name, **fields)
     trace = arrivals.generate(scenario, seed)
     chosen = systems.SYSTEMS[system]
-    return simulation.Simulation(scenario, chosen, trace, seed, faults).run()
+    kind = hedging.HedgedSimulation if chosen.hedging else simulation.Simulation
+    return kind(scenario, chosen, trace, seed, faults).run()
 
 
 def is_high(job) -> bool:
@@ -142,7 +144,10 @@
     fault = systems.Fault(FAULT_AT_S, "errors", failing)
     result = run(name, "designed", seed, [fault], utilisation=FAULT_UTILISATION)
     ids = {job.request.request_id for job in result.measured(FAULT_AT_S)}
-    sends = sum(request_id in ids for _, _, request_id in result.sends)
+    sends = sum(
+        request_id.removesuffix(hedging.COPY_MARK) in ids
+        for _, _, request_id in result.sends
+    )
     return sends / len(ids & result.sent_ids)
 
 
@@ -248,6 +253,38 @@
     return figures
 
 
+@EXPERIMENTS.register("hedging")
+def compare_hedging(seeds) -> list[measure.Figure]:
+    """Compare runs with and without second attempts, one server slow or none."""
+    figures = []
+    for label, kinds in (("normal", ()), ("slow", ("slow",))):
+        faults = [systems.Fault(FAULT_AT_S, kind, [0]) for kind in kinds]
+        for system in ("no-hedging", "designed"):
+            fields = {"utilisation": 0.6, "shift_s": 0.0}
+            runs = [
+                run(name, system, seed, faults, **fields)
+                for name in ORGANISATIONS
+                for seed in seeds
+            ]
+            name = f"hedging/{label}/{system}"
+            met = [result.attainment() for result in runs]
+            tail = [_late_first_token_s(result) for result in runs]
+            sends = [len(result.sends) / len(result.jobs) for result in runs]
+            figures += spread(f"{name}/attainment", met, low=0.0)
+            figures += spread(f"{name}/first_token_p99_s", tail)
+            figures += spread(f"{name}/sends_per_request", sends)
+    return figures
+
+
+def _late_first_token_s(result):
+    times = sorted(
+        result.first_token_s.get(job.request.request_id, math.inf)
+        for job in result.measured(FAULT_AT_S)
+        if is_high(job)
+    )
+    return times[int(0.99 * len(times))]
+
+
 def run_named(name: str, seed: int, count: int = SEEDS) -> list[measure.Figure]:
     """Run one experiment over ``count`` seeds from ``seed`` on and print it."""
     began = time.perf_counter()
--- a/kumquatproxy/retries.py
+++ b/kumquatproxy/retries.py
@@ -10,6 +10,8 @@
 MAX_ATTEMPTS = 3
 FIRST_DELAY_S = 0.05
 MAX_DELAY_S = 1.0
+HEDGE_QUANTILE = 0.95
+HEDGE_STEP = 0.1
 
 
 class Failure(enum.Enum):
@@ -140,6 +142,33 @@
     return rng.random() * min(FIRST_DELAY_S * 2.0 ** (attempt - 1), MAX_DELAY_S)
 
 
+class HedgeDelay:
+    """Learn after which time without a first token a second attempt is worth it.
+
+    This is the 0.95 quantile of the time to first token by service and priority, so
+    that about one request in twenty is sent twice; the retry budget limits it.
+    """
+
+    __slots__ = ("_delay_by_key",)
+
+    def __init__(self):
+        self._delay_by_key: dict[tuple[str, int], float] = {}
+
+    def observe(self, request, first_token_s: float) -> None:
+        """Take in the time to first token of one request."""
+        key = (request.service, request.priority)
+        delay_s = self._delay_by_key.get(key, max(first_token_s, 0.01) * 2.0)
+        late = first_token_s > delay_s
+        delay_s *= 1.0 + HEDGE_STEP * (HEDGE_QUANTILE if late else HEDGE_QUANTILE - 1.0)
+        self._delay_by_key[key] = delay_s
+
+    def delay_s(self, request) -> float | None:
+        """Return the delay of the second attempt, or None for none."""
+        if not request.idempotent:
+            return None
+        return self._delay_by_key.get((request.service, request.priority))
+
+
 class StreamProgress:
     """Follow the tokens of one stream over several attempts.
 
--- a/kumquatproxy/simulation.py
+++ b/kumquatproxy/simulation.py
@@ -18,13 +18,14 @@
     systems,
 )
 
+SLOWED = 5.0  # factor of a slow engine's step times
 NETWORK_S = 0.001  # one way between host and engine
 ERROR_S = 0.01  # until a failing engine answers with an error
 EXPIRY_S = 3.0  # until a silent backend server is removed from the tables
 REMOTE_DELAY_S = 0.5  # further age of reports from other data centres
 
 
-class _Call:
+class Call:
     """Follow one job at its host."""
 
     __slots__ = (
@@ -77,7 +78,7 @@
         self._events: list[tuple] = []
         self._order = itertools.count()
         self._wakes: dict[str, float] = {}
-        self._calls: dict[str, _Call] = {}
+        self._calls: dict[str, Call] = {}
         self.engines: dict[str, loadmodel.FakeEngine] = {}
         self.hosts = [
             Host(
@@ -155,7 +156,7 @@
 
     def _arrive(self, job):
         host = self.rng.choice(self.hosts)
-        call = self._calls[job.request.request_id] = _Call(job, host)
+        call = self._calls[job.request.request_id] = Call(job, host)
         host.budget.request(job.request.service)
         self._at(job.request.deadline, self._give_up, call)
         self._dispatch(call)
@@ -238,10 +239,16 @@
         for event in engine.advance(self.now):
             call = self._calls[event.job.request.request_id]
             if event.kind == "first":
-                call.first_at = event.at
+                self._first_token(call, event.at)
             else:
                 self._complete(call, event)
 
+    def _first_token(self, call, at):
+        call.first_at = at
+        request = call.job.request
+        first_token_s = at - request.arrived_at
+        self.result.first_token_s.setdefault(request.request_id, first_token_s)
+
     def _schedule(self, engine):
         when = engine.next_event_at()
         backend_id = engine.server.backend_id
@@ -282,11 +289,11 @@
             self._send(waiting, entry.backend_id, entry.request.priority)
         self._expire(host)
 
-    def _give_up(self, call):
+    def _give_up(self, call, how="late"):
         """Let the caller go away at its deadline."""
         if call.done:
             return
-        self._end(call, "late")
+        self._end(call, how)
         if call.entry is not None:
             call.host.admission.abandon(call.entry)
         if call.backend_id:
@@ -306,8 +313,7 @@
         if engine.alive:
             self._advance(engine)
         if call.first_at is None and not call.done:
-            self._give_up(call)
-            self.result.ends[call.job.request.request_id] = "refused"
+            self._give_up(call, "refused")
 
     def _end(self, call, how):
         if not call.done:
@@ -323,6 +329,10 @@
                 engine.failing_share = fault.failing_share
                 continue
             self._advance(engine)
+            if fault.kind == "slow":
+                engine.speed = _slowed(engine.speed)
+                self._schedule(engine)
+                continue
             lost = engine.fail()
             # A stopped process resets its connections; a lost data centre is silent
             # until the progress deadline.
@@ -342,10 +352,9 @@
         lost = {self._data_centre(number) for number in fault.servers}
         gone = [host for host in self.hosts if host.data_centre in lost]
         self.hosts = [host for host in self.hosts if host.data_centre not in lost]
-        for call in self._calls.values():
+        for call in list(self._calls.values()):
             if not call.done and call.host in gone:
-                self._give_up(call)
-                self.result.ends[call.job.request.request_id] = "failed"
+                self._give_up(call, "failed")
 
     def _remove(self, engine):
         for host in self.hosts:
@@ -373,3 +382,15 @@
             self._end(call, "failed")
             return
         self._at(self.now + decision.delay_s, self._dispatch, call)
+
+
+def _slowed(speed):
+    return loadmodel.EngineSpeed(
+        speed.slots,
+        speed.step_base_s * SLOWED,
+        speed.step_slope_s * SLOWED,
+        speed.chunk_tokens,
+        speed.kv_tokens,
+        speed.cache_blocks,
+        speed.max_items,
+    )
--- a/kumquatproxy/systems.py
+++ b/kumquatproxy/systems.py
@@ -10,6 +10,7 @@
 
     __slots__ = (
         "admission",
+        "hedging",
         "name",
         "on_demand",
         "placement",
@@ -25,6 +26,7 @@
         admission=True,
         retries=True,
         on_demand=False,
+        hedging=False,
     ):
         self.name: str = name
         self.policy: str = policy
@@ -32,10 +34,12 @@
         self.admission: bool = admission
         self.retries: bool = retries
         self.on_demand: bool = on_demand
+        self.hedging: bool = hedging
 
 
 SYSTEMS = {
-    "designed": System("designed"),
+    "designed": System("designed", hedging=True),
+    "no-hedging": System("no-hedging"),
     "no-admission": System("no-admission", admission=False),
     "static": System("static", "random", "even", False, False),
     "lru": System("lru", "least-connections", "even", False, False, True),
@@ -46,7 +50,7 @@
 
 
 class Fault:
-    """Change the engines at a given time: ``stop``, ``silent`` or ``errors``."""
+    """Change engines at a given time: ``stop``, ``silent``, ``errors``, ``slow``."""
 
     __slots__ = ("at", "failing_share", "kind", "servers")
 
@@ -60,11 +64,20 @@
 class Result:
     """Hold what one run showed."""
 
-    __slots__ = ("ends", "jobs", "moves", "refusals", "sends", "sent_ids")
+    __slots__ = (
+        "ends",
+        "first_token_s",
+        "jobs",
+        "moves",
+        "refusals",
+        "sends",
+        "sent_ids",
+    )
 
     def __init__(self, jobs):
         self.jobs: list[loadmodel.Job] = jobs
         self.ends: dict[str, str] = {}  # request id -> on-time, late, refused, failed
+        self.first_token_s: dict[str, float] = {}  # since the arrival
         self.moves: int = 0
         self.refusals: int = 0
         self.sends: list[tuple[float, str, str]] = []
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -1,6 +1,7 @@
 """The load model and the decisions under load: histories, bounds and faults."""
 
 import collections
+import os
 
 import pytest
 
@@ -16,6 +17,7 @@
     systems,
 )
 
+FIRST_FUZZ_SEED = 100 * int(os.environ.get("FUZZ_SEED", "0"))
 SHORT = {"duration_s": 30.0, "shift_s": 10.0, "utilisation": 1.3}
 
 
@@ -176,7 +178,7 @@
 
 
 @pytest.mark.fuzz
-@pytest.mark.parametrize("seed", range(20))
+@pytest.mark.parametrize("seed", range(FIRST_FUZZ_SEED, FIRST_FUZZ_SEED + 20))
 def test_histories_over_many_seeds(seed):
     """Guards against rare orders of events that lose a request."""
     faults = [
