--- a/kumquatproxy/simulation.py
+++ b/kumquatproxy/simulation.py
@@ -15,92 +15,17 @@
     records,
     retries,
     routing,
+    systems,
 )
 
+SLOWED = 5.0  # factor of a slow engine's step times
 NETWORK_S = 0.001  # one way between host and engine
 ERROR_S = 0.01  # until a failing engine answers with an error
 EXPIRY_S = 3.0  # until a silent backend server is removed from the tables
 REMOTE_DELAY_S = 0.5  # further age of reports from other data centres
-MEASURED_FROM_S = 10.0  # requests before this time only warm up the tables
 
 
-class System:
-    """Name the decisions that one run uses."""
-
-    __slots__ = (
-        "admission",
-        "name",
-        "on_demand",
-        "placement",
-        "policy",
-        "retries",
-    )
-
-    def __init__(
-        self,
-        name,
-        policy="estimate",
-        placement="demand",
-        admission=True,
-        retries=True,
-        on_demand=False,
-    ):
-        self.name: str = name
-        self.policy: str = policy
-        self.placement: str = placement
-        self.admission: bool = admission
-        self.retries: bool = retries
-        self.on_demand: bool = on_demand
-
-
-SYSTEMS = {
-    "designed": System("designed"),
-    "no-admission": System("no-admission", admission=False),
-    "static": System("static", "random", "even", False, False),
-    "lru": System("lru", "least-connections", "even", False, False, True),
-    "demand-random": System("demand-random", "random", "demand", False, False),
-    "demand-least": System("demand-least", "least-connections", "demand", False, False),
-    "demand-turn": System("demand-turn", "round-robin", "demand", False, False),
-}
-
-
-class Fault:
-    """Change the engines at a given time: ``stop``, ``silent`` or ``errors``."""
-
-    __slots__ = ("at", "failing_share", "kind", "servers")
-
-    def __init__(self, at, kind, servers, failing_share=1.0):
-        self.at: float = at
-        self.kind: str = kind
-        self.servers: tuple[int, ...] = tuple(servers)
-        self.failing_share: float = failing_share
-
-
-class Result:
-    """Hold what one run showed."""
-
-    __slots__ = ("ends", "jobs", "moves", "refusals", "sends", "sent_ids")
-
-    def __init__(self, jobs):
-        self.jobs: list[loadmodel.Job] = jobs
-        self.ends: dict[str, str] = {}  # request id -> on-time, late, refused, failed
-        self.moves: int = 0
-        self.refusals: int = 0
-        self.sends: list[tuple[float, str]] = []
-        self.sent_ids: set[str] = set()
-
-    def measured(self, start=MEASURED_FROM_S, end=float("inf")):
-        """Return the jobs that arrived in a period."""
-        return [job for job in self.jobs if start <= job.request.arrived_at < end]
-
-    def attainment(self, start=MEASURED_FROM_S, end=float("inf"), keep=None) -> float:
-        """Return the share of requests answered within their deadline."""
-        jobs = [job for job in self.measured(start, end) if keep is None or keep(job)]
-        met = sum(self.ends.get(j.request.request_id) == "on-time" for j in jobs)
-        return met / max(len(jobs), 1)
-
-
-class _Call:
+class Call:
     """Follow one job at its host."""
 
     __slots__ = (
@@ -146,14 +71,14 @@
 
     def __init__(self, scenario, system, trace, seed, faults=()):
         self.scenario: arrivals.Scenario = scenario
-        self.system: System = system
+        self.system: systems.System = system
         self.rng = random.Random(f"run {seed}")
         self.now: float = 0.0
-        self.result = Result(trace.jobs)
+        self.result = systems.Result(trace.jobs)
         self._events: list[tuple] = []
         self._order = itertools.count()
         self._wakes: dict[str, float] = {}
-        self._calls: dict[str, _Call] = {}
+        self._calls: dict[str, Call] = {}
         self.engines: dict[str, loadmodel.FakeEngine] = {}
         self.hosts = [
             Host(
@@ -173,7 +98,7 @@
         for fault in faults:
             self._at(fault.at, self._apply, fault)
 
-    def run(self) -> Result:
+    def run(self) -> systems.Result:
         """Run until every request has ended."""
         while self._events:
             self.now, _, action, arguments = heapq.heappop(self._events)
@@ -231,7 +156,7 @@
 
     def _arrive(self, job):
         host = self.rng.choice(self.hosts)
-        call = self._calls[job.request.request_id] = _Call(job, host)
+        call = self._calls[job.request.request_id] = Call(job, host)
         host.budget.request(job.request.service)
         self._at(job.request.deadline, self._give_up, call)
         self._dispatch(call)
@@ -262,6 +187,8 @@
             self._send(call, decision.backend_id, request.priority)
             return
         verdict = host.admission.admit(request, decision, self.now)
+        latest = admission.latest_first_token(request, decision.estimate)
+        self._at(max(latest, self.now), self._stop_waiting, call)
         if verdict.action == "admit":
             self._send(call, decision.backend_id, verdict.priority)
         elif verdict.action == "refuse":
@@ -290,7 +217,7 @@
         call.attempts.started(backend_id)
         host.table.started(backend_id, call.job.request, self.now)
         host.breakers.started(backend_id, self.now)
-        self.result.sends.append((self.now, backend_id))
+        self.result.sends.append((self.now, backend_id, call.job.request.request_id))
         self.result.sent_ids.add(call.job.request.request_id)
         self._at(self.now + NETWORK_S, self._submit, call, backend_id, priority)
 
@@ -312,10 +239,16 @@
         for event in engine.advance(self.now):
             call = self._calls[event.job.request.request_id]
             if event.kind == "first":
-                call.first_at = event.at
+                self._first_token(call, event.at)
             else:
                 self._complete(call, event)
 
+    def _first_token(self, call, at):
+        call.first_at = at
+        request = call.job.request
+        first_token_s = at - request.arrived_at
+        self.result.first_token_s.setdefault(request.request_id, first_token_s)
+
     def _schedule(self, engine):
         when = engine.next_event_at()
         backend_id = engine.server.backend_id
@@ -356,11 +289,11 @@
             self._send(waiting, entry.backend_id, entry.request.priority)
         self._expire(host)
 
-    def _give_up(self, call):
+    def _give_up(self, call, how="late"):
         """Let the caller go away at its deadline."""
         if call.done:
             return
-        self._end(call, "late")
+        self._end(call, how)
         if call.entry is not None:
             call.host.admission.abandon(call.entry)
         if call.backend_id:
@@ -372,6 +305,16 @@
             if call.backend_id:
                 self._finish_attempt(call, estimates.Outcome("abandoned"))
 
+    def _stop_waiting(self, call):
+        """Cancel a request that was started nowhere and would end too late."""
+        if call.done or not call.backend_id or call.first_at is not None:
+            return
+        engine = self.engines[call.backend_id]
+        if engine.alive:
+            self._advance(engine)
+        if call.first_at is None and not call.done:
+            self._give_up(call, "refused")
+
     def _end(self, call, how):
         if not call.done:
             call.done = True
@@ -386,6 +329,10 @@
                 engine.failing_share = fault.failing_share
                 continue
             self._advance(engine)
+            if fault.kind == "slow":
+                engine.speed = _slowed(engine.speed)
+                self._schedule(engine)
+                continue
             lost = engine.fail()
             # A stopped process resets its connections; a lost data centre is silent
             # until the progress deadline.
@@ -405,10 +352,9 @@
         lost = {self._data_centre(number) for number in fault.servers}
         gone = [host for host in self.hosts if host.data_centre in lost]
         self.hosts = [host for host in self.hosts if host.data_centre not in lost]
-        for call in self._calls.values():
+        for call in list(self._calls.values()):
             if not call.done and call.host in gone:
-                self._give_up(call)
-                self.result.ends[call.job.request.request_id] = "failed"
+                self._give_up(call, "failed")
 
     def _remove(self, engine):
         for host in self.hosts:
@@ -436,3 +382,15 @@
             self._end(call, "failed")
             return
         self._at(self.now + decision.delay_s, self._dispatch, call)
+
+
+def _slowed(speed):
+    return loadmodel.EngineSpeed(
+        speed.slots,
+        speed.step_base_s * SLOWED,
+        speed.step_slope_s * SLOWED,
+        speed.chunk_tokens,
+        speed.kv_tokens,
+        speed.cache_blocks,
+        speed.max_items,
+    )
