Follow the changed interface of membership in the control task

Cause: membership now tells of seeds and relays by HostChanged and has one call for leaving and having left. Change: the control task teaches the transport each address it is told.

--- a/kumquatproxy/control.py
+++ b/kumquatproxy/control.py
@@ -38,6 +38,8 @@
 )
 from kumquatproxy import sheet as sheets
 
+_HostState = membermessages.HostState
+
 SUBMIT_TIMEOUT_S = 8.0
 CLAIM_TIMEOUT_S = 3.0
 OWNER_LOST_TIMEOUT_S = 30.0
@@ -170,7 +172,6 @@
         if host_id == self.host_id:
             self.tell(Received(host_id, message))
             return
-        self._learn_address(host_id)
         self._transport.send(host_id, message, messagerouting.is_droppable(message))
 
     def propose_configuration(self, command, done=None, timeout_s=5.0) -> None:
@@ -208,16 +209,6 @@
             elif type(output) in _OUTPUTS:
                 _OUTPUTS[type(output)](self, output, now)
 
-    def _learn_address(self, host_id):
-        entry_ = self.membership.table.entries_by_id.get(host_id)
-        address = (
-            entry_.address if entry_ else self.membership.links.address_of(host_id)
-        )
-        if not address and host_id in self.settings.peers_by_id:
-            address = self.settings.peers_by_id[host_id].address
-        if address:
-            self._transport.learn(host_id, address)
-
     def _push_targets(self, root):
         order = sorted(self.membership.table.working())
         if root not in order:
@@ -394,11 +385,13 @@
 
     def _on_host_changed(self, changed, now):
         self._member_log.write(now, f"host {changed.host_id} is {changed.state.name}")
-        gone = (membermessages.HostState.DEAD, membermessages.HostState.LEFT)
-        if changed.state in gone:
-            self._transport.forget(changed.host_id)
-            if self.host_id == self.membership.relays()[0]:
-                self._report_lost(changed.host_id)
+        if changed.state not in (_HostState.DEAD, _HostState.LEFT):
+            self._transport.learn(changed.host_id, changed.address)
+            return
+        self._transport.forget(changed.host_id)
+        is_own = changed.data_centre == self.data_centre
+        if is_own and self.host_id == self.membership.relays()[0]:
+            self._report_lost(changed.host_id)
 
     def _report_lost(self, host_id):
         entry_ = self.membership.table.entries_by_id[host_id]
@@ -508,13 +501,13 @@
         }
 
     def _on_start_leaving(self, message, now, reply):
-        self._emit(self.membership.leave(now), now)
+        self._emit(self.membership.announce_self(_HostState.LEAVING, now), now)
 
     def _on_finish(self, message, now, reply):
         self.placement.stop(now)
         if self.configuration is not None:
             self.configuration.tell(replication.GiveUpLeadership())
-        self._emit(self.membership.left(now), now)
+        self._emit(self.membership.announce_self(_HostState.LEFT, now), now)
         return True
 
     def _on_received(self, received, now, reply):
