Tell whether an item can be served without a decision

Cause: the check for a routable item made a decision at time 0, whose report age was negative and overflowed. Change: RoutingTable.can_serve; the age of a report is at least 0.

--- a/kumquatproxy/dispatch.py
+++ b/kumquatproxy/dispatch.py
@@ -124,9 +124,7 @@
 
     def has_server(self, items) -> bool:
         """Return whether some backend server can take a call for the items."""
-        probe = records.CallRequest("", "", "")
-        decision = self.table.choose(probe, items, (), 0.0, random.Random(0))
-        return isinstance(decision, routing.Decision)
+        return self.table.can_serve(items)
 
     def driver(self, service: sheet.Service) -> drivers.Driver:
         """Return the driver of a service."""
--- a/kumquatproxy/routing.py
+++ b/kumquatproxy/routing.py
@@ -314,7 +314,7 @@
         """
         others = state.others
         if state.reported_at is not None:
-            age_s = now - state.reported_at + self.report_lag_s
+            age_s = max(0.0, now - state.reported_at) + self.report_lag_s
             trust = math.exp(-age_s / self.speed(state.server.service).request_s)
             others = state.others_mean + trust * (others - state.others_mean)
         return others + len(state.flights_by_id)
@@ -340,6 +340,14 @@
         state, reason = picked
         return Decision(state.backend_id, reason, self.estimate(state, request, now))
 
+    def can_serve(self, items) -> bool:
+        """Return whether some backend server that is not leaving has all items."""
+        pool = self._smallest_pool(items)
+        if pool is None:
+            return False
+        candidates = Candidates(pool, items, (), 0.0)
+        return any(candidates.allows(state) for state in pool.local + pool.remote)
+
     def _smallest_pool(self, items):
         smallest = None
         for item in items:
