Give call requests their forwarded flag at construction

Cause: the load model copies requests field by field and failed on a field that the constructor did not take. Change: is_forwarded is a parameter.

--- a/kumquatproxy/entry.py
+++ b/kumquatproxy/entry.py
@@ -187,7 +187,7 @@
 
 
 def _call_request(request, service, now):
-    call = records.CallRequest(
+    return records.CallRequest(
         request.header("X-Request-Id") or _new_request_id(),
         service.organisation,
         service.name,
@@ -195,9 +195,8 @@
         deadline=now + _timeout_s(request, service),
         key=_key(request),
         arrived_at=now,
+        is_forwarded=bool(request.header(dispatch.FORWARDED_HEADER)),
     )
-    call.is_forwarded = bool(request.header(dispatch.FORWARDED_HEADER))
-    return call
 
 
 def _key(request):
