--- /dev/null
+++ b/kumquatproxy/claimschedules.py
@@ -0,0 +1,180 @@
+"""Seeded schedules of keyed calls over a fake log, with a history of executions."""
+
+import copy
+import random
+from typing import Any
+
+from kumquatproxy import claimcalls, claimrecords, claims, wire
+
+STEP_S = 0.25
+STEPS = 600
+KEYS = 12
+LIMITS = claims.Limits(
+    keys=40,
+    result_bytes=200,
+    total_result_bytes=4000,
+    result_retention_s=20.0,
+    fingerprint_retention_s=1000.0,
+    fingerprint_span_s=30.0,
+)
+
+
+class Call:
+    """Hold one call of a client and what became of it."""
+
+    __slots__ = ("answers", "attempt", "executed", "host", "key", "logic")
+
+    def __init__(self, attempt, key, host, logic):
+        self.attempt: int = attempt
+        self.key: str = key
+        self.host: str = host
+        self.logic: claimcalls.ClaimCall = logic
+        self.answers: list = []
+        self.executed = 0
+
+
+class World:
+    """Run keyed calls over hosts that die, leaders that change and lost messages."""
+
+    def __init__(self, seed, call_class=claimcalls.ClaimCall, table_class=None):
+        self.rng = random.Random(seed)
+        self.call_class = call_class
+        self.table = (table_class or claims.ClaimTable)(LIMITS)
+        self.calls: list[Call] = []
+        self.violations: list[str] = []
+        self.granted = 0
+        self._log: list[tuple[float, Any, Call | None]] = []
+        self._answers: list[tuple[float, Call, wire.Message]] = []
+        self._running: list[tuple[float, Call]] = []
+        self._incarnations = {"h1": 1, "h2": 1, "h3": 1}
+        self._clock_offset = 0.0
+        self._clock = claims.LeaderClock(0.0, 0.0)
+
+    def run(self) -> list[str]:
+        """Return the violations of one schedule."""
+        for step in range(STEPS):
+            now = step * STEP_S
+            self._inject(now)
+            self._commit(now)
+            self._answer(now)
+            self._execute(now)
+            for call in self.calls:
+                if self._is_alive(call):
+                    self._perform(call, call.logic.tick(now), now)
+        self._check()
+        return self.violations
+
+    def _inject(self, now):
+        rng = self.rng
+        if rng.random() < 0.3:
+            self._begin_call(now)
+        if rng.random() < 0.01:  # a leader with another monotonic clock
+            self._clock_offset = rng.uniform(0.0, 1e6)
+            self._clock = claims.LeaderClock(self.table.time, now + self._clock_offset)
+        host = rng.choice(sorted(self._incarnations))
+        chance = rng.random()
+        if chance < 0.02:
+            incarnation = self._incarnations[host]
+            lost = claimrecords.OwnerLost(0.0, host, incarnation)
+            self._log.append((now + rng.uniform(0.0, 3.0), lost, None))
+            # Half of the declared losses are wrong: the process goes on for a while.
+            if chance < 0.01:
+                self._incarnations[host] += 1
+
+    def _begin_call(self, now):
+        host = self.rng.choice(sorted(self._incarnations))
+        key = f"k{self.rng.randrange(KEYS)}"
+        attempt = len(self.calls) + 1
+        begin = claimrecords.BeginClaim(
+            at=0.0,
+            attempt=attempt,
+            host=host,
+            incarnation=self._incarnations[host],
+            key=key,
+            organisation="o",
+            request_digest=key.encode().ljust(claimrecords.DIGEST_BYTES),
+            service="s",
+        )
+        logic = self.call_class(begin, deadline=now + 3.0)
+        owner = f"{host}/{self._incarnations[host]}"
+        self.calls.append(Call(attempt, key, owner, logic))
+
+    def _is_alive(self, call):
+        host, _, incarnation = call.host.partition("/")
+        return self._incarnations[host] == int(incarnation)
+
+    def _perform(self, call, outputs, now):
+        for output in outputs:
+            if isinstance(output, claimcalls.Reply):
+                call.answers.append(output.answer)
+            elif isinstance(output, claimcalls.Dispatch):
+                self._dispatch(call, now)
+            else:
+                for _ in range(self.rng.choices((0, 1, 2), (0.2, 0.7, 0.1))[0]):
+                    delay_s = self.rng.choice((0.0, 0.25, 0.5, 4.0))
+                    command = copy.copy(output.command)
+                    self._log.append((now + delay_s, command, call))
+
+    def _dispatch(self, call, now):
+        self.granted += 1
+        if self.rng.random() < 0.2:  # no connection: certainly not executed
+            ended = call.logic.ended(claimrecords.Outcome.NOT_EXECUTED, 0, [], b"", now)
+            self._perform(call, ended, now)
+            return
+        call.executed += 1
+        self._running.append((now + self.rng.choice((0.0, 0.5, 5.0)), call))
+
+    def _execute(self, now):
+        for entry in [entry for entry in self._running if entry[0] <= now]:
+            self._running.remove(entry)
+            call = entry[1]
+            if not self._is_alive(call):
+                continue
+            outcome = claimrecords.Outcome.DONE
+            if self.rng.random() < 0.2:
+                outcome = claimrecords.Outcome.UNKNOWN
+            body = str(call.attempt).encode()
+            self._perform(call, call.logic.ended(outcome, 200, [], body, now), now)
+
+    def _commit(self, now):
+        for entry in [entry for entry in self._log if entry[0] <= now]:
+            self._log.remove(entry)
+            command, call = entry[1], entry[2]
+            command.at = self._clock.stamp(now + self._clock_offset)
+            answer = self.table.apply(command)
+            if call is not None and self.rng.random() < 0.8:
+                self._answers.append((now + self.rng.choice((0.0, 0.5)), call, answer))
+
+    def _answer(self, now):
+        for entry in [entry for entry in self._answers if entry[0] <= now]:
+            self._answers.remove(entry)
+            call, answer = entry[1], entry[2]
+            if not self._is_alive(call):
+                continue
+            if isinstance(answer, claimrecords.ClaimNoted):
+                call.logic.finished()
+            else:
+                self._perform(call, call.logic.answered(answer, now), now)
+
+    def _check(self):
+        executed_by_key: dict[str, list[Call]] = {}
+        for call in self.calls:
+            executed_by_key.setdefault(call.key, []).extend([call] * call.executed)
+            self._check_answers(call)
+        for key, executed in executed_by_key.items():
+            if len(executed) > 1:
+                attempts = [call.attempt for call in executed]
+                self.violations.append(f"key {key} was executed by {attempts}")
+
+    def _check_answers(self, call):
+        if len(call.answers) > 1:
+            self.violations.append(f"call {call.attempt} was answered twice")
+        for answer in call.answers:
+            is_no = getattr(answer, "executed", "") == "no"
+            if is_no and call.executed:
+                text = f"call {call.attempt} was executed and answered {answer.kind}"
+                self.violations.append(text)
+            if isinstance(answer, claimrecords.ClaimResult):
+                writer = self.calls[int(answer.body) - 1]
+                if writer.key != call.key or not writer.executed:
+                    self.violations.append(f"call {call.attempt} got a wrong result")
