--- a/kumquatproxy/dissemination.py
+++ b/kumquatproxy/dissemination.py
@@ -15,6 +15,7 @@
 RETRY_S = 1.0
 MAX_OFFERS = 5
 MAX_TRIES = 3
+MAX_HOLDERS = 1000
 SERVED_CHUNKS_PER_S = 40.0
 SERVED_CHUNKS_BURST = 40.0
 """Above this rate pulls go unanswered and are repeated, so that many hosts that start
@@ -137,6 +138,8 @@
     def observe(self, sender: str, status: list, now: float) -> list:
         """Compare the version that a probe told with the own one."""
         number, digest = membermessages.parse_version(status)
+        if len(self._holders) >= MAX_HOLDERS:
+            self._holders.clear()
         self._holders[sender] = number
         if number == self.number and self.version is not None:
             if digest != short(self.version.digest):
--- a/kumquatproxy/hosttable.py
+++ b/kumquatproxy/hosttable.py
@@ -67,6 +67,19 @@
             if entry.state in (HostState.ALIVE, HostState.SUSPECT)
         )
 
+    def trusted(self) -> list[str]:
+        """Return the ids of the working hosts that are not suspected, in order.
+
+        If all are suspected, it is this host that is cut off, and all are returned.
+        """
+        alive = [
+            entry.host_id
+            for entry in self.entries_by_id.values()
+            if entry.state is HostState.ALIVE
+        ]
+        others = [host_id for host_id in alive if host_id != self.host_id]
+        return sorted(alive) if others else self.working()
+
     def dead(self) -> list[str]:
         """Return the ids of the hosts that were declared dead, in order."""
         return sorted(
--- a/kumquatproxy/membership.py
+++ b/kumquatproxy/membership.py
@@ -83,8 +83,8 @@
         return self.table.entries_by_id[self.host_id]
 
     def relays(self) -> list[str]:
-        """Return the relays of this data centre, lowest id first."""
-        return self.table.working()[:RELAYS]
+        """Return the relays of this data centre; a suspected host is none."""
+        return self.table.trusted()[:RELAYS]
 
     def report_order(self) -> list[str]:
         """Return the hosts in the order of the binary tree.
--- a/kumquatproxy/peers.py
+++ b/kumquatproxy/peers.py
@@ -111,9 +111,9 @@
         return root, targets
 
     def _local_targets(self, relays):
-        working = self.membership.table.working()
+        trusted = self.membership.table.trusted()
         for position, relay in enumerate(relays):
-            part = [relay, *working[len(relays) + position :: len(relays)]]
+            part = [relay, *trusted[len(relays) + position :: len(relays)]]
             if self.host_id in part:
                 return trees.children_in(part, self.host_id, PUSH_FAN_OUT)
         return []
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -39,6 +39,30 @@
     assert cluster.behind(2) == []
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_version_is_in_force_within_18_s_without_both_relays(seed):
+    cluster = clusters.Cluster(seed, 12, centres=("a", "b"))
+    cluster.run_for(12.0)
+    cluster.network.kill("b-00")
+    cluster.network.kill("b-01")
+    cluster.publish("a-05", 1, content_of(1))
+    cluster.run_for(18.0)
+    assert cluster.behind(1) == []
+
+
+def test_a_data_centre_adopts_the_newest_version_when_it_is_linked_again():
+    cluster = clusters.Cluster(4, 6, centres=("a", "b"))
+    cluster.run_for(12.0)
+    cluster.network.cut(lambda sender, to: sender[0] != to[0])
+    cluster.publish("a-03", 1, content_of(1))
+    cluster.publish("a-03", 2, content_of(2))
+    cluster.run_for(120.0)
+    assert {host_id[0] for host_id in cluster.behind(2)} == {"b"}
+    cluster.network.cut(lambda sender, to: False)
+    cluster.run_for(18.0)
+    assert cluster.behind(2) == []
+
+
 def fallen_versions(seed):
     """Return hosts whose version fell while versions were published quickly.
 
--- a/tests/test_loadreports.py
+++ b/tests/test_loadreports.py
@@ -1,9 +1,18 @@
 """Load reports: coding, order, loss, and a tree with a dead host."""
 
+import random
+
 import clusters
 import pytest
 
-from kumquatproxy import fakenetwork, loadmessages, records, reportstore
+from kumquatproxy import (
+    fakenetwork,
+    loadmessages,
+    loadreports,
+    records,
+    reportstore,
+    wire,
+)
 
 RELIABLE = fakenetwork.Conditions()
 
@@ -146,6 +155,22 @@
     assert received == report
 
 
+def test_a_changed_detail_travels_as_a_delta():
+    """Guard against whole details with each report, which would miss the budget."""
+    core = loadreports.LoadReports("a", random.Random(1), 0.0)
+    core.set_order(["a", "b"], 0.0)
+    sizes = []
+    for sequence, items in [(1, 28), (2, 29), (3, 29)]:
+        core.accept(report_of("gpu", sequence, items=items), float(sequence))
+        batches = [
+            output.message
+            for output in core.tick(float(sequence))
+            if isinstance(output, wire.Send)
+        ]
+        sizes.append([len(batches[0].full), len(batches[0].deltas)])
+    assert sizes == [[1, 0], [0, 1], [0, 0]]
+
+
 def test_reports_of_an_unknown_server_wait_for_its_detail():
     report = report_of("b", 1, 9.0)
     detail = loadmessages.detail_of(report)
