Use the usual terms of gossip protocols and split off suspicion

Change: updates, checksums, initiator, responder and requester in place of earlier names; deadlines of suspected hosts in their own module.

--- a/kumquatproxy/backendtable.py
+++ b/kumquatproxy/backendtable.py
@@ -10,7 +10,7 @@
 
 REFRESH_S = 4.0
 """The other hosts hear of a backend server by its reports. Where these are missing, an
-announcement is passed on to them if the last news is older than this."""
+announcement is passed on to them this long after the last report or announcement."""
 
 FORGET_S = 3600.0
 
@@ -18,12 +18,12 @@
 
 
 class _Entry:
-    __slots__ = ("hash", "heard_at", "server", "told_at")
+    __slots__ = ("hash", "heard_at", "published_at", "server")
 
     def __init__(self, server, heard_at):
         self.server: records.BackendServer = server
         self.heard_at: float = heard_at
-        self.told_at: float = heard_at  # what the other hosts know as heard_at
+        self.published_at: float = heard_at  # what the other hosts know as heard_at
         text = f"{server.backend_id} {server.incarnation} {server.leaving}"
         self.hash: int = membermessages.short_hash(text)
 
@@ -31,11 +31,11 @@
 class BackendTable:
     """Keep the newest announcement of each backend server."""
 
-    __slots__ = ("_entries_by_id", "data_centre", "sum")
+    __slots__ = ("_entries_by_id", "checksum", "data_centre")
 
     def __init__(self, data_centre):
         self.data_centre: str = data_centre
-        self.sum = 0
+        self.checksum = 0
         self._entries_by_id: dict[str, _Entry] = {}
 
     def __len__(self):
@@ -86,9 +86,9 @@
         if server.incarnation != entry.server.incarnation:
             return False
         entry.heard_at = max(entry.heard_at, heard_at)
-        if heard_at - entry.told_at < REFRESH_S:
+        if heard_at - entry.published_at < REFRESH_S:
             return False
-        entry.told_at = heard_at
+        entry.published_at = heard_at
         return True
 
     def heard(self, backend_id: str, incarnation: int, heard_at: float) -> None:
@@ -96,7 +96,7 @@
         entry = self._entries_by_id.get(backend_id)
         if entry is not None and entry.server.incarnation == incarnation:
             entry.heard_at = max(entry.heard_at, heard_at)
-            entry.told_at = max(entry.told_at, heard_at)
+            entry.published_at = max(entry.published_at, heard_at)
 
     def forget_old(self, now: float) -> list[str]:
         """Drop what was not heard of for ``FORGET_S``; return the ids."""
@@ -106,7 +106,7 @@
             if now - entry.heard_at > FORGET_S
         ]
         for backend_id in old:
-            self.sum ^= self._entries_by_id.pop(backend_id).hash
+            self.checksum ^= self._entries_by_id.pop(backend_id).hash
         return old
 
     def known_hashes(self) -> bytes:
@@ -125,8 +125,8 @@
 
     def _replace(self, old, new):
         if old is not None:
-            self.sum ^= old.hash
-        self.sum ^= new.hash
+            self.checksum ^= old.hash
+        self.checksum ^= new.hash
         self._entries_by_id[new.server.backend_id] = new
 
 
--- a/kumquatproxy/dissemination.py
+++ b/kumquatproxy/dissemination.py
@@ -96,7 +96,7 @@
         self._out: list = []
         self._transfer: _Transfer | None = None
         self._offers_by_host: dict[str, _Offer] = {}
-        self._holders: dict[str, int] = {}  # newest version told by each host
+        self._holders: dict[str, int] = {}  # newest version each host reported
         self._asked_at_by_host: dict[str, float] = {}
         self._tokens = SERVED_CHUNKS_BURST
         self._tokens_at = now
@@ -136,7 +136,7 @@
         return self._take()
 
     def observe(self, sender: str, status: list, now: float) -> list:
-        """Compare the version that a probe told with the own one."""
+        """Compare the version named by a probe with the own one."""
         number, digest = membermessages.parse_version(status)
         if len(self._holders) >= MAX_HOLDERS:
             self._holders.clear()
--- a/kumquatproxy/hello.py
+++ b/kumquatproxy/hello.py
@@ -101,7 +101,7 @@
         return True
 
 
-class Dialler:
+class Initiator:
     """Run the hello of the host that dials; ``peer_id`` is set at the end."""
 
     def __init__(self, identity, expected_id, nonce):
@@ -140,7 +140,7 @@
         return HelloProof(mac=mac)
 
 
-class Accepter:
+class Responder:
     """Run the hello of the host that accepts; ``peer_id`` is set at the end."""
 
     def __init__(self, identity, nonce, memory):
--- a/kumquatproxy/hosttable.py
+++ b/kumquatproxy/hosttable.py
@@ -1,13 +1,13 @@
-"""Known hosts of one data centre and the news about them still to be told."""
+"""Known hosts of one data centre and the updates about them to piggyback."""
 
 import math
 
 from kumquatproxy import membermessages, records
 
-MAX_NEWS = 8
+MAX_UPDATES = 8
 """Changes in one probe; with an address each takes about 40 bytes."""
 
-NEWS_FACTOR = 3
+UPDATE_FACTOR = 3
 """Each host repeats a change 3 * log2(hosts) times, so that with 10% of the messages
 lost practically every host hears of it."""
 
@@ -17,7 +17,7 @@
 HostEntry = membermessages.HostEntry
 
 
-class _News(records.Record):
+class _Update(records.Record):
     __slots__ = ("host_id", "sent")
 
     def __init__(self, host_id):
@@ -26,16 +26,16 @@
 
 
 class HostTable:
-    """Keep the newest entry of each host and choose the news for a message."""
+    """Keep the newest entry of each host and choose the updates for a message."""
 
-    __slots__ = ("_news_by_id", "entries_by_id", "host_id", "revision", "sum")
+    __slots__ = ("_updates_by_id", "checksum", "entries_by_id", "host_id", "revision")
 
     def __init__(self, host_id):
         self.host_id: str = host_id
         self.entries_by_id: dict[str, HostEntry] = {}
         self.revision = 0  # rises when the set of present hosts changes
-        self.sum = 0
-        self._news_by_id: dict[str, _News] = {}
+        self.checksum = 0
+        self._updates_by_id: dict[str, _Update] = {}
 
     def get(self, host_id: str) -> HostEntry | None:
         """Return the entry of a host."""
@@ -98,24 +98,24 @@
         entry.changed_at = now
         self._count(known, entry)
         self.entries_by_id[entry.host_id] = entry
-        self._news_by_id[entry.host_id] = _News(entry.host_id)
+        self._updates_by_id[entry.host_id] = _Update(entry.host_id)
         return True
 
-    def news(self, first_id: str = "") -> list[list]:
-        """Return the least told changes; that of ``first_id`` is always among them."""
+    def updates(self, first_id: str = "") -> list[list]:
+        """Return the updates sent least often, after the entry of ``first_id``."""
         chosen = []
         if first_id in self.entries_by_id:
             chosen.append(self.entries_by_id[first_id].to_list())
-        if not self._news_by_id:
+        if not self._updates_by_id:
             return chosen
-        limit = NEWS_FACTOR * math.ceil(math.log2(len(self.entries_by_id) + 1))
-        by_sent = sorted(self._news_by_id.values(), key=lambda news: news.sent)
-        for news in by_sent[: MAX_NEWS - len(chosen)]:
-            news.sent += 1
-            if news.sent >= limit:
-                del self._news_by_id[news.host_id]
-            if news.host_id != first_id:
-                chosen.append(self.entries_by_id[news.host_id].to_list())
+        limit = UPDATE_FACTOR * math.ceil(math.log2(len(self.entries_by_id) + 1))
+        by_sent = sorted(self._updates_by_id.values(), key=lambda update: update.sent)
+        for update in by_sent[: MAX_UPDATES - len(chosen)]:
+            update.sent += 1
+            if update.sent >= limit:
+                del self._updates_by_id[update.host_id]
+            if update.host_id != first_id:
+                chosen.append(self.entries_by_id[update.host_id].to_list())
         return chosen
 
     def forget_old(self, now: float) -> None:
@@ -124,13 +124,13 @@
             present = entry.state in membermessages.PRESENT_STATES
             if not present and now - entry.changed_at > KEEP_DEAD_S:
                 del self.entries_by_id[entry.host_id]
-                self._news_by_id.pop(entry.host_id, None)
+                self._updates_by_id.pop(entry.host_id, None)
 
     def _count(self, known, entry):
         was_present = known is not None and known.state in membermessages.PRESENT_STATES
         is_present = entry.state in membermessages.PRESENT_STATES
         if was_present != is_present:
-            self.sum ^= membermessages.short_hash(entry.host_id)
+            self.checksum ^= membermessages.short_hash(entry.host_id)
         is_moved = known is None or known.state != entry.state
         if was_present != is_present or is_moved:
             self.revision += 1
--- a/kumquatproxy/link.py
+++ b/kumquatproxy/link.py
@@ -55,15 +55,15 @@
         self._opened_at = clock()
         self._unsent = bytearray()
         self._wake = gevent.event.Event()
-        self._hello: hello.Dialler | hello.Accepter
+        self._hello: hello.Initiator | hello.Responder
         self._protocol: Any
         nonce = os.urandom(hello.NONCE_BYTES)
         limit = wire.MAX_FRAME_BYTES
         if dialled_id:
-            self._hello = hello.Dialler(identity, dialled_id, nonce)
+            self._hello = hello.Initiator(identity, dialled_id, nonce)
             self._protocol = client.ClientProtocol(uri.parse_uri(PATH), max_size=limit)
         else:
-            self._hello = hello.Accepter(identity, nonce, memory)
+            self._hello = hello.Responder(identity, nonce, memory)
             self._protocol = server.ServerProtocol(max_size=limit)
 
     def wake(self) -> None:
@@ -203,7 +203,7 @@
             response = self._protocol.accept(event)
             self._protocol.send_response(response)
         elif isinstance(event, http11.Response):
-            if isinstance(self._hello, hello.Dialler) and not self._failure():
+            if isinstance(self._hello, hello.Initiator) and not self._failure():
                 self._send(self._hello.first())
         elif event.opcode is frames.Opcode.BINARY and event.fin:
             self._on_frame(bytes(event.data))
--- a/kumquatproxy/loadreports.py
+++ b/kumquatproxy/loadreports.py
@@ -165,7 +165,9 @@
             state = self.store.states_by_key.get(key)
             if state is None:
                 continue
-            fast.append(loadmessages.pack_fast(key, state.report, state.told_hash, now))
+            fast.append(
+                loadmessages.pack_fast(key, state.report, state.reported_hash, now)
+            )
             self._add_detail(state, neighbour, full, deltas)
         neighbour.unsent = {}
         message = loadmessages.ReportBatch(
@@ -176,7 +178,7 @@
     def _add_detail(self, state, neighbour, full, deltas):
         detail, key = state.detail, state.key
         sent = neighbour.hashes_by_key.get(key)
-        if sent == detail.hash or detail.hash != state.told_hash:
+        if sent == detail.hash or detail.hash != state.reported_hash:
             return
         neighbour.hashes_by_key[key] = detail.hash
         if state.previous is not None and sent == state.previous.hash:
@@ -189,7 +191,8 @@
         if neighbour is None and not batch.down:
             neighbour = self._neighbours_by_id[sender] = self._new_neighbour(now)
         if neighbour is not None and not batch.down:
-            # Two hosts that send down to each other would never part again.
+            # Otherwise two hosts that send down to each other would renew their
+            # temporary entries forever.
             neighbour.heard_at = now
         details = self.store.details_in(batch)
         for key, detail in details.items():
--- a/kumquatproxy/membermessages.py
+++ b/kumquatproxy/membermessages.py
@@ -137,7 +137,7 @@
 
 
 def parse_version(values) -> tuple[int, bytes]:
-    """Return number and short digest of a version that a probe told."""
+    """Return number and short digest of a version named by a probe."""
     _check_types(values, (int, bytes))
     return values[0], values[1]
 
@@ -155,13 +155,13 @@
 
 @wire.register("probe")
 class Probe(wire.Message):
-    """Ask a host for a ProbeAck; ``sums`` and ``version`` find stale state."""
+    """Ask a host for a ProbeAck; ``checksums`` and ``version`` find stale state."""
 
-    __slots__ = ("me", "news", "number", "sums", "version")
-    me: list
-    news: list
+    __slots__ = ("checksums", "number", "sender_entry", "updates", "version")
+    sender_entry: list
+    updates: list
     number: int
-    sums: bytes
+    checksums: bytes
     version: list
 
 
@@ -169,12 +169,12 @@
 class ProbeAck(wire.Message):
     """Confirm that the host ``about`` is alive."""
 
-    __slots__ = ("about", "me", "news", "number", "sums", "version")
+    __slots__ = ("about", "checksums", "number", "sender_entry", "updates", "version")
     about: str
-    me: list
-    news: list
+    sender_entry: list
+    updates: list
     number: int
-    sums: bytes
+    checksums: bytes
     version: list
 
 
--- a/kumquatproxy/membership.py
+++ b/kumquatproxy/membership.py
@@ -9,15 +9,12 @@
     probing,
     records,
     relaylinks,
+    suspicion,
     trees,
     wire,
 )
 
 INDIRECT_PEERS = 3
-SUSPICION_S = 10.0
-"""A suspect has to hear of the suspicion and its refutation has to reach all hosts:
-with 76 hosts and 10% loss each of both takes up to 5 s."""
-
 PAUSE_S = 1.0
 """After a longer time without a tick this host itself was paused, and answers that
 were not handled say nothing about other hosts."""
@@ -41,7 +38,7 @@
 MAX_PUSHED_SERVERS = 200
 RELAYS = 2
 
-_SUMS = struct.Struct(">II")
+_CHECKSUMS = struct.Struct(">II")
 _MASK = 0xFFFFFFFF
 
 HostState = membermessages.HostState
@@ -56,13 +53,13 @@
         self.host_id: str = settings.host_id
         self.table = hosttable.HostTable(settings.host_id)
         self.backends = backendtable.BackendTable(settings.data_centre)
-        self.version: list = [0, b""]  # number and short digest, told in probes
+        self.version: list = [0, b""]  # number and short digest, carried by probes
         self.links = relaylinks.RelayLinks(settings, rng, now)
         self._rng = rng
         self._out: list = []
         self._prober = probing.Prober(rng, now)
-        self._accused: set[str] = set()
-        self._deadlines_by_id: dict[str, float] = {}
+        self._own_suspects: set[str] = set()
+        self._suspicions = suspicion.Suspicions()
         self._is_joined = False
         self._ticked_at = now
         self._heard_at = now
@@ -107,7 +104,7 @@
 
     def tick(self, now: float) -> list:
         """Return what is due at ``now``."""
-        self._pass_over_pause(now)
+        self._handle_pause(now)
         self._check_probes(now)
         if self._prober.is_due(now):
             self._probe_next(now)
@@ -161,18 +158,21 @@
         seeds = [seed for seed in self.settings.seeds if seed.data_centre == centre]
         return [seed.host_id for seed in seeds if seed.host_id != self.host_id]
 
-    def _others(self):
-        return [name for name in self.table.present() if name != self.host_id]
+    def _others(self, but=""):
+        excluded = (self.host_id, but)
+        return [name for name in self.table.present() if name not in excluded]
 
     def _some_others(self, count, but=""):
-        others = [name for name in self._others() if name != but]
+        others = self._others(but)
         return self._rng.sample(others, min(count, len(others)))
 
-    def _sums(self):
-        return _SUMS.pack(self.table.sum & _MASK, self.backends.sum & _MASK)
+    def _checksums(self):
+        return _CHECKSUMS.pack(
+            self.table.checksum & _MASK, self.backends.checksum & _MASK
+        )
 
-    def _probe(self, target, now, asker="", asker_number=0):
-        number = self._prober.start(target, now, asker, asker_number)
+    def _probe(self, target, now, requester="", requester_number=0):
+        number = self._prober.start(target, now, requester, requester_number)
         self._send(target, self._probe_message(target, number))
 
     def _contact(self, target):
@@ -186,9 +186,9 @@
         entry = self.table.get(receiver)
         first_id = receiver if entry and entry.state >= HostState.SUSPECT else ""
         return {
-            "me": self.me.to_list(),
-            "news": self.table.news(first_id),
-            "sums": self._sums(),
+            "sender_entry": self.me.to_list(),
+            "updates": self.table.updates(first_id),
+            "checksums": self._checksums(),
             "version": self.version,
         }
 
@@ -196,26 +196,26 @@
         target = self._prober.next_target(self._others())
         if target:
             self._probe(target, now)
-        for suspect in sorted(self._accused):
+        for suspect in sorted(self._own_suspects):
             self._contact(suspect)
 
     def _check_probes(self, now):
         for number, target in self._prober.late(now):
             self._ask_others(number, target)
         for target in self._prober.failed(now):
-            self._accuse(target, now)
+            self._suspect(target, now)
 
     def _ask_others(self, number, target):
         for helper in self._some_others(INDIRECT_PEERS, target):
             request = membermessages.ProbeRequest(number=number, target=target)
             self._send(helper, request)
 
-    def _accuse(self, target, now):
+    def _suspect(self, target, now):
         entry = self.table.get(target)
         if entry is None or self._is_isolated(now):
             return
         if entry.state in (HostState.ALIVE, HostState.LEAVING):
-            self._accused.add(target)
+            self._own_suspects.add(target)
             self._merge(
                 HostEntry(target, HostState.SUSPECT, entry.incarnation, ""), now
             )
@@ -225,26 +225,21 @@
         return many and now - self._heard_at > ISOLATED_AFTER_S
 
     def _check_suspects(self, now):
-        if not self._deadlines_by_id:
-            return
-        is_isolated = self._is_isolated(now)
-        for target, deadline in list(self._deadlines_by_id.items()):
-            if is_isolated:
-                self._deadlines_by_id[target] = max(deadline, now + SUSPICION_S / 2)
-            elif now >= deadline:
-                entry = self.table.entries_by_id[target]
-                dead = HostEntry(target, HostState.DEAD, entry.incarnation, "")
-                self._merge(dead, now)
-
-    def _pass_over_pause(self, now):
+        if self._is_isolated(now):
+            self._suspicions.hold(now)
+        for target in self._suspicions.expired(now):
+            entry = self.table.entries_by_id[target]
+            dead = HostEntry(target, HostState.DEAD, entry.incarnation, "")
+            self._merge(dead, now)
+
+    def _handle_pause(self, now):
         paused_s = now - self._ticked_at
         self._ticked_at = now
         if paused_s <= PAUSE_S:
             return
         self._prober.clear()
         self._heard_at = now
-        for target in self._deadlines_by_id:
-            self._deadlines_by_id[target] += paused_s
+        self._suspicions.extend(paused_s)
 
     def _contact_missing(self, now):
         if not self._is_joined and now >= self._join_at:
@@ -268,33 +263,35 @@
         self._on_status(sender, probe, now)
         self._send(sender, self._ack(probe.number, self.host_id, sender))
 
-    def _ack(self, number, about, asker):
-        status = self._status(asker)
+    def _ack(self, number, about, requester):
+        status = self._status(requester)
         return membermessages.ProbeAck(number=number, about=about, **status)
 
     def _on_ack(self, sender, ack, now):
         self._on_status(sender, ack, now)
         pending = self._prober.finish(ack.number, ack.about)
-        if pending is not None and pending.asker:
-            answer = self._ack(pending.asker_number, pending.target, pending.asker)
-            self._send(pending.asker, answer)
+        if pending is not None and pending.requester:
+            answer = self._ack(
+                pending.requester_number, pending.target, pending.requester
+            )
+            self._send(pending.requester, answer)
 
     def _on_request(self, sender, request, now):
         if self.table.get(request.target) is not None:
             self._probe(request.target, now, sender, request.number)
 
     def _on_status(self, sender, message, now):
-        self._merge(membermessages.parse_host(message.me), now)
-        for values in message.news:
+        self._merge(membermessages.parse_host(message.sender_entry), now)
+        for values in message.updates:
             self._merge(membermessages.parse_host(values), now)
-        hosts_sum, backends_sum = _SUMS.unpack(message.sums)
-        if hosts_sum == self.table.sum & _MASK:
+        hosts_checksum, backends_checksum = _CHECKSUMS.unpack(message.checksums)
+        if hosts_checksum == self.table.checksum & _MASK:
             self._sync_interval_s = MIN_SYNC_INTERVAL_S
         elif now >= self._sync_at:
             self._sync_at = now + self._sync_interval_s * (0.5 + self._rng.random())
             self._sync_interval_s = min(MAX_SYNC_INTERVAL_S, self._sync_interval_s * 2)
             self._send(sender, self._sync_message(True))
-        if backends_sum != self.backends.sum & _MASK and now >= self._pull_at:
+        if backends_checksum != self.backends.checksum & _MASK and now >= self._pull_at:
             self._pull_at = now + BACKEND_PULL_INTERVAL_S
             known = self.backends.known_hashes()
             self._send(sender, membermessages.BackendPull(known=known))
@@ -369,10 +366,10 @@
             return False
         if not self.table.put(entry, now):
             return False
-        self._accused.discard(entry.host_id)
-        self._deadlines_by_id.pop(entry.host_id, None)
+        self._own_suspects.discard(entry.host_id)
+        self._suspicions.end(entry.host_id)
         if entry.state is HostState.SUSPECT:
-            self._deadlines_by_id[entry.host_id] = now + SUSPICION_S
+            self._suspicions.start(entry.host_id, now)
         self._out.append(
             membermessages.HostChanged(
                 entry.host_id, self.settings.data_centre, entry.state, entry.address
--- a/kumquatproxy/probing.py
+++ b/kumquatproxy/probing.py
@@ -7,14 +7,14 @@
 class Pending:
     """Hold a probe that waits for its ack."""
 
-    __slots__ = ("asked_others", "asker", "asker_number", "sent_at", "target")
+    __slots__ = ("asked_others", "requester", "requester_number", "sent_at", "target")
 
-    def __init__(self, target, sent_at, asker, asker_number):
+    def __init__(self, target, sent_at, requester, requester_number):
         self.target: str = target
         self.sent_at: float = sent_at
         self.asked_others = False
-        self.asker: str = asker  # the host that this probe is made for, or ""
-        self.asker_number: int = asker_number
+        self.requester: str = requester  # the host that this probe is made for, or ""
+        self.requester_number: int = requester_number
 
 
 class Prober:
@@ -47,11 +47,11 @@
         self._rng.shuffle(self._order)
         return self._order.pop() if self._order else ""
 
-    def start(self, target: str, now: float, asker="", asker_number=0) -> int:
-        """Note a probe, made for another host if ``asker`` is given; return its
+    def start(self, target: str, now: float, requester="", requester_number=0) -> int:
+        """Note a probe, made for another host if ``requester`` is given; return its
         number."""
         self.number += 1
-        pending = Pending(target, now, asker, asker_number)
+        pending = Pending(target, now, requester, requester_number)
         self._pending_by_number[self.number] = pending
         return self.number
 
@@ -72,7 +72,7 @@
         found = []
         for number, pending in self._pending_by_number.items():
             is_late = now - pending.sent_at >= INDIRECT_AFTER_S
-            if is_late and not pending.asked_others and not pending.asker:
+            if is_late and not pending.asked_others and not pending.requester:
                 pending.asked_others = True
                 found.append((number, pending.target))
         return found
@@ -83,7 +83,7 @@
         for number, pending in list(self._pending_by_number.items()):
             if now - pending.sent_at >= PROBE_INTERVAL_S:
                 del self._pending_by_number[number]
-                if not pending.asker:
+                if not pending.requester:
                     targets.append(pending.target)
         return targets
 
--- a/kumquatproxy/reportstore.py
+++ b/kumquatproxy/reportstore.py
@@ -22,13 +22,13 @@
 class State:
     """Hold the newest report of one backend server."""
 
-    __slots__ = ("detail", "key", "previous", "report", "told_hash")
+    __slots__ = ("detail", "key", "previous", "report", "reported_hash")
 
     def __init__(self, key, report, detail):
         self.key: bytes = key
         self.report: records.LoadReport = report
         self.detail: loadmessages.Detail = detail
-        self.told_hash: bytes = detail.hash  # of the detail the fast part names
+        self.reported_hash: bytes = detail.hash  # of the detail the fast part names
         self.previous: loadmessages.Detail | None = None
 
 
@@ -57,7 +57,7 @@
             self._enter(state)
         elif detail.hash != state.detail.hash:
             state.previous, state.detail = state.detail, detail
-        state.told_hash = detail.hash
+        state.reported_hash = detail.hash
         state.report = self.reports_by_id[report.backend_id] = report
         return state
 
@@ -79,7 +79,7 @@
         if state is None:
             return self._take_unknown(values, detail, now)
         if sequence <= state.report.sequence:
-            if state.detail.hash != state.told_hash:
+            if state.detail.hash != state.reported_hash:
                 self._want(key, now)
             return False
         if detail_hash != state.detail.hash:
@@ -87,7 +87,7 @@
                 state.previous, state.detail = state.detail, detail
             else:
                 self._want(key, now)
-        state.told_hash = detail_hash
+        state.reported_hash = detail_hash
         self._set_report(state, _report_of(state.detail, values, now))
         return True
 
@@ -139,7 +139,7 @@
             self._note_stale(values[0])
             return False
         state = State(values[0], _report_of(detail, values, now), detail)
-        state.told_hash = values[2]
+        state.reported_hash = values[2]
         self._enter(state)
         self._set_report(state, state.report)
         return True
@@ -164,7 +164,7 @@
 
     def _complete(self, state, detail):
         """Use a detail unless the backend server has reported another since."""
-        if detail.hash != state.told_hash or detail.hash == state.detail.hash:
+        if detail.hash != state.reported_hash or detail.hash == state.detail.hash:
             return
         state.previous, state.detail = state.detail, detail
         old = state.report
--- a/kumquatproxy/transport.py
+++ b/kumquatproxy/transport.py
@@ -50,7 +50,7 @@
     """Exchange messages with other hosts; ``on_message(host_id, message)``.
 
     The callback runs in the greenlet of a link and must not wait. ``on_refused(error)``
-    is told of each link that was refused or replaced.
+    is called for each link that was refused or replaced.
     """
 
     def __init__(self, settings, on_message, on_refused=None, clock=time.monotonic):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -147,7 +147,7 @@
     assert cluster.host("a-06").membership.backends.get("gpu-1") is not None
 
 
-def test_a_server_without_reports_lives_by_its_announcements():
+def test_a_server_without_reports_is_kept_by_its_announcements():
     cluster = clusters.Cluster(12, 8)
     cluster.run_for(8.0)
     for _ in range(8):
@@ -211,7 +211,11 @@
     cluster = clusters.Cluster(11, 2)
     host = cluster.host("a-00")
     probe = cluster.host("a-01").membership._probe_message("a-00", 1)
-    for field, value in [("me", [1]), ("sums", b"1"), ("news", [["a", 9, 1, ""]])]:
+    for field, value in [
+        ("sender_entry", [1]),
+        ("checksums", b"1"),
+        ("updates", [["a", 9, 1, ""]]),
+    ]:
         broken = type(probe)(
             **{name: getattr(probe, name) for name in probe.__slots__} | {field: value}
         )
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -174,7 +174,7 @@
 
 
 def hello_of(identity, **changes):
-    first = hello.Dialler(identity, "h-b", b"n" * 16).first()
+    first = hello.Initiator(identity, "h-b", b"n" * 16).first()
     for name, value in changes.items():
         setattr(first, name, value)
     return first
@@ -206,7 +206,7 @@
 
 def test_a_replayed_hello_is_refused(ends):
     b = ends("h-b")
-    dialler = hello.Dialler(IDENTITY, "h-b", b"n" * 16)
+    dialler = hello.Initiator(IDENTITY, "h-b", b"n" * 16)
     recorded = [wire.encode(dialler.first())]
     first = RawClient(b.address)
     recorded.append(wire.encode(dialler.receive(first.answer_to(recorded[0]))))
@@ -237,7 +237,7 @@
 
 def test_malformed_frames_on_an_open_link_close_it(ends):
     b = ends("h-b")
-    dialler = hello.Dialler(IDENTITY, "h-b", b"m" * 16)
+    dialler = hello.Initiator(IDENTITY, "h-b", b"m" * 16)
     raw = RawClient(b.address)
     proof = dialler.receive(raw.answer_to(wire.encode(dialler.first())))
     raw.send(wire.encode(proof))
@@ -248,11 +248,11 @@
 
 
 class Forwarder:
-    """Forward connections to a port until they are told to swallow all bytes."""
+    """Forward connections to a port until they are set to drop all bytes."""
 
     def __init__(self, target):
         self.target = target.split(":")
-        self.swallowing = set()
+        self.dropping = set()
         self.count = 0
         self.server = gevent.server.StreamServer(("127.0.0.1", 0), self.serve)
         self.server.start()
@@ -271,21 +271,21 @@
     def pump(self, number, source, sink):
         try:
             while data := source.recv(65536):
-                if number not in self.swallowing:
+                if number not in self.dropping:
                     sink.sendall(data)
             sink.shutdown(gevent.socket.SHUT_WR)
         except OSError:
             pass  # one side was closed
 
 
-def test_a_link_that_swallows_bytes_is_replaced(ends):
+def test_a_link_that_drops_bytes_is_replaced(ends):
     """Guard against a link that stays open for good while nothing passes."""
     a, b = ends("h-a"), ends("h-b")
     forwarder = Forwarder(b.address)
     a.transport.learn("h-b", forwarder.address)
     a.send("h-b", "first")
     wait_until(lambda: b.messages)
-    forwarder.swallowing.add(1)
+    forwarder.dropping.add(1)
     wait_until(lambda: forwarder.count >= 2)
     a.send("h-b", "second")
     wait_until(lambda: ("h-a", "second") in b.messages)
@@ -328,7 +328,7 @@
 
 def test_a_host_that_does_not_read_costs_bounded_memory(ends):
     b = ends("h-b")
-    dialler = hello.Dialler(IDENTITY, "h-b", b"s" * 16)
+    dialler = hello.Initiator(IDENTITY, "h-b", b"s" * 16)
     raw = RawClient(b.address)
     raw.send(wire.encode(dialler.receive(raw.answer_to(wire.encode(dialler.first())))))
     wait_until(lambda: b.transport.connected() == ["h-a"])
