--- a/kumquatproxy/dissemination.py
+++ b/kumquatproxy/dissemination.py
@@ -15,6 +15,7 @@
 RETRY_S = 1.0
 MAX_OFFERS = 5
 MAX_TRIES = 3
+MAX_HOLDERS = 1000
 SERVED_CHUNKS_PER_S = 40.0
 SERVED_CHUNKS_BURST = 40.0
 """Above this rate pulls go unanswered and are repeated, so that many hosts that start
@@ -95,7 +96,7 @@
         self._out: list = []
         self._transfer: _Transfer | None = None
         self._offers_by_host: dict[str, _Offer] = {}
-        self._holders: dict[str, int] = {}  # newest version told by each host
+        self._holders: dict[str, int] = {}  # newest version each host reported
         self._asked_at_by_host: dict[str, float] = {}
         self._tokens = SERVED_CHUNKS_BURST
         self._tokens_at = now
@@ -135,8 +136,10 @@
         return self._take()
 
     def observe(self, sender: str, status: list, now: float) -> list:
-        """Compare the version that a probe told with the own one."""
+        """Compare the version named by a probe with the own one."""
         number, digest = membermessages.parse_version(status)
+        if len(self._holders) >= MAX_HOLDERS:
+            self._holders.clear()
         self._holders[sender] = number
         if number == self.number and self.version is not None:
             if digest != short(self.version.digest):
