Measure bare syncs before and after each run of commits

Cause: other work on the disk between the two runs moved the ratio for 64 clients between 0.8 and 2.8 on unchanged code. Change: the bare rate is the mean of one run before and one after, five rounds.

--- a/kumquatproxy/measure_consensus.py
+++ b/kumquatproxy/measure_consensus.py
@@ -27,8 +27,8 @@
 CLIENTS = 64
 COMMAND_BYTES = 200
 SLOW_SYNC_S = 0.005  # a disk without a write cache
-PERIOD_S = 1.0  # of each of the runs compared
-ROUNDS = 3
+PERIOD_S = 0.6  # of each of the runs compared
+ROUNDS = 5
 READY_TIMEOUT_S = 10.0
 RECOVERY_CHANGES = 10_000
 RECOVERY_BATCH = 10  # entries in each synced batch
@@ -139,10 +139,12 @@
         try:
             group.start()
             for _ in range(ROUNDS):
-                syncs = count_syncs(directory, PERIOD_S, sync)
                 for clients, values in ratios.items():
+                    # Others use the disk too, so it is measured before and after.
+                    before = count_syncs(directory, PERIOD_S / 2, sync)
                     commits = count_commits(group, clients, PERIOD_S, rng)
-                    values.append(commits / syncs)
+                    after = count_syncs(directory, PERIOD_S / 2, sync)
+                    values.append(2 * commits / (before + after))
         finally:
             group.stop()
     return {clients: sorted(values)[ROUNDS // 2] for clients, values in ratios.items()}
