Pack best fit when worst fit leaves a model out

Cause: sheet_fit packed best fit and the planner worst fit, so a sheet could be reported as fitting and then not be placed; the property test found it.

Change: both use run_cover, which tries best fit when worst fit leaves a group without any replica.

--- a/kumquatproxy/placement.py
+++ b/kumquatproxy/placement.py
@@ -21,37 +21,38 @@
     Missing replicas come first, then replicas for demand within the move budget.
     """
 
-    __slots__ = ("_rate_per_accelerator", "_spread")
+    __slots__ = ("_rate_per_accelerator",)
 
-    def __init__(self, rate_per_accelerator=RATE_PER_ACCELERATOR, spread=True):
+    def __init__(self, rate_per_accelerator=RATE_PER_ACCELERATOR):
         self._rate_per_accelerator: float = rate_per_accelerator
-        self._spread: bool = spread
 
     def plan(self, sheet, backends, demand, current, weights):
         """Return the plan; see ``placementplan.Planner.plan``."""
         catalogue = placementlayout.Catalogue(sheet)
-        layout = placementlayout.Layout(
-            catalogue, backends, current, self._rate_per_accelerator
-        )
-        placementcover.drop_unlisted(layout)
-        scales = self._scales(layout, demand, weights, current.move_budget)
-        cover = placementcover.Cover(
-            layout,
-            lambda base, centre: scales[centre].split_group(base),
-            self._spread,
-        )
-        cover.run(catalogue.groups)
-        budget = current.move_budget
-        for scale in scales.values():
-            scale.spread()
-            scale.budget = budget
-            scale.run()
-            budget = scale.budget
+
+        def make_layout():
+            layout = placementlayout.Layout(
+                catalogue, backends, current, self._rate_per_accelerator
+            )
+            placementcover.drop_unlisted(layout)
+            scales = self._scales(layout, demand, weights, 0)
+            return layout, lambda base, centre: scales[centre].split_group(base)
+
+        layout, cover = placementcover.run_cover(make_layout)
+        self._scale(layout, demand, weights, current.move_budget)
         placementcover.drop_misplaced(layout)
         return placementbaselines.finish(
             layout, cover.not_fitting, sheet.weight_store, current
         )
 
+    def _scale(self, layout, demand, weights, budget):
+        for slot in layout.slots.values():
+            slot.load = 0.0
+        for scale in self._scales(layout, demand, weights, budget).values():
+            scale.budget = budget
+            scale.run()
+            budget = scale.budget
+
     def _scales(self, layout, demand, weights, budget):
         centres = {slot.data_centre for slot in layout.slots.values() if slot.usable}
         scales = {}
--- a/kumquatproxy/placementcover.py
+++ b/kumquatproxy/placementcover.py
@@ -234,6 +234,29 @@
             places += 1
 
 
+def run_cover(make_layout) -> tuple:
+    """Return the layout and the finished ``Cover`` that leaves fewest groups out.
+
+    ``make_layout`` returns a new layout and a function for ``Cover``. Worst fit comes
+    first; best fit is tried when it leaves a group without any replica, because worst
+    fit may leave no hole that is large enough.
+    """
+    results = []
+    for spread in (True, False):
+        layout, on_change = make_layout()
+        cover = Cover(layout, on_change, spread)
+        cover.run(layout.catalogue.groups)
+        missing = sum(
+            not layout.centres_of(group.item) for group in layout.catalogue.groups
+        )
+        results.append((missing, layout, cover))
+        if not missing:
+            break
+    # At equal counts the later one, best fit, decides, also for ``sheet_fit``.
+    _, layout, cover = min(reversed(results), key=lambda result: result[0])
+    return layout, cover
+
+
 def drop_unlisted(layout) -> None:
     """Unload what the sheet does not list, adapters before models."""
     memory = layout.catalogue.memory_by_item
--- a/kumquatproxy/sheet_fit.py
+++ b/kumquatproxy/sheet_fit.py
@@ -23,13 +23,17 @@
 def check(sheet, backends) -> list[Fit]:
     """Return the fit of every listed model version in the order of the sheet.
 
-    The models are packed anew into the memory of the backend servers that stay, by
-    best fit decreasing, first one replica each and then one per data centre.
+    The models are packed anew into the memory of the backend servers that stay, as the
+    planner does it: first one replica each and then one per data centre.
     """
     catalogue = placementlayout.Catalogue(sheet)
-    layout = placementlayout.Layout(catalogue, backends, placementplan.Current())
-    cover = placementcover.Cover(layout, lambda base, centre: None, spread=False)
-    cover.run(catalogue.groups)
+    current = placementplan.Current()
+
+    def make_layout():
+        layout = placementlayout.Layout(catalogue, backends, current)
+        return layout, lambda base, centre: None
+
+    layout, cover = placementcover.run_cover(make_layout)
     faults: dict[records.Item, list[placementplan.NotFitting]] = {}
     for fault in cover.not_fitting:
         faults.setdefault(fault.item, []).append(fault)
