--- a/kumquatproxy/placement.py
+++ b/kumquatproxy/placement.py
@@ -55,10 +55,30 @@
 
     def _scales(self, layout, demand, weights, budget):
         centres = {slot.data_centre for slot in layout.slots.values() if slot.usable}
+        rates_by_centre = _served_rates(layout, demand, centres)
         scales = {}
         for centre in sorted(centres):
-            rates = demand.get(centre, {})
+            rates = rates_by_centre[centre]
             scale = placementscale.Scale(layout, centre, rates, weights, budget)
             scale.spread()
             scales[centre] = scale
         return scales
+
+
+def _served_rates(layout, demand, centres):
+    """Return the demand by the data centre that serves it.
+
+    What a data centre has not loaded is served by those that have it, in equal parts.
+    """
+    served: dict[str, dict] = {centre: {} for centre in sorted(centres)}
+    for centre, rates in sorted(demand.items()):
+        for item, rate in rates.items():
+            takers = [centre]
+            if not layout.holders_in(item, centre):
+                held = layout.holders.get(item, {})
+                takers = sorted(other for other, slots in held.items() if slots)
+            for taker in takers or [centre]:
+                if taker in served:
+                    share = rate / max(len(takers), 1)
+                    served[taker][item] = served[taker].get(item, 0.0) + share
+    return served
