Measure consistent hashing with bounded loads against the prefix discount

Cause: bounded-load consistent hashing is the known alternative for prefixes. Change: the policy bounded-hash, for comparison only. Conclusion: the bounded discount stays; bounded-hash is rejected, since it fills each server up to the bound before it uses the next.

--- a/kumquatproxy/policies.py
+++ b/kumquatproxy/policies.py
@@ -1,5 +1,7 @@
 """Routing policies: the designed one and the baselines it is measured against."""
 
+import zlib
+
 from kumquatproxy import estimates, registry
 
 POLICIES = registry.Registry("routing policy")
@@ -9,6 +11,7 @@
 REMOTE_PENALTY_S = 0.05  # a remote server must be better by this much
 MAX_AFFINITY_SHARE = 0.2  # of the request's first-token estimate without the cache
 MAX_AFFINITY_S = 0.5
+HASH_BOUND = 1.25
 
 
 @POLICIES.register("estimate")
@@ -109,3 +112,28 @@
             if candidates.allows(state):
                 return state, "round-robin"
         return None
+
+
+@POLICIES.register("bounded-hash")
+class BoundedHashPolicy:
+    """Consistent hashing of the prompt's first block, with bounded loads.
+
+    A server takes requests until its load exceeds the mean by ``HASH_BOUND``; it was
+    measured against the bounded discount of ``estimate`` and looks at every server.
+    """
+
+    __slots__ = ()
+
+    def pick(self, table, request, candidates, now, rng):
+        """Return the chosen server and the reason, or None."""
+        states = candidates.everyone(candidates.pool.local + candidates.pool.remote)
+        if not states:
+            return None
+        loads = {state.backend_id: table.load(state, now) for state in states}
+        limit = HASH_BOUND * (sum(loads.values()) + 1.0) / len(states)
+        key = request.prefix_digests[0] if request.prefix_digests else request.model
+        states.sort(key=lambda state: zlib.crc32(f"{key} {state.backend_id}".encode()))
+        for state in states:
+            if loads[state.backend_id] + 1.0 <= limit:
+                return state, "bounded-hash"
+        return min(states, key=lambda state: loads[state.backend_id]), "bounded-hash"
--- a/kumquatproxy/systems.py
+++ b/kumquatproxy/systems.py
@@ -43,6 +43,7 @@
 SYSTEMS = {
     "designed": System("designed", hedging=True),
     "following": System("following", hedging=True, follows=True),
+    "bounded-hash": System("bounded-hash", "bounded-hash", hedging=True),
     "no-hedging": System("no-hedging"),
     "no-admission": System("no-admission", admission=False),
     "static": System("static", "random", "even", False, False),
