Run the tested core of keyed calls on the entry host

Cause: the entry host had its own copy of the decisions that claimcalls makes and claimschedules checks.

--- a/kumquatproxy/claimmessages.py
+++ b/kumquatproxy/claimmessages.py
@@ -1,40 +1,15 @@
-"""Messages from the entry host's calls to the control task about claims."""
+"""Messages from an entry host's calls to the control task about claims."""
 
-from kumquatproxy import claimrecords, records
+from kumquatproxy import records, wire
 
+FINISH_REPEAT_S = 30.0  # a result is proposed this long before it is given up
 
-class ClaimKey(records.Record):
-    """Name the request that a claim is about."""
 
-    __slots__ = ("digest", "incarnation", "key", "organisation", "service")
+class ProposeClaim(records.Record):
+    """Propose a command of the claims; the answer is its committed result."""
 
-    def __init__(self, organisation, service, key, digest):
-        self.incarnation: int = 0  # of the claiming host, set when the claim begins
-        self.organisation: str = organisation
-        self.service: str = service
-        self.key: str = key
-        self.digest: bytes = digest
+    __slots__ = ("command", "timeout_s")
 
-
-class BeginClaim(records.Record):
-    """Ask for a claim; the answer is a message of ``claimrecords``."""
-
-    __slots__ = ("attempt", "key")
-
-    def __init__(self, key, attempt):
-        self.key: ClaimKey = key
-        self.attempt: int = attempt
-
-
-class FinishClaim(records.Record):
-    """Record how a claimed request ended."""
-
-    __slots__ = ("attempt", "body", "headers", "key", "outcome", "status")
-
-    def __init__(self, key, attempt, outcome, status=0, headers=(), body=b""):
-        self.key: ClaimKey = key
-        self.attempt: int = attempt
-        self.outcome: claimrecords.Outcome = outcome
-        self.status: int = status
-        self.headers = headers
-        self.body: bytes = body
+    def __init__(self, command, timeout_s=FINISH_REPEAT_S):
+        self.command: wire.Message = command
+        self.timeout_s: float = timeout_s
--- a/kumquatproxy/control.py
+++ b/kumquatproxy/control.py
@@ -41,7 +41,6 @@
 _HostState = membermessages.HostState
 
 SUBMIT_TIMEOUT_S = 8.0
-CLAIM_TIMEOUT_S = 3.0
 OWNER_LOST_TIMEOUT_S = 30.0
 PUSH_FAN_OUT = 4
 
@@ -347,38 +346,9 @@
 
     # Claims
 
-    def _on_begin_claim(self, message, now, reply):
-        key = message.key
-        key.incarnation = self.membership.me.incarnation
-        command = claimrecords.BeginClaim(
-            at=0.0,
-            attempt=message.attempt,
-            host=self.host_id,
-            incarnation=key.incarnation,
-            key=key.key,
-            organisation=key.organisation,
-            request_digest=key.digest,
-            service=key.service,
-        )
-        self.propose_configuration(command, _reply_to(reply), CLAIM_TIMEOUT_S)
-        return tasks.LATER
-
-    def _on_finish_claim(self, message, now, reply):
-        key = message.key
-        command = claimrecords.FinishClaim(
-            at=0.0,
-            attempt=message.attempt,
-            body=message.body,
-            headers=[list(pair) for pair in message.headers],
-            host=self.host_id,
-            incarnation=key.incarnation,
-            key=key.key,
-            organisation=key.organisation,
-            outcome=int(message.outcome),
-            service=key.service,
-            status=message.status,
-        )
-        self.propose_configuration(command, _reply_to(reply), SUBMIT_TIMEOUT_S)
+    def _on_claim(self, message, now, reply):
+        done = _reply_to(reply)
+        self.propose_configuration(message.command, done, message.timeout_s)
         return tasks.LATER
 
     # Hosts and backend servers
@@ -610,8 +580,7 @@
 _HANDLERS = {
     Received: ControlTask._on_received,
     Answered: ControlTask._on_answered,
-    claimmessages.BeginClaim: ControlTask._on_begin_claim,
-    claimmessages.FinishClaim: ControlTask._on_finish_claim,
+    claimmessages.ProposeClaim: ControlTask._on_claim,
     StartLeaving: ControlTask._on_start_leaving,
     Finish: ControlTask._on_finish,
     backendapi.Announce: ControlTask._on_announce,
--- a/kumquatproxy/host.py
+++ b/kumquatproxy/host.py
@@ -193,7 +193,9 @@
         self.control = control.ControlTask(
             host_settings, self._parts(counter), self._rng, now
         )
-        self.entry.claims = claimclient.ClaimClient(self.control)
+        self.entry.claims = claimclient.ClaimClient(
+            self.control, host.id, lambda: self.control.membership.me.incarnation
+        )
         connections = host_settings.limits.connections
         self._entry_server = httpapi.Server(host.callers, self.entry, connections)
         self._backend_server = httpapi.Server(
--- a/kumquatproxy/records.py
+++ b/kumquatproxy/records.py
@@ -216,7 +216,9 @@
         self.priority: int = priority  # 1 (lowest) to 9 (highest)
         self.deadline: float = deadline  # seconds, same clock as ``now``
         self.idempotent: bool = idempotent
-        self.is_forwarded: bool = is_forwarded  # by an entry host of another data centre
+        self.is_forwarded: bool = (
+            is_forwarded  # by an entry host of another data centre
+        )
         self.key: str = key
         self.prompt_tokens: int = prompt_tokens
         self.max_tokens: int = max_tokens
