Admit requests by predicted attainment on the entry host

Change: admissionwait holds greenlets in the bounded queues of admission; refusals are answered at once with executed: no; ids of calls are unique even if callers repeat an X-Request-Id, because queues and flights go by them.

--- a/kumquatproxy/dispatch.py
+++ b/kumquatproxy/dispatch.py
@@ -10,6 +10,7 @@
 import gevent
 
 from kumquatproxy import (
+    admissionwait,
     breaker,
     drivers,
     errors,
@@ -23,6 +24,7 @@
 )
 
 REMOTE_INCARNATION = 1
+PRIORITY_HEADER = "X-Priority"
 FORWARDED_HEADER = "X-Kumquatproxy-Forwarded"
 MIN_PROGRESS_TIMEOUT_S = 0.1  # scheduling delays of a busy host stay below this
 
@@ -30,12 +32,22 @@
 class Attempt:
     """Hold one request at one backend server, until its outcome is known."""
 
-    __slots__ = ("decision", "first_token_at", "server", "started_at", "tokens")
-
-    def __init__(self, server, decision, started_at):
+    __slots__ = (
+        "decision",
+        "first_token_at",
+        "is_admitted",
+        "priority",
+        "server",
+        "started_at",
+        "tokens",
+    )
+
+    def __init__(self, server, decision, started_at, priority, is_admitted):
         self.server: records.BackendServer = server
         self.decision: routing.Decision = decision
         self.started_at: float = started_at
+        self.priority: int = priority  # as the engine is told
+        self.is_admitted: bool = is_admitted  # counts against a limit
         self.first_token_at: float = 0.0
         self.tokens: int = 0
 
@@ -65,6 +77,7 @@
         self._rng: random.Random = rng
         self._metrics: metrics.Metrics = instruments
         self._breakers = breaker.Breakers()
+        self._admission = admissionwait.AdmissionWait()
         self._budget = retries.RetryBudget()
         self._pool = drivers.Pool()
         self._drivers_by_alias: dict[str, drivers.Driver] = {}
@@ -86,6 +99,7 @@
         """Forget a backend server that is gone."""
         self.table.remove_server(backend_id)
         self._breakers.remove(backend_id)
+        self._admission.remove_server(backend_id)
 
     def set_sheet(self, parsed: sheet.Sheet) -> None:
         """Take the services of a new configuration."""
@@ -93,6 +107,7 @@
         self._plain_services = {one.name for one in services if one.kind == "plain"}
         for service in services:
             self.table.set_service(service)
+        self._admission.set_shares(parsed)
 
     def update_remote(
         self, host_id, data_centre, address, number, items_by_service, now
@@ -149,7 +164,7 @@
 
         def send(attempt, now):
             timeout_s = _completion_timeout_s(call, target.service, attempt, now)
-            headers = self._extra_headers(attempt.server)
+            headers = self._extra_headers(attempt)
             return driver.complete(attempt.server, path, headers, body, timeout_s)
 
         return self._call(call, target.items(), send)
@@ -164,7 +179,7 @@
             server = attempt.server
             is_remote = server.backend_id in self._remote_ids
             target = f"/services/{service.name}{path}" if is_remote else path
-            all_headers = [*headers, *self._extra_headers(server)]
+            all_headers = [*headers, *self._extra_headers(attempt)]
             return make(server, method, target, all_headers, body, timeout_s)
 
         return self._call(call, (routing.service_item(service.name),), send)
@@ -182,20 +197,20 @@
             if self.table.server(backend_id).data_centre == server.data_centre
         }
 
-    def _extra_headers(self, server):
-        if server.backend_id in self._remote_ids:
-            return [(FORWARDED_HEADER, self.table.data_centre)]
-        return []
+    def _extra_headers(self, attempt):
+        headers = [(PRIORITY_HEADER, str(attempt.priority))]
+        if attempt.server.backend_id in self._remote_ids:
+            headers.append((FORWARDED_HEADER, self.table.data_centre))
+        return headers
 
     def _call(self, call, items, send):
         attempts = retries.Attempts()
         self._budget.request(call.service)
         while True:
-            now = time.monotonic()
-            attempt = self._start(call, items, attempts, now)
+            attempt = self._start(call, items, attempts)
             result = "abandoned"
             try:
-                reply = send(attempt, now)
+                reply = send(attempt, attempt.started_at)
                 result = "complete"
                 self._record(call, "complete")
                 return reply
@@ -219,14 +234,14 @@
         first = body.get("resume_from", 0) if call.is_forwarded else 0
         self._budget.request(call.service)
         while not progress.complete:
-            attempt = self._start(call, target.items(), attempts, time.monotonic())
+            attempt = self._start(call, target.items(), attempts)
             source = None
             result = "abandoned"
             try:
                 position = first + progress.resume_position()
                 driver = self.engine_driver(target.service)
                 wait_s = _first_token_timeout_s(call, target.service, attempt)
-                headers = self._extra_headers(attempt.server)
+                headers = self._extra_headers(attempt)
                 source = driver.open_stream(
                     attempt.server, path, headers, body, position, wait_s
                 )
@@ -268,9 +283,21 @@
             yield b"".join(events)
             wait_s = max(0.001, min(progress_s, call.deadline - now))
 
-    def _start(self, call, items, attempts, now):
-        decision = self._choose(call, items, attempts, now)
-        server = self.table.server(decision.backend_id)
+    def _start(self, call, items, attempts):
+        """Choose a backend server and return the attempt, once it may be sent."""
+        while True:
+            now = time.monotonic()
+            decision = self._choose(call, items, attempts, now)
+            server = self.table.server(decision.backend_id)
+            # A data centre that a call is forwarded to decides on admission itself.
+            limited = server.kind == "engine"
+            limited = limited and server.backend_id not in self._remote_ids
+            priority = call.priority
+            if limited:
+                priority = self._admit(call, decision, attempts, now)
+            if priority is not None:
+                break
+        now = time.monotonic()
         self._log.write(
             now,
             f"{call.request_id} to {decision.backend_id}: {decision.reason}",
@@ -281,7 +308,23 @@
         self.table.started(decision.backend_id, call, now)
         self._breakers.started(decision.backend_id, now)
         self.in_flight += 1
-        return Attempt(server, decision, now)
+        return Attempt(server, decision, now, priority, limited)
+
+    def _admit(self, call, decision, attempts, now):
+        try:
+            return self._admission.admit(call, decision, now)
+        except admissionwait.RefusedError as error:
+            now = time.monotonic()
+            raise self._refused(call, error.refusal, attempts, now) from None
+
+    def _refused(self, call, refusal, attempts, now):
+        self._record(call, "refused")
+        self._log.write(
+            now, f"{call.request_id} refused: {refusal.detail}", kind=refusal.kind.value
+        )
+        error = refusal.error()
+        error.executed = attempts.executed
+        return error
 
     def _choose(self, call, items, attempts, now):
         open_ids = self._breakers.excluded_ids(now)
@@ -296,10 +339,7 @@
             if isinstance(decision, routing.Decision):
                 return decision
             refusals.append(decision)
-        self._record(call, "refused")
-        error = refusals[0].error()
-        error.executed = attempts.executed
-        raise error
+        raise self._refused(call, refusals[0], attempts, now)
 
     def _finish(self, call, attempt, result):
         now = time.monotonic()
@@ -308,6 +348,8 @@
         outcome = attempt.outcome(result, now)
         self.table.finished(backend_id, call, outcome, now)
         self._breakers.finished(backend_id, result, now, self._rng)
+        if attempt.is_admitted:
+            self._admission.finished(backend_id, call, outcome, now)
 
     def _after_failure(self, call, failure, failed, attempts, expected_s):
         now = time.monotonic()
--- a/kumquatproxy/entry.py
+++ b/kumquatproxy/entry.py
@@ -17,6 +17,7 @@
 
 MAX_TIMEOUT_S = 24 * 3600.0
 MAX_KEY_LENGTH = 255  # characters
+MAX_ID_LENGTH = 100  # characters of a caller's request id in the log
 BYTES_PER_TOKEN = 4  # of text, on average
 DEFAULT_TOKENS = 100  # counted as demand for a call that sets no limit
 
@@ -182,13 +183,17 @@
 _id_counter = itertools.count(1)
 
 
-def _new_request_id():
-    return f"{_ID_PREFIX}-{next(_id_counter)}"
+def _unique_id(given):
+    """Return an id for this call; two calls of a caller may carry the same one."""
+    number = next(_id_counter)
+    if given:
+        return f"{given[:MAX_ID_LENGTH]}.{number}"
+    return f"{_ID_PREFIX}-{number}"
 
 
 def _call_request(request, service, now):
     return records.CallRequest(
-        request.header("X-Request-Id") or _new_request_id(),
+        _unique_id(request.header("X-Request-Id")),
         service.organisation,
         service.name,
         priority=_priority(request, service.priority),
