--- /dev/null
+++ b/kumquatproxy/dispatch.py
@@ -0,0 +1,361 @@
+"""Carry requests to backend servers: choose, call, retry, resume.
+
+The state of a ``Dispatcher`` is changed only by methods that do not yield, so
+that each change is atomic among the greenlets of the entry host.
+"""
+
+import random
+import time
+
+import gevent
+
+from kumquatproxy import (
+    breaker,
+    drivers,
+    errors,
+    estimates,
+    logs,
+    metrics,
+    records,
+    retries,
+    routing,
+    sheet,
+)
+
+REMOTE_INCARNATION = 1
+FORWARDED_HEADER = "X-Kumquatproxy-Forwarded"
+MIN_PROGRESS_TIMEOUT_S = 0.1  # scheduling delays of a busy host stay below this
+
+
+class Attempt:
+    """Hold one request at one backend server, until its outcome is known."""
+
+    __slots__ = ("decision", "first_token_at", "server", "started_at", "tokens")
+
+    def __init__(self, server, decision, started_at):
+        self.server: records.BackendServer = server
+        self.decision: routing.Decision = decision
+        self.started_at: float = started_at
+        self.first_token_at: float = 0.0
+        self.tokens: int = 0
+
+    def token(self, now: float) -> None:
+        """Note that a token arrived."""
+        if not self.tokens:
+            self.first_token_at = now
+        self.tokens += 1
+
+    def outcome(self, result: str, now: float) -> estimates.Outcome:
+        """Return what the routing table learns from the attempt."""
+        first_token_s = max(0.0, self.first_token_at - self.started_at)
+        return estimates.Outcome(
+            result, first_token_s, now - self.started_at, self.tokens
+        )
+
+
+class Dispatcher:
+    """Own an entry host's view of the backend servers and its calls in flight."""
+
+    def __init__(self, data_centre, policy, rng, instruments):
+        self.table = routing.RoutingTable(data_centre, policy)
+        self.in_flight = 0
+        self._remote_ids_by_host: dict[str, set[str]] = {}
+        self._remote_ids: set[str] = set()
+        self._plain_services: set[str] = set()
+        self._rng: random.Random = rng
+        self._metrics: metrics.Metrics = instruments
+        self._breakers = breaker.Breakers()
+        self._budget = retries.RetryBudget()
+        self._pool = drivers.Pool()
+        self._drivers_by_alias: dict[str, drivers.Driver] = {}
+        self._log = logs.Log("route")
+
+    def close(self) -> None:
+        """Close the idle connections to backend servers."""
+        self._pool.close()
+
+    def update_server(self, server: records.BackendServer, now: float) -> None:
+        """Take a new or changed announcement."""
+        known = self.table.state(server.backend_id)
+        if known is not None and known.server.incarnation < server.incarnation:
+            self._breakers.remove(server.backend_id)
+            self._pool.renew(known.server.address)
+        self.table.update_server(server, now)
+
+    def remove_server(self, backend_id: str) -> None:
+        """Forget a backend server that is gone."""
+        self.table.remove_server(backend_id)
+        self._breakers.remove(backend_id)
+
+    def set_sheet(self, parsed: sheet.Sheet) -> None:
+        """Take the services of a new configuration."""
+        services = parsed.services_by_name.values()
+        self._plain_services = {one.name for one in services if one.kind == "plain"}
+        for service in services:
+            self.table.set_service(service)
+
+    def update_remote(
+        self, host_id, data_centre, address, number, items_by_service, now
+    ) -> None:
+        """Take what another data centre serves through its entry host ``host_id``.
+
+        For routing it stands as one backend server for each service.
+        """
+        for service, keys in items_by_service.items():
+            backend_id = f"{data_centre}/{host_id}/{service}"
+            kind = "plain" if service in self._plain_services else "engine"
+            server = records.BackendServer(
+                backend_id, address, data_centre, kind, service, REMOTE_INCARNATION
+            )
+            self._remote_ids_by_host.setdefault(host_id, set()).add(backend_id)
+            self._remote_ids.add(backend_id)
+            self.table.update_server(server, now)
+            items = [records.parse_item(key) for key in keys]
+            report = records.LoadReport(
+                backend_id, REMOTE_INCARNATION, number, loaded=items
+            )
+            self.table.report(report, now)
+
+    def remove_remote(self, host_id: str) -> None:
+        """Forget what another data centre serves through an entry host."""
+        for backend_id in self._remote_ids_by_host.pop(host_id, ()):
+            self._remote_ids.discard(backend_id)
+            self.remove_server(backend_id)
+
+    def has_server(self, items) -> bool:
+        """Return whether some backend server can take a call for the items."""
+        return self.table.can_serve(items)
+
+    def driver(self, service: sheet.Service) -> drivers.Driver:
+        """Return the driver of a service."""
+        alias = drivers.driver_alias(service)
+        if alias not in self._drivers_by_alias:
+            self._drivers_by_alias[alias] = drivers.DRIVERS.get(alias)(self._pool)
+        return self._drivers_by_alias[alias]
+
+    def engine_driver(self, service: sheet.Service) -> drivers.EngineDriver:
+        """Return the driver of an engine service; raise ProxyError for another."""
+        driver = self.driver(service)
+        if not isinstance(driver, drivers.EngineDriver):
+            raise errors.ProxyError(
+                errors.ErrorKind.INVALID_CONFIGURATION,
+                f"service {service.name!r} has no driver for engines",
+            )
+        return driver
+
+    def complete(self, call, target, path, body: bytes) -> drivers.BackendReply:
+        """Return the whole answer of an engine; raise ProxyError."""
+        driver = self.engine_driver(target.service)
+
+        def send(attempt, now):
+            timeout_s = _completion_timeout_s(call, target.service, attempt, now)
+            headers = self._extra_headers(attempt.server)
+            return driver.complete(attempt.server, path, headers, body, timeout_s)
+
+        return self._call(call, target.items(), send)
+
+    def call_service(self, call, service, method, path, headers, body):
+        """Return the answer of a plain service; raise ProxyError."""
+        driver = self.driver(service)
+        make = driver.call if call.idempotent else driver.call_once
+
+        def send(attempt, now):
+            timeout_s = call.deadline - now
+            server = attempt.server
+            is_remote = server.backend_id in self._remote_ids
+            target = f"/services/{service.name}{path}" if is_remote else path
+            all_headers = [*headers, *self._extra_headers(server)]
+            return make(server, method, target, all_headers, body, timeout_s)
+
+        return self._call(call, (routing.service_item(service.name),), send)
+
+    def _same_centre_ids(self, server):
+        """Return the other ways into the data centre of a remote server.
+
+        Its entry hosts know the same backend servers and would refuse as well.
+        """
+        if server.backend_id not in self._remote_ids:
+            return set()
+        return {
+            backend_id
+            for backend_id in self._remote_ids
+            if self.table.server(backend_id).data_centre == server.data_centre
+        }
+
+    def _extra_headers(self, server):
+        if server.backend_id in self._remote_ids:
+            return [(FORWARDED_HEADER, self.table.data_centre)]
+        return []
+
+    def _call(self, call, items, send):
+        attempts = retries.Attempts()
+        self._budget.request(call.service)
+        while True:
+            now = time.monotonic()
+            attempt = self._start(call, items, attempts, now)
+            result = "abandoned"
+            try:
+                reply = send(attempt, now)
+                result = "complete"
+                self._record(call, "complete")
+                return reply
+            except drivers.CallFailed as failure:
+                result = _result_of(failure.failure)
+                attempts.tried_ids |= self._same_centre_ids(attempt.server)
+                self._after_failure(call, failure.failure, failure, attempts, 0.0)
+            finally:
+                self._finish(call, attempt, result)
+
+    def stream(self, call, target, path, body: dict):
+        """Return an iterator of events, once the first event has arrived."""
+        events = self._events(call, target, path, body)
+        first = next(events)
+        return _with_first(first, events)
+
+    def _events(self, call, target, path, body):
+        attempts = retries.Attempts()
+        progress = retries.StreamProgress()
+        # A data centre that forwards a resumed stream asks for its later part.
+        first = body.get("resume_from", 0) if call.is_forwarded else 0
+        self._budget.request(call.service)
+        while not progress.complete:
+            attempt = self._start(call, target.items(), attempts, time.monotonic())
+            source = None
+            result = "abandoned"
+            try:
+                position = first + progress.resume_position()
+                driver = self.engine_driver(target.service)
+                wait_s = _first_token_timeout_s(call, target.service, attempt)
+                headers = self._extra_headers(attempt.server)
+                source = driver.open_stream(
+                    attempt.server, path, headers, body, position, wait_s
+                )
+                yield from self._relay(call, target.service, attempt, source, progress)
+                result = "complete"
+            except drivers.CallFailed as failed:
+                result = _result_of(failed.failure)
+                attempts.tried_ids |= self._same_centre_ids(attempt.server)
+                failure = failed.failure
+                if progress.delivered:
+                    failure = retries.Failure.INTERRUPTED
+                expected_s = attempt.decision.estimate.first_token_s
+                self._after_failure(call, failure, failed, attempts, expected_s)
+            finally:
+                if source is not None:
+                    source.close()
+                self._finish(call, attempt, result)
+        self._record(call, "complete")
+
+    def _relay(self, call, service, attempt, source, progress):
+        wait_s = _first_token_timeout_s(call, service, attempt)
+        gap_s = attempt.decision.estimate.gap_s
+        progress_s = breaker.progress_deadline_s(service, gap_s)
+        progress_s = max(progress_s, MIN_PROGRESS_TIMEOUT_S)
+        started = progress.delivered > 0
+        while not progress.complete:
+            events = source.next_events(wait_s)
+            now = time.monotonic()
+            for event in events:
+                if event.startswith(drivers.LAST_EVENT):
+                    progress.end()
+                else:
+                    progress.accept(progress.delivered)
+                    attempt.token(now)
+            if not started and progress.delivered:
+                started = True
+                labels = {"service": call.service}
+                self._metrics.first_token.record(now - call.arrived_at, labels)
+            yield b"".join(events)
+            wait_s = max(0.001, min(progress_s, call.deadline - now))
+
+    def _start(self, call, items, attempts, now):
+        decision = self._choose(call, items, attempts, now)
+        server = self.table.server(decision.backend_id)
+        self._log.write(
+            now,
+            f"{call.request_id} to {decision.backend_id}: {decision.reason}",
+            request_id=call.request_id,
+            attempt=attempts.count + 1,
+        )
+        attempts.started(decision.backend_id)
+        self.table.started(decision.backend_id, call, now)
+        self._breakers.started(decision.backend_id, now)
+        self.in_flight += 1
+        return Attempt(server, decision, now)
+
+    def _choose(self, call, items, attempts, now):
+        open_ids = self._breakers.excluded_ids(now)
+        # A call that another data centre has forwarded is not forwarded again.
+        never_ids = self._remote_ids if call.is_forwarded else set()
+        # A server that was tried or has an open breaker is better than none: it may
+        # be the only one with the model.
+        refusals = []
+        tried_ids = attempts.tried_ids | never_ids
+        for excluded_ids in (open_ids | tried_ids, tried_ids, never_ids):
+            decision = self.table.choose(call, items, excluded_ids, now, self._rng)
+            if isinstance(decision, routing.Decision):
+                return decision
+            refusals.append(decision)
+        self._record(call, "refused")
+        error = refusals[0].error()
+        error.executed = attempts.executed
+        raise error
+
+    def _finish(self, call, attempt, result):
+        now = time.monotonic()
+        self.in_flight -= 1
+        backend_id = attempt.server.backend_id
+        outcome = attempt.outcome(result, now)
+        self.table.finished(backend_id, call, outcome, now)
+        self._breakers.finished(backend_id, result, now, self._rng)
+
+    def _after_failure(self, call, failure, failed, attempts, expected_s):
+        now = time.monotonic()
+        decision = retries.decide(
+            call, failure, attempts, self._budget, expected_s, now, self._rng
+        )
+        self._log.write(
+            now,
+            f"{call.request_id} {decision.action} after {failed.detail}",
+            request_id=call.request_id,
+            reason=decision.reason,
+        )
+        if decision.action == "give-up":
+            self._record(call, "failed")
+            raise errors.ProxyError(
+                decision.kind, failed.detail, executed=decision.executed
+            )
+        labels = {"service": call.service, "reason": decision.reason}
+        self._metrics.retries.add(1, labels)
+        if decision.delay_s > 0:
+            gevent.sleep(decision.delay_s)
+
+    def _record(self, call, outcome):
+        duration_s = time.monotonic() - call.arrived_at
+        labels = {"service": call.service, "outcome": outcome}
+        self._metrics.request_duration.record(duration_s, labels)
+
+
+def _result_of(failure) -> str:
+    return "refused" if failure is retries.Failure.REFUSED else "failed"
+
+
+def _first_token_timeout_s(call, service, attempt):
+    expected_s = attempt.decision.estimate.first_token_s
+    wait_s = breaker.first_token_deadline_s(service, expected_s)
+    return max(0.001, min(wait_s, call.deadline - attempt.started_at))
+
+
+def _completion_timeout_s(call, service, attempt, now):
+    left_s = call.deadline - now
+    if not call.max_tokens:
+        return left_s
+    estimate = attempt.decision.estimate
+    first_s = breaker.first_token_deadline_s(service, estimate.first_token_s)
+    gap_s = breaker.progress_deadline_s(service, estimate.gap_s)
+    return max(0.001, min(left_s, first_s + call.max_tokens * gap_s))
+
+
+def _with_first(first, events):
+    yield first
+    yield from events
--- /dev/null
+++ b/kumquatproxy/measure_routing.py
@@ -0,0 +1,199 @@
+"""Measurements of routing, admission and retries over ten seeds."""
+
+import functools
+import random
+import statistics
+import time
+
+from kumquatproxy import (
+    arrivals,
+    experiments,
+    fixedplacement,
+    loadmodel,
+    measure,
+    records,
+    routing,
+)
+
+REGISTER = measure.MEASUREMENTS.register
+DECISIONS = 1000
+TIMINGS = 15  # the fastest counts, since other load only slows a timing down
+
+
+def _over_seeds(seed, function):
+    """Return the values of both organisations over ten seeds."""
+    return [
+        function(name, number)
+        for name in experiments.ORGANISATIONS
+        for number in range(seed, seed + experiments.SEEDS)
+    ]
+
+
+@REGISTER("attainment_per_accelerator_ratio_static")
+def attainment_static(seed) -> list[measure.Figure]:
+    """Measure against static even placement with random routing."""
+    values = _over_seeds(
+        seed, lambda name, number: experiments.fleet_ratio(name, "static", number)
+    )
+    name = "attainment_per_accelerator_ratio_static"
+    return experiments.spread(name, values, low=1.3)
+
+
+@REGISTER("attainment_per_accelerator_ratio_lru")
+def attainment_lru(seed) -> list[measure.Figure]:
+    """Measure against load on demand with least-connections routing.
+
+    The designed system keeps a fixed placement and moves nothing; ``following`` adds
+    replicas by the baseline's own rule.
+    """
+    name = "attainment_per_accelerator_ratio_lru"
+    figures = []
+    for system, label in (("designed", ""), ("following", "_following")):
+        values = _over_seeds(seed, functools.partial(_lru_ratio, system))
+        figures += experiments.spread(f"{name}{label}", values, low=1.3)
+    for system in ("following", "lru"):
+        moves = _over_seeds(seed, functools.partial(_moves, system))
+        median = measure.Figure(f"moves_{system}_median", statistics.median(moves))
+        figures.append(median)
+    return figures
+
+
+def _lru_ratio(system, name, number):
+    return experiments.fleet_ratio(name, "lru", number, system=system)
+
+
+def _moves(system, name, number):
+    return experiments.smallest_fleet(name, system, number).moves
+
+
+@REGISTER("attainment_per_accelerator_ratio_tenth")
+def attainment_tenth(seed) -> list[measure.Figure]:
+    """Measure both baselines at a tenth of the design size."""
+    fields = {"duration_s": 45.0, "shift_s": 15.0, "hosts": 6}
+    figures = []
+    for baseline in ("static", "lru"):
+        values = [
+            experiments.fleet_ratio("tenth", baseline, number, 6, **fields)
+            for number in range(seed, seed + experiments.SEEDS)
+        ]
+        name = f"attainment_per_accelerator_ratio_{baseline}_tenth"
+        figures += experiments.spread(name, values, low=1.3)
+    return figures
+
+
+@REGISTER("attainment_per_accelerator_ratio_bound")
+def attainment_bound(seed) -> list[measure.Figure]:
+    """Measure against the clairvoyant bound of ``bounds``."""
+    values = _over_seeds(seed, experiments.bound_ratio)
+    name = "attainment_per_accelerator_ratio_bound"
+    return experiments.spread(name, values, low=0.9)
+
+
+@REGISTER("goodput_ratio_overload")
+def goodput_overload(seed) -> list[measure.Figure]:
+    """Measure goodput at 3 times saturation, in requests and in tokens."""
+    found = _over_seeds(seed, experiments.overload)
+    requests = [overload.goodput_ratio for overload in found]
+    tokens = [overload.token_ratio for overload in found]
+    return experiments.spread(
+        "goodput_ratio_overload", requests, low=0.95
+    ) + experiments.spread("goodput_tokens_ratio_overload", tokens, low=0.95)
+
+
+@REGISTER("high_priority_attainment_overload")
+def high_priority_overload(seed) -> list[measure.Figure]:
+    """Measure attainment of high priorities at 3 times saturation."""
+    values = [overload.high for overload in _over_seeds(seed, experiments.overload)]
+    return experiments.spread("high_priority_attainment_overload", values, low=0.99)
+
+
+@REGISTER("retry_amplification")
+def retry_amplification(seed) -> list[measure.Figure]:
+    """Measure attempts per request while a third of the servers fail."""
+    values = _over_seeds(seed, experiments.retry_amplification)
+    return experiments.spread("retry_amplification", values, high=1.1)
+
+
+@REGISTER("attainment_ratio_fault")
+def attainment_fault(seed) -> list[measure.Figure]:
+    """Measure the 60 s after losing one server, and after losing a data centre."""
+    figures = []
+    for kind, label in (("stop", "server"), ("silent", "data_centre")):
+        values = _over_seeds(
+            seed,
+            lambda name, number, kind=kind: experiments.fault_ratio(name, kind, number),
+        )
+        name = f"attainment_ratio_fault_{label}"
+        figures += experiments.spread(name, values, low=0.95)
+    return figures
+
+
+@REGISTER("herding_ratio")
+def herding(seed) -> list[measure.Figure]:
+    """Measure the largest share of one server in a report interval."""
+    figures = []
+    for system, label in (("designed", ""), ("demand-random", "_random")):
+        values = [
+            experiments.herding_ratio(system, number)
+            for number in range(seed, seed + experiments.SEEDS)
+        ]
+        figures += experiments.spread(f"herding_ratio{label}", values)
+    return figures
+
+
+@REGISTER("route_decision_cost_ratio")
+def decision_cost(seed) -> list[measure.Figure]:
+    """Measure the time of a decision at the design size over that at 8 servers."""
+    small = _Decisions(8, 17)
+    large = _Decisions(600, 1700)
+    values = []
+    for number in range(seed, seed + experiments.SEEDS):
+        small.draw(number)
+        large.draw(number)
+        # Alternating and taking the fastest keeps other load on the machine out.
+        times = [(small.run_s(), large.run_s()) for _ in range(TIMINGS)]
+        values.append(min(t[1] for t in times) / min(t[0] for t in times))
+    return experiments.spread("route_decision_cost_ratio", values, high=1.5)
+
+
+class _Decisions:
+    """Time decisions in one table, for models drawn by their demand."""
+
+    def __init__(self, servers, models):
+        scenario = arrivals.Scenario("cost", "o", servers, models, data_centres=5)
+        self._weights = [1.0 / (rank + 1) for rank in range(models)]
+        names = [arrivals.model_name(number) for number in range(models)]
+        average = dict(zip(names, self._weights, strict=True))
+        placed = fixedplacement.place(scenario, "demand", average)
+        self._table = routing.RoutingTable("dc0")
+        for number, items in enumerate(placed):
+            server = records.BackendServer(
+                f"b{number}", "", f"dc{number % 5}", "engine", "engines", 1
+            )
+            self._table.update_server(server, -100.0)
+            report = records.LoadReport(
+                f"b{number}", 1, 1, number * 7 % 24, loaded=items
+            )
+            self._table.report(report, 0.0)
+
+    def draw(self, seed):
+        """Draw the requests of one seed."""
+        self._rng = random.Random(seed)
+        numbers = range(len(self._weights))
+        drawn = self._rng.choices(numbers, self._weights, k=DECISIONS)
+        self._jobs = [
+            loadmodel.Job(_request(n), (arrivals.model_item(n),), 1) for n in drawn
+        ]
+
+    def run_s(self):
+        """Return the processor time of all decisions."""
+        began = time.process_time()
+        for job in self._jobs:
+            self._table.choose(job.request, job.items, frozenset(), 1.0, self._rng)
+        return time.process_time() - began
+
+
+def _request(number):
+    return records.CallRequest(
+        "r", "o", "engines", arrivals.model_name(number), prompt_tokens=400
+    )
--- /dev/null
+++ b/kumquatproxy/membership.py
@@ -0,0 +1,396 @@
+"""Hosts and backend servers of one data centre, in the manner of SWIM."""
+
+import struct
+
+from kumquatproxy import (
+    backendtable,
+    hosttable,
+    membermessages,
+    probing,
+    records,
+    relaylinks,
+    suspicion,
+    trees,
+    wire,
+)
+
+INDIRECT_PEERS = 3
+PAUSE_S = 1.0
+"""After a longer time without a tick this host itself was paused, and answers that
+were not handled say nothing about other hosts."""
+
+ISOLATED_AFTER_S = 3.0
+ISOLATION_MIN_HOSTS = 5
+"""From this number of hosts on, silence of all others at once means that this host is
+cut off; with fewer hosts it may as well be the others that are dead."""
+
+RECONTACT_INTERVAL_S = 2.0
+MIN_SYNC_INTERVAL_S = 1.0
+MAX_SYNC_INTERVAL_S = 20.0
+"""Lists are exchanged while they differ, each time after twice as long, because hosts
+find some of the differences by their own probes."""
+
+JOIN_INTERVAL_S = 1.0
+BACKEND_PULL_INTERVAL_S = 3.0
+FORGET_INTERVAL_S = 30.0
+PUSH_PEERS = 3
+PUSH_FAN_OUT = 2
+MAX_PUSHED_SERVERS = 200
+RELAYS = 2
+
+_CHECKSUMS = struct.Struct(">II")
+_MASK = 0xFFFFFFFF
+
+HostState = membermessages.HostState
+HostEntry = membermessages.HostEntry
+
+
+class Membership:
+    """Keep the hosts and the backend servers of the own data centre."""
+
+    def __init__(self, settings, rng, now):
+        self.settings: membermessages.Settings = settings
+        self.host_id: str = settings.host_id
+        self.table = hosttable.HostTable(settings.host_id)
+        self.backends = backendtable.BackendTable(settings.data_centre)
+        self.version: list = [0, b""]  # number and short digest, carried by probes
+        self.links = relaylinks.RelayLinks(settings, rng, now)
+        self._rng = rng
+        self._out: list = []
+        self._prober = probing.Prober(rng, now)
+        self._own_suspects: set[str] = set()
+        self._suspicions = suspicion.Suspicions()
+        self._is_joined = False
+        self._ticked_at = now
+        self._heard_at = now
+        self._recontact_at = now + RECONTACT_INTERVAL_S
+        self._join_at = now
+        self._sync_at = now
+        self._sync_interval_s = MIN_SYNC_INTERVAL_S
+        self._pull_at = now
+        self._forget_at = now + FORGET_INTERVAL_S
+        for seed in settings.seeds:
+            self._enter_seed(seed, now)
+        own = HostEntry(self.host_id, 0, settings.incarnation, settings.address)
+        self.table.put(own, now)
+
+    @property
+    def me(self) -> HostEntry:
+        """Return the entry of this host."""
+        return self.table.entries_by_id[self.host_id]
+
+    def relays(self) -> list[str]:
+        """Return the relays of this data centre; a suspected host is none."""
+        return self.table.trusted()[:RELAYS]
+
+    def report_order(self) -> list[str]:
+        """Return the hosts in the order of the binary tree.
+
+        The highest ids come first, so that the relays, which have links to other
+        data centres, have only one link in this tree.
+        """
+        return self.table.working()[::-1]
+
+    def _enter_seed(self, seed, now):
+        if seed.host_id == self.host_id:
+            return
+        if seed.data_centre == self.settings.data_centre:
+            self.table.put(HostEntry(seed.host_id, 0, 0, seed.address), now)
+        self._out.append(
+            membermessages.HostChanged(
+                seed.host_id, seed.data_centre, HostState.ALIVE, seed.address
+            )
+        )
+
+    def tick(self, now: float) -> list:
+        """Return what is due at ``now``."""
+        self._handle_pause(now)
+        self._check_probes(now)
+        if self._prober.is_due(now):
+            self._probe_next(now)
+        self._check_suspects(now)
+        self._contact_missing(now)
+        if self.host_id in self.relays():
+            self._out += self.links.tick(self._notice, now)
+        if now >= self._forget_at:
+            self._forget_at = now + FORGET_INTERVAL_S
+            self.table.forget_old(now)
+            self.backends.forget_old(now)
+        return self._take()
+
+    def receive(self, sender: str, message: wire.Message, now: float) -> list:
+        """Handle one message of another host."""
+        handler = _HANDLERS[type(message)]
+        if not isinstance(message, membermessages.RelayNotice):
+            self._heard_at = now
+        handler(self, sender, message, now)
+        return self._take()
+
+    def announce(self, server: records.BackendServer, now: float) -> list:
+        """Enter an announcement of a backend server that reports to this host.
+
+        Raise ProxyError if it is invalid or out of date.
+        """
+        known = self.backends.get(server.backend_id)
+        if self.backends.announce(server, now):
+            self._note_server(known, server)
+            self._push([], [membermessages.list_of_server(server, 0.0)], "")
+        return self._take()
+
+    def announce_self(self, state: HostState, now: float) -> list:
+        """Tell all hosts that this one is LEAVING, takes no new work, or has LEFT."""
+        me = self.me
+        entry = HostEntry(self.host_id, state, me.incarnation + 1, me.address)
+        self.table.put(entry, now)
+        self._push([entry.to_list()], [], "")
+        return self._take()
+
+    def _take(self):
+        taken = self._out
+        self._out = []
+        return taken
+
+    def _send(self, to, message):
+        self._out.append(wire.Send(to, message))
+
+    def _own_seed_ids(self):
+        centre = self.settings.data_centre
+        seeds = [seed for seed in self.settings.seeds if seed.data_centre == centre]
+        return [seed.host_id for seed in seeds if seed.host_id != self.host_id]
+
+    def _others(self, but=""):
+        excluded = (self.host_id, but)
+        return [name for name in self.table.present() if name not in excluded]
+
+    def _some_others(self, count, but=""):
+        others = self._others(but)
+        return self._rng.sample(others, min(count, len(others)))
+
+    def _checksums(self):
+        return _CHECKSUMS.pack(
+            self.table.checksum & _MASK, self.backends.checksum & _MASK
+        )
+
+    def _probe(self, target, now, requester="", requester_number=0):
+        number = self._prober.start(target, now, requester, requester_number)
+        self._send(target, self._probe_message(target, number))
+
+    def _contact(self, target):
+        self._send(target, self._probe_message(target, self._prober.skip_number()))
+
+    def _probe_message(self, target, number):
+        return membermessages.Probe(number=number, **self._status(target))
+
+    def _status(self, receiver):
+        """Return the fields that probes and acks share."""
+        entry = self.table.get(receiver)
+        first_id = receiver if entry and entry.state >= HostState.SUSPECT else ""
+        return {
+            "sender_entry": self.me.to_list(),
+            "updates": self.table.updates(first_id),
+            "checksums": self._checksums(),
+            "version": self.version,
+        }
+
+    def _probe_next(self, now):
+        target = self._prober.next_target(self._others())
+        if target:
+            self._probe(target, now)
+        for suspect in sorted(self._own_suspects):
+            self._contact(suspect)
+
+    def _check_probes(self, now):
+        for number, target in self._prober.late(now):
+            self._ask_others(number, target)
+        for target in self._prober.failed(now):
+            self._suspect(target, now)
+
+    def _ask_others(self, number, target):
+        for helper in self._some_others(INDIRECT_PEERS, target):
+            request = membermessages.ProbeRequest(number=number, target=target)
+            self._send(helper, request)
+
+    def _suspect(self, target, now):
+        entry = self.table.get(target)
+        if entry is None or self._is_isolated(now):
+            return
+        if entry.state in (HostState.ALIVE, HostState.LEAVING):
+            self._own_suspects.add(target)
+            self._merge(
+                HostEntry(target, HostState.SUSPECT, entry.incarnation, ""), now
+            )
+
+    def _is_isolated(self, now):
+        many = len(self.table.entries_by_id) >= ISOLATION_MIN_HOSTS
+        return many and now - self._heard_at > ISOLATED_AFTER_S
+
+    def _check_suspects(self, now):
+        if self._is_isolated(now):
+            self._suspicions.hold(now)
+        for target in self._suspicions.expired(now):
+            entry = self.table.entries_by_id[target]
+            dead = HostEntry(target, HostState.DEAD, entry.incarnation, "")
+            self._merge(dead, now)
+
+    def _handle_pause(self, now):
+        paused_s = now - self._ticked_at
+        self._ticked_at = now
+        if paused_s <= PAUSE_S:
+            return
+        self._prober.clear()
+        self._heard_at = now
+        self._suspicions.extend(paused_s)
+
+    def _contact_missing(self, now):
+        if not self._is_joined and now >= self._join_at:
+            self._join_at = now + JOIN_INTERVAL_S
+            seeds = self._own_seed_ids()
+            self._is_joined = not seeds
+            for seed in self._rng.sample(seeds, min(2, len(seeds))):
+                self._send(seed, self._sync_message(True))
+        if now < self._recontact_at:
+            return
+        self._recontact_at = now + RECONTACT_INTERVAL_S
+        seeds = self._own_seed_ids()
+        missing = {name for name in seeds if not self.table.is_present(name)}
+        missing.update(self.table.dead())
+        if missing:
+            self._contact(self._rng.choice(sorted(missing)))
+
+    # Messages
+
+    def _on_probe(self, sender, probe, now):
+        self._on_status(sender, probe, now)
+        self._send(sender, self._ack(probe.number, self.host_id, sender))
+
+    def _ack(self, number, about, requester):
+        status = self._status(requester)
+        return membermessages.ProbeAck(number=number, about=about, **status)
+
+    def _on_ack(self, sender, ack, now):
+        self._on_status(sender, ack, now)
+        pending = self._prober.finish(ack.number, ack.about)
+        if pending is not None and pending.requester:
+            answer = self._ack(
+                pending.requester_number, pending.target, pending.requester
+            )
+            self._send(pending.requester, answer)
+
+    def _on_request(self, sender, request, now):
+        if self.table.get(request.target) is not None:
+            self._probe(request.target, now, sender, request.number)
+
+    def _on_status(self, sender, message, now):
+        self._merge(membermessages.parse_host(message.sender_entry), now)
+        for values in message.updates:
+            self._merge(membermessages.parse_host(values), now)
+        hosts_checksum, backends_checksum = _CHECKSUMS.unpack(message.checksums)
+        if hosts_checksum == self.table.checksum & _MASK:
+            self._sync_interval_s = MIN_SYNC_INTERVAL_S
+        elif now >= self._sync_at:
+            self._sync_at = now + self._sync_interval_s * (0.5 + self._rng.random())
+            self._sync_interval_s = min(MAX_SYNC_INTERVAL_S, self._sync_interval_s * 2)
+            self._send(sender, self._sync_message(True))
+        if backends_checksum != self.backends.checksum & _MASK and now >= self._pull_at:
+            self._pull_at = now + BACKEND_PULL_INTERVAL_S
+            known = self.backends.known_hashes()
+            self._send(sender, membermessages.BackendPull(known=known))
+
+    def _sync_message(self, answer):
+        hosts = self.table.present_lists()
+        return membermessages.MemberSync(answer=answer, hosts=hosts)
+
+    def _on_sync(self, sender, sync, now):
+        self._is_joined = True
+        for values in sync.hosts:
+            self._merge(membermessages.parse_host(values), now)
+        if sync.answer:
+            self._send(sender, self._sync_message(False))
+
+    def _on_pull(self, sender, pull, now):
+        missing = self.backends.missing_from(pull.known, now)
+        for start in range(0, len(missing), MAX_PUSHED_SERVERS):
+            servers = missing[start : start + MAX_PUSHED_SERVERS]
+            self._send(sender, membermessages.MemberPush(hosts=[], servers=servers))
+
+    def _on_push(self, sender, push, now):
+        entries = [membermessages.parse_host(values) for values in push.hosts]
+        hosts = [entry.to_list() for entry in entries if self._merge(entry, now)]
+        servers = []
+        for values in push.servers:
+            server, age_s = membermessages.parse_server(values)
+            known = self.backends.get(server.backend_id)
+            if self.backends.merge(server, age_s, now):
+                self._note_server(known, server)
+                servers.append(values)
+        if hosts or servers:
+            self._push(hosts, servers, sender)
+
+    def _note_server(self, known, server):
+        if known != server:
+            self._out.append(membermessages.BackendChanged(server))
+
+    def _push(self, hosts, servers, sender):
+        """Send changes to the neighbours in the tree and to some other hosts.
+
+        The other hosts let a change pass where a host of the tree has just died.
+        """
+        order = self.report_order()
+        targets = set(trees.neighbours_in(order, self.host_id, PUSH_FAN_OUT))
+        targets.update(self._some_others(PUSH_PEERS))
+        for target in sorted(targets - {sender, self.host_id}):
+            message = membermessages.MemberPush(hosts=hosts, servers=servers)
+            self._send(target, message)
+
+    def _on_notice(self, sender, notice, now):
+        self._out += self.links.learn(notice, now)
+        if notice.answer:
+            self._send(sender, self._notice(False))
+
+    def _notice(self, answer):
+        relays = [
+            [name, self.table.entries_by_id[name].address] for name in self.relays()
+        ]
+        return membermessages.RelayNotice(
+            answer=answer,
+            data_centre=self.settings.data_centre,
+            relays=relays,
+            version=self.version,
+        )
+
+    # Entries
+
+    def _merge(self, entry, now):
+        if entry.host_id == self.host_id:
+            self._refute(entry, now)
+            return False
+        if not self.table.put(entry, now):
+            return False
+        self._own_suspects.discard(entry.host_id)
+        self._suspicions.end(entry.host_id)
+        if entry.state is HostState.SUSPECT:
+            self._suspicions.start(entry.host_id, now)
+        self._out.append(
+            membermessages.HostChanged(
+                entry.host_id, self.settings.data_centre, entry.state, entry.address
+            )
+        )
+        return True
+
+    def _refute(self, entry, now):
+        me = self.me
+        if entry.rank() <= me.rank():
+            return
+        mine = HostEntry(self.host_id, me.state, entry.incarnation + 1, me.address)
+        self.table.put(mine, now)
+
+
+_HANDLERS = {
+    membermessages.Probe: Membership._on_probe,
+    membermessages.ProbeAck: Membership._on_ack,
+    membermessages.ProbeRequest: Membership._on_request,
+    membermessages.MemberSync: Membership._on_sync,
+    membermessages.MemberPush: Membership._on_push,
+    membermessages.BackendPull: Membership._on_pull,
+    membermessages.RelayNotice: Membership._on_notice,
+}
--- a/kumquatproxy/records.py
+++ b/kumquatproxy/records.py
@@ -34,6 +34,21 @@
         self.name: str = name
         self.version: str = version
 
+    # Items are the keys of the routing table, so their hash is on the path of
+    # every request.
+    def __eq__(self, other):
+        if self is other:
+            return True
+        return (
+            type(other) is Item
+            and self.name == other.name
+            and self.version == other.version
+            and self.kind == other.kind
+        )
+
+    def __hash__(self):
+        return hash((self.kind, self.name, self.version))
+
     def key(self) -> str:
         """Return the text form ``kind:name@version`` used on the wire."""
         return f"{self.kind}:{self.name}@{self.version}"
@@ -161,6 +176,7 @@
         "arrived_at",
         "deadline",
         "idempotent",
+        "is_forwarded",
         "key",
         "max_tokens",
         "model",
@@ -189,6 +205,7 @@
         max_tokens=0,
         prefix_digests=(),
         arrived_at=0.0,
+        is_forwarded=False,
     ):
         self.request_id: str = request_id
         self.organisation: str = organisation
@@ -199,6 +216,7 @@
         self.priority: int = priority  # 1 (lowest) to 9 (highest)
         self.deadline: float = deadline  # seconds, same clock as ``now``
         self.idempotent: bool = idempotent
+        self.is_forwarded: bool = is_forwarded  # by an entry host of another data centre
         self.key: str = key
         self.prompt_tokens: int = prompt_tokens
         self.max_tokens: int = max_tokens
--- /dev/null
+++ b/kumquatproxy/relaylinks.py
@@ -0,0 +1,76 @@
+"""What the relays of one data centre know of the relays of the others."""
+
+from kumquatproxy import membermessages, wire
+
+NOTICE_INTERVAL_S = 2.0
+SILENT_AFTER_S = 6.0
+MAX_DATA_CENTRES = 64
+
+
+class _Centre:
+    __slots__ = ("addresses_by_id", "heard_at")
+
+    def __init__(self, addresses_by_id, heard_at):
+        self.addresses_by_id: dict[str, str] = addresses_by_id
+        self.heard_at: float = heard_at
+
+
+class RelayLinks:
+    """Keep the relays of the other data centres, starting from the seeds."""
+
+    def __init__(self, settings, rng, now):
+        self._settings = settings
+        self._rng = rng
+        self._notice_at = now + rng.random() * NOTICE_INTERVAL_S
+        self._centres_by_name: dict[str, _Centre] = {}
+        self._seeds_by_centre: dict[str, list[str]] = {}
+        for seed in settings.seeds:
+            if seed.data_centre != settings.data_centre:
+                names = self._seeds_by_centre.setdefault(seed.data_centre, [])
+                names.append(seed.host_id)
+
+    def relays(self) -> list[str]:
+        """Return the known relays of all other data centres, in order."""
+        return sorted(
+            name
+            for centre in self._centres_by_name.values()
+            for name in centre.addresses_by_id
+        )
+
+    def data_centres(self) -> list[str]:
+        """Return the other data centres that are known, in order."""
+        return sorted(self._centres_by_name)
+
+    def learn(self, notice: membermessages.RelayNotice, now: float) -> list:
+        """Take the relays of another data centre; return those that are new."""
+        name = notice.data_centre
+        known = self._centres_by_name.get(name)
+        is_full = known is None and len(self._centres_by_name) >= MAX_DATA_CENTRES
+        if name == self._settings.data_centre or is_full:
+            return []
+        addresses = {str(host): str(address) for host, address in notice.relays}
+        if addresses:
+            self._centres_by_name[name] = _Centre(addresses, now)
+        alive = membermessages.HostState.ALIVE
+        return [
+            membermessages.HostChanged(host, name, alive, address)
+            for host, address in sorted(addresses.items())
+            if known is None or known.addresses_by_id.get(host) != address
+        ]
+
+    def tick(self, notice_of, now: float) -> list:
+        """Return the notices that are due; ``notice_of(answer)`` makes them.
+
+        Known relays send notices of their own, so only seeds are asked to answer.
+        """
+        if now < self._notice_at:
+            return []
+        self._notice_at = now + NOTICE_INTERVAL_S
+        relays = self.relays()
+        seeds = set()
+        for name, known in self._seeds_by_centre.items():
+            centre = self._centres_by_name.get(name)
+            if centre is None or now - centre.heard_at > SILENT_AFTER_S:
+                seeds.add(self._rng.choice(known))
+        sends = [wire.Send(relay, notice_of(False)) for relay in relays]
+        return sends + [wire.Send(seed, notice_of(True)) for seed in sorted(seeds)]
