Halve the gain that a move must bring

Cause: at the organisations' sizes one server is a fifth of all capacity, so a threshold of a tenth of a server left demand unserved.

Change: GAIN_PER_MOVE from 0.1 to 0.05.

--- a/kumquatproxy/placementscale.py
+++ b/kumquatproxy/placementscale.py
@@ -13,7 +13,7 @@
 MODEL_MOVE = 1.0
 ADAPTER_MOVE = 0.1  # an adapter is about a hundredth of a model in memory and time
 # Share of a server's capacity that one model move must relieve at equal weights.
-GAIN_PER_MOVE = 0.1
+GAIN_PER_MOVE = 0.05
 GROUPS_PER_SERVER = 4  # hottest groups tried on an overloaded server
 EVICTION_SEARCHES = 6  # best destinations without free memory that are searched
 FILL_PASSES = 2
