--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -235,6 +235,22 @@
     assert {"b00", "b03"} <= set(placed)
 
 
+def test_a_hot_adapter_gets_a_replica_with_its_base_model():
+    """Guards against a further base model that cannot serve the adapter's calls."""
+    parsed = make_sheet([(20, 1)], [(0, 2), (0, 2)])
+    base = parsed.models_by_name["m0"].item()
+    hot = parsed.adapters_by_name["d0"].item()
+    backends = [server(1, 100), server(2, 100)]
+    loaded = {"b01": dict.fromkeys(parsed.memory_by_item(), 2) | {base: 20}}
+    current = placementplan.Current(loaded)
+    plan = plan_of(parsed, backends, current, {"a": {base: 300.0, hot: 290.0}})
+    assert [(a.backend_id, a.item) for a in plan.actions] == [
+        ("b02", base),
+        ("b02", hot),
+    ]
+    assert plan.actions[1].after == (0,)
+
+
 def test_lost_replicas_come_before_replicas_for_demand():
     """Guards against a lost model that waits behind optional loads."""
     parsed = make_sheet([(20, 1), (20, 1)])
