Check plans with overlapping loads

Cause: the replay applied actions one after the other, while loads overlap when they are started at their scheduled times.

Change: check_timing replays the start and end of every load; a test breaks the waiting on purpose and sees both faults.

--- a/kumquatproxy/placementcheck.py
+++ b/kumquatproxy/placementcheck.py
@@ -68,6 +68,26 @@
         after = {name for name in names if self._is_reachable(name)}
         return after - before, before - after
 
+    def reserve(self, index, action) -> None:
+        """Take the memory of a load that starts; ``settle`` makes it live."""
+        self._reserved_mb[action.backend_id] += action.memory_mb
+        self._check_memory(index, action)
+
+    def settle(self, index, action) -> None:
+        """Apply a reserved load or an unload; note names that are lost."""
+        if action.action == placementplan.LOAD:
+            self._reserved_mb[action.backend_id] -= action.memory_mb
+        _, lost = self.step(index, action)
+        for name in sorted(lost):
+            self._fault(index, action, f"{name} lost its last replica")
+
+    def _check_memory(self, index, action):
+        used_mb = sum(self.loaded[action.backend_id].values())
+        used_mb += self._reserved_mb[action.backend_id]
+        limit_mb = self._servers[action.backend_id].memory_mb
+        if used_mb > limit_mb:
+            self._fault(index, action, f"{used_mb} MB exceed {limit_mb} MB")
+
     def _apply(self, index, action):
         items = self.loaded.get(action.backend_id)
         if items is None:
@@ -78,12 +98,8 @@
                 self._fault(index, action, "the item is loaded already")
             items[action.item] = action.memory_mb
             self._enter(action.backend_id, action.item)
-            server = self._servers[action.backend_id]
-            used_mb = sum(items.values()) + self._reserved_mb[action.backend_id]
-            if used_mb > server.memory_mb:
-                text = f"{used_mb} MB exceed {server.memory_mb} MB"
-                self._fault(index, action, text)
-            if server.leaving:
+            self._check_memory(index, action)
+            if self._servers[action.backend_id].leaving:
                 self._fault(index, action, "the backend server is leaving")
             return
         if items.pop(action.item, None) is None:
@@ -134,9 +150,33 @@
         if intent.action == placementplan.LOAD and intent.backend_id in loaded:
             loaded[intent.backend_id].add(intent.item)
     faults += check_adapters(sheet, loaded, plan.actions)
+    faults += check_timing(sheet, backends, current, plan.actions)
     return faults + check_store(sheet.weight_store, plan.actions)
 
 
+def check_timing(sheet, backends, current, actions) -> list[str]:
+    """Return every rule that is broken when actions run at their start times.
+
+    Loads overlap: their memory is taken at the start, their replica counts at the end.
+    """
+    store = sheet.weight_store
+    durations = {"model": store.model_seconds, "adapter": store.adapter_seconds}
+    events = []
+    for index, action in enumerate(actions):
+        if action.action == placementplan.UNLOAD:
+            events.append((action.start_s, 1, index))
+            continue
+        events.append((action.start_s, 2, index))
+        events.append((action.start_s + durations[action.item.kind], 0, index))
+    replay = Replay(sheet, backends, current)
+    for _, phase, index in sorted(events):
+        if phase == 2:
+            replay.reserve(index, actions[index])
+        else:
+            replay.settle(index, actions[index])
+    return replay.faults
+
+
 def check_adapters(sheet, loaded, actions) -> list[str]:
     """Return the adapters that the plan loads and leaves without a base model."""
     touched = {
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -223,6 +223,21 @@
     assert placementcheck.check_store(parsed.weight_store, plan.actions)
 
 
+def test_the_check_sees_actions_that_do_not_wait():
+    """Guards against start times that ignore which effects must be seen first."""
+    parsed, backends, current = _relocation()
+    plan = plan_of(parsed, backends, current)
+    assert plan.actions[1].after == (0,)
+    assert plan.actions[2].after == (1,)
+    plan.actions[1].start_s = 0.0
+    faults = placementcheck.check_timing(parsed, backends, current, plan.actions)
+    assert "lost its last replica" in " ".join(faults)
+    plan = plan_of(parsed, backends, current)
+    plan.actions[2].start_s = 0.0
+    faults = placementcheck.check_timing(parsed, backends, current, plan.actions)
+    assert "exceed 100 MB" in " ".join(faults)
+
+
 def test_replicas_spread_over_hosts_and_data_centres():
     """Guards against replicas that one fault takes away together."""
     parsed = make_sheet([(10, 1)])
