Apply the limits of the settings to callers' connections

Cause: [limits] body and client_timeout were read but not used. Change: the entry application and its server take both.

--- a/kumquatproxy/entry.py
+++ b/kumquatproxy/entry.py
@@ -59,11 +59,19 @@
 class EntryApplication(httpapi.Application):
     """Answer callers: models, completions, plain services, health."""
 
-    def __init__(self, dispatcher, instruments, counter, claims=None):
+    def __init__(
+        self,
+        dispatcher,
+        instruments,
+        counter,
+        claims=None,
+        max_body_bytes=httpapi.MAX_BODY_BYTES,
+    ):
         self._dispatcher: dispatch.Dispatcher = dispatcher
         self._metrics: metrics.Metrics = instruments
         self._counter: demandreports.DemandCounter = counter
         self.claims: claimclient.ClaimClient | None = claims
+        self._max_body_bytes: int = max_body_bytes
         self.view = ConfigurationView()
         self.stopping = False
         self.active = 0  # requests whose answer has not been written yet
@@ -118,7 +126,7 @@
         return self.view.sheet
 
     def _completion(self, request, parsed, now):
-        data = request.body()
+        data = request.body(self._max_body_bytes)
         body = httpapi.parse_json(data)
         target = parsed.resolve(body.get("model", ""))
         call = _call_request(request, target.service, now)
@@ -151,7 +159,7 @@
         query = request.environ.get("QUERY_STRING", "")
         target = f"{path}?{query}" if query else path
         headers = _service_headers(request)
-        body = request.body()
+        body = request.body(self._max_body_bytes)
 
         def send():
             return self._dispatcher.call_service(
--- a/kumquatproxy/host.py
+++ b/kumquatproxy/host.py
@@ -42,6 +42,7 @@
 VERSION_FILE = "version"
 IDENTITY_FILE = "identity"
 INCARNATION_FILE = "incarnation"
+BYTES_PER_MB = 1_000_000
 DRAIN_POLL_S = 0.05
 CLOSE_TIMEOUT_S = 5.0
 
@@ -185,7 +186,13 @@
             host.data_centre, host_settings.decisions.routing, self._rng, self.metrics
         )
         counter = demandreports.DemandCounter()
-        self.entry = entry.EntryApplication(self.dispatcher, self.metrics, counter)
+        limits = host_settings.limits
+        self.entry = entry.EntryApplication(
+            self.dispatcher,
+            self.metrics,
+            counter,
+            max_body_bytes=limits.body * BYTES_PER_MB,
+        )
         self.transport = transport.Transport(
             transport.Settings(host.peers, self._identity(key)), self._on_message
         )
@@ -196,8 +203,9 @@
         self.entry.claims = claimclient.ClaimClient(
             self.control, host.id, lambda: self.control.membership.me.incarnation
         )
-        connections = host_settings.limits.connections
-        self._entry_server = httpapi.Server(host.callers, self.entry, connections)
+        self._entry_server = httpapi.Server(
+            host.callers, self.entry, limits.connections, limits.client_timeout
+        )
         self._backend_server = httpapi.Server(
             host.backend_servers, backendapi.BackendApplication(self.control)
         )
--- a/kumquatproxy/httpapi.py
+++ b/kumquatproxy/httpapi.py
@@ -187,8 +187,10 @@
 class _Handler(gevent.pywsgi.WSGIHandler):
     """Limit the time that a client may be idle; write no access log."""
 
+    client_timeout_s = CLIENT_TIMEOUT_S
+
     def handle(self):
-        self.socket.settimeout(CLIENT_TIMEOUT_S)
+        self.socket.settimeout(self.client_timeout_s)
         super().handle()
 
     def log_request(self):
@@ -201,6 +203,11 @@
         super().handle_error(exc_type, value, traceback)
 
 
+def _handler_class(client_timeout_s):
+    attributes = {"client_timeout_s": client_timeout_s}
+    return type("_Handler", (_Handler,), attributes)
+
+
 class BrokenAnswerError(Exception):
     """End a streamed answer so that the client sees it as incomplete."""
 
@@ -208,13 +215,19 @@
 class Server:
     """Run one WSGI application on an address."""
 
-    def __init__(self, address, application, max_connections=MAX_CONNECTIONS):
+    def __init__(
+        self,
+        address,
+        application,
+        max_connections=MAX_CONNECTIONS,
+        client_timeout_s=CLIENT_TIMEOUT_S,
+    ):
         host, _, port = address.rpartition(":")
         self._pool = gevent.pool.Pool(max_connections)
         self._server = gevent.pywsgi.WSGIServer(
             (host, int(port)),
             application,
-            handler_class=_Handler,
+            handler_class=_handler_class(client_timeout_s),
             spawn=self._pool,
             log=None,
             error_log=None,
