Check sheets against the memory of all data centres

Cause: a host knew only the engines of its own data centre, so a sheet that fits nowhere was accepted in deployments of several data centres.

--- a/kumquatproxy/control.py
+++ b/kumquatproxy/control.py
@@ -43,6 +43,7 @@
 SUBMIT_TIMEOUT_S = 8.0
 OWNER_LOST_TIMEOUT_S = 30.0
 PUSH_FAN_OUT = 4
+GAUGE_INTERVAL_S = 5.0
 
 
 class Received(records.Record):
@@ -112,6 +113,7 @@
         self._metrics = parts.metrics
         self._claim_clock: tuple[int, claims.LeaderClock] | None = None
         self._published_revision = 0
+        self._gauge_at = now
         self._live_ids: set[str] = set()
         self._remote_ids: set[str] = set()
         self._log = logs.Log("control")
@@ -199,6 +201,10 @@
         self._expire_servers(now)
         self._send_demand(now)
         self.placement.tick(now)
+        if now >= self._gauge_at:
+            self._gauge_at = now + GAUGE_INTERVAL_S
+            missing = adminviews.names_without_replica(self, now)
+            self._metrics.models_without_replica.set(len(missing))
         logs.flush()
 
     def _emit(self, outputs, now):
@@ -324,12 +330,16 @@
     def _misfits(self, parsed, now):
         """Return a sentence for each model that fits nowhere.
 
-        Memory of other data centres is not known here, so only a deployment of one
-        data centre can refuse a sheet for it.
+        Nothing is refused while a data centre of the settings is not heard of,
+        because its memory is not known.
         """
-        if self.membership.links.data_centres():
+        engines_by_centre = self.summaries.engines_by_centre()
+        expected = {peer.data_centre for peer in self.settings.peers_by_id.values()}
+        if expected - {self.data_centre, *engines_by_centre}:
             return []
         servers = self.engines(now)
+        for engines in engines_by_centre.values():
+            servers.extend(engines)
         return [
             f"{fit.item.key()}: {fit.reason}, {fit.missing_mb} MB are missing"
             for fit in sheet_fit.not_fitting(parsed, servers)
@@ -424,7 +434,8 @@
         if self.host_id in self.membership.relays():
             relays = self.membership.links.relays()
             served = adminviews.items_by_service(self, now)
-            self._emit(self.summaries.tick(served, relays, now), now)
+            engines = [one for one in self.engines(now) if not one.leaving]
+            self._emit(self.summaries.tick(served, engines, relays, now), now)
         for host_id in self.summaries.expire(now):
             self._member_log.write(now, f"no summary of relay {host_id}")
         present = {remote.summary.host_id for remote in self.summaries.remotes()}
@@ -522,6 +533,7 @@
         self.placement.command_done(done, now)
 
     def _on_order_answer(self, answer, now, reply):
+        self._metrics.orders.add(1, {"outcome": answer.stage.value})
         self.placement.answered(answer)
 
 
--- a/kumquatproxy/metrics.py
+++ b/kumquatproxy/metrics.py
@@ -39,7 +39,7 @@
         self.orders = meter.create_counter(
             f"{PREFIX}.orders",
             unit="{order}",
-            description="Orders to engines by action and outcome",
+            description="Orders to engines by the engine's answer",
         )
         self.configuration_version = meter.create_gauge(
             f"{PREFIX}.configuration.version",
--- a/kumquatproxy/summaries.py
+++ b/kumquatproxy/summaries.py
@@ -14,13 +14,15 @@
 class CentreSummary(wire.Message):
     """Tell what one data centre serves and through which entry host to ask it.
 
-    ``items_by_service`` is empty while ``digest`` has not changed.
+    ``items_by_service`` and ``engines`` are empty while ``digest`` has not changed.
+    An engine is listed by id, service and memory in megabytes.
     """
 
     __slots__ = (
         "address",
         "data_centre",
         "digest",
+        "engines",
         "host_id",
         "items_by_service",
         "number",
@@ -28,6 +30,7 @@
     address: str
     data_centre: str
     digest: bytes
+    engines: list
     host_id: str
     items_by_service: dict
     number: int
@@ -36,13 +39,14 @@
 class RemoteCentre(records.Record):
     """Hold the newest summary of one relay of another data centre."""
 
-    __slots__ = ("digest", "heard_at", "items_by_service", "summary")
+    __slots__ = ("digest", "engines", "heard_at", "items_by_service", "summary")
 
     def __init__(self, summary, heard_at):
         self.summary: CentreSummary = summary
         self.heard_at: float = heard_at
         self.digest: bytes = b""
         self.items_by_service: dict[str, tuple[str, ...]] = {}
+        self.engines: list[records.BackendServer] = []
 
 
 class Summaries:
@@ -69,12 +73,13 @@
         self._full_at = 0.0
         self._sent_digest = b""
 
-    def tick(self, items_by_service, remote_relays, now: float) -> list:
+    def tick(self, items_by_service, engines, remote_relays, now: float) -> list:
         """Return the own summary for the relays of the other data centres."""
         if now < self._send_at or not remote_relays:
             return []
         self._send_at = now + SUMMARY_INTERVAL_S
-        digest = _digest(items_by_service)
+        listed = [[one.backend_id, one.service, one.memory_mb] for one in engines]
+        digest = _digest(items_by_service, listed)
         is_full = digest != self._sent_digest or now >= self._full_at
         if is_full:
             self._full_at = now + FULL_INTERVAL_S
@@ -84,6 +89,7 @@
             address=self._address,
             data_centre=self._data_centre,
             digest=digest,
+            engines=listed if is_full else [],
             host_id=self._host_id,
             items_by_service=items_by_service if is_full else {},
             number=self._number,
@@ -103,14 +109,16 @@
 
     def _keep(self, summary, known, now):
         remote = RemoteCentre(summary, now)
-        if summary.items_by_service or summary.digest == _digest({}):
+        if summary.digest == _digest(summary.items_by_service, summary.engines):
             remote.digest = summary.digest
+            remote.engines = _engines_of(summary)
             remote.items_by_service = {
                 service: tuple(keys)
                 for service, keys in summary.items_by_service.items()
             }
         elif known is not None and known.digest == summary.digest:
             remote.digest = known.digest
+            remote.engines = known.engines
             remote.items_by_service = known.items_by_service
         self._remotes_by_host[summary.host_id] = remote
 
@@ -129,6 +137,14 @@
         """Return what is known of the other data centres."""
         return list(self._remotes_by_host.values())
 
+    def engines_by_centre(self) -> dict[str, list[records.BackendServer]]:
+        """Return the engines of the other data centres that were heard of."""
+        return {
+            remote.summary.data_centre: remote.engines
+            for remote in self._remotes_by_host.values()
+            if remote.digest
+        }
+
     def centres_by_item(self) -> dict[records.Item, tuple[str, ...]]:
         """Return the other data centres that have an item loaded."""
         names_by_item: dict[records.Item, set[str]] = {}
@@ -140,8 +156,19 @@
         return {item: tuple(sorted(names)) for item, names in names_by_item.items()}
 
 
-def _digest(items_by_service) -> bytes:
+def _engines_of(summary):
+    return [
+        records.BackendServer(
+            backend_id, "", summary.data_centre, "engine", service, 0, memory_mb
+        )
+        for backend_id, service, memory_mb in summary.engines
+    ]
+
+
+def _digest(items_by_service, engines) -> bytes:
     digest = hashlib.blake2b(digest_size=8)
+    for backend_id, service, memory_mb in sorted(engines):
+        digest.update(f"{backend_id}\0{service}\0{memory_mb}\0".encode())
     for service in sorted(items_by_service):
         digest.update(service.encode() + b"\0")
         for key in items_by_service[service]:
