Repeat pushes of leaving and pass over missed waves

Cause: a push of leaving was sent once, and with 10% loss and a dead host in the tree a host could miss it for 3 s. A wave lost near the root made all hosts below take their parents for dead. Change: pushes of leaving are repeated 4 times within 1.6 s; a host that missed a wave sends down on its own.

--- a/kumquatproxy/loadreports.py
+++ b/kumquatproxy/loadreports.py
@@ -17,6 +17,10 @@
 """An inner host waits this much longer for each level below it before it sends up
 without all its children; this is more than the interval between two ticks."""
 
+MISSED_WAVE_S = 0.6
+"""When no wave came from above for so long, a host sends down on its own, so that the
+hosts below do not take it for dead as well."""
+
 PARENT_SILENT_S = 1.5
 ADOPTED_S = 2.0
 MAX_DETAILS = 50  # in one message; each may take some 2 KB
@@ -138,7 +142,7 @@
         self._waiting = set(self._children)
         if parent:
             self._send_batch(parent, False, now)
-        else:
+        if not parent or now - self._parent_heard_at > MISSED_WAVE_S:
             self._send_down(now)
 
     def _send_down(self, now):
--- a/kumquatproxy/membership.py
+++ b/kumquatproxy/membership.py
@@ -9,6 +9,7 @@
     probing,
     records,
     relaylinks,
+    repeats,
     suspicion,
     trees,
     wire,
@@ -36,6 +37,7 @@
 PUSH_PEERS = 3
 PUSH_FAN_OUT = 2
 MAX_PUSHED_SERVERS = 200
+LEAVING_FIELD = 9  # of a backend server in a message
 RELAYS = 2
 
 _CHECKSUMS = struct.Struct(">II")
@@ -60,6 +62,7 @@
         self._prober = probing.Prober(rng, now)
         self._own_suspects: set[str] = set()
         self._suspicions = suspicion.Suspicions()
+        self._repeats = repeats.Repeats()
         self._is_joined = False
         self._ticked_at = now
         self._heard_at = now
@@ -96,11 +99,8 @@
             return
         if seed.data_centre == self.settings.data_centre:
             self.table.put(HostEntry(seed.host_id, 0, 0, seed.address), now)
-        self._out.append(
-            membermessages.HostChanged(
-                seed.host_id, seed.data_centre, HostState.ALIVE, seed.address
-            )
-        )
+        changed = (seed.host_id, seed.data_centre, HostState.ALIVE, seed.address)
+        self._out.append(membermessages.HostChanged(*changed))
 
     def tick(self, now: float) -> list:
         """Return what is due at ``now``."""
@@ -109,6 +109,8 @@
         if self._prober.is_due(now):
             self._probe_next(now)
         self._check_suspects(now)
+        for hosts, servers in self._repeats.due(now):
+            self._send_push(hosts, servers)
         self._contact_missing(now)
         if self.host_id in self.relays():
             self._out += self.links.tick(self._notice, now)
@@ -120,10 +122,9 @@
 
     def receive(self, sender: str, message: wire.Message, now: float) -> list:
         """Handle one message of another host."""
-        handler = _HANDLERS[type(message)]
         if not isinstance(message, membermessages.RelayNotice):
             self._heard_at = now
-        handler(self, sender, message, now)
+        _HANDLERS[type(message)](self, sender, message, now)
         return self._take()
 
     def announce(self, server: records.BackendServer, now: float) -> list:
@@ -134,7 +135,8 @@
         known = self.backends.get(server.backend_id)
         if self.backends.announce(server, now):
             self._note_server(known, server)
-            self._push([], [membermessages.list_of_server(server, 0.0)], "")
+            values = membermessages.list_of_server(server, 0.0)
+            self._push([], [values], "", now)
         return self._take()
 
     def announce_self(self, state: HostState, now: float) -> list:
@@ -142,7 +144,7 @@
         me = self.me
         entry = HostEntry(self.host_id, state, me.incarnation + 1, me.address)
         self.table.put(entry, now)
-        self._push([entry.to_list()], [], "")
+        self._push([entry.to_list()], [], "", now)
         return self._take()
 
     def _take(self):
@@ -159,8 +161,9 @@
         return [seed.host_id for seed in seeds if seed.host_id != self.host_id]
 
     def _others(self, but=""):
-        excluded = (self.host_id, but)
-        return [name for name in self.table.present() if name not in excluded]
+        return [
+            name for name in self.table.present() if name not in (self.host_id, but)
+        ]
 
     def _some_others(self, count, but=""):
         others = self._others(but)
@@ -229,8 +232,7 @@
             self._suspicions.hold(now)
         for target in self._suspicions.expired(now):
             entry = self.table.entries_by_id[target]
-            dead = HostEntry(target, HostState.DEAD, entry.incarnation, "")
-            self._merge(dead, now)
+            self._merge(HostEntry(target, HostState.DEAD, entry.incarnation, ""), now)
 
     def _handle_pause(self, now):
         paused_s = now - self._ticked_at
@@ -257,8 +259,6 @@
         if missing:
             self._contact(self._rng.choice(sorted(missing)))
 
-    # Messages
-
     def _on_probe(self, sender, probe, now):
         self._on_status(sender, probe, now)
         self._send(sender, self._ack(probe.number, self.host_id, sender))
@@ -297,8 +297,9 @@
             self._send(sender, membermessages.BackendPull(known=known))
 
     def _sync_message(self, answer):
-        hosts = self.table.present_lists()
-        return membermessages.MemberSync(answer=answer, hosts=hosts)
+        return membermessages.MemberSync(
+            answer=answer, hosts=self.table.present_lists()
+        )
 
     def _on_sync(self, sender, sync, now):
         self._is_joined = True
@@ -324,13 +325,18 @@
                 self._note_server(known, server)
                 servers.append(values)
         if hosts or servers:
-            self._push(hosts, servers, sender)
+            self._push(hosts, servers, sender, now)
 
     def _note_server(self, known, server):
         if known != server:
             self._out.append(membermessages.BackendChanged(server))
 
-    def _push(self, hosts, servers, sender):
+    def _push(self, hosts, servers, sender, now):
+        leaving = [values for values in servers if values[LEAVING_FIELD]]
+        self._repeats.add(hosts, leaving, now)
+        self._send_push(hosts, servers, sender)
+
+    def _send_push(self, hosts, servers, sender=""):
         """Send changes to the neighbours in the tree and to some other hosts.
 
         The other hosts let a change pass where a host of the tree has just died.
@@ -339,8 +345,8 @@
         targets = set(trees.neighbours_in(order, self.host_id, PUSH_FAN_OUT))
         targets.update(self._some_others(PUSH_PEERS))
         for target in sorted(targets - {sender, self.host_id}):
-            message = membermessages.MemberPush(hosts=hosts, servers=servers)
-            self._send(target, message)
+            push = membermessages.MemberPush(hosts=hosts, servers=servers)
+            self._send(target, push)
 
     def _on_notice(self, sender, notice, now):
         self._out += self.links.learn(notice, now)
@@ -358,8 +364,6 @@
             version=self.version,
         )
 
-    # Entries
-
     def _merge(self, entry, now):
         if entry.host_id == self.host_id:
             self._refute(entry, now)
@@ -370,11 +374,9 @@
         self._suspicions.end(entry.host_id)
         if entry.state is HostState.SUSPECT:
             self._suspicions.start(entry.host_id, now)
-        self._out.append(
-            membermessages.HostChanged(
-                entry.host_id, self.settings.data_centre, entry.state, entry.address
-            )
-        )
+        centre = self.settings.data_centre
+        changed = (entry.host_id, centre, entry.state, entry.address)
+        self._out.append(membermessages.HostChanged(*changed))
         return True
 
     def _refute(self, entry, now):
