Resend open orders that the plan counts as done

Cause: the planner plans no action for an open intent, so placementcontrol's list of desired actions left it out; the order engine then neither resent a lost order nor kept an unsent one, and settled it only after its expiry (35 s). The sizes of the sheet were not given to the engine either, so that an item of unknown size could block its server after a change of owner. Change: set_desired(keeps_open) keeps open orders unless the list asks for the opposite; placementcontrol uses it, gives the sizes and does not count orders reopened by a restart as done.

--- a/kumquatproxy/orders.py
+++ b/kumquatproxy/orders.py
@@ -44,6 +44,7 @@
         # none is made while every one has its effect and nothing has changed.
         self._is_settled = False
         self._wanted: set[tuple] = set()
+        self._keeps_open = False
         # A server counts as gone until its first report: orders of predecessors to a
         # server that nobody hears of must not hold slots for ever.
         self._gone_at_by_server: dict[str, float] = {
@@ -75,8 +76,15 @@
         """Note that membership lost a server; its records go when all loads ended."""
         self._gone_at_by_server.setdefault(backend_id, now)
 
-    def set_desired(self, actions: list[orderrecords.Action]) -> None:
-        """Replace the desired actions, the most urgent first."""
+    def set_desired(
+        self, actions: list[orderrecords.Action], keeps_open: bool = False
+    ) -> None:
+        """Replace the desired actions, the most urgent first.
+
+        With ``keeps_open`` the list may leave out what open orders already do: these
+        are resent until they are observed, unless the list asks for the opposite.
+        """
+        self._keeps_open = keeps_open
         if actions == self._desired:
             return
         self._is_settled = False
@@ -184,7 +192,12 @@
     def _is_wanted(self, tracked):
         intent = tracked.intent
         wanted = (intent.action, intent.backend_id, tracked.item) in self._wanted
-        return wanted or tracked.is_barrier
+        if wanted or tracked.is_barrier:
+            return True
+        if not self._keeps_open or tracked.is_abandoned or tracked.is_reopened:
+            return False
+        opposite = placementstate.UNLOAD if tracked.is_load else placementstate.LOAD
+        return (opposite, intent.backend_id, tracked.item) not in self._wanted
 
     def _note_refusal(self, closing, now):
         tracked = self.book.tracked_by_id.get(closing.order_id)
--- a/kumquatproxy/placementcontrol.py
+++ b/kumquatproxy/placementcontrol.py
@@ -224,7 +224,9 @@
         rates = {self._data_centre: self.predictor.rates(now)}
         weights = placementplan.weights_of(sheet)
         self.plan = self._planner.plan(sheet, servers, rates, current, weights)
-        engine.set_desired(self._desired(self.plan, sheet))
+        engine.learn_sizes(sheet.memory_by_item())
+        # The planner counts open intents as done and plans no action for them.
+        engine.set_desired(self._desired(self.plan, sheet), keeps_open=True)
 
     def _loaded(self, sheet):
         memory_by_item = sheet.memory_by_item()
@@ -245,7 +247,7 @@
                 tracked.intent.memory_mb,
             )
             for tracked, _ in engine.book.open_orders()
-            if not tracked.is_barrier
+            if not (tracked.is_barrier or tracked.is_reopened)
         ]
 
     def _desired(self, plan, sheet):
--- a/kumquatproxy/schedulehosts.py
+++ b/kumquatproxy/schedulehosts.py
@@ -46,7 +46,8 @@
                 self.lease_until = self.clock(now) + schedulefakes.LEASE_S
         self._send_queued(now)
         if self.engine is not None:
-            self.engine.set_desired(self.centre.desired(self.engine))
+            desired = self.centre.desired(self.engine)
+            self.engine.set_desired(desired, self._world.keeps_open)
             for output in self.engine.tick(self.clock(now), self.lease_until):
                 self._perform(self.engine, output, now)
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -114,6 +114,19 @@
     assert owner.used() == 9
 
 
+def test_open_order_that_the_plan_leaves_out_is_resent_if_asked_for():
+    """Guard against a planner that counts open intents as done."""
+    for keeps_open in (True, False):
+        owner, order = begun()
+        owner.engine.set_desired([], keeps_open)
+        sent = [copy.order_id for copy in owner.tick(110.0)]
+        assert sent == [order.order_id] * keeps_open
+    owner, _ = begun()
+    unload = orderrecords.Action("unload", "e1", A, 9)
+    owner.engine.set_desired([unload], keeps_open=True)
+    assert owner.tick(110.0) == []
+
+
 def test_accepted_order_is_not_resent_unless_the_engine_restarts():
     owner, order = begun()
     owner.engine.answered(orderrecords.OrderAnswer(order.order_id, 1, Stage.ACCEPTED))
