Join membership, reports and versions through one tested core

Cause: the control task wired the three cores a second time, without the checks of message fields; an unexpected error in a task left a host running without it. Change: control uses peers.Peers; a failed task ends the process of serve.

--- a/kumquatproxy/control.py
+++ b/kumquatproxy/control.py
@@ -13,16 +13,14 @@
     configurationgroup,
     demandreports,
     dispatch,
-    dissemination,
     entry,
     errors,
     formation,
-    loadreports,
     logs,
     membermessages,
-    membership,
     messagerouting,
     orderrecords,
+    peers,
     placementcontrol,
     proposals,
     raftmessages,
@@ -32,7 +30,6 @@
     sheet_fit,
     summaries,
     tasks,
-    trees,
     versionmessages,
     wire,
 )
@@ -42,7 +39,6 @@
 
 SUBMIT_TIMEOUT_S = 8.0
 OWNER_LOST_TIMEOUT_S = 30.0
-PUSH_FAN_OUT = 4
 GAUGE_INTERVAL_S = 5.0
 
 
@@ -88,11 +84,9 @@
         self.host_id: str = settings.host.id
         self.data_centre: str = settings.host.data_centre
         self.dispatcher: dispatch.Dispatcher = parts.dispatcher
-        self.membership = membership.Membership(parts.member_settings, rng, now)
-        self.reports = loadreports.LoadReports(self.host_id, rng, now)
-        self.versions = dissemination.Dissemination(
-            self.host_id, rng, now, parts.stored_version
-        )
+        self.peers = peers.Peers(parts.member_settings, rng, now, parts.stored_version)
+        self.membership = self.peers.membership
+        self.reports = self.peers.reports
         self.proposals = proposals.Proposals(settings.groups.configuration_voters, rng)
         self.summaries = summaries.Summaries(
             self.host_id,
@@ -119,7 +113,6 @@
         self._log = logs.Log("control")
         self._member_log = logs.Log("member")
         self._config_log = logs.Log("config")
-        self.versions.set_targets(self._push_targets)
         if parts.stored_version is not None:
             stored = parts.stored_version
             self._adopt(stored.number, stored.content, now)
@@ -189,12 +182,7 @@
 
     def tick(self, now):
         """Do what is due."""
-        self.membership.version = self.versions.status()
-        self._emit(self.membership.tick(now), now)
-        order = self.membership.report_order()
-        self.reports.set_order(order, now)
-        self._emit(self.reports.tick(now), now)
-        self._emit(self.versions.tick(now), now)
+        self._emit(self.peers.tick(now), now)
         self._emit(self.proposals.tick(now), now)
         self._publish(now)
         self._tick_summaries(now)
@@ -214,16 +202,6 @@
             elif type(output) in _OUTPUTS:
                 _OUTPUTS[type(output)](self, output, now)
 
-    def _push_targets(self, root):
-        order = sorted(self.membership.table.working())
-        if root not in order:
-            root = self.host_id
-        order = [root, *(name for name in order if name != root)]
-        targets = trees.children_in(order, self.host_id, PUSH_FAN_OUT)
-        if self.host_id in self.membership.relays():
-            targets = [*targets, *self.membership.links.relays()]
-        return root, targets
-
     # Configuration
 
     def _publish(self, now):
@@ -232,9 +210,9 @@
         state = self.configuration.machine.configuration
         if state.revision > self._published_revision:
             self._published_revision = state.revision
-            if state.revision > self.versions.number:
+            if state.revision > self.peers.versions.number:
                 content = configurationgroup.encode_content(state)
-                self._emit(self.versions.publish(state.revision, content, now), now)
+                self._emit(self.peers.publish(state.revision, content, now), now)
 
     def _on_adopted(self, adopted, now):
         self._save_version(adopted.number, adopted.content)
@@ -394,8 +372,8 @@
         self._live_ids.add(server.backend_id)
 
     def _on_report(self, message, now, reply):
-        if self.reports.accept(message.report, now):
-            self._take_report(message.report, now)
+        self._emit(self.peers.report(message.report, now), now)
+        self._take_report(message.report, now)
 
     def _on_report_seen(self, seen, now):
         report = self.reports.reports_by_id.get(seen.backend_id)
@@ -406,7 +384,6 @@
         known = self.membership.backends.get(report.backend_id)
         if known is None or known.incarnation != report.incarnation:
             return
-        self.membership.backends.heard(report.backend_id, report.incarnation, now)
         if report.backend_id not in self._live_ids:
             self._live_ids.add(report.backend_id)
             self.dispatcher.update_server(known, now)
@@ -496,26 +473,14 @@
         if isinstance(message, raftmessages.GroupMessage):
             self._route_group_message(received)
             return
-        for core, classes in (
-            (self.membership, _MEMBER_MESSAGES),
-            (self.reports, _REPORT_MESSAGES),
-            (self.versions, _VERSION_MESSAGES),
-        ):
-            if isinstance(message, classes):
-                self._observe_version(received, now)
-                self._emit(core.receive(received.sender, message, now), now)
-                return
         handler = _PEER_HANDLERS.get(type(message))
         if handler is None:
-            raise errors.ProxyError(
-                errors.ErrorKind.PROTOCOL_ERROR, f"unexpected message {message.tag!r}"
-            )
-        handler(self, received, now)
-
-    def _observe_version(self, received, now):
-        version = getattr(received.message, "version", None)
-        if isinstance(version, list):
-            self._emit(self.versions.observe(received.sender, version, now), now)
+            self._emit(self.peers.receive(received.sender, message, now), now)
+            return
+        try:
+            handler(self, received, now)
+        except peers.MALFORMED as error:
+            raise peers.malformed(received.sender, message, error) from error
 
     def _route_group_message(self, received):
         group = received.message.group
@@ -559,22 +524,6 @@
     return errors.ProxyError(errors.ErrorKind(answer.kind), detail)
 
 
-_MEMBER_MESSAGES = (
-    membermessages.Probe,
-    membermessages.ProbeAck,
-    membermessages.ProbeRequest,
-    membermessages.MemberSync,
-    membermessages.MemberPush,
-    membermessages.BackendPull,
-    membermessages.RelayNotice,
-)
-_REPORT_MESSAGES = tuple(loadreports._HANDLERS)
-_VERSION_MESSAGES = (
-    versionmessages.VersionPush,
-    versionmessages.VersionPull,
-    versionmessages.VersionChunk,
-    versionmessages.VersionHave,
-)
 _PEER_HANDLERS = {
     proposals.ProposeCommand: ControlTask._on_propose,
     proposals.ProposeAnswer: ControlTask._on_proposal_answer,
--- a/kumquatproxy/host.py
+++ b/kumquatproxy/host.py
@@ -245,8 +245,14 @@
             for host_id, peer in self.settings.peers_by_id.items()
         ]
 
-    def start(self) -> None:
-        """Start all tasks and servers; raise OSError if an address is taken."""
+    def start(self, on_failure=None) -> None:
+        """Start all tasks and servers; raise OSError if an address is taken.
+
+        ``on_failure(error)`` is told of a task that failed: the host must end then.
+        """
+        for task in (self.control, self.configuration):
+            if task is not None and on_failure is not None:
+                task.on_failure = on_failure
         self.transport.start()
         if self.configuration is not None:
             self.configuration.start()
@@ -337,11 +343,14 @@
     tokens = pathlib.Path(parsed.host.token_file).read_text(encoding="utf-8")
     roles_by_token = admin.parse_tokens(tokens)
     host = Host(parsed, key, roles_by_token, parsed.decisions.seed)
-    host.start()
-    stop_requested = gevent.event.Event()
-    gevent.signal_handler(signal.SIGTERM, stop_requested.set)
-    gevent.signal_handler(signal.SIGINT, stop_requested.set)
+    stop_requested = gevent.event.AsyncResult()
+    host.start(on_failure=stop_requested.set)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stop_requested.set, None)
     print(f"serving {parsed.host.callers}", flush=True)
-    stop_requested.wait()
+    failure = stop_requested.get()
+    if failure is not None:
+        logs.flush()
+        raise failure
     host.stop()
     return 0
--- a/kumquatproxy/peers.py
+++ b/kumquatproxy/peers.py
@@ -18,7 +18,7 @@
 
 PUSH_FAN_OUT = 4
 
-_MALFORMED = (
+MALFORMED = (
     TypeError,
     ValueError,
     KeyError,
@@ -78,8 +78,8 @@
         """Handle one message of another host; raise ProxyError if it is malformed."""
         try:
             return self._receive(sender, message, now)
-        except _MALFORMED as error:
-            raise _malformed(sender, message, error) from error
+        except MALFORMED as error:
+            raise malformed(sender, message, error) from error
 
     def report(self, report: records.LoadReport, now: float) -> list:
         """Take a load report that a backend server sent to this host."""
@@ -145,8 +145,7 @@
         for output in outputs:
             if isinstance(output, reportstore.ReportSeen):
                 heard(output.backend_id, output.incarnation, output.sent_at)
-            else:
-                out.append(output)
+            out.append(output)
         return out
 
 
@@ -158,7 +157,8 @@
             raise TypeError(f"field {name} is a {type(value).__name__}")
 
 
-def _malformed(sender, message, error):
+def malformed(sender: str, message: wire.Message, error: Exception):
+    """Return the error for a message that made a handler fail."""
     return errors.ProxyError(
         errors.ErrorKind.PROTOCOL_ERROR,
         f"message {message.tag!r} of {sender} is malformed: {error!r:.200}",
--- a/kumquatproxy/tasks.py
+++ b/kumquatproxy/tasks.py
@@ -1,6 +1,7 @@
 """Tasks that own their state and talk by messages."""
 
 import time
+from collections.abc import Callable
 
 import gevent
 import gevent.event
@@ -39,6 +40,7 @@
         self._tick_interval_s = tick_interval_s
         self._greenlet = None
         self._log = logs.Log("task")
+        self.on_failure: Callable[[Exception], None] = lambda error: None
 
     def start(self) -> None:
         """Start the greenlet of the task."""
@@ -77,6 +79,18 @@
         """Do what is due at ``now``."""
 
     def _run(self):
+        try:
+            self._loop()
+        except Exception as error:
+            # The state may be half changed, so the task must not go on; whoever owns
+            # it ends the process.
+            self._log.write(
+                time.monotonic(), f"{type(self).__name__} failed: {error!r}"
+            )
+            self.on_failure(error)
+            raise
+
+    def _loop(self):
         next_tick = time.monotonic()
         while True:
             wait_s = max(0.0, next_tick - time.monotonic())
