--- a/kumquatproxy/demand.py
+++ b/kumquatproxy/demand.py
@@ -12,8 +12,8 @@
 # 7,300 items over a day, and a tenfold rise is far above it.
 SIGNIFICANCE = 6.0
 # The other averages leave their bands by chance seldom, and by little.
-MEDIUM_SIGNIFICANCE = 4.0
-SLOW_SIGNIFICANCE = 3.0
+MEDIUM_SIGNIFICANCE = 4.5
+SLOW_SIGNIFICANCE = 5.0
 # Overdispersed arrivals exceed the Poisson noise by this share of the level.
 TOLERANCE = 0.1
 MAX_ITEMS = 20_000
