Wait for both parts of another replica before an unload

Plans were valid in their listed order.

Change: an unload also waits for earlier loads of its adapters or versions.

--- a/kumquatproxy/placementbaselines.py
+++ b/kumquatproxy/placementbaselines.py
@@ -11,7 +11,11 @@
         if intent.action == placementplan.LOAD
     ]
     placementplan.schedule(
-        layout.actions, store, open_loads.count("model"), open_loads.count("adapter")
+        layout.actions,
+        store,
+        layout.catalogue.partners(),
+        open_loads.count("model"),
+        open_loads.count("adapter"),
     )
     return placementplan.Plan(layout.target(), layout.actions, not_fitting)
 
--- a/kumquatproxy/placementlayout.py
+++ b/kumquatproxy/placementlayout.py
@@ -64,6 +64,11 @@
             for adapter in own:
                 self.bases[adapter] = versions
 
+    def partners(self) -> dict[records.Item, tuple[records.Item, ...]]:
+        """Return the adapters by model version and the versions by adapter."""
+        adapters = {group.item: group.adapters for group in self.groups}
+        return {**adapters, **self.bases}
+
     def service_of(self, item: records.Item) -> str:
         """Return the service of a listed item."""
         base = self.bases[item][0] if item.kind == "adapter" else item
--- a/kumquatproxy/placementplan.py
+++ b/kumquatproxy/placementplan.py
@@ -157,11 +157,15 @@
         raise NotImplementedError
 
 
-def schedule(actions, store, open_model_loads=0, open_adapter_loads=0) -> None:
+def schedule(
+    actions, store, partners=None, open_model_loads=0, open_adapter_loads=0
+) -> None:
     """Set ``after`` and ``start_s`` of the actions within the store's limits.
 
-    ``store`` has the fields of ``sheet.WeightStore``. Open loads hold their slots for
-    one full load time.
+    ``partners`` gives the adapters of each model version and the versions of each
+    adapter: a replica of both is complete only when both are loaded, so an unload of
+    one also waits for loads of the other. ``store`` has the fields of
+    ``sheet.WeightStore``. Open loads hold their slots for one full load time.
     """
     slots = {
         "model": _Slots(
@@ -190,6 +194,8 @@
             earlier_loads.append(index)
         else:
             after = earlier_loads + earlier_unloads
+            for partner in (partners or {}).get(action.item, ()):
+                after += loads_by_item.get(partner, [])
             earlier_unloads.append(index)
         ready_s = max((done_s[i] for i in after), default=0.0)
         action.after = tuple(sorted(set(after)))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -238,6 +238,28 @@
     assert "exceed 100 MB" in " ".join(faults)
 
 
+@pytest.mark.parametrize("adapter_first", [True, False])
+def test_an_unload_waits_for_both_parts_of_the_other_replica(adapter_first):
+    """Guards against an adapter whose other replica is not complete yet."""
+    parsed = make_sheet([(10, 1)], [(0, 1)])
+    base = parsed.models_by_name["m0"].item()
+    adapter = parsed.adapters_by_name["d0"].item()
+    there, late = (adapter, base) if adapter_first else (base, adapter)
+    memory = parsed.memory_by_item()
+    actions = [
+        placementplan.Action("load", "b02", late, memory[late], "first"),
+        placementplan.Action("unload", "b01", there, memory[there], "second"),
+    ]
+    partners = {adapter: (base,), base: (adapter,)}
+    placementplan.schedule(actions, parsed.weight_store, partners)
+    assert actions[1].after == (0,)
+    loaded = {"b01": {base: 10, adapter: 1}, "b02": {there: memory[there]}}
+    world = [server(1, 20), server(2, 20)], placementplan.Current(loaded)
+    assert placementcheck.check_timing(parsed, *world, actions) == []
+    actions[1].start_s = 0.0
+    assert placementcheck.check_timing(parsed, *world, actions)
+
+
 def test_replicas_spread_over_hosts_and_data_centres():
     """Guards against replicas that one fault takes away together."""
     parsed = make_sheet([(10, 1)])
