Let fake backend servers outlive the host that they announce to

Cause: a host that is killed closes the connection before its answer. The client then raises HTTPParseError, which is no OSError, and the announcing greenlet ended. Change: the announcer moves to the next entry host for this error as well. Conclusion: the fault was in the stand-in, not in the hosts.

--- a/kumquatproxy/fakes.py
+++ b/kumquatproxy/fakes.py
@@ -6,6 +6,7 @@
 
 import gevent
 import geventhttpclient
+import geventhttpclient.response
 
 from kumquatproxy import httpapi, records
 
@@ -63,7 +64,8 @@
             client.post(
                 path, json.dumps(body).encode(), {"Content-Type": "application/json"}
             ).read()
-        except OSError:
+        except (OSError, geventhttpclient.response.HTTPParseError):
+            # A host that is killed closes the connection before its answer.
             self._entry_addresses.append(self._entry_addresses.pop(0))
         finally:
             client.close()
