Test host processes with lost disks, rival sheets, planned stops and hung streams

Cause: recovery of whole hosts, two operators under one number, SIGTERM under streaming load, a hung stream and the operators' commands were only tested inside one process or not at all. Before: no such tests.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -6,12 +6,13 @@
 import shutil
 import signal
 import sys
+import tempfile
 
 import gevent
 import gevent.subprocess
 import geventhttpclient.response
 
-from kumquatproxy import demo, demosystem, fakes
+from kumquatproxy import demo, demosystem, diskstore, fakes, host, logstate
 
 HOSTS = ("host-1", "host-2", "host-3")
 LAYOUT = demosystem.Layout(dict.fromkeys(HOSTS, "dc-1"))
@@ -239,6 +240,18 @@
     def wait_until(self, condition, what) -> None:
         demosystem.wait_for(condition, what, LIMIT_S)
 
+    def voters_on_disk(self, host_id) -> list[str]:
+        """Return the identities of the configuration voters by a host's own log."""
+        with tempfile.TemporaryDirectory() as copy:
+            directory = pathlib.Path(copy) / "group"
+            source = self.folder(host_id) / host.CONFIGURATION_GROUP
+            shutil.copytree(source, directory)
+            store = diskstore.DiskStore(directory)
+            try:
+                return list(logstate.LogState(store.state).voter_set.voters)
+            finally:
+                store.close()
+
     # Administration
 
     def admin(self, host_id, method, path, body=None):
@@ -293,14 +306,15 @@
         self.wait_until(attempt, "an accepted sheet")
         return accepted[-1]
 
-    def wait_until_all_placed(self) -> None:
+    def wait_until_all_placed(self, version) -> None:
         """Wait until each running host knows a replica of each listed model."""
 
         def is_placed():
             statuses = [self.status(host_id) for host_id in self.running_ids()]
-            versions = {status.get("version") for status in statuses}
-            return len(versions) == 1 and all(
-                status and status["version"] and not status["without_replica"]
+            return all(
+                status
+                and status["version"] >= version
+                and not status["without_replica"]
                 for status in statuses
             )
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,12 +1,16 @@
 """Whole hosts as processes that are killed, paused and ended."""
 
 import collections
+import json
 import random
 
 import gevent
+import gevent.socket
 import processes
 import pytest
 
+from kumquatproxy import demo, demosystem, fakes, host, voterset
+
 SEED = 1
 MODELS = {
     processes.CHECKING: ["alpha", "beta"],
@@ -19,8 +23,8 @@
     one = processes.ProcessSystem(SEED)
     try:
         one.start()
-        one.submit_until_accepted(processes.sheet_text(MODELS, min_places=2))
-        one.wait_until_all_placed()
+        text = processes.sheet_text(MODELS, min_places=2)
+        one.wait_until_all_placed(one.submit_until_accepted(text)["version"])
         yield one
     finally:
         one.stop()
@@ -155,3 +159,397 @@
         assert faults_of_actions(calls, collections.Counter({"a": count}))
     calls = [ActionCall("a", "host-1", done, 1)]
     assert faults_of_actions(calls, collections.Counter({"a": 1})) == []
+
+
+class VersionWatch:
+    """Poll the version in force at each ready host, and keep the histories."""
+
+    def __init__(self, system):
+        self.versions_by_host = collections.defaultdict(list)
+        self._system = system
+        self._greenlet = gevent.spawn(self._run)
+
+    def _run(self):
+        while True:
+            for host_id in self._system.running_ids():
+                if not self._system.is_ready(host_id):
+                    continue
+                version = self._system.status(host_id).get("version")
+                if version is not None:
+                    self.versions_by_host[host_id].append(version)
+            gevent.sleep(0.05)
+
+    def end(self):
+        """Stop to poll and return the histories."""
+        self._greenlet.kill()
+        return dict(self.versions_by_host)
+
+
+def fallen_versions(versions_by_host):
+    """Return the hosts at which a later version was below an earlier one."""
+    return [
+        host_id
+        for host_id, versions in versions_by_host.items()
+        if versions != sorted(versions)
+    ]
+
+
+def placement_text(note):
+    return processes.sheet_text(MODELS, min_places=2, note=note)
+
+
+def wait_for_version(system, host_id, version):
+    system.wait_until(
+        lambda: system.status(host_id).get("version", 0) >= version,
+        f"version {version} at {host_id}: {system.output_of(host_id)[-2000:]}",
+    )
+
+
+def test_a_killed_host_comes_back_with_its_folder(system):
+    # Guards against a host that loses a synced configuration, or misses what was
+    # accepted while it was down, after a SIGKILL.
+    watch = VersionWatch(system)
+    victim = system.wait_for_name(system.leader)
+    before = system.submit_until_accepted(placement_text(1))
+    system.kill_host(victim)
+    after = system.submit_until_accepted(placement_text(2))
+    assert after["version"] > before["version"]
+    system.start_host(victim)
+    wait_for_version(system, victim, after["version"])
+    last = system.submit_until_accepted(placement_text(3))
+    wait_for_version(system, victim, last["version"])
+    versions_by_host = watch.end()
+    assert fallen_versions(versions_by_host) == []
+    assert set(versions_by_host) == set(processes.HOSTS)
+    system.wait_until_all_placed(last["version"])
+
+
+def test_a_host_with_an_emptied_folder_joins_and_votes_again(system):
+    # Guards against a replaced disk: the host must get the configuration from the
+    # others and become a voter again, so that the loss of a second host is borne.
+    watch = VersionWatch(system)
+    before = system.submit_until_accepted(placement_text(4))
+    leader = system.wait_for_name(system.leader)
+    victim, other = [name for name in processes.HOSTS if name != leader]
+    system.kill_host(victim)
+    system.empty_folder(victim)
+    system.start_host(victim)
+    wait_for_version(system, victim, before["version"])
+    after = system.submit_until_accepted(placement_text(5))
+    wait_for_version(system, victim, after["version"])
+    lost = voterset.make_identity(victim, host.FIRST_DISK_ID)
+
+    def is_replaced():
+        voters = [system.voters_on_disk(name) for name in (leader, other, victim)]
+        return all(len(one) == 3 and lost not in one for one in voters)
+
+    system.wait_until(is_replaced, f"{victim} among the voters again")
+    system.kill_host(other)
+    last = system.submit_until_accepted(placement_text(6))
+    wait_for_version(system, victim, last["version"])
+    assert fallen_versions(watch.end()) == []
+    assert last["version"] > after["version"] > before["version"]
+
+
+def test_the_check_of_versions_finds_a_fallen_one():
+    # Guards against a check that cannot fail.
+    assert fallen_versions({"host-1": [1, 2, 1]}) == ["host-1"]
+    assert fallen_versions({"host-1": [1, 1, 2]}) == []
+
+
+def submit_and_drop(system, host_id, body):
+    """Submit a sheet and close the connection before the answer can be read."""
+    host, _, port = system.admin_address(host_id).rpartition(":")
+    data = json.dumps(body).encode()
+    head = (
+        f"POST /admin/v1/sheet HTTP/1.1\r\nHost: {host}\r\n"
+        f"Authorization: Bearer {demosystem.OPERATE_TOKEN}\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n"
+    )
+    connection = gevent.socket.create_connection((host, int(port)))
+    connection.sendall(head.encode() + data)
+    # The host has the whole request; its answer goes nowhere.
+    gevent.sleep(0.02)
+    connection.close()
+
+
+def test_one_of_two_sheets_under_one_number_wins_everywhere(system):
+    # Guards against two operators who both believe that their sheet is in force, and
+    # against a resend that is taken for a second submission.
+    history_by_digest = {}
+    outcomes = collections.Counter()
+    for round_number in range(6):
+        follows = system.status("host-1")["version"]
+        for host_id in processes.HOSTS:
+            wait_for_version(system, host_id, follows)
+        first, second = (placement_text(10 + 2 * round_number + i) for i in (0, 1))
+        body = {"follows": follows, "sheet": first}
+        rival = {"follows": follows, "sheet": second}
+        hosts = [processes.HOSTS[(round_number + i) % 3] for i in range(3)]
+        dropped = gevent.spawn(submit_and_drop, system, hosts[0], body)
+        kept = gevent.spawn(system.admin, hosts[1], "POST", "sheet", rival)
+        gevent.joinall([dropped, kept], raise_error=True)
+        resent = system.admin(hosts[2], "POST", "sheet", body)
+        again = system.admin(hosts[0], "POST", "sheet", body)
+        answers = [resent, again, kept.value]
+        assert again.body == resent.body
+        statuses = [answer.status for answer in answers]
+        assert statuses in ([200, 200, 409], [409, 409, 200]), answers
+        winner = next(answer for answer in answers if answer.status == 200).json()
+        assert winner["version"] == follows + 1
+        loser = next(answer for answer in answers if answer.status == 409).json()
+        assert loser["code"] == "version-conflict"
+        assert winner["digest"] in loser["detail"]
+        outcomes["dropped won" if resent.status == 200 else "kept won"] += 1
+        history_by_digest[winner["digest"]] = winner["version"]
+        for host_id in processes.HOSTS:
+            wait_for_version(system, host_id, follows + 1)
+            sheet = system.admin(host_id, "GET", "sheet").json()
+            assert (sheet["version"], sheet["digest"]) == (
+                winner["version"],
+                winner["digest"],
+            )
+    print(f"submissions: {dict(outcomes)}")
+    for host_id in processes.HOSTS:
+        rows = system.admin(host_id, "GET", "history").json()["versions"]
+        known = {row["digest"]: row["version"] for row in rows}
+        assert history_by_digest.items() <= known.items()
+        assert len({row["version"] for row in rows}) == len(rows)
+
+
+# Streams
+
+STREAM_TOKENS = 160
+STREAMS = 12
+PROMPT = "tell it all"
+
+
+class StreamCall:
+    """Hold one streamed completion: where it went and what was wrong with it."""
+
+    def __init__(self, host_id, model, prompt, answer):
+        self.host_id = host_id
+        self.answer = answer
+        self.text, self.is_complete = "", False
+        if answer.status == 200:
+            self.text, self.is_complete = demo.streamed_text(answer.body)
+        self.expected = "".join(fakes.tokens_for(model, prompt, STREAM_TOKENS))
+
+    def fault(self):
+        """Return what breaks the promise of a complete response, or nothing."""
+        if self.is_complete and self.text == self.expected:
+            return ""
+        return f"{self.host_id}: {self.answer}, {len(self.text)} characters"
+
+
+def stream(system, host_id, model, prompt):
+    body = {
+        "model": model,
+        "prompt": prompt,
+        "max_tokens": STREAM_TOKENS,
+        "stream": True,
+    }
+    address = system.callers_address(host_id)
+    answer = processes.send(address, "POST", "/v1/completions", body)
+    return StreamCall(host_id, model, prompt, answer)
+
+
+class StreamLoad:
+    """Keep a number of streams in flight through the hosts in rotation."""
+
+    def __init__(self, system, models, seed):
+        self.calls = []
+        self.in_flight = collections.Counter()
+        self.rotation = set(processes.HOSTS)
+        self._system = system
+        self._models = models
+        self._rng = random.Random(seed)
+        self._is_ending = False
+        self._greenlets = [gevent.spawn(self._run, index) for index in range(STREAMS)]
+
+    def _run(self, index):
+        while not self._is_ending:
+            host_id = self._rng.choice(sorted(self.rotation))
+            model = self._rng.choice(self._models)
+            prompt = f"{PROMPT} {index} {len(self.calls)}"
+            self.in_flight[host_id] += 1
+            self.calls.append(stream(self._system, host_id, model, prompt))
+            self.in_flight[host_id] -= 1
+
+    def end(self):
+        """Let all streams end and return the calls."""
+        self._is_ending = True
+        gevent.joinall(self._greenlets, raise_error=True)
+        return self.calls
+
+
+def settle_models(system):
+    accepted = system.submit_until_accepted(placement_text(30))
+    system.wait_until_all_placed(accepted["version"])
+    return MODELS[processes.CHECKING] + MODELS[processes.IGNORING]
+
+
+def test_planned_stops_cut_off_no_stream(system):
+    # Guards against a planned stop that interrupts a request in flight, and against
+    # one that ends with an error.
+    load = StreamLoad(system, settle_models(system), SEED)
+    try:
+        for host_id in processes.HOSTS:
+            system.wait_until(
+                lambda name=host_id: load.in_flight[name] > 1, "streams to interrupt"
+            )
+            # The load balancer sends nothing more; what is in flight must go on.
+            load.rotation.discard(host_id)
+            in_flight = load.in_flight[host_id]
+            assert system.end_host(host_id) == 0, system.output_of(host_id)[-2000:]
+            print(f"stopped: {host_id} with {in_flight} streams in flight")
+            system.heal()
+            load.rotation.add(host_id)
+    finally:
+        calls = load.end()
+    assert [call.fault() for call in calls if call.fault()] == []
+    print(f"streams: {len(calls)} complete")
+
+
+def test_a_stream_that_hangs_is_resumed_at_the_next_token(system):
+    # Guards against a caller that waits for a dead connection, and against tokens
+    # that are lost or doubled where another engine takes over.
+    model = settle_models(system)[0]
+    holders = [
+        engine
+        for engine in system.engines_by_id.values()
+        if any(item.name == model for item in engine._loaded)
+    ]
+    assert len(holders) > 1
+    rng = random.Random(SEED)
+    calls = []
+    hanging = holders[0]
+    before = hanging.hung
+    try:
+        for _ in range(8):
+            hanging.hang_at = rng.randrange(STREAM_TOKENS)
+            # At the same time, before the breakers of the hosts open.
+            batch = [
+                gevent.spawn(stream, system, host_id, model, f"{PROMPT} {index}")
+                for index, host_id in enumerate(processes.HOSTS * 2)
+            ]
+            gevent.joinall(batch, raise_error=True)
+            calls += [greenlet.value for greenlet in batch]
+            if hanging.hung - before >= 5:
+                break
+    finally:
+        hanging.hang_at = None
+    assert hanging.hung > before
+    assert [call.fault() for call in calls if call.fault()] == []
+    print(f"streams: {len(calls)} complete, {hanging.hung - before} resumed")
+
+
+def test_the_check_of_streams_finds_a_lost_or_doubled_token():
+    # Guards against a check that cannot fail.
+    tokens = fakes.tokens_for("alpha", PROMPT, STREAM_TOKENS)
+    for faulty, end in (
+        (tokens[:-1], True),
+        ([tokens[0], *tokens], True),
+        (tokens, False),
+    ):
+        assert StreamCall("host-1", "alpha", PROMPT, event_stream(faulty, end)).fault()
+    whole = event_stream(tokens, True)
+    assert not StreamCall("host-1", "alpha", PROMPT, whole).fault()
+
+
+def event_stream(tokens, has_end):
+    events = [json.dumps({"choices": [{"text": token}]}).encode() for token in tokens]
+    events += [b"[DONE]"] if has_end else []
+    return processes.Answer(200, b"".join(b"data: %s\n\n" % one for one in events))
+
+
+# Commands of operators
+
+
+def run_commands(system, host_id, *commands):
+    """Run commands of an operator against a host, all at the same time."""
+    options = ("--admin", system.admin_address(host_id))
+    options += ("--token", demosystem.OPERATE_TOKEN)
+    greenlets = [
+        gevent.spawn(processes.run_command, *command, *options) for command in commands
+    ]
+    gevent.joinall(greenlets, raise_error=True)
+    return [greenlet.value for greenlet in greenlets]
+
+
+def test_commands_of_operators_against_a_running_host(system, tmp_path):
+    # Guards against commands that work only against the application in one process,
+    # and against exit codes that a script cannot rely on.
+    model = settle_models(system)[0]
+    version = system.status("host-2")["version"]
+    taken = tmp_path / "taken.ini"
+    taken.write_text(placement_text(31))
+    follows = ("--follows", str(version - 1))
+    status, as_json, history, explain, unknown, conflict, wrong = run_commands(
+        system,
+        "host-2",
+        ("status",),
+        ("status", "--json"),
+        ("sheet", "history"),
+        ("explain", model),
+        ("explain", "no-such-model"),
+        ("sheet", "submit", str(taken), *follows),
+        ("sheet", "submit", str(tmp_path / "absent.ini")),
+    )
+    assert [status.code, as_json.code, history.code, explain.code] == [0, 0, 0, 0]
+    assert f"configuration version {version}" in status.output
+    assert json.loads(as_json.output)["without_replica"] == []
+    versions = [int(line.split()[0]) for line in history.output.splitlines()]
+    assert versions == sorted(set(versions)) and versions[-1] == version
+    assert "replica on" in explain.output
+    assert (unknown.code, unknown.output) == (1, "")
+    assert (conflict.code, wrong.code) == (3, 2)
+    assert system.status("host-2")["version"] == version
+
+
+def test_commands_report_refused_and_unreachable_hosts(system):
+    # Guards against a failed command that a script takes for a success.
+    admin = system.admin_address("host-1")
+    commands = [
+        ("status", "--admin", admin, "--token", "wrong"),
+        ("drain", "x", "--admin", admin, "--token", demosystem.READ_TOKEN),
+        ("drain", "x", "--admin", admin, "--token", demosystem.OPERATE_TOKEN),
+        ("status", "--admin", demosystem.free_address(), "--token", "wrong"),
+        ("status", "--no-such-option"),
+    ]
+    greenlets = [gevent.spawn(processes.run_command, *one) for one in commands]
+    gevent.joinall(greenlets, raise_error=True)
+    results = [greenlet.value for greenlet in greenlets]
+    assert [result.code for result in results] == [1, 1, 1, 4, 2]
+    assert all(result.errors and not result.output for result in results)
+
+
+def test_a_drained_backend_server_gets_no_new_work(system):
+    # Guards against a drain that the next announcement of the backend server undoes.
+    model = settle_models(system)[0]
+    name = next(
+        engine.backend_id
+        for engine in system.engines_by_id.values()
+        if any(item.name == model for item in engine._loaded)
+    )
+    engine = system.engines_by_id[name]
+    (result,) = run_commands(system, "host-3", ("drain", name))
+    assert result.code == 0 and "leaving" in result.output, result.errors
+
+    def states():
+        return {
+            row["state"]
+            for host_id in processes.HOSTS
+            for row in system.status(host_id)["backend_servers"]
+            if row["backend_id"] == name
+        }
+
+    system.wait_until(lambda: states() == {"leaving"}, "leaving at each host")
+    start, sequence = engine.streams, engine._sequence
+    calls = []
+    while engine._sequence < sequence + 6:
+        for host_id in processes.HOSTS:
+            calls.append(stream(system, host_id, model, PROMPT))
+    assert [call.fault() for call in calls if call.fault()] == []
+    assert engine.streams == start
+    assert states() == {"leaving"}
