--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,679 @@
+"""Whole hosts as processes that are killed, paused and ended."""
+
+import collections
+import json
+import random
+
+import gevent
+import gevent.socket
+import processes
+import pytest
+
+from kumquatproxy import demo, demosystem, fakes, host, voterset
+
+SEED = 1
+MODELS = {
+    processes.CHECKING: ["alpha", "beta"],
+    processes.IGNORING: ["gamma", "delta"],
+}
+
+
+@pytest.fixture(scope="module")
+def running():
+    one = processes.ProcessSystem(SEED)
+    try:
+        one.start()
+        text = processes.sheet_text(MODELS, min_places=2)
+        one.wait_until_all_placed(one.submit_until_accepted(text)["version"])
+        yield one
+    finally:
+        one.stop()
+
+
+@pytest.fixture
+def system(running):
+    running.heal()
+    yield running
+    overcommitted = running.overcommitted()
+    assert overcommitted == []
+
+
+class ActionCall:
+    """Hold one call of a keyed action and what was executed when it was answered."""
+
+    def __init__(self, action, host_id, answer, executions):
+        self.action = action
+        self.host_id = host_id
+        self.answer = answer
+        self.executions = executions  # of this action, when the answer arrived
+
+    def __repr__(self):
+        return f"{self.action} at {self.host_id}: {self.answer} ({self.executions})"
+
+
+def faults_of_actions(calls, executions_by_action):
+    """Return what breaks the promises for keyed actions in a history of calls."""
+    faults = [
+        f"{action} was executed {count} times"
+        for action, count in executions_by_action.items()
+        if count > 1
+    ]
+    calls_by_action = collections.defaultdict(list)
+    for call in calls:
+        calls_by_action[call.action].append(call)
+        if call.answer.executed == "no" and call.executions:
+            faults.append(f"'no' after an execution: {call}")
+        if call.answer.status == 200 and call.executions != 1:
+            faults.append(f"an answer without an execution: {call}")
+    for action, own in calls_by_action.items():
+        bodies = {call.answer.body for call in own if call.answer.status == 200}
+        if len(bodies) > 1:
+            faults.append(f"{action} has different answers: {own}")
+        if {call.answer.executed for call in own} == {"no"}:
+            if executions_by_action[action]:
+                faults.append(f"{action} ran though each answer says 'no': {own}")
+    return faults
+
+
+class ActionCaller:
+    """Send keyed actions, and send them again through other hosts."""
+
+    def __init__(self, system, seed):
+        self.calls: list[ActionCall] = []
+        self._system = system
+        self._rng = random.Random(seed)
+
+    def executions_by_action(self):
+        return collections.Counter(
+            body
+            for plain in self._system.plain_by_id.values()
+            for method, _, body in plain.executions
+            if method == "POST"
+        )
+
+    def call(self, service, action, host_id):
+        address = self._system.callers_address(host_id)
+        path = f"/services/{service}/reserve"
+        headers = {"Idempotency-Key": f"key-{action}"}
+        answer = processes.send(address, "POST", path, action, headers)
+        done = self.executions_by_action()[f'"{action}"']
+        self.calls.append(ActionCall(f'"{action}"', host_id, answer, done))
+        return answer
+
+    def act(self, index, service, resends):
+        """Send an action until it has an answer, at most ``resends`` times more."""
+        action = f"{service}-{index}"
+        hosts = list(processes.HOSTS)
+        self._rng.shuffle(hosts)
+        if index % 3 == 0:
+            # Two copies at once: a caller whose first connection seems dead.
+            copy = gevent.spawn(self.call, service, action, hosts[1])
+            self.call(service, action, hosts[0])
+            copy.join()
+        for number in range(resends + 1):
+            answer = self.call(service, action, hosts[number % len(hosts)])
+            if answer.status == 200:
+                break
+            gevent.sleep(0.2)
+        # The resend after the answer must get the same one.
+        self.call(service, action, hosts[-1])
+
+
+def test_keyed_actions_run_at_most_once_while_the_leader_is_killed(system):
+    # Guards against a second execution after a lost answer, a lost claim or an
+    # election, and against "executed: no" for an action that ran.
+    caller = ActionCaller(system, SEED)
+    leader = system.wait_for_name(system.leader)
+    work = []
+    for index in range(60):
+        service = processes.SECOND_PLAIN if index % 4 == 3 else processes.PLAIN
+        resends = 0 if index % 5 == 4 else 8
+        work.append(
+            gevent.spawn_later(index * 0.05, caller.act, index, service, resends)
+        )
+    system.wait_until(lambda: len(caller.calls) > 15, "calls before the kill")
+    system.kill_host(leader)
+    system.wait_until(lambda: len(caller.calls) > 60, "calls after the kill")
+    # Its only server goes, so that calls are refused with executed "no".
+    system.plain_by_id[f"{processes.SECOND_PLAIN}-0"].stop()
+    gevent.joinall(work, raise_error=True)
+    executions = caller.executions_by_action()
+    assert faults_of_actions(caller.calls, executions) == []
+    executed = collections.Counter(call.answer.executed for call in caller.calls)
+    print(f"actions: {len(executions)} executed, answers {dict(executed)}")
+    assert executions and executed["no"] and executed[""]
+
+
+def test_the_check_of_keyed_actions_finds_broken_promises():
+    # Guards against a check that cannot fail.
+    said_no = processes.Answer(503, b'{"executed": "no"}')
+    done = processes.Answer(200, b"1")
+    other = processes.Answer(200, b"2")
+    for calls, count in (
+        ([ActionCall("a", "host-1", done, 1)], 2),
+        ([ActionCall("a", "host-1", said_no, 1)], 1),
+        ([ActionCall("a", "host-1", said_no, 0)], 1),
+        ([ActionCall("a", "host-1", done, 0)], 0),
+        ([ActionCall("a", "host-1", one, 1) for one in (done, other)], 1),
+    ):
+        assert faults_of_actions(calls, collections.Counter({"a": count}))
+    calls = [ActionCall("a", "host-1", done, 1)]
+    assert faults_of_actions(calls, collections.Counter({"a": 1})) == []
+
+
+class VersionWatch:
+    """Poll the version in force at each ready host, and keep the histories."""
+
+    def __init__(self, system):
+        self.versions_by_host = collections.defaultdict(list)
+        self._system = system
+        self._greenlet = gevent.spawn(self._run)
+
+    def _run(self):
+        while True:
+            for host_id in self._system.running_ids():
+                if not self._system.is_ready(host_id):
+                    continue
+                version = self._system.status(host_id).get("version")
+                if version is not None:
+                    self.versions_by_host[host_id].append(version)
+            gevent.sleep(0.05)
+
+    def end(self):
+        """Stop to poll and return the histories."""
+        self._greenlet.kill()
+        return dict(self.versions_by_host)
+
+
+def fallen_versions(versions_by_host):
+    """Return the hosts at which a later version was below an earlier one."""
+    return [
+        host_id
+        for host_id, versions in versions_by_host.items()
+        if versions != sorted(versions)
+    ]
+
+
+def placement_text(note):
+    return processes.sheet_text(MODELS, min_places=2, note=note)
+
+
+def wait_for_version(system, host_id, version):
+    system.wait_until(
+        lambda: system.status(host_id).get("version", 0) >= version,
+        f"version {version} at {host_id}: {system.output_of(host_id)[-2000:]}",
+    )
+
+
+def test_a_killed_host_comes_back_with_its_folder(system):
+    # Guards against a host that loses a synced configuration, or misses what was
+    # accepted while it was down, after a SIGKILL.
+    watch = VersionWatch(system)
+    victim = system.wait_for_name(system.leader)
+    before = system.submit_until_accepted(placement_text(1))
+    system.kill_host(victim)
+    after = system.submit_until_accepted(placement_text(2))
+    assert after["version"] > before["version"]
+    system.start_host(victim)
+    wait_for_version(system, victim, after["version"])
+    last = system.submit_until_accepted(placement_text(3))
+    wait_for_version(system, victim, last["version"])
+    versions_by_host = watch.end()
+    assert fallen_versions(versions_by_host) == []
+    assert set(versions_by_host) == set(processes.HOSTS)
+    system.wait_until_all_placed(last["version"])
+
+
+def test_a_host_with_an_emptied_folder_joins_and_votes_again(system):
+    # Guards against a replaced disk: the host must get the configuration from the
+    # others and become a voter again, so that the loss of a second host is borne.
+    watch = VersionWatch(system)
+    before = system.submit_until_accepted(placement_text(4))
+    leader = system.wait_for_name(system.leader)
+    victim, other = [name for name in processes.HOSTS if name != leader]
+    system.kill_host(victim)
+    system.empty_folder(victim)
+    system.start_host(victim)
+    wait_for_version(system, victim, before["version"])
+    after = system.submit_until_accepted(placement_text(5))
+    wait_for_version(system, victim, after["version"])
+    lost = voterset.make_identity(victim, host.FIRST_DISK_ID)
+
+    def is_replaced():
+        voters = [system.voters_on_disk(name) for name in (leader, other, victim)]
+        return all(len(one) == 3 and lost not in one for one in voters)
+
+    system.wait_until(is_replaced, f"{victim} among the voters again")
+    system.kill_host(other)
+    last = system.submit_until_accepted(placement_text(6))
+    wait_for_version(system, victim, last["version"])
+    assert fallen_versions(watch.end()) == []
+    assert last["version"] > after["version"] > before["version"]
+
+
+def test_the_check_of_versions_finds_a_fallen_one():
+    # Guards against a check that cannot fail.
+    assert fallen_versions({"host-1": [1, 2, 1]}) == ["host-1"]
+    assert fallen_versions({"host-1": [1, 1, 2]}) == []
+
+
+def submit_and_drop(system, host_id, body):
+    """Submit a sheet and close the connection before the answer can be read."""
+    host, _, port = system.admin_address(host_id).rpartition(":")
+    data = json.dumps(body).encode()
+    head = (
+        f"POST /admin/v1/sheet HTTP/1.1\r\nHost: {host}\r\n"
+        f"Authorization: Bearer {demosystem.OPERATE_TOKEN}\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n"
+    )
+    connection = gevent.socket.create_connection((host, int(port)))
+    connection.sendall(head.encode() + data)
+    # The host has the whole request; its answer goes nowhere.
+    gevent.sleep(0.02)
+    connection.close()
+
+
+def test_one_of_two_sheets_under_one_number_wins_everywhere(system):
+    # Guards against two operators who both believe that their sheet is in force, and
+    # against a resend that is taken for a second submission.
+    history_by_digest = {}
+    outcomes = collections.Counter()
+    for round_number in range(6):
+        follows = system.status("host-1")["version"]
+        for host_id in processes.HOSTS:
+            wait_for_version(system, host_id, follows)
+        first, second = (placement_text(10 + 2 * round_number + i) for i in (0, 1))
+        body = {"follows": follows, "sheet": first}
+        rival = {"follows": follows, "sheet": second}
+        hosts = [processes.HOSTS[(round_number + i) % 3] for i in range(3)]
+        dropped = gevent.spawn(submit_and_drop, system, hosts[0], body)
+        kept = gevent.spawn(system.admin, hosts[1], "POST", "sheet", rival)
+        gevent.joinall([dropped, kept], raise_error=True)
+        resent = system.admin(hosts[2], "POST", "sheet", body)
+        again = system.admin(hosts[0], "POST", "sheet", body)
+        answers = [resent, again, kept.value]
+        assert again.body == resent.body
+        statuses = [answer.status for answer in answers]
+        assert statuses in ([200, 200, 409], [409, 409, 200]), answers
+        winner = next(answer for answer in answers if answer.status == 200).json()
+        assert winner["version"] == follows + 1
+        loser = next(answer for answer in answers if answer.status == 409).json()
+        assert loser["code"] == "version-conflict"
+        assert winner["digest"] in loser["detail"]
+        outcomes["dropped won" if resent.status == 200 else "kept won"] += 1
+        history_by_digest[winner["digest"]] = winner["version"]
+        for host_id in processes.HOSTS:
+            wait_for_version(system, host_id, follows + 1)
+            sheet = system.admin(host_id, "GET", "sheet").json()
+            assert (sheet["version"], sheet["digest"]) == (
+                winner["version"],
+                winner["digest"],
+            )
+    print(f"submissions: {dict(outcomes)}")
+    for host_id in processes.HOSTS:
+        rows = system.admin(host_id, "GET", "history").json()["versions"]
+        known = {row["digest"]: row["version"] for row in rows}
+        assert history_by_digest.items() <= known.items()
+        assert len({row["version"] for row in rows}) == len(rows)
+
+
+# Orders
+
+
+def faults_of_orders(orders, fence):
+    """Return what a paused owner and its successor did wrong."""
+    faults = [
+        f"an order under an old fence: {order}"
+        for order in orders
+        if order.phase == "resumed" and order.fence < fence
+    ]
+    meanings = {}
+    for order in orders:
+        meaning = (order.backend_id, order.action, order.item)
+        if meanings.setdefault(order.order_id, meaning) != meaning:
+            faults.append(f"one id for two orders: {order}")
+    return faults
+
+
+def changing_text(number):
+    """Return a sheet whose models share the engines' memory with no earlier one."""
+    names_by_service = {
+        service: [f"{service}-{number}-{index}" for index in range(6)]
+        for service in (processes.CHECKING, processes.IGNORING)
+    }
+    return processes.sheet_text(names_by_service, memory_mb=12_000)
+
+
+def test_a_paused_placement_owner_issues_no_order_after_its_successor(system):
+    # Guards against an owner that wakes up after a pause and goes on as before: its
+    # orders would overcommit memory, above all at engines that ignore fences.
+    history = system.orders
+    owner = system.wait_for_name(system.owner)
+    fence = system.status(owner)["fence"]
+    history.phase = "changing"
+    start = len(history.orders)
+    system.submit_until_accepted(changing_text(0))
+    system.wait_until(lambda: len(history.orders) >= start + 3, "orders to interrupt")
+    system.pause_host(owner)
+    history.phase = "paused"
+    try:
+        system.wait_until(lambda: system.owner() not in ("", owner), "another owner")
+    except TimeoutError as error:
+        raise AssertionError(system.describe()) from error
+    new_fence = system.status(system.owner())["fence"]
+    assert new_fence > fence
+    system.submit_until_accepted(changing_text(1))
+    system.wait_until(
+        lambda: any(order.fence >= new_fence for order in history.orders[start:]),
+        "an order of the successor",
+    )
+    history.phase = "resumed"
+    system.resume_host(owner)
+    system.wait_until(
+        lambda: system.status(owner).get("fence", 0) >= new_fence,
+        "the paused host to know its successor",
+    )
+    last = system.submit_until_accepted(changing_text(2))
+    for host_id in processes.HOSTS:
+        wait_for_version(system, host_id, last["version"])
+    # Ten reports of an engine are a time in which a wrong order would arrive.
+    engine = system.engines_by_id["ignoring-0"]
+    end = engine._sequence + 10
+    system.wait_until(
+        lambda: engine._sequence >= end and history.orders[-1].phase == "resumed",
+        "an order and reports after the pause",
+    )
+    orders = history.orders[start:]
+    assert faults_of_orders(orders, new_fence) == []
+    assert system.overcommitted() == []
+    phases = collections.Counter((order.phase, order.fence) for order in orders)
+    print(f"orders by phase and fence: {dict(phases)}")
+
+
+def test_the_check_of_orders_finds_an_old_fence():
+    # Guards against a check that cannot fail.
+    body = {"order_id": "1", "fence": 1, "action": "load", "item": "model:a:1"}
+    order = processes.OrderSeen("engine-1", body, "resumed")
+    other = processes.OrderSeen("engine-2", body, "paused")
+    assert faults_of_orders([order], 2)
+    assert faults_of_orders([order, other], 1)
+    assert faults_of_orders([order], 1) == []
+
+
+def test_a_host_that_starts_late_becomes_a_placement_voter():
+    # Guards against a placement group that was formed by two of three configured
+    # voters and stays so: it has no successor for a paused owner.
+    system = processes.ProcessSystem(SEED)
+    try:
+        system.start(late=("host-3",))
+        text = processes.sheet_text(MODELS)
+        system.wait_until_all_placed(system.submit_until_accepted(text)["version"])
+        owner = system.wait_for_name(system.owner)
+        system.heal()
+        # A host that may join does so within a few heartbeats.
+        engine = system.engines_by_id["ignoring-0"]
+        end = engine._sequence + 12
+        system.wait_until(lambda: engine._sequence >= end, "reports of an engine")
+        system.pause_host(owner)
+        end = engine._sequence + 30
+        system.wait_until(
+            lambda: system.owner() not in ("", owner) or engine._sequence >= end,
+            "another owner, or many reports",
+        )
+        assert system.owner() not in ("", owner), system.describe()
+    finally:
+        system.stop()
+
+
+# Streams
+
+STREAM_TOKENS = 160
+STREAMS = 12
+PROMPT = "tell it all"
+
+
+class StreamCall:
+    """Hold one streamed completion: where it went and what was wrong with it."""
+
+    def __init__(self, host_id, model, prompt, answer):
+        self.host_id = host_id
+        self.answer = answer
+        self.text, self.is_complete = "", False
+        if answer.status == 200:
+            self.text, self.is_complete = demo.streamed_text(answer.body)
+        self.expected = "".join(fakes.tokens_for(model, prompt, STREAM_TOKENS))
+
+    def fault(self):
+        """Return what breaks the promise of a complete response, or nothing."""
+        if self.is_complete and self.text == self.expected:
+            return ""
+        return f"{self.host_id}: {self.answer}, {len(self.text)} characters"
+
+
+def stream(system, host_id, model, prompt):
+    body = {
+        "model": model,
+        "prompt": prompt,
+        "max_tokens": STREAM_TOKENS,
+        "stream": True,
+    }
+    address = system.callers_address(host_id)
+    answer = processes.send(address, "POST", "/v1/completions", body)
+    return StreamCall(host_id, model, prompt, answer)
+
+
+class StreamLoad:
+    """Keep a number of streams in flight through the hosts in rotation."""
+
+    def __init__(self, system, models, seed):
+        self.calls = []
+        self.in_flight = collections.Counter()
+        self.rotation = set(processes.HOSTS)
+        self._system = system
+        self._models = models
+        self._rng = random.Random(seed)
+        self._is_ending = False
+        self._greenlets = [gevent.spawn(self._run, index) for index in range(STREAMS)]
+
+    def _run(self, index):
+        while not self._is_ending:
+            host_id = self._rng.choice(sorted(self.rotation))
+            model = self._rng.choice(self._models)
+            prompt = f"{PROMPT} {index} {len(self.calls)}"
+            self.in_flight[host_id] += 1
+            self.calls.append(stream(self._system, host_id, model, prompt))
+            self.in_flight[host_id] -= 1
+
+    def end(self):
+        """Let all streams end and return the calls."""
+        self._is_ending = True
+        gevent.joinall(self._greenlets, raise_error=True)
+        return self.calls
+
+
+def settle_models(system):
+    accepted = system.submit_until_accepted(placement_text(30))
+    system.wait_until_all_placed(accepted["version"])
+    return MODELS[processes.CHECKING] + MODELS[processes.IGNORING]
+
+
+def test_planned_stops_cut_off_no_stream(system):
+    # Guards against a planned stop that interrupts a request in flight, and against
+    # one that ends with an error.
+    load = StreamLoad(system, settle_models(system), SEED)
+    try:
+        for host_id in processes.HOSTS:
+            system.wait_until(
+                lambda name=host_id: load.in_flight[name] > 1, "streams to interrupt"
+            )
+            # The load balancer sends nothing more; what is in flight must go on.
+            load.rotation.discard(host_id)
+            in_flight = load.in_flight[host_id]
+            assert system.end_host(host_id) == 0, system.output_of(host_id)[-2000:]
+            print(f"stopped: {host_id} with {in_flight} streams in flight")
+            system.heal()
+            load.rotation.add(host_id)
+    finally:
+        calls = load.end()
+    # A refusal before the first token is a complete answer; it interrupts nothing.
+    refused = [call for call in calls if call.answer.status in (429, 503)]
+    begun = [call for call in calls if call not in refused]
+    assert [call.fault() for call in begun if call.fault()] == []
+    assert len(begun) > len(refused)
+    print(f"streams: {len(begun)} complete, {len(refused)} refused")
+
+
+def test_a_host_that_is_ready_refuses_no_model_that_is_loaded(system):
+    # Guards against a restarted host that reports itself ready before it knows what
+    # the backend servers have loaded, and so refuses what the load balancer sends it.
+    models = settle_models(system)
+    answers = []
+    for host_id in processes.HOSTS:
+        assert system.end_host(host_id) == 0
+        system.heal()
+        answers += [stream(system, host_id, model, PROMPT) for model in models]
+    assert [call.fault() for call in answers if call.fault()] == []
+
+
+def test_a_stream_that_hangs_is_resumed_at_the_next_token(system):
+    # Guards against a caller that waits for a dead connection, and against tokens
+    # that are lost or doubled where another engine takes over.
+    model = settle_models(system)[0]
+    holders = [
+        engine
+        for engine in system.engines_by_id.values()
+        if any(item.name == model for item in engine._loaded)
+    ]
+    assert len(holders) > 1
+    rng = random.Random(SEED)
+    calls = []
+    hanging = holders[0]
+    before = hanging.hung
+    try:
+        for _ in range(8):
+            hanging.hang_at = rng.randrange(STREAM_TOKENS)
+            # At the same time, before the breakers of the hosts open.
+            batch = [
+                gevent.spawn(stream, system, host_id, model, f"{PROMPT} {index}")
+                for index, host_id in enumerate(processes.HOSTS * 2)
+            ]
+            gevent.joinall(batch, raise_error=True)
+            calls += [greenlet.value for greenlet in batch]
+            if hanging.hung - before >= 5:
+                break
+    finally:
+        hanging.hang_at = None
+    assert hanging.hung > before
+    assert [call.fault() for call in calls if call.fault()] == []
+    print(f"streams: {len(calls)} complete, {hanging.hung - before} resumed")
+
+
+def test_the_check_of_streams_finds_a_lost_or_doubled_token():
+    # Guards against a check that cannot fail.
+    tokens = fakes.tokens_for("alpha", PROMPT, STREAM_TOKENS)
+    for faulty, end in (
+        (tokens[:-1], True),
+        ([tokens[0], *tokens], True),
+        (tokens, False),
+    ):
+        assert StreamCall("host-1", "alpha", PROMPT, event_stream(faulty, end)).fault()
+    whole = event_stream(tokens, True)
+    assert not StreamCall("host-1", "alpha", PROMPT, whole).fault()
+
+
+def event_stream(tokens, has_end):
+    events = [json.dumps({"choices": [{"text": token}]}).encode() for token in tokens]
+    events += [b"[DONE]"] if has_end else []
+    return processes.Answer(200, b"".join(b"data: %s\n\n" % one for one in events))
+
+
+# Commands of operators
+
+
+def run_commands(system, host_id, *commands):
+    """Run commands of an operator against a host, all at the same time."""
+    options = ("--admin", system.admin_address(host_id))
+    options += ("--token", demosystem.OPERATE_TOKEN)
+    greenlets = [
+        gevent.spawn(processes.run_command, *command, *options) for command in commands
+    ]
+    gevent.joinall(greenlets, raise_error=True)
+    return [greenlet.value for greenlet in greenlets]
+
+
+def test_commands_of_operators_against_a_running_host(system, tmp_path):
+    # Guards against commands that work only against the application in one process,
+    # and against exit codes that a script cannot rely on.
+    model = settle_models(system)[0]
+    version = system.status("host-2")["version"]
+    taken = tmp_path / "taken.ini"
+    taken.write_text(placement_text(31))
+    follows = ("--follows", str(version - 1))
+    status, as_json, history, explain, unknown, conflict, wrong = run_commands(
+        system,
+        "host-2",
+        ("status",),
+        ("status", "--json"),
+        ("sheet", "history"),
+        ("explain", model),
+        ("explain", "no-such-model"),
+        ("sheet", "submit", str(taken), *follows),
+        ("sheet", "submit", str(tmp_path / "absent.ini")),
+    )
+    assert [status.code, as_json.code, history.code, explain.code] == [0, 0, 0, 0]
+    assert f"configuration version {version}" in status.output
+    assert json.loads(as_json.output)["without_replica"] == []
+    versions = [int(line.split()[0]) for line in history.output.splitlines()]
+    assert versions == sorted(set(versions)) and versions[-1] == version
+    assert "replica on" in explain.output
+    assert (unknown.code, unknown.output) == (1, "")
+    assert (conflict.code, wrong.code) == (3, 2)
+    assert system.status("host-2")["version"] == version
+
+
+def test_commands_report_refused_and_unreachable_hosts(system):
+    # Guards against a failed command that a script takes for a success.
+    admin = system.admin_address("host-1")
+    commands = [
+        ("status", "--admin", admin, "--token", "wrong"),
+        ("drain", "x", "--admin", admin, "--token", demosystem.READ_TOKEN),
+        ("drain", "x", "--admin", admin, "--token", demosystem.OPERATE_TOKEN),
+        ("status", "--admin", demosystem.free_address(), "--token", "wrong"),
+        ("status", "--no-such-option"),
+    ]
+    greenlets = [gevent.spawn(processes.run_command, *one) for one in commands]
+    gevent.joinall(greenlets, raise_error=True)
+    results = [greenlet.value for greenlet in greenlets]
+    assert [result.code for result in results] == [1, 1, 1, 4, 2]
+    assert all(result.errors and not result.output for result in results)
+
+
+def test_a_drained_backend_server_gets_no_new_work(system):
+    # Guards against a drain that the next announcement of the backend server undoes.
+    model = settle_models(system)[0]
+    name = next(
+        engine.backend_id
+        for engine in system.engines_by_id.values()
+        if any(item.name == model for item in engine._loaded)
+    )
+    engine = system.engines_by_id[name]
+    (result,) = run_commands(system, "host-3", ("drain", name))
+    assert result.code == 0 and "leaving" in result.output, result.errors
+
+    def states():
+        return {
+            row["state"]
+            for host_id in processes.HOSTS
+            for row in system.status(host_id)["backend_servers"]
+            if row["backend_id"] == name
+        }
+
+    system.wait_until(lambda: states() == {"leaving"}, "leaving at each host")
+    start, sequence = engine.streams, engine._sequence
+    calls = []
+    while engine._sequence < sequence + 6:
+        for host_id in processes.HOSTS:
+            calls.append(stream(system, host_id, model, PROMPT))
+    assert [call.fault() for call in calls if call.fault()] == []
+    assert engine.streams == start
+    assert states() == {"leaving"}
