Let owners of several data centres leave out different models

Cause: each data centre's owner plans alone. With memory for all models but one, owners could leave out the same one, and it was placed nowhere until an eviction freed memory, about 65 s later. Ruled out: lost reports or summaries; every host agreed on what was loaded. Change: where memory is short, each owner places first the models whose turn it is there, by the rank that also decides who keeps a last replica.

--- a/kumquatproxy/placementcontrol.py
+++ b/kumquatproxy/placementcontrol.py
@@ -56,6 +56,10 @@
         self._context = context
         self._host_id: str = settings.host.id
         self._data_centre: str = settings.host.data_centre
+        peers = settings.peers_by_id.values()
+        self._data_centres = sorted(
+            {self._data_centre, *(peer.data_centre for peer in peers)}
+        )
         self._store_factory = store_factory
         self._identity: str = identity
         self._rng = rng
@@ -220,6 +224,7 @@
             self._open_intents(engine),
             self._context.centres_by_item(),
             self._budget.left(now),
+            self._data_centres,
         )
         rates = {self._data_centre: self.predictor.rates(now)}
         weights = placementplan.weights_of(sheet)
--- a/kumquatproxy/placementcover.py
+++ b/kumquatproxy/placementcover.py
@@ -49,7 +49,8 @@
     def _ordered(self, groups):
         """Return the groups by memory, best fit decreasing, if memory is ample.
 
-        Otherwise the priority comes first.
+        Otherwise the models whose turn it is in this data centre come first, then the
+        priority: owners of several data centres then leave out different models.
         """
         layout = self._layout
         missing = [group for group in groups if not layout.centres_of(group.item)]
@@ -57,7 +58,13 @@
         free_mb = sum(slot.free_mb for slot in layout.slots.values() if slot.usable)
         if need_mb > CRAMPED * free_mb:
             return sorted(
-                groups, key=lambda g: (-g.priority, -g.memory_mb, g.item.key())
+                groups,
+                key=lambda g: (
+                    placementroom.turn(layout, g),
+                    -g.priority,
+                    -g.memory_mb,
+                    g.item.key(),
+                ),
             )
         return sorted(groups, key=lambda g: (-g.memory_mb, -g.priority, g.item.key()))
 
--- a/kumquatproxy/placementlayout.py
+++ b/kumquatproxy/placementlayout.py
@@ -125,6 +125,7 @@
     def __init__(self, catalogue, backends, current, rate_per_accelerator=1.0):
         self.catalogue: Catalogue = catalogue
         self.elsewhere = current.elsewhere
+        self.all_data_centres = current.data_centres
         self.actions: list[placementplan.Action] = []
         self.slots: dict[str, Slot] = {}
         self.holders: dict[records.Item, dict[str, dict[str, Slot]]] = {}
--- a/kumquatproxy/placementplan.py
+++ b/kumquatproxy/placementplan.py
@@ -27,17 +27,25 @@
     """Hold the placement as it is: loaded items and open intents.
 
     ``elsewhere`` names the data centres, other than those of the given backend
-    servers, that have an item loaded.
+    servers, that have an item loaded; ``data_centres`` names all that take part.
     """
 
-    __slots__ = ("elsewhere", "intents", "loaded", "move_budget")
+    __slots__ = ("data_centres", "elsewhere", "intents", "loaded", "move_budget")
 
-    def __init__(self, loaded=None, intents=(), elsewhere=None, move_budget=1000):
+    def __init__(
+        self,
+        loaded=None,
+        intents=(),
+        elsewhere=None,
+        move_budget=1000,
+        data_centres=(),
+    ):
         self.loaded: dict[str, dict[records.Item, int]] = loaded or {}
         self.intents: tuple[Intent, ...] = tuple(intents)
         self.elsewhere: dict[records.Item, tuple[str, ...]] = elsewhere or {}
         # Loads that only serve demand; restoring a lost replica needs no budget.
         self.move_budget: int = move_budget
+        self.data_centres: tuple[str, ...] = tuple(data_centres)
 
 
 class Weights(records.Record):
--- a/kumquatproxy/placementroom.py
+++ b/kumquatproxy/placementroom.py
@@ -13,6 +13,20 @@
     return zlib.crc32(f"{item.key()}/{data_centre}".encode())
 
 
+def turn(layout, group) -> int:
+    """Return the position of the planned data centre among all for a model.
+
+    It is 0 for all models if the plan is for all data centres.
+    """
+    own = layout.data_centres(group.service)
+    if len(own) != 1 or own[0] not in layout.all_data_centres:
+        return 0
+    order = sorted(
+        layout.all_data_centres, key=lambda centre: (rank(group.item, centre), centre)
+    )
+    return order.index(own[0])
+
+
 def is_surplus(layout, slot, base, level) -> bool:
     """Return whether a model version can leave a slot with its adapters.
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -10,6 +10,7 @@
     placementcheck,
     placementplan,
     records,
+    samples,
     sheet,
 )
 
@@ -360,3 +361,32 @@
     assert placement.PLANNERS.aliases() == ["balanced", "lru", "static-even"]
     with pytest.raises(errors.ProxyError, match="did you mean 'balanced'"):
         placement.PLANNERS.get("balance")
+
+
+def test_owners_of_full_data_centres_leave_out_different_models():
+    # Guards against owners that plan alone, each for memory that holds all models but
+    # one, and all leave out the same one.
+    parsed = sheet.parse(samples.generate("port-louis"))
+    names = ("dc-1", "dc-2", "dc-3")
+    held = set()
+    for name in names:
+        servers = [
+            records.BackendServer(
+                f"{name}-{index}",
+                "127.0.0.1:1",
+                name,
+                "engine",
+                "gait-models",
+                1,
+                80_000,
+            )
+            for index in (0, 1)
+        ]
+        current = placementplan.Current(data_centres=names)
+        planner = placement.PLANNERS.get("balanced")()
+        weights = placementplan.weights_of(parsed)
+        plan = planner.plan(parsed, servers, {}, current, weights)
+        assert plan.not_fitting
+        for items in plan.target.values():
+            held |= items
+    assert held == set(parsed.memory_by_item())
