Give the routing table the reports that came before an announcement

Cause: a host that has just started may get a load report through the tree before the announcement of its backend server. The report was kept for the status view, but not passed to the routing table and the order engine, so the model counted as loaded nowhere until the next report. Change: a new or changed announcement brings the stored report along; both takers discard it if they have a newer one.

--- a/kumquatproxy/control.py
+++ b/kumquatproxy/control.py
@@ -382,6 +382,11 @@
         self._member_log.write(now, f"backend server {server.backend_id} is {state}")
         self.dispatcher.update_server(server, now)
         self._live_ids.add(server.backend_id)
+        # At a host that has just started, a report may arrive before the announcement.
+        report = self.reports.reports_by_id.get(server.backend_id)
+        if report is not None:
+            self.dispatcher.table.report(report, now)
+            self.placement.observe(report)
 
     def _on_report(self, message, now, reply):
         if self.reports.accept(message.report, now):
