Run the test of the paused owner last

Change: that test goes last, the others wait for two replicas of each model, and refused callers of the streaming load wait like Retry-After says. Conclusion: the order of the tests was wrong.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -317,114 +317,6 @@
         assert len({row["version"] for row in rows}) == len(rows)
 
 
-# Orders
-
-
-def faults_of_orders(orders, fence):
-    """Return what a paused owner and its successor did wrong."""
-    faults = [
-        f"an order under an old fence: {order}"
-        for order in orders
-        if order.phase == "resumed" and order.fence < fence
-    ]
-    meanings = {}
-    for order in orders:
-        meaning = (order.backend_id, order.action, order.item)
-        if meanings.setdefault(order.order_id, meaning) != meaning:
-            faults.append(f"one id for two orders: {order}")
-    return faults
-
-
-def changing_text(number):
-    """Return a sheet whose models share the engines' memory with no earlier one."""
-    names_by_service = {
-        service: [f"{service}-{number}-{index}" for index in range(6)]
-        for service in (processes.CHECKING, processes.IGNORING)
-    }
-    return processes.sheet_text(names_by_service, memory_mb=12_000)
-
-
-def test_a_paused_placement_owner_issues_no_order_after_its_successor(system):
-    # Guards against an owner that wakes up after a pause and goes on as before: its
-    # orders would overcommit memory, above all at engines that ignore fences.
-    history = system.orders
-    owner = system.wait_for_name(system.owner)
-    fence = system.status(owner)["fence"]
-    history.phase = "changing"
-    start = len(history.orders)
-    system.submit_until_accepted(changing_text(0))
-    system.wait_until(lambda: len(history.orders) >= start + 3, "orders to interrupt")
-    system.pause_host(owner)
-    history.phase = "paused"
-    try:
-        system.wait_until(lambda: system.owner() not in ("", owner), "another owner")
-    except TimeoutError as error:
-        raise AssertionError(system.describe()) from error
-    new_fence = system.status(system.owner())["fence"]
-    assert new_fence > fence
-    system.submit_until_accepted(changing_text(1))
-    system.wait_until(
-        lambda: any(order.fence >= new_fence for order in history.orders[start:]),
-        "an order of the successor",
-    )
-    history.phase = "resumed"
-    system.resume_host(owner)
-    system.wait_until(
-        lambda: system.status(owner).get("fence", 0) >= new_fence,
-        "the paused host to know its successor",
-    )
-    last = system.submit_until_accepted(changing_text(2))
-    for host_id in processes.HOSTS:
-        wait_for_version(system, host_id, last["version"])
-    # Ten reports of an engine are a time in which a wrong order would arrive.
-    engine = system.engines_by_id["ignoring-0"]
-    end = engine._sequence + 10
-    system.wait_until(
-        lambda: engine._sequence >= end and history.orders[-1].phase == "resumed",
-        "an order and reports after the pause",
-    )
-    orders = history.orders[start:]
-    assert faults_of_orders(orders, new_fence) == []
-    assert system.overcommitted() == []
-    phases = collections.Counter((order.phase, order.fence) for order in orders)
-    print(f"orders by phase and fence: {dict(phases)}")
-
-
-def test_the_check_of_orders_finds_an_old_fence():
-    # Guards against a check that cannot fail.
-    body = {"order_id": "1", "fence": 1, "action": "load", "item": "model:a:1"}
-    order = processes.OrderSeen("engine-1", body, "resumed")
-    other = processes.OrderSeen("engine-2", body, "paused")
-    assert faults_of_orders([order], 2)
-    assert faults_of_orders([order, other], 1)
-    assert faults_of_orders([order], 1) == []
-
-
-def test_a_host_that_starts_late_becomes_a_placement_voter():
-    # Guards against a placement group that was formed by two of three configured
-    # voters and stays so: it has no successor for a paused owner.
-    system = processes.ProcessSystem(SEED)
-    try:
-        system.start(late=("host-3",))
-        text = processes.sheet_text(MODELS)
-        system.wait_until_all_placed(system.submit_until_accepted(text)["version"])
-        owner = system.wait_for_name(system.owner)
-        system.heal()
-        # A host that may join does so within a few heartbeats.
-        engine = system.engines_by_id["ignoring-0"]
-        end = engine._sequence + 12
-        system.wait_until(lambda: engine._sequence >= end, "reports of an engine")
-        system.pause_host(owner)
-        end = engine._sequence + 30
-        system.wait_until(
-            lambda: system.owner() not in ("", owner) or engine._sequence >= end,
-            "another owner, or many reports",
-        )
-        assert system.owner() not in ("", owner), system.describe()
-    finally:
-        system.stop()
-
-
 # Streams
 
 STREAM_TOKENS = 160
@@ -481,8 +373,11 @@
             model = self._rng.choice(self._models)
             prompt = f"{PROMPT} {index} {len(self.calls)}"
             self.in_flight[host_id] += 1
-            self.calls.append(stream(self._system, host_id, model, prompt))
+            call = stream(self._system, host_id, model, prompt)
+            self.calls.append(call)
             self.in_flight[host_id] -= 1
+            if call.answer.status in (429, 503):
+                gevent.sleep(1.0)  # the least Retry-After
 
     def end(self):
         """Let all streams end and return the calls."""
@@ -491,9 +386,26 @@
         return self.calls
 
 
+def engines_with(system, model):
+    """Return the engines that have a model loaded by their own account."""
+    return [
+        engine
+        for engine in system.engines_by_id.values()
+        if any(item.name == model for item in engine._loaded)
+    ]
+
+
 def settle_models(system):
     accepted = system.submit_until_accepted(placement_text(30))
     system.wait_until_all_placed(accepted["version"])
+    system.wait_until(
+        lambda: all(
+            len(engines_with(system, name)) > 1
+            for names in MODELS.values()
+            for name in names
+        ),
+        "two replicas of each model",
+    )
     return MODELS[processes.CHECKING] + MODELS[processes.IGNORING]
 
 
@@ -677,3 +589,113 @@
     assert [call.fault() for call in calls if call.fault()] == []
     assert engine.streams == start
     assert states() == {"leaving"}
+
+
+# Last, because memory of a load is held for about a minute after it
+
+# Orders
+
+
+def faults_of_orders(orders, fence):
+    """Return what a paused owner and its successor did wrong."""
+    faults = [
+        f"an order under an old fence: {order}"
+        for order in orders
+        if order.phase == "resumed" and order.fence < fence
+    ]
+    meanings = {}
+    for order in orders:
+        meaning = (order.backend_id, order.action, order.item)
+        if meanings.setdefault(order.order_id, meaning) != meaning:
+            faults.append(f"one id for two orders: {order}")
+    return faults
+
+
+def changing_text(number):
+    """Return a sheet whose models share the engines' memory with no earlier one."""
+    names_by_service = {
+        service: [f"{service}-{number}-{index}" for index in range(6)]
+        for service in (processes.CHECKING, processes.IGNORING)
+    }
+    return processes.sheet_text(names_by_service, memory_mb=12_000)
+
+
+def test_a_paused_placement_owner_issues_no_order_after_its_successor(system):
+    # Guards against an owner that wakes up after a pause and goes on as before: its
+    # orders would overcommit memory, above all at engines that ignore fences.
+    history = system.orders
+    owner = system.wait_for_name(system.owner)
+    fence = system.status(owner)["fence"]
+    history.phase = "changing"
+    start = len(history.orders)
+    system.submit_until_accepted(changing_text(0))
+    system.wait_until(lambda: len(history.orders) >= start + 3, "orders to interrupt")
+    system.pause_host(owner)
+    history.phase = "paused"
+    try:
+        system.wait_until(lambda: system.owner() not in ("", owner), "another owner")
+    except TimeoutError as error:
+        raise AssertionError(system.describe()) from error
+    new_fence = system.status(system.owner())["fence"]
+    assert new_fence > fence
+    system.submit_until_accepted(changing_text(1))
+    system.wait_until(
+        lambda: any(order.fence >= new_fence for order in history.orders[start:]),
+        "an order of the successor",
+    )
+    history.phase = "resumed"
+    system.resume_host(owner)
+    system.wait_until(
+        lambda: system.status(owner).get("fence", 0) >= new_fence,
+        "the paused host to know its successor",
+    )
+    last = system.submit_until_accepted(changing_text(2))
+    for host_id in processes.HOSTS:
+        wait_for_version(system, host_id, last["version"])
+    # Ten reports of an engine are a time in which a wrong order would arrive.
+    engine = system.engines_by_id["ignoring-0"]
+    end = engine._sequence + 10
+    system.wait_until(
+        lambda: engine._sequence >= end and history.orders[-1].phase == "resumed",
+        "an order and reports after the pause",
+    )
+    orders = history.orders[start:]
+    assert faults_of_orders(orders, new_fence) == []
+    assert system.overcommitted() == []
+    phases = collections.Counter((order.phase, order.fence) for order in orders)
+    print(f"orders by phase and fence: {dict(phases)}")
+
+
+def test_the_check_of_orders_finds_an_old_fence():
+    # Guards against a check that cannot fail.
+    body = {"order_id": "1", "fence": 1, "action": "load", "item": "model:a:1"}
+    order = processes.OrderSeen("engine-1", body, "resumed")
+    other = processes.OrderSeen("engine-2", body, "paused")
+    assert faults_of_orders([order], 2)
+    assert faults_of_orders([order, other], 1)
+    assert faults_of_orders([order], 1) == []
+
+
+def test_a_host_that_starts_late_becomes_a_placement_voter():
+    # Guards against a placement group that was formed by two of three configured
+    # voters and stays so: it has no successor for a paused owner.
+    system = processes.ProcessSystem(SEED)
+    try:
+        system.start(late=("host-3",))
+        text = processes.sheet_text(MODELS)
+        system.wait_until_all_placed(system.submit_until_accepted(text)["version"])
+        owner = system.wait_for_name(system.owner)
+        system.heal()
+        # A host that may join does so within a few heartbeats.
+        engine = system.engines_by_id["ignoring-0"]
+        end = engine._sequence + 12
+        system.wait_until(lambda: engine._sequence >= end, "reports of an engine")
+        system.pause_host(owner)
+        end = engine._sequence + 30
+        system.wait_until(
+            lambda: system.owner() not in ("", owner) or engine._sequence >= end,
+            "another owner, or many reports",
+        )
+        assert system.owner() not in ("", owner), system.describe()
+    finally:
+        system.stop()
