--- a/kumquatproxy/control.py
+++ b/kumquatproxy/control.py
@@ -40,6 +40,8 @@
 SUBMIT_TIMEOUT_S = 8.0
 OWNER_LOST_TIMEOUT_S = 30.0
 GAUGE_INTERVAL_S = 5.0
+# Summaries of other data centres come each 2 s and are whole every 10 s.
+LEARNING_LIMIT_S = 12.0
 
 
 class Received(records.Record):
@@ -108,6 +110,7 @@
         self._claim_clock: tuple[int, claims.LeaderClock] | None = None
         self._published_revision = 0
         self._gauge_at = now
+        self._started_at = now
         self._live_ids: set[str] = set()
         self._remote_ids: set[str] = set()
         self._log = logs.Log("control")
@@ -189,12 +192,23 @@
         self._expire_servers(now)
         self._send_demand(now)
         self.placement.tick(now)
+        if not self._entry.knows_replicas and self.content is not None:
+            self._entry.knows_replicas = self._has_learned_replicas(now)
         if now >= self._gauge_at:
             self._gauge_at = now + GAUGE_INTERVAL_S
             missing = adminviews.names_without_replica(self, now)
             self._metrics.models_without_replica.set(len(missing))
         logs.flush()
 
+    def _has_learned_replicas(self, now):
+        """Return whether requests would be refused only for models not loaded.
+
+        Models without any replica must not keep a host out of service for long.
+        """
+        if now - self._started_at >= LEARNING_LIMIT_S:
+            return True
+        return not adminviews.names_without_replica(self, now)
+
     def _emit(self, outputs, now):
         for output in outputs:
             if isinstance(output, wire.Send):
@@ -370,6 +384,11 @@
         self._member_log.write(now, f"backend server {server.backend_id} is {state}")
         self.dispatcher.update_server(server, now)
         self._live_ids.add(server.backend_id)
+        # At a host that has just started, a report may arrive before the announcement.
+        report = self.reports.reports_by_id.get(server.backend_id)
+        if report is not None:
+            self.dispatcher.table.report(report, now)
+            self.placement.observe(report)
 
     def _on_report(self, message, now, reply):
         self._emit(self.peers.report(message.report, now), now)
--- a/kumquatproxy/entry.py
+++ b/kumquatproxy/entry.py
@@ -74,6 +74,7 @@
         self._max_body_bytes: int = max_body_bytes
         self.view = ConfigurationView()
         self.stopping = False
+        self.knows_replicas = False  # set when the first load reports have arrived
         self.active = 0  # requests whose answer has not been written yet
 
     def __call__(self, environ, start_response):
@@ -116,6 +117,10 @@
         if self.stopping:
             raise errors.ProxyError(errors.ErrorKind.STOPPING, "the host is stopping")
         self._sheet()
+        if not self.knows_replicas:
+            raise errors.ProxyError(
+                errors.ErrorKind.NOT_READY, "the first load reports are awaited"
+            )
         return httpapi.text_reply("ready\n")
 
     def _sheet(self):
--- a/kumquatproxy/groupsettings.py
+++ b/kumquatproxy/groupsettings.py
@@ -22,6 +22,7 @@
     """Hold the settings of one member."""
 
     __slots__ = (
+        "admitted_hosts",
         "chunk_bytes",
         "election_timeout_s",
         "group",
@@ -50,6 +51,7 @@
         chunk_bytes=CHUNK_BYTES,
         retained_entries=RETAINED_ENTRIES,
         learner_expiry_s=LEARNER_EXPIRY_S,
+        admitted_hosts=(),
     ):
         self.group: str = group
         self.identity: str = identity
@@ -63,6 +65,8 @@
         self.chunk_bytes: int = chunk_bytes
         self.retained_entries: int = retained_entries
         self.learner_expiry_s: float = learner_expiry_s
+        # Hosts that become voters when they join, without an operator's command.
+        self.admitted_hosts: tuple[str, ...] = tuple(admitted_hosts)
 
 
 class HardState(records.Record):
--- a/kumquatproxy/leadership.py
+++ b/kumquatproxy/leadership.py
@@ -288,16 +288,22 @@
         return voterset.Change(voterset.ChangeKind.PROMOTE, identity)
 
     def receive_join(self, message, now) -> None:
-        """Add a member that lost its disk or its memory as a learner."""
+        """Add a member that lost its disk or its memory as a learner.
+
+        A host that the settings admit is added as well if none of its identities is
+        a member.
+        """
         voter_set = self._member.voter_set
         identity = message.source
         replaced = voter_set.others_of_host(identity)
         lost = [name for name in replaced if name != self.settings.identity]
-        if not lost or identity in voter_set.members or not self.may_change():
+        is_admitted = voterset.host_of(identity) in self.settings.admitted_hosts
+        is_wanted = lost or (is_admitted and not replaced)
+        if not is_wanted or identity in voter_set.members or not self.may_change():
             return
         returning = set(lost) & {*voter_set.voters, *voter_set.promoting}
         kind = voterset.ChangeKind.ADD_LEARNER
-        if returning:
+        if returning or is_admitted:
             kind = voterset.ChangeKind.ADD_VOTER
         self._propose_if_possible(voterset.Change(kind, identity), now)
 
--- a/kumquatproxy/placementcontrol.py
+++ b/kumquatproxy/placementcontrol.py
@@ -119,7 +119,9 @@
         voter_set = voterset.VoterSet(voters.voters).encode() if is_first else b""
         state = groupsettings.bootstrap_state(voter_set, voters.base_fence)
         hosts = [voterset.host_of(identity) for identity in voters.voters]
-        settings = groupsettings.GroupSettings(group, self._identity, hosts)
+        settings = groupsettings.GroupSettings(
+            group, self._identity, hosts, admitted_hosts=self._voters
+        )
         store = self._store_factory(group, self._identity, state)
         member = consensus.Member(settings, store.state, self._rng, now)
         machine = placementstate.PlacementState(voters.base_fence)
