--- /dev/null
+++ b/kumquatproxy/capacity.py
@@ -0,0 +1,33 @@
+"""Check that the capacity page rests on figures that measurements print."""
+
+import re
+
+from kumquatproxy import measure
+
+FIGURES_COLUMN = "figures"
+_NAME = re.compile(r"`([a-z0-9_]+)`")
+
+
+def rows(page: str) -> list[set[str]]:
+    """Return the figure names of each row of the tables with a figures column."""
+    found = []
+    column = None
+    for line in page.splitlines():
+        cells = [cell.strip() for cell in line.strip().strip("|").split("|")]
+        if not line.startswith("|"):
+            column = None
+        elif FIGURES_COLUMN in cells:
+            column = cells.index(FIGURES_COLUMN)
+        elif column is not None and not set(line) <= set("|-: "):
+            found.append(set(_NAME.findall(cells[column])))
+    return found
+
+
+def coverage(page: str, printed: set[str]) -> list[measure.Figure]:
+    """Return how many rows there are, and how many rest on printed figures only."""
+    all_rows = rows(page)
+    measured = [names for names in all_rows if names and names <= printed]
+    return [
+        measure.Figure("capacity_rows", len(all_rows), low=1),
+        measure.Figure("capacity_rows_measured", len(measured), low=len(all_rows)),
+    ]
--- a/kumquatproxy/demo.py
+++ b/kumquatproxy/demo.py
@@ -166,8 +166,10 @@
     start = time.monotonic()
     system.submit_first()
     system.wait_until_placed()
-    placed_moves = system.moves()
     print(f"placed: every listed model after {time.monotonic() - start:.1f} s")
+    system.wait_until_settled()
+    print(f"settled: no more loads after {time.monotonic() - start:.1f} s")
+    placed_moves = system.moves()
     tally = Tally()
     caller = Caller(system, tally, random.Random(seed))
     work = [
--- a/kumquatproxy/demosystem.py
+++ b/kumquatproxy/demosystem.py
@@ -22,6 +22,7 @@
 OPERATE_TOKEN = "demo-operate"
 READY_TIMEOUT_S = 90.0
 POLL_S = 0.05
+PLACEMENT_VOTERS = 3
 ENGINES = 5
 PLAIN_SERVERS = 3
 ENGINE_MEMORY_MB = 80_000
@@ -82,6 +83,10 @@
         self.engines_by_id: dict[str, fakes.FakeEngine] = {}
         self.plain_by_id: dict[str, fakes.FakePlainService] = {}
         self._seed: int = seed
+        # With its share of the store an owner starts a model every few seconds.
+        store = sheet.parse(self.text).weight_store
+        centres = len(layout.data_centres())
+        self._settled_s: float = 2.0 + 2.0 * centres / store.loads_per_second
         self._engine_options: dict = engine_options or {}
         self._folder = tempfile.TemporaryDirectory(prefix="kumquatproxy-")
         kinds = ("callers", "administration", "backend_servers", "peers")
@@ -99,6 +104,7 @@
         for kind, address in self._addresses_by_host[host_id].items():
             lines.append(f"{kind} = {address}")
         folder = pathlib.Path(self._folder.name) / host_id
+        placement_voters = self.layout.hosts_of(data_centre)[:PLACEMENT_VOTERS]
         lines += [
             f"data_folder = {folder}",
             f"key_file = {folder}/key",
@@ -107,7 +113,7 @@
             "drain_timeout = 60s",
             "[groups]",
             f"configuration_voters = {', '.join(self.layout.voters)}",
-            f"placement_voters = {', '.join(self.layout.hosts_of(data_centre))}",
+            f"placement_voters = {', '.join(placement_voters)}",
         ]
         for peer, centre in self.layout.data_centres_by_host.items():
             if peer != host_id:
@@ -216,6 +222,17 @@
                 f"every listed model routable at {host_id}",
             )
 
+    def wait_until_settled(self) -> None:
+        """Wait until the engines have carried out no load for a while."""
+        seen = [self.moves(), time.monotonic()]
+
+        def is_settled():
+            if self.moves() != seen[0]:
+                seen[:] = [self.moves(), time.monotonic()]
+            return time.monotonic() - seen[1] > self._settled_s
+
+        wait_for(is_settled, "no more loads")
+
     def moves(self) -> int:
         """Return the loads that the engines have carried out."""
         return sum(engine.moves for engine in self.engines_by_id.values())
--- a/kumquatproxy/fakes.py
+++ b/kumquatproxy/fakes.py
@@ -32,6 +32,7 @@
     """Announce a backend server and report its load to one entry host at a time."""
 
     def __init__(self, describe, report, entry_addresses):
+        self.interval_s = ANNOUNCE_INTERVAL_S
         self._describe = describe
         self._report = report
         self._entry_addresses = list(entry_addresses)
@@ -53,7 +54,7 @@
                 ("/backend/v1/report", self._report()),
             ):
                 self._post(path, body)
-            gevent.sleep(ANNOUNCE_INTERVAL_S)
+            gevent.sleep(self.interval_s)
 
     def _post(self, path, body):
         host, _, port = self._entry_addresses[0].rpartition(":")
@@ -137,8 +138,10 @@
         token_s=0.002,
         load_s=0.01,
         checks_fencing=True,
+        report_interval_s=ANNOUNCE_INTERVAL_S,
     ):
         super().__init__(backend_id, service, data_centre, entry_addresses, incarnation)
+        self._announcer.interval_s = report_interval_s
         self.memory_mb: int = memory_mb
         self.token_s: float = token_s
         self.load_s: float = load_s
--- a/kumquatproxy/measure_proxy.py
+++ b/kumquatproxy/measure_proxy.py
@@ -233,6 +233,15 @@
             statistics.median(product / bare for bare, product in streams),
             low=0.80,
         ),
+        measure.Figure(
+            "entry_us_per_request",
+            statistics.median(1e6 / product for _, product in throughput),
+        ),
+        measure.Figure(
+            "entry_us_per_token",
+            statistics.median(1e6 / product for _, product in streams)
+            / TOKENS_PER_STREAM,
+        ),
     ]
 
 
--- a/kumquatproxy/measurements.py
+++ b/kumquatproxy/measurements.py
@@ -1,12 +1,14 @@
 """Run measurements by name and print their figures."""
 
 import importlib
+import pathlib
 import pkgutil
 
 import kumquatproxy
-from kumquatproxy import errors, measure
+from kumquatproxy import capacity, errors, measure
 
 MODULE_PREFIX = "measure_"
+PAGE = pathlib.Path("docs/CAPACITY.md")
 
 
 def names() -> list[str]:
@@ -17,6 +19,12 @@
     return measure.MEASUREMENTS.aliases()
 
 
+def _print(figure):
+    """Print a figure and return it in a list if it misses its target."""
+    print(figure.line(), flush=True)
+    return [] if figure.meets_target() else [figure]
+
+
 def run(name: str, seed: int) -> list[measure.Figure]:
     """Run one measurement, or all; print the figures, return those off target."""
     known = names()
@@ -25,11 +33,14 @@
             errors.ErrorKind.NOT_FOUND, f"there is no measurement {name!r}"
         )
     missed = []
+    printed = set()
     for alias in known if name == "all" else [name]:
         for figure in measure.MEASUREMENTS.get(alias)(seed):
-            print(figure.line(), flush=True)
-            if not figure.meets_target():
-                missed.append(figure)
+            missed += _print(figure)
+            printed.add(figure.name)
+    if name == "all" and PAGE.exists():
+        for figure in capacity.coverage(PAGE.read_text(encoding="utf-8"), printed):
+            missed += _print(figure)
     for figure in missed:
         print(f"off target: {figure.line()} (target {figure.target_text()})")
     return missed
