Plan and summarise only when something is due

Cause: profile of six idle hosts: a quarter of the control task's time built summaries at each tick that are sent every 2 s; a third made plans each second although nothing had changed. Change: summaries are built when due; an idle owner plans every 4 s, and at once after a change of servers or sheet; groups tick every 0.1 s.

--- a/kumquatproxy/control.py
+++ b/kumquatproxy/control.py
@@ -242,6 +242,7 @@
         self._config_log.write(
             now, f"revision {number} with sheet {content.version} is in force"
         )
+        self.placement.plan_now(now)
         registered = content.voters_by_data_centre.get(self.data_centre)
         self.placement.register(registered, now)
 
@@ -382,6 +383,7 @@
         server = changed.server
         state = "leaving" if server.leaving else "present"
         self._member_log.write(now, f"backend server {server.backend_id} is {state}")
+        self.placement.plan_now(now)
         self.dispatcher.update_server(server, now)
         self._live_ids.add(server.backend_id)
         # At a host that has just started, a report may arrive before the announcement.
@@ -427,7 +429,8 @@
     # Other data centres
 
     def _tick_summaries(self, now):
-        if self.host_id in self.membership.relays():
+        is_relay = self.host_id in self.membership.relays()
+        if is_relay and self.summaries.is_due(now):
             relays = self.membership.links.relays()
             served = adminviews.items_by_service(self, now)
             engines = [one for one in self.engines(now) if not one.leaving]
--- a/kumquatproxy/placementcontrol.py
+++ b/kumquatproxy/placementcontrol.py
@@ -27,7 +27,9 @@
     wire,
 )
 
-PLAN_INTERVAL_S = 1.0
+PLAN_INTERVAL_S = 1.0  # while a plan has actions
+IDLE_PLAN_INTERVAL_S = 4.0  # changes of servers and sheet start a plan at once
+GROUP_TICK_INTERVAL_S = 0.1
 ORDER_TIMEOUT_S = 5.0
 MOVE_LIMIT = 20  # loads for demand only, in MOVE_INTERVAL_S
 MOVE_INTERVAL_S = 600.0
@@ -127,11 +129,19 @@
         machine = placementstate.PlacementState(voters.base_fence)
         self._log_was_lost = log_was_lost
         self.replication = replication.Replication(
-            member, store, machine, self._context.send_message
+            member,
+            store,
+            machine,
+            self._context.send_message,
+            tick_interval_s=GROUP_TICK_INTERVAL_S,
         )
         self.replication.start()
         self._log.write(now, f"joined {group} as {self._identity}")
 
+    def plan_now(self, now: float) -> None:
+        """Make a plan at the next tick, because its inputs have changed."""
+        self._plan_at = now
+
     def hear_candidate(self, message, now: float) -> None:
         """Take the notice of a host that is in no group."""
         self._formation.hear(message, now)
@@ -202,8 +212,10 @@
 
     def _tick_owner(self, engine, member, now):
         if now >= self._plan_at:
-            self._plan_at = now + PLAN_INTERVAL_S
             self._make_plan(engine, now)
+            is_idle = self.plan is not None and not self.plan.actions
+            wait_s = IDLE_PLAN_INTERVAL_S if is_idle else PLAN_INTERVAL_S
+            self._plan_at = now + wait_s
         version, share = self._context.store_share()
         engine.offer_share(version, share)
         for output in engine.tick(now, member.lease_until):
@@ -373,6 +385,7 @@
 
     def server_gone(self, backend_id: str, now: float) -> None:
         """Note that membership lost a backend server."""
+        self.plan_now(now)
         if self.engine is not None:
             self.engine.remove_server(backend_id, now)
 
--- a/kumquatproxy/summaries.py
+++ b/kumquatproxy/summaries.py
@@ -73,9 +73,13 @@
         self._full_at = 0.0
         self._sent_digest = b""
 
+    def is_due(self, now: float) -> bool:
+        """Return whether the own summary is to be sent."""
+        return now >= self._send_at
+
     def tick(self, items_by_service, engines, remote_relays, now: float) -> list:
         """Return the own summary for the relays of the other data centres."""
-        if now < self._send_at or not remote_relays:
+        if not self.is_due(now) or not remote_relays:
             return []
         self._send_at = now + SUMMARY_INTERVAL_S
         listed = [[one.backend_id, one.service, one.memory_mb] for one in engines]
