Build the fake engine's answers in one place

Cause: chunks and whole completions of the fake engine repeated the same record. Change: one function makes both.

--- a/kumquatproxy/fakes.py
+++ b/kumquatproxy/fakes.py
@@ -235,43 +235,33 @@
 
 
 def _chunk(model, text, chat, finish):
-    choice = {"index": 0, "finish_reason": finish}
     if chat:
-        choice["delta"] = {"role": "assistant", "content": text}
-        kind = "chat.completion.chunk"
-    else:
-        choice["text"] = text
-        kind = "text_completion"
-    return {
-        "id": "answer",
-        "object": kind,
-        "created": int(time.time()),
-        "model": model,
-        "choices": [choice],
-    }
-
-
-def _event(value):
-    return b"data: " + json.dumps(value).encode() + b"\n\n"
+        part = {"delta": {"role": "assistant", "content": text}}
+        return _answer(model, "chat.completion.chunk", part, finish)
+    return _answer(model, "text_completion", {"text": text}, finish)
 
 
 def _completion(model, text, chat):
-    choice = {"index": 0, "finish_reason": "stop"}
     if chat:
-        choice["message"] = {"role": "assistant", "content": text}
-        kind = "chat.completion"
-    else:
-        choice["text"] = text
-        kind = "text_completion"
+        part = {"message": {"role": "assistant", "content": text}}
+        return _answer(model, "chat.completion", part, "stop")
+    return _answer(model, "text_completion", {"text": text}, "stop")
+
+
+def _answer(model, kind, part, finish):
     return {
         "id": "answer",
         "object": kind,
         "created": int(time.time()),
         "model": model,
-        "choices": [choice],
+        "choices": [{"index": 0, "finish_reason": finish, **part}],
     }
 
 
+def _event(value):
+    return b"data: " + json.dumps(value).encode() + b"\n\n"
+
+
 class FakePlainService(FakeBackend):
     """Stand in for a plain service that counts each execution."""
 
