Show the version in force in a follower's history

The failure seen earlier in test_operators_submit_compare_and_explain may have the same cause; that is not shown.

--- a/kumquatproxy/adminviews.py
+++ b/kumquatproxy/adminviews.py
@@ -116,17 +116,22 @@
             errors.ErrorKind.NOT_FOUND, "only configuration voters keep the history"
         )
     state = control.configuration.machine.configuration
-    return {
-        "versions": [
-            {
-                "version": entry.version,
-                "digest": entry.digest,
-                "submitter": entry.submitter,
-                "submitted_at": entry.submitted_at,
-            }
-            for entry in state.history
-        ]
-    }
+    rows = [
+        {
+            "version": entry.version,
+            "digest": entry.digest,
+            "submitter": entry.submitter,
+            "submitted_at": entry.submitted_at,
+        }
+        for entry in state.history
+    ]
+    # A follower applies a commit with the next heartbeat, so a version may come into
+    # force here by dissemination before it stands in the follower's own log.
+    content = control.content
+    if content is not None and content.version > state.version:
+        row = {"version": content.version, "digest": content.digest}
+        rows.append({**row, "submitter": "", "submitted_at": 0.0})
+    return {"versions": rows}
 
 
 @view(adminmessages.ExplainModel)
