--- a/kumquatproxy/backendapi.py
+++ b/kumquatproxy/backendapi.py
@@ -3,7 +3,6 @@
 from kumquatproxy import errors, httpapi, records, tasks
 
 MAX_ANNOUNCE_BYTES = 256 * 1024
-CONTROL_TIMEOUT_S = 2.0
 
 
 class Announce:
