--- a/kumquatproxy/admissionwait.py
+++ b/kumquatproxy/admissionwait.py
@@ -1,12 +1,11 @@
 """Edge of admission: greenlets that wait in the queue of a backend server."""
 
 import enum
-import time
 
 import gevent
 import gevent.event
 
-from kumquatproxy import admission, routing
+from kumquatproxy import admission, clock, routing
 
 EXPIRY_MARGIN_S = 0.005
 
@@ -76,7 +75,7 @@
                 try:
                     return waiting.get(timeout=wait_s)
                 except gevent.Timeout:
-                    self._expire(time.monotonic())
+                    self._expire(clock.now())
                     wait_s = EXPIRY_MARGIN_S
         except BaseException:
             self._admission.abandon(entry)
--- a/kumquatproxy/claimclient.py
+++ b/kumquatproxy/claimclient.py
@@ -2,13 +2,13 @@
 
 import hashlib
 import itertools
-import time
 from collections.abc import Callable
 
 from kumquatproxy import (
     claimcalls,
     claimmessages,
     claimrecords,
+    clock,
     drivers,
     errors,
     logs,
@@ -46,11 +46,11 @@
     def call_once(self, call: records.CallRequest, digest: bytes, send):
         """Return the reply of ``send`` or the kept reply; raise ProxyError."""
         begin = self._begin_command(call, digest)
-        claim = claimcalls.ClaimCall(begin, time.monotonic() + BEGIN_TIMEOUT_S)
+        claim = claimcalls.ClaimCall(begin, clock.now() + BEGIN_TIMEOUT_S)
         answer = self._propose(begin, BEGIN_TIMEOUT_S)
         if answer is None:
             return self._give_up(claim, call)
-        for output in claim.answered(answer, time.monotonic()):
+        for output in claim.answered(answer, clock.now()):
             if isinstance(output, claimcalls.Dispatch):
                 return self._dispatch(claim, send)
             if isinstance(output, claimcalls.Reply):
@@ -75,13 +75,13 @@
         try:
             return self._control.ask(message, timeout_s + tasks.TICK_INTERVAL_S * 2)
         except errors.ProxyError as error:
-            now = time.monotonic()
+            now = clock.now()
             self._log.write_limited(now, "propose", f"{command.tag} failed: {error}")
             return None
 
     def _give_up(self, claim, call):
         """Free the key in case the claim is still committed, and refuse the call."""
-        for output in claim.tick(time.monotonic() + BEGIN_TIMEOUT_S):
+        for output in claim.tick(clock.now() + BEGIN_TIMEOUT_S):
             if isinstance(output, claimcalls.Propose):
                 self._tell(output.command)
         # This call was not dispatched, but an earlier one with its key may have been.
@@ -108,7 +108,7 @@
     def _end(self, claim, outcome, reply=None, wait=True):
         headers = [list(pair) for pair in reply.headers] if reply else []
         status, body = (reply.status, reply.body) if reply else (0, b"")
-        now = time.monotonic()
+        now = clock.now()
         for output in claim.ended(outcome, status, headers, body, now):
             if not isinstance(output, claimcalls.Propose):
                 continue
@@ -124,7 +124,7 @@
             self._control.ask(message, FINISH_TIMEOUT_S)
             claim.finished()
         except errors.ProxyError as error:
-            now = time.monotonic()
+            now = clock.now()
             self._log.write_limited(now, "finish", f"result not yet kept: {error}")
 
     def _tell(self, command):
--- a/kumquatproxy/cli.py
+++ b/kumquatproxy/cli.py
@@ -48,6 +48,14 @@
     serve = commands.add_parser("serve", help="run one host until SIGTERM")
     serve.add_argument("--config", required=True, help="settings file of the host")
     serve.set_defaults(run=run_serve)
+    fleet = commands.add_parser(
+        "fleet", help="run one host of a fleet with configured routes until SIGTERM"
+    )
+    fleet.add_argument("role", choices=("entry", "control"))
+    fleet.add_argument(
+        "--config", default="", help="settings file; KUMQUATPROXY_SETTINGS by default"
+    )
+    fleet.set_defaults(run=run_fleet)
     initialise = commands.add_parser(
         "init-voter",
         help="format the data folder of a voter of a new deployment, once",
@@ -162,6 +170,13 @@
     return host.serve(arguments.config)
 
 
+def run_fleet(arguments) -> int:
+    """Run one host of a fleet."""
+    from kumquatproxy.fleet import running
+
+    return running.run(arguments.role, arguments.config)
+
+
 def run_init_voter(arguments) -> int:
     """Format the data folder of a voter of a new deployment."""
     from kumquatproxy import host
--- a/kumquatproxy/consensus.py
+++ b/kumquatproxy/consensus.py
@@ -93,6 +93,9 @@
         self._reset_election_timer(now)
         if self._is_voter():
             self._start_pre_vote(now)
+            if self.settings.voter_target:
+                # The others may have replaced this voter while it was silent.
+                self._outbox.announce()
         elif self.settings.identity not in self.voter_set.members:
             self._outbox.announce()
 
--- a/kumquatproxy/control.py
+++ b/kumquatproxy/control.py
@@ -9,6 +9,7 @@
     claimmessages,
     claimrecords,
     claims,
+    clock,
     configstate,
     configurationgroup,
     demandreports,
@@ -173,7 +174,7 @@
 
     def propose_configuration(self, command, done=None, timeout_s=5.0) -> None:
         """Propose a command to the configuration group."""
-        now = time.monotonic()
+        now = clock.now()
         done = done or (lambda answer: None)
         self._emit(self.proposals.propose(command, now + timeout_s, done, now), now)
 
--- a/kumquatproxy/dispatch.py
+++ b/kumquatproxy/dispatch.py
@@ -5,13 +5,13 @@
 """
 
 import random
-import time
 
 import gevent
 
 from kumquatproxy import (
     admissionwait,
     breaker,
+    clock,
     drivers,
     errors,
     estimates,
@@ -269,7 +269,7 @@
         started = progress.delivered > 0
         while not progress.complete:
             events = source.next_events(wait_s)
-            now = time.monotonic()
+            now = clock.now()
             for event in events:
                 if event.startswith(drivers.LAST_EVENT):
                     progress.end()
@@ -286,7 +286,7 @@
     def _start(self, call, items, attempts):
         """Choose a backend server and return the attempt, once it may be sent."""
         while True:
-            now = time.monotonic()
+            now = clock.now()
             decision = self._choose(call, items, attempts, now)
             server = self.table.server(decision.backend_id)
             # A data centre that a call is forwarded to decides on admission itself.
@@ -297,7 +297,7 @@
                 priority = self._admit(call, decision, attempts, now)
             if priority is not None:
                 break
-        now = time.monotonic()
+        now = clock.now()
         self._log.write(
             now,
             f"{call.request_id} to {decision.backend_id}: {decision.reason}",
@@ -314,7 +314,7 @@
         try:
             return self._admission.admit(call, decision, now)
         except admissionwait.RefusedError as error:
-            now = time.monotonic()
+            now = clock.now()
             raise self._refused(call, error.refusal, attempts, now) from None
 
     def _refused(self, call, refusal, attempts, now):
@@ -342,7 +342,7 @@
         raise self._refused(call, refusals[0], attempts, now)
 
     def _finish(self, call, attempt, result):
-        now = time.monotonic()
+        now = clock.now()
         self.in_flight -= 1
         backend_id = attempt.server.backend_id
         outcome = attempt.outcome(result, now)
@@ -352,7 +352,7 @@
             self._admission.finished(backend_id, call, outcome, now)
 
     def _after_failure(self, call, failure, failed, attempts, expected_s):
-        now = time.monotonic()
+        now = clock.now()
         decision = retries.decide(
             call, failure, attempts, self._budget, expected_s, now, self._rng
         )
@@ -373,7 +373,7 @@
             gevent.sleep(decision.delay_s)
 
     def _record(self, call, outcome):
-        duration_s = time.monotonic() - call.arrived_at
+        duration_s = clock.now() - call.arrived_at
         labels = {"service": call.service, "outcome": outcome}
         self._metrics.request_duration.record(duration_s, labels)
 
--- a/kumquatproxy/drivers.py
+++ b/kumquatproxy/drivers.py
@@ -1,7 +1,6 @@
 """Protocols of backend servers, each found by alias in a registry."""
 
 import json
-import time
 
 import gevent
 import gevent.socket
@@ -9,7 +8,7 @@
 import geventhttpclient.httplib
 import geventhttpclient.response
 
-from kumquatproxy import records, registry, retries
+from kumquatproxy import clock, records, registry, retries
 
 DRIVERS = registry.Registry("driver")
 
@@ -309,7 +308,7 @@
 
     def send_order(self, address: str, order: records.Order, timeout_s) -> str:
         """Send an order and return the engine's answer; raise CallFailed."""
-        expires_in_s = order.expires_at - time.monotonic()
+        expires_in_s = order.expires_at - clock.now()
         if expires_in_s <= 0:
             raise CallFailed(
                 retries.Failure.NOT_SENT, "the order expired before it was sent"
--- /dev/null
+++ b/kumquatproxy/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Entry and control hosts of a fleet whose operator configures routes."""
--- /dev/null
+++ b/kumquatproxy/fleet/controlhost.py
@@ -0,0 +1,339 @@
+"""A control host: a member of the control group, and what it tells the others."""
+
+import random
+import secrets
+
+import gevent
+
+from kumquatproxy import (
+    clock,
+    consensus,
+    datafolder,
+    errors,
+    groupsettings,
+    hello,
+    httpapi,
+    link,
+    logs,
+    raftmessages,
+    replication,
+    tasks,
+    transport,
+    voterset,
+)
+from kumquatproxy.fleet import (
+    controlapis,
+    fleetmessages,
+    fleetsettings,
+    fleetstate,
+    proposing,
+    servers,
+    spreading,
+)
+from kumquatproxy.gateway import dialects
+
+GROUP = "control"
+FIRST_DISK_ID = "first"  # of the voters that form the group
+ELECTION_TIMEOUT_S = 0.8
+HEARTBEAT_S = 0.15
+LEASE_MARGIN_S = 0.15
+SUBSCRIBE_INTERVAL_S = 1.0
+# Connections may go silent for good; a link is replaced well within the three seconds
+# after which a host counts as connected again.
+LINK_TIMING = link.Timing(ping_s=0.5, silent_s=1.5, dial_s=1.0, hello_s=1.5)
+COMMIT_TIMEOUT_S = 2.5
+STORAGE_RETRY_S = 0.5
+STEP_DOWN_WAIT_S = 0.6
+
+
+class Received:
+    """Hold a message of another host."""
+
+    __slots__ = ("message", "sender")
+
+    def __init__(self, sender, message):
+        self.sender: str = sender
+        self.message = message
+
+
+class Heard:
+    """Hold a heartbeat that a backend server sent to this host."""
+
+    __slots__ = ("announcement",)
+
+    def __init__(self, announcement):
+        self.announcement: servers.Announcement = announcement
+
+
+def identity_of(host_settings: fleetsettings.FleetSettings) -> hello.Identity:
+    """Return the identity of a host on its links."""
+    host = host_settings.host
+    centres = set(host.data_centres) | {host.data_centre}
+    return hello.Identity(host.id, host.data_centre, host.key.encode(), centres)
+
+
+def open_store(host_settings, folder):
+    """Return the store of this host's member; raise ProxyError or OSError.
+
+    A host that starts with the fleet and is one of the seeds is a first voter. Any
+    other one joins under an identity of its own.
+    """
+    host_id = host_settings.host.id
+    seeds = host_settings.seed_ids
+    if host_settings.host.forms_group and host_id in seeds:
+        names = [voterset.make_identity(name, FIRST_DISK_ID) for name in seeds]
+        first = groupsettings.bootstrap_state(voterset.VoterSet(names).encode())
+        own = voterset.make_identity(host_id, FIRST_DISK_ID)
+        return folder.store(GROUP, own, first)
+    own = voterset.make_identity(host_id, folder.disk_id())
+    return folder.store(GROUP, own, groupsettings.bootstrap_state())
+
+
+def open_or_start_over(host_settings, folder, log):
+    """Return the store; a damaged one is put aside and the host joins anew."""
+    while True:
+        try:
+            return open_store(host_settings, folder)
+        except errors.ProxyError as error:
+            if error.kind is not errors.ErrorKind.LOG_DAMAGED:
+                log.write(clock.now(), f"cannot open the log yet: {error}")
+                gevent.sleep(STORAGE_RETRY_S)
+                continue
+            log.write(clock.now(), f"the log is given up: {error}")
+            folder.discard(GROUP)
+            host_settings.host.replace(forms_group=False)
+        except OSError as error:
+            log.write(clock.now(), f"cannot open the log yet: {error}")
+            gevent.sleep(STORAGE_RETRY_S)
+
+
+class ControlHost(tasks.Task):
+    """Own the server table and the subscribers of one control host."""
+
+    def __init__(self, host_settings: fleetsettings.FleetSettings, seed: int = 0):
+        super().__init__()
+        now = clock.now()
+        self.settings = host_settings
+        self.host_id: str = host_settings.host.id
+        self.dialect = dialects.load(
+            host_settings.dialect.name, host_settings.dialect.module
+        )
+        self._rng = random.Random(seed or secrets.randbits(64))
+        self._session = secrets.token_hex(8)
+        self._subscribe_at = now
+        self._config_log = logs.Log("config")
+        self._member_log = logs.Log("member")
+        self._host_log = logs.Log("host")
+        self._known_hosts: dict[str, str] = {}
+        self.table = servers.ServerTable()
+        self.spreader = spreading.Spreader(self.host_id, self.table)
+        timing = transport.Settings(
+            host_settings.host.links, identity_of(host_settings), LINK_TIMING
+        )
+        self.transport = transport.Transport(timing, self._on_message)
+        self.replication = self._open_member(now)
+        self.proposer = proposing.Proposer(
+            self.host_id, self.replication, self.send_message
+        )
+        self._marks_seen: dict[tuple, str] = {}
+        application = controlapis.CONTROL_APIS.get(host_settings.dialect.name)(self)
+        self._server = httpapi.Server(host_settings.control.api, application)
+
+    def _open_member(self, now):
+        folder = datafolder.DataFolder(self.settings.host.data_folder)
+        store = open_or_start_over(self.settings, folder, self._host_log)
+        group = groupsettings.GroupSettings(
+            GROUP,
+            store.identity,
+            join_hosts=self.settings.seed_ids,
+            election_timeout_s=ELECTION_TIMEOUT_S,
+            heartbeat_s=HEARTBEAT_S,
+            lease_margin_s=LEASE_MARGIN_S,
+            voter_target=2 * self.settings.control.tolerated_hosts + 1,
+        )
+        member = consensus.Member(group, store.state, self._rng, now)
+        machine = fleetstate.FleetState()
+        return replication.Replication(member, store, machine, self.send_message)
+
+    def start(self) -> None:
+        """Start all tasks and servers; raise OSError if an address is taken."""
+        self.transport.start()
+        self.replication.start()
+        super().start()
+        self._server.start()
+        self._host_log.write(
+            clock.now(),
+            f"{self.settings.host.name or self.host_id} started",
+            identity=self.replication.member.settings.identity,
+            revision=self.replication.machine.version,
+        )
+
+    def reload(self, host_settings: fleetsettings.FleetSettings) -> None:
+        """Take changed settings; addresses stay until the next start."""
+        for host_id in host_settings.seed_ids:
+            self._known_hosts[host_id] = host_settings.link_address(host_id)
+        self._host_log.write(clock.now(), "settings reloaded")
+
+    def stop_planned(self) -> None:
+        """Hand over the leadership, then end."""
+        self._host_log.write(clock.now(), "stopping")
+        if self.replication.member.leader is not None:
+            self.replication.tell(replication.GiveUpLeadership())
+            gevent.sleep(STEP_DOWN_WAIT_S)
+        self._server.stop(0.1)
+        self.replication.stop()
+        self.transport.stop()
+        logs.flush()
+
+    def send_message(self, host_id: str, message) -> None:
+        """Send a message over the link to a host."""
+        self.transport.learn(host_id, self.settings.link_address(host_id))
+        self.transport.send(host_id, message)
+
+    def _on_message(self, sender, message):
+        if isinstance(message, raftmessages.GroupMessage):
+            self.replication.receive(sender, message)
+        elif isinstance(message, fleetmessages.FleetCommand):
+            self.proposer.serve(sender, message)
+        elif isinstance(message, fleetmessages.FleetCommandAnswer):
+            self.proposer.answered(message)
+        else:
+            self.tell(Received(sender, message))
+
+    # Calls of the API, each in the greenlet of its connection
+
+    def put_configuration(self, data: bytes) -> int:
+        """Put a configuration in force; return the version in force afterwards."""
+        parsed = self.dialect.parse_configuration(data)
+        command = fleetstate.PutConfiguration(
+            content=fleetstate.pack(data), version=parsed.version
+        )
+        answer = self.proposer.commit(command, COMMIT_TIMEOUT_S)
+        self._config_log.write(
+            clock.now(),
+            f"version {parsed.version} is acknowledged",
+            submitted=parsed.version,
+            in_force=answer.version,
+        )
+        return answer.version
+
+    def read_configuration(self) -> bytes:
+        """Return the newest configuration; raise ProxyError if that is not certain."""
+        answer = self.proposer.commit(fleetstate.ReadConfiguration(), COMMIT_TIMEOUT_S)
+        if not answer.version:
+            raise errors.ProxyError(
+                errors.ErrorKind.NOT_READY, "there is no configuration yet"
+            )
+        return fleetstate.unpack(answer.content)
+
+    def heartbeat(self, announcement: servers.Announcement) -> None:
+        """Take a heartbeat; one of a leaving server is committed first."""
+        if announcement.state is not servers.ServerState.READY:
+            self.mark(
+                announcement.instance_id, announcement.born_ms, announcement.state
+            )
+        self.tell(Heard(announcement))
+
+    def mark(self, instance_id: str, born_ms: int, state) -> None:
+        """Make sure that all hosts learn that a server is leaving or gone.
+
+        A majority knows it afterwards, so it spreads whichever host is cut off.
+        """
+        known = self.table.get(instance_id)
+        if not born_ms and known is not None:
+            born_ms = known.born_ms
+        before = self.replication.machine.marks.get((instance_id, born_ms))
+        if before == state.value:
+            return
+        command = fleetstate.MarkServer(
+            born_ms=born_ms, instance_id=instance_id, state=state.value
+        )
+        self.proposer.commit(command, COMMIT_TIMEOUT_S)
+        self._member_log.write(
+            clock.now(),
+            f"{instance_id} is {state.value}",
+            born_ms=born_ms,
+        )
+
+    # Messages and ticks
+
+    def handle(self, message, now: float, reply=None):
+        """Handle one message."""
+        if isinstance(message, Heard):
+            self.spreader.hear(message.announcement, now)
+            return
+        handler = _HANDLERS.get(type(message.message))
+        if handler is not None:
+            handler(self, message, now)
+
+    def _on_subscribe(self, received, now):
+        self._emit(self.spreader.subscribe(received.sender, received.message, now))
+        if received.message.kind == fleetmessages.CONTROL:
+            self._known_hosts[received.sender] = received.message.address
+
+    def _on_servers(self, received, now):
+        self.spreader.merge(received.message, now)
+
+    def _on_hosts(self, received, now):
+        for host_id, address in received.message.hosts:
+            self._known_hosts.setdefault(host_id, address)
+
+    def _emit(self, sends):
+        for send in sends:
+            self.send_message(send.to, send.message)
+
+    def tick(self, now: float) -> None:
+        """Spread what was committed or heard, and subscribe at the others."""
+        machine = self.replication.machine
+        if machine.version > self.spreader.version:
+            self._config_log.write(now, f"version {machine.version} is in force")
+            self._emit(self.spreader.configure(machine.version, machine.content, now))
+        self._follow_marks(machine, now)
+        self._subscribe(now)
+        member = self.replication.member
+        leader = voterset.host_of(member.leader_id) if member.leader_id else ""
+        voters = [voterset.host_of(name) for name in member.voter_set.voters]
+        hosts = [[name, self.settings.link_address(name)] for name in self._others()]
+        hosts.append([self.host_id, self.settings.host.links])
+        self._emit(self.spreader.tick(hosts, voters, leader, now))
+
+    def _follow_marks(self, machine, now):
+        if machine.marks == self._marks_seen:
+            return
+        for (instance_id, born_ms), state in machine.marks.items():
+            if self._marks_seen.get((instance_id, born_ms)) != state:
+                state = servers.ServerState(state)
+                self._emit(self.spreader.mark(instance_id, born_ms, state, now))
+        self._marks_seen = dict(machine.marks)
+
+    def _others(self):
+        """Return the other control hosts: members of the group, seeds, callers."""
+        names = {voterset.host_of(one) for one in self._members()}
+        names.update(self.settings.seed_ids, self._known_hosts)
+        names.discard(self.host_id)
+        return sorted(names)
+
+    def _members(self):
+        return self.replication.member.voter_set.members
+
+    def _subscribe(self, now):
+        if now < self._subscribe_at:
+            return
+        self._subscribe_at = now + SUBSCRIBE_INTERVAL_S
+        others = self._others()
+        self.replication.member.settings.join_hosts = tuple(others)
+        message = fleetmessages.Subscribe(
+            address=self.settings.host.links,
+            kind=fleetmessages.CONTROL,
+            session=self._session,
+            version=self.spreader.version,
+        )
+        for host_id in others:
+            self.send_message(host_id, message)
+
+
+_HANDLERS = {
+    fleetmessages.Subscribe: ControlHost._on_subscribe,
+    fleetmessages.ServersPush: ControlHost._on_servers,
+    fleetmessages.ControlHosts: ControlHost._on_hosts,
+}
--- /dev/null
+++ b/kumquatproxy/fleet/entryhost.py
@@ -0,0 +1,256 @@
+"""An entry host: serves callers by what control hosts tell it."""
+
+import contextlib
+import random
+import secrets
+import typing
+
+import gevent
+import gevent.event
+import gevent.pywsgi
+
+from kumquatproxy import clock, logs, tasks, transport
+from kumquatproxy.fleet import (
+    controlhost,
+    fleetmessages,
+    fleetsettings,
+    fleetstate,
+    servers,
+    serviceconfig,
+    spreading,
+)
+from kumquatproxy.gateway import (
+    budget,
+    callers,
+    calls,
+    choice,
+    dialects,
+    relay,
+    waiting,
+)
+
+SUBSCRIBE_INTERVAL_S = 1.0
+REPORT_INTERVAL_S = 0.25
+# A host that has heard no control host for so long still serves what it knows.
+CONTACT_LOST_S = 5.0
+# The balancer needs two questions, a second apart, to see that a host is leaving, and
+# callers that it has sent before that still arrive a little later.
+SETTLE_S = 2.6
+STOP_MARGIN_S = 0.5
+POLL_S = 0.05
+EXPIRE_INTERVAL_S = 5.0
+
+
+class EntryHost(tasks.Task):
+    """Own the view of the fleet of one entry host."""
+
+    def __init__(self, host_settings: fleetsettings.FleetSettings, seed: int = 0):
+        super().__init__()
+        now = clock.now()
+        self.settings = host_settings
+        self.host_id: str = host_settings.host.id
+        self.dialect = dialects.load(
+            host_settings.dialect.name, host_settings.dialect.module
+        )
+        self._rng = random.Random(seed or secrets.randbits(64))
+        self._session = secrets.token_hex(8)
+        self._host_log = logs.Log("host")
+        self._config_log = logs.Log("config")
+        self._link_log = logs.Log("control")
+        self.configuration: typing.Any = None  # serviceconfig.Configuration
+        self.table = servers.ServerTable()
+        self.chooser = choice.Chooser(
+            host_settings.host.data_centre, self.table, self._rng
+        )
+        bounds = host_settings.bounds
+        self.budget = budget.RetryBudget(
+            bounds.retry_share, bounds.retry_slack, bounds.retry_window
+        )
+        self.entry_count = 1
+        self.is_stopping = False
+        self._control_ids: set[str] = set(host_settings.seed_ids)
+        self._leader = ""
+        self._subscribe_at = now
+        self._report_at = now
+        self._expire_at = now
+        self._heard_at_by_id: dict[str, float] = {}
+        self._changed = gevent.event.Event()
+        self._waiting_calls: dict[calls.Call, None] = {}
+        self.relay = relay.Relay(self)
+        links = transport.Settings(
+            host_settings.host.links,
+            controlhost.identity_of(host_settings),
+            controlhost.LINK_TIMING,
+        )
+        self.transport = transport.Transport(links, self._on_message)
+        self._callers = callers.CallerServer(
+            host_settings.entry.callers, self.relay.serve, self._limits
+        )
+        self._readiness = gevent.pywsgi.WSGIServer(
+            _place(host_settings.entry.readiness),
+            self._answer_readiness,
+            log=None,
+            error_log=None,
+        )
+
+    def start(self) -> None:
+        """Start all tasks and servers; raise OSError if an address is taken."""
+        self.transport.start()
+        super().start()
+        self._readiness.start()
+        self._callers.start()
+        self._host_log.write(
+            clock.now(), f"{self.settings.host.name or self.host_id} started"
+        )
+
+    def stop_planned(self) -> None:
+        """Leave the balancer, let the calls in flight end, then end."""
+        now = clock.now()
+        end = now + self.settings.bounds.stop_grace - STOP_MARGIN_S
+        self._host_log.write(now, "stopping", in_flight=self._callers.active)
+        self.is_stopping = True
+        self._callers.start_closing()
+        gevent.sleep(SETTLE_S)
+        self._callers.close()
+        while self._callers.active and clock.now() < end:
+            gevent.sleep(POLL_S)
+        self._host_log.write(clock.now(), "stopped", in_flight=self._callers.active)
+        self._callers.stop()
+        self._readiness.stop(0.1)
+        self.transport.stop()
+        logs.flush()
+
+    def reload(self, host_settings: fleetsettings.FleetSettings) -> None:
+        """Take changed settings; addresses stay until the next start."""
+        self._control_ids.update(host_settings.seed_ids)
+        self._host_log.write(clock.now(), "settings reloaded")
+
+    # What the relay needs
+
+    def _limits(self):
+        if self.configuration is None:
+            return DEFAULT_LIMITS
+        return self.configuration.limits
+
+    def pick_service(self, route: serviceconfig.Route) -> str:
+        """Return one of the services of a route by weight."""
+        weights = [target.weight for target in route.targets]
+        return self._rng.choices(route.targets, weights)[0].service
+
+    def service(self, name: str) -> serviceconfig.Service:
+        """Return a service of the configuration in force."""
+        known = self.configuration.services_by_name.get(name)
+        return known if known is not None else serviceconfig.Service(name)
+
+    @contextlib.contextmanager
+    def counted_waiting(self, call: calls.Call):
+        """Count a call among those that wait for a server."""
+        self._waiting_calls[call] = None
+        try:
+            yield
+        finally:
+            del self._waiting_calls[call]
+
+    def wait_for_change(self, timeout_s: float) -> None:
+        """Wait until the view of the servers changes, at most for a while."""
+        self._changed.wait(timeout_s)
+
+    def outlook(self, call: calls.Call) -> waiting.Outlook:
+        """Return when a server for a call is expected."""
+        return waiting.Outlook(None)
+
+    # Messages
+
+    def _on_message(self, sender, message):
+        self.tell(controlhost.Received(sender, message))
+
+    def handle(self, message, now: float, reply=None):
+        """Handle one message of a control host."""
+        self._heard_at_by_id[message.sender] = now
+        handler = _HANDLERS.get(type(message.message))
+        if handler is not None:
+            handler(self, message.message, now)
+
+    def _on_configuration(self, message, now):
+        current = self.configuration.version if self.configuration else 0
+        if message.version <= current:
+            return
+        text = fleetstate.unpack(message.content)
+        self.configuration = self.dialect.parse_configuration(text)
+        self._config_log.write(
+            now,
+            f"version {message.version} is in force",
+            replaced=current,
+            routes=len(self.configuration.routes),
+        )
+        self._notify()
+
+    def _on_servers(self, message, now):
+        for plain in message.servers:
+            self.table.hear(servers.from_plain(plain), now)
+        for instance_id, born_ms, state in message.marks:
+            if self.table.mark(instance_id, born_ms, servers.ServerState(state)):
+                self.relay.links.forget(instance_id)
+        spreading.refresh(self.table, message.alive, now)
+        self._notify()
+
+    def _on_hosts(self, message, now):
+        self.entry_count = max(1, message.entry_count)
+        self._control_ids.update(host_id for host_id, _ in message.hosts)
+        if message.leader:
+            self._leader = message.leader
+
+    def _on_loads(self, message, now):
+        self.chooser.set_others(message.loads_by_id)
+
+    def _notify(self):
+        self._changed.set()
+        self._changed.clear()
+
+    def tick(self, now: float) -> None:
+        """Subscribe and report."""
+        if now >= self._subscribe_at:
+            self._subscribe_at = now + SUBSCRIBE_INTERVAL_S
+            self._subscribe()
+        if now >= self._expire_at:
+            self._expire_at = now + EXPIRE_INTERVAL_S
+            self.table.expire(now)
+            self.chooser.prune()
+
+    def _subscribe(self):
+        version = self.configuration.version if self.configuration else 0
+        message = fleetmessages.Subscribe(
+            address=self.settings.host.links,
+            kind=fleetmessages.ENTRY,
+            session=self._session,
+            version=version,
+        )
+        for host_id in self._control_ids:
+            self._send(host_id, message)
+
+    def _send(self, host_id, message):
+        self.transport.learn(host_id, self.settings.link_address(host_id))
+        self.transport.send(host_id, message)
+
+    def is_ready(self) -> bool:
+        """Return whether callers may be sent here."""
+        return self.configuration is not None and not self.is_stopping
+
+    def _answer_readiness(self, environ, start_response):
+        status = "200 OK" if self.is_ready() else "503 Service Unavailable"
+        start_response(status, [("Content-Length", "0")])
+        return [b""]
+
+
+DEFAULT_LIMITS = serviceconfig.Limits()
+_HANDLERS = {
+    fleetmessages.ConfigurationPush: EntryHost._on_configuration,
+    fleetmessages.ServersPush: EntryHost._on_servers,
+    fleetmessages.ControlHosts: EntryHost._on_hosts,
+    fleetmessages.LoadPush: EntryHost._on_loads,
+}
+
+
+def _place(address):
+    host, _, port = address.rpartition(":")
+    return (host, int(port))
--- /dev/null
+++ b/kumquatproxy/fleet/fleetmessages.py
@@ -0,0 +1,121 @@
+"""Messages between control hosts and entry hosts."""
+
+from kumquatproxy import wire
+
+ENTRY = "entry"
+CONTROL = "control"
+
+
+@wire.register("subscribe")
+class Subscribe(wire.Message):
+    """Ask a control host for all that it knows, and tell what the sender has.
+
+    An entry host repeats this; a control host sends what is newer.
+    """
+
+    __slots__ = ("address", "kind", "session", "version")
+    address: str
+    kind: str  # ENTRY or CONTROL
+    session: str  # drawn at each start of the sender
+    version: int  # configuration in force at the sender
+
+
+@wire.register("control-hosts")
+class ControlHosts(wire.Message):
+    """Name the control hosts and how many entry hosts there are."""
+
+    __slots__ = ("entry_count", "hosts", "leader", "voters")
+    entry_count: int
+    hosts: list  # [host id, link address]
+    leader: str  # host id, empty if unknown
+    voters: list  # host ids
+
+
+@wire.register("configuration-push")
+class ConfigurationPush(wire.Message):
+    """Bring a committed configuration."""
+
+    __slots__ = ("content", "version")
+    content: bytes
+    version: int
+
+
+@wire.register("servers-push")
+class ServersPush(wire.Message):
+    """Bring announcements of backend servers and their final states."""
+
+    __slots__ = ("alive", "marks", "servers")
+    alive: list  # [id, birth] of servers heard within the last seconds
+    marks: list  # [id, birth, state]
+    servers: list  # plain announcements
+
+
+@wire.register("adapters-push")
+class AdaptersPush(wire.Message):
+    """Tell which adapters the owner of the orders has loaded where."""
+
+    __slots__ = ("adapters_by_id", "fence", "leaving_models_by_id", "number")
+    adapters_by_id: dict  # instance id: list of MODEL/ADAPTER
+    fence: int
+    leaving_models_by_id: dict  # instance id: models about to be unloaded
+    number: int
+
+
+@wire.register("load-push")
+class LoadPush(wire.Message):
+    """Tell what the calls of all entry hosts make up together."""
+
+    __slots__ = ("loads_by_id", "number")
+    loads_by_id: dict  # instance id: [calls, prompt tokens not yet read]
+    number: int
+
+
+@wire.register("entry-report")
+class EntryReport(wire.Message):
+    """Tell the control hosts what an entry host sends and waits for."""
+
+    __slots__ = ("loads_by_id", "needs", "number")
+    loads_by_id: dict  # instance id: [calls in flight, prompt tokens not yet read]
+    needs: list  # [service, model/adapter, arrivals, waiting, worth of these]
+    number: int
+
+
+@wire.register("adapter-wanted")
+class AdapterWanted(wire.Message):
+    """Ask the owner to make an adapter ready at a server that has its model."""
+
+    __slots__ = ("adapter", "model", "number", "preferred", "service")
+    adapter: str
+    model: str
+    number: int
+    preferred: list  # instance ids in order
+    service: str
+
+
+@wire.register("adapter-ready")
+class AdapterReady(wire.Message):
+    """Answer an AdapterWanted; without an id there is no server for it now."""
+
+    __slots__ = ("instance_id", "number")
+    instance_id: str
+    number: int
+
+
+@wire.register("fleet-command")
+class FleetCommand(wire.Message):
+    """Ask the leader to commit a command of the control group."""
+
+    __slots__ = ("command", "number")
+    command: wire.Message
+    number: int
+
+
+@wire.register("fleet-command-answer")
+class FleetCommandAnswer(wire.Message):
+    """Answer a FleetCommand: the result, or the code of an error."""
+
+    __slots__ = ("answer", "code", "leader", "number")
+    answer: wire.Message | None
+    code: str  # error kind, empty with an answer
+    leader: str  # host id of the leader if the receiver is not
+    number: int
--- /dev/null
+++ b/kumquatproxy/fleet/fleetsettings.py
@@ -0,0 +1,98 @@
+"""Settings of an entry host or a control host of a fleet, read from an INI file."""
+
+from kumquatproxy import options, settings
+
+Option = options.Option
+
+HOST_OPTIONS = [
+    Option("id", "text", help="IP address of this host, its name among the others"),
+    Option("name", "text", "", help="name of this host in logs"),
+    Option("data_centre", "text", help="data centre that this host stands in"),
+    Option("data_centres", "list", (), help="all data centres"),
+    Option("data_folder", "text", "", help="folder for durable state"),
+    Option("links", "address", help="IP:port for links between hosts"),
+    Option("seeds", "list", (), help="IP:port of some control hosts"),
+    Option("key", "text", help="key that all hosts share"),
+    Option(
+        "forms_group", "bool", False, help="whether the fleet starts for the first time"
+    ),
+    Option("metrics", "text", "", help="IP:port of the metrics; empty for none"),
+]
+ENTRY_OPTIONS = [
+    Option("callers", "text", "", help="IP:port for callers"),
+    Option("readiness", "text", "", help="IP:port that tells if the host is ready"),
+]
+CONTROL_OPTIONS = [
+    Option("api", "text", "", help="IP:port for operators and backend servers"),
+    Option(
+        "tolerated_hosts",
+        "int",
+        1,
+        low=0,
+        high=3,
+        help="control hosts that may be lost at once; twice that and one more vote",
+    ),
+]
+DIALECT_OPTIONS = [
+    Option("name", "text", help="alias of the wire format"),
+    Option("module", "text", help="Python module that registers it"),
+]
+BOUND_OPTIONS = [
+    Option("stop_grace", "duration", 8.0, low=0.5, help="from SIGTERM to the end"),
+    Option("drain", "duration", 2.0, low=0.1, help="until a leaving server is left"),
+    Option("lease", "duration", 3.0, low=0.1, help="between two owners of the orders"),
+    Option("retry_share", "float", 0.2, low=0.0, high=1.0, help="retries per request"),
+    Option("retry_window", "duration", 10.0, low=0.1, help="window of the retries"),
+    Option("retry_slack", "float", 50.0, low=0.0, help="retries beyond the share"),
+    Option("load_window", "duration", 5.0, low=0.1, help="window of store loads"),
+    Option("checks_fencing", "bool", True, help="whether servers check the fence"),
+]
+SECTIONS = {
+    "host": HOST_OPTIONS,
+    "entry": ENTRY_OPTIONS,
+    "control": CONTROL_OPTIONS,
+    "dialect": DIALECT_OPTIONS,
+    "bounds": BOUND_OPTIONS,
+}
+
+
+class FleetSettings:
+    """Hold the checked settings of one host of a fleet."""
+
+    __slots__ = ("bounds", "control", "dialect", "entry", "host")
+
+    def __init__(self, values_by_section):
+        self.host = values_by_section["host"]
+        self.entry = values_by_section["entry"]
+        self.control = values_by_section["control"]
+        self.dialect = values_by_section["dialect"]
+        self.bounds = values_by_section["bounds"]
+
+    @property
+    def link_port(self) -> int:
+        """Return the port of links, which is the same on all hosts."""
+        return int(self.host.links.rpartition(":")[2])
+
+    def link_address(self, host_id: str) -> str:
+        """Return the address at which a host takes links."""
+        return f"{host_id}:{self.link_port}"
+
+    @property
+    def seed_ids(self) -> list[str]:
+        """Return the ids of the seeds."""
+        return [address.rpartition(":")[0] for address in self.host.seeds]
+
+
+def parse(text: str, place: str = "settings") -> FleetSettings:
+    """Return the settings of an INI text; raise ProxyError with every fault."""
+    faults: list[options.Fault] = []
+    sections = options.read_sections(text, faults)
+    sections_by_title = {section.title: section for section in sections}
+    values_by_section = {}
+    for title, table in SECTIONS.items():
+        section = sections_by_title.pop(title, options.Section(title, "", 0, {}, {}))
+        values_by_section[title] = settings.Values(section.read(table, faults))
+    for section in sections_by_title.values():
+        faults.append(options.Fault(section.line, f"unknown section [{section.title}]"))
+    options.raise_faults(faults, place)
+    return FleetSettings(values_by_section)
--- /dev/null
+++ b/kumquatproxy/fleet/proposing.py
@@ -0,0 +1,95 @@
+"""Bringing commands of any control host to the leader of the control group."""
+
+import itertools
+
+import gevent
+import gevent.event
+
+from kumquatproxy import clock, errors, replication, voterset, wire
+from kumquatproxy.fleet import fleetmessages
+
+RETRY_S = 0.1
+FORWARD_TIMEOUT_S = 1.0
+
+
+class Proposer:
+    """Commit commands through the own member or the leader's host."""
+
+    __slots__ = ("_host_id", "_numbers", "_replication", "_send", "_waiting_by_number")
+
+    def __init__(self, host_id, member, send):
+        self._host_id: str = host_id
+        self._replication: replication.Replication = member
+        self._send = send
+        self._numbers = itertools.count(1)
+        self._waiting_by_number: dict[int, gevent.event.AsyncResult] = {}
+
+    def commit(self, command: wire.Message, timeout_s: float):
+        """Return the result of a committed command; raise ProxyError.
+
+        Commands of the control group may be applied twice without harm, so one whose
+        outcome is unknown is tried again until the time is over.
+        """
+        end = clock.now() + timeout_s
+        error = _no_quorum(timeout_s)
+        while True:
+            left_s = end - clock.now()
+            if left_s <= 0:
+                raise error
+            try:
+                return self._try_once(command, min(left_s, FORWARD_TIMEOUT_S))
+            except errors.ProxyError as failure:
+                error = failure
+            gevent.sleep(min(RETRY_S, max(0.0, end - clock.now())))
+
+    def _try_once(self, command, timeout_s):
+        member = self._replication.member
+        if member.leader is not None:
+            return self._replication.submit(command, timeout_s)
+        if not member.leader_id:
+            raise _no_quorum(timeout_s)
+        return self._forward(voterset.host_of(member.leader_id), command, timeout_s)
+
+    def _forward(self, leader, command, timeout_s):
+        number = next(self._numbers)
+        result = gevent.event.AsyncResult()
+        self._waiting_by_number[number] = result
+        try:
+            self._send(leader, fleetmessages.FleetCommand(command, number))
+            return result.get(timeout=timeout_s)
+        except gevent.Timeout:
+            raise _no_quorum(timeout_s) from None
+        finally:
+            del self._waiting_by_number[number]
+
+    def serve(self, sender: str, request: fleetmessages.FleetCommand) -> None:
+        """Submit a command of another host and send it the outcome."""
+        gevent.spawn(self._serve, sender, request)
+
+    def _serve(self, sender, request):
+        answer, code = None, ""
+        try:
+            answer = self._replication.submit(request.command, FORWARD_TIMEOUT_S)
+        except errors.ProxyError as error:
+            code = error.kind.value
+        message = fleetmessages.FleetCommandAnswer(
+            answer=answer, code=code, leader="", number=request.number
+        )
+        self._send(sender, message)
+
+    def answered(self, message: fleetmessages.FleetCommandAnswer) -> None:
+        """Take the outcome of a forwarded command."""
+        result = self._waiting_by_number.get(message.number)
+        if result is None:
+            return
+        if message.code:
+            kind = errors.ErrorKind(message.code)
+            result.set_exception(errors.ProxyError(kind, "the leader refused"))
+        else:
+            result.set(message.answer)
+
+
+def _no_quorum(timeout_s):
+    return errors.ProxyError(
+        errors.ErrorKind.NO_QUORUM, f"no leader answered within {timeout_s:.1f} s"
+    )
--- /dev/null
+++ b/kumquatproxy/fleet/running.py
@@ -0,0 +1,53 @@
+"""Running one host of a fleet as a process, from its settings file to SIGTERM."""
+
+import importlib
+import os
+import pathlib
+import signal
+import sys
+
+import gevent
+import gevent.event
+
+from kumquatproxy import clock, errors, logs
+from kumquatproxy.fleet import fleetsettings
+
+SETTINGS_VARIABLE = "KUMQUATPROXY_SETTINGS"
+ROLES = {"entry": "entryhost.EntryHost", "control": "controlhost.ControlHost"}
+
+
+def read_settings(path: str = "") -> fleetsettings.FleetSettings:
+    """Return the settings of a file, by default the one that the environment names."""
+    path = path or os.environ.get(SETTINGS_VARIABLE, "")
+    text = pathlib.Path(path).read_text(encoding="utf-8")
+    return fleetsettings.parse(text, path)
+
+
+def run(role: str, path: str = "") -> int:
+    """Run one host until SIGTERM; return the exit code."""
+    logs.to_stream(sys.stdout)
+    host_settings = read_settings(path)
+    module_name, _, class_name = ROLES[role].partition(".")
+    module = importlib.import_module(f"kumquatproxy.fleet.{module_name}")
+    host = getattr(module, class_name)(host_settings)
+    stop_requested = gevent.event.AsyncResult()
+    host.on_failure = stop_requested.set
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stop_requested.set, None)
+    gevent.signal_handler(signal.SIGHUP, _reload, host, path)
+    host.start()
+    failure = stop_requested.get()
+    if failure is not None:
+        logs.flush()
+        raise failure
+    host.stop_planned()
+    return 0
+
+
+def _reload(host, path):
+    """Let a host take the settings that have changed."""
+    try:
+        host.reload(read_settings(path))
+    except (OSError, errors.ProxyError) as error:
+        log = logs.Log("host")
+        log.write(clock.now(), f"the changed settings are not used: {error}")
--- /dev/null
+++ b/kumquatproxy/fleet/serviceconfig.py
@@ -0,0 +1,218 @@
+"""The operator's configuration: routes, services, limits, and their checks."""
+
+from kumquatproxy import errors, records
+from kumquatproxy.gateway import calls
+
+
+class Target(records.Record):
+    """Name a service that a route leads to, with its weight."""
+
+    __slots__ = ("service", "weight")
+
+    def __init__(self, service, weight=1.0):
+        self.service: str = service
+        self.weight: float = weight
+
+
+class Route(records.Record):
+    """Hold one route; durations are in seconds."""
+
+    __slots__ = (
+        "attempts",
+        "host",
+        "is_resumable",
+        "is_sticky",
+        "max_pause_s",
+        "mode",
+        "name",
+        "objective_s",
+        "path_prefix",
+        "priority",
+        "targets",
+        "timeout_s",
+    )
+
+    def __init__(
+        self,
+        name,
+        host,
+        path_prefix,
+        mode,
+        targets,
+        timeout_s,
+        objective_s=0.0,
+        priority=0,
+        attempts=1,
+        is_sticky=False,
+        is_resumable=False,
+        max_pause_s=0.0,
+    ):
+        self.name: str = name
+        self.host: str = host
+        self.path_prefix: str = path_prefix
+        self.mode: calls.Mode = mode
+        self.targets: list[Target] = list(targets)
+        self.timeout_s: float = timeout_s
+        self.objective_s: float = objective_s  # latency within which an answer counts
+        self.priority: int = priority  # 0 is the most urgent
+        self.attempts: int = attempts  # backend servers one call may be sent to
+        self.is_sticky: bool = is_sticky
+        self.is_resumable: bool = is_resumable
+        self.max_pause_s: float = max_pause_s  # between two events of a stream
+
+
+class Model(records.Record):
+    """Hold a model that a service offers."""
+
+    __slots__ = (
+        "adapter_count",
+        "adapter_mb",
+        "disk_load_s",
+        "memory_load_s",
+        "memory_mb",
+        "name",
+        "store_load_s",
+    )
+
+    def __init__(
+        self,
+        name,
+        memory_mb,
+        store_load_s,
+        disk_load_s=0.0,
+        memory_load_s=0.0,
+        adapter_count=0,
+        adapter_mb=0.0,
+    ):
+        self.name: str = name
+        self.memory_mb: float = memory_mb
+        self.store_load_s: float = store_load_s
+        self.disk_load_s: float = disk_load_s or store_load_s
+        self.memory_load_s: float = memory_load_s or self.disk_load_s
+        self.adapter_count: int = adapter_count
+        self.adapter_mb: float = adapter_mb
+
+
+class Engine(records.Record):
+    """Hold what the servers of a model service have in common."""
+
+    __slots__ = (
+        "adapter_places",
+        "batch_slots",
+        "disk_cache_mb",
+        "loads_per_s",
+        "memory_cache_mb",
+        "memory_mb",
+        "models_by_name",
+        "token_capacity",
+        "tokens_per_event",
+    )
+
+    def __init__(
+        self,
+        models,
+        memory_mb,
+        batch_slots,
+        token_capacity,
+        adapter_places=0,
+        loads_per_s=0.0,
+        tokens_per_event=1,
+        memory_cache_mb=0.0,
+        disk_cache_mb=0.0,
+    ):
+        self.models_by_name: dict[str, Model] = {model.name: model for model in models}
+        self.memory_mb: float = memory_mb
+        self.batch_slots: int = batch_slots
+        self.token_capacity: int = token_capacity
+        self.adapter_places: int = adapter_places
+        self.loads_per_s: float = loads_per_s  # of the weight store, all servers
+        self.tokens_per_event: int = tokens_per_event
+        self.memory_cache_mb: float = memory_cache_mb
+        self.disk_cache_mb: float = disk_cache_mb
+
+
+class Service(records.Record):
+    """Hold a service; ``engine`` is None for a plain one."""
+
+    __slots__ = ("engine", "health_path", "max_connections", "name")
+
+    def __init__(self, name, health_path="", max_connections=0, engine=None):
+        self.name: str = name
+        self.health_path: str = health_path
+        self.max_connections: int = max_connections  # of one server, all callers
+        self.engine: Engine | None = engine
+
+
+class Limits(records.Record):
+    """Bound what a caller may send and how long it may take, in seconds."""
+
+    __slots__ = ("body_bytes", "head_bytes", "head_timeout_s", "idle_timeout_s")
+
+    def __init__(
+        self,
+        head_bytes=16384,
+        body_bytes=4 * 1024 * 1024,
+        head_timeout_s=3.0,
+        idle_timeout_s=15.0,
+    ):
+        self.head_bytes: int = head_bytes
+        self.body_bytes: int = body_bytes
+        self.head_timeout_s: float = head_timeout_s
+        self.idle_timeout_s: float = idle_timeout_s
+
+
+class Configuration:
+    """Hold one version of the operator's configuration."""
+
+    __slots__ = ("limits", "routes", "routes_by_host", "services_by_name", "version")
+
+    def __init__(self, version, routes, services, limits=None):
+        self.version: int = version
+        self.routes: list[Route] = list(routes)
+        self.services_by_name: dict[str, Service] = {
+            service.name: service for service in services
+        }
+        self.limits: Limits = limits or Limits()
+        # The longest prefix comes first, so the first match is the one to use.
+        self.routes_by_host: dict[str, list[Route]] = {}
+        for route in sorted(self.routes, key=lambda one: -len(one.path_prefix)):
+            self.routes_by_host.setdefault(route.host, []).append(route)
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of ``path``, or None."""
+        for route in self.routes_by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+
+def check(configuration: Configuration, service_count: int) -> None:
+    """Raise ProxyError with every fault of a configuration."""
+    faults = []
+    if len(configuration.services_by_name) != service_count:
+        faults.append("two services have the same name")
+    places = set()
+    for route in configuration.routes:
+        faults.extend(_faults_of(route, configuration))
+        place = (route.host, route.path_prefix)
+        if place in places:
+            faults.append(f"route {route.name!r} repeats {route.path_prefix!r}")
+        places.add(place)
+    if faults:
+        raise errors.ProxyError(
+            errors.ErrorKind.INVALID_CONFIGURATION, "; ".join(faults)
+        )
+
+
+def _faults_of(route, configuration):
+    prefix = route.path_prefix
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        yield f"route {route.name!r}: prefix {prefix!r} lacks a slash at an end"
+    if route.timeout_s <= 0:
+        yield f"route {route.name!r} has no timeout"
+    for target in route.targets:
+        if target.service not in configuration.services_by_name:
+            yield f"route {route.name!r} names the unknown service {target.service!r}"
+    weights = [target.weight for target in route.targets]
+    if not weights or min(weights) < 0 or sum(weights) <= 0:
+        yield f"route {route.name!r} has no positive weight"
--- a/kumquatproxy/groupsettings.py
+++ b/kumquatproxy/groupsettings.py
@@ -16,6 +16,9 @@
 RETAINED_ENTRIES = 1000  # kept below a snapshot for members that lag a little
 # A learner that does not answer for so long has lost its disk again.
 LEARNER_EXPIRY_S = 30.0
+# A voter that is silent for longer than an election takes is replaced if a learner is
+# at hand; it joins again as a learner when it comes back.
+REPLACE_AFTER_S = 2.5
 
 
 class GroupSettings(records.Record):
@@ -34,7 +37,9 @@
         "max_batch_bytes",
         "max_batch_entries",
         "max_in_flight",
+        "replace_after_s",
         "retained_entries",
+        "voter_target",
     )
 
     def __init__(
@@ -52,6 +57,8 @@
         retained_entries=RETAINED_ENTRIES,
         learner_expiry_s=LEARNER_EXPIRY_S,
         admitted_hosts=(),
+        voter_target=0,
+        replace_after_s=REPLACE_AFTER_S,
     ):
         self.group: str = group
         self.identity: str = identity
@@ -67,6 +74,10 @@
         self.learner_expiry_s: float = learner_expiry_s
         # Hosts that become voters when they join, without an operator's command.
         self.admitted_hosts: tuple[str, ...] = tuple(admitted_hosts)
+        # Voters that the leader keeps the group at by itself, from all hosts that
+        # join; 0 leaves the voter set to operators.
+        self.voter_target: int = voter_target
+        self.replace_after_s: float = replace_after_s
 
 
 class HardState(records.Record):
--- a/kumquatproxy/host.py
+++ b/kumquatproxy/host.py
@@ -6,7 +6,6 @@
 import signal
 import time
 
-import cbor2
 import gevent
 import gevent.event
 
@@ -15,14 +14,15 @@
     backendapi,
     claimclient,
     claims,
+    clock,
     configurationgroup,
     consensus,
     control,
+    datafolder,
     demandreports,
     diskstore,
     dispatch,
     dissemination,
-    durablefiles,
     entry,
     errors,
     groupsettings,
@@ -39,9 +39,6 @@
 
 CONFIGURATION_GROUP = "configuration"
 FIRST_DISK_ID = "first"  # of the voters that form the configuration group
-VERSION_FILE = "version"
-IDENTITY_FILE = "identity"
-INCARNATION_FILE = "incarnation"
 BYTES_PER_MB = 1_000_000
 DRAIN_POLL_S = 0.05
 CLOSE_TIMEOUT_S = 5.0
@@ -89,74 +86,13 @@
         self.transport: transport.Transport = links
 
 
-class DataFolder:
-    """Keep the durable files of one host; without a folder nothing is kept."""
-
-    def __init__(self, path: str):
-        self.path: pathlib.Path | None = pathlib.Path(path) if path else None
-        if self.path is not None:
-            self.path.mkdir(parents=True, exist_ok=True)
-
-    def read(self, name: str) -> bytes:
-        """Return the content of a file, or nothing."""
-        if self.path is None or not (self.path / name).exists():
-            return b""
-        return (self.path / name).read_bytes()
-
-    def write(self, name: str, data: bytes) -> None:
-        """Make data the durable content of a file, if there is a folder."""
-        if self.path is not None:
-            durablefiles.replace(self.path / name, data)
-
-    def next_incarnation(self, wall_time_s: float) -> int:
-        """Return a number that rises with each start of this host.
-
-        Without a folder the wall clock gives it; membership lets a host whose clock
-        went back refute the higher number that others remember.
-        """
-        known = int(self.read(INCARNATION_FILE) or b"0")
-        incarnation = max(known + 1, int(wall_time_s * 1000))
-        self.write(INCARNATION_FILE, str(incarnation).encode())
-        return incarnation
-
-    def disk_id(self) -> str:
-        """Return the id of this disk; a host without one gets a new id each time."""
-        known = self.read(IDENTITY_FILE).decode()
-        if known:
-            return known
-        fresh = secrets.token_hex(8)
-        self.write(IDENTITY_FILE, fresh.encode())
-        return fresh
-
-    def save_version(self, number: int, content: bytes) -> None:
-        """Keep the configuration in force for the next start."""
-        self.write(VERSION_FILE, cbor2.dumps([number, content]))
-
-    def stored_version(self) -> dissemination.Version | None:
-        """Return the configuration that was kept."""
-        data = self.read(VERSION_FILE)
-        if not data:
-            return None
-        number, content = cbor2.loads(data)
-        return dissemination.Version(number, content)
-
-    def store(self, group: str, identity: str, state):
-        """Return the store of a group's member, formatted if it is new."""
-        if self.path is None:
-            return diskstore.MemoryStore(identity, state)
-        directory = self.path / group.replace(":", "-")
-        if not diskstore.is_formatted(directory):
-            diskstore.format_directory(directory, identity, state)
-        return diskstore.DiskStore(directory)
-
-
 def initialise_voter(host_settings) -> None:
     """Format the data folder of a voter of a new deployment.
 
     A voter whose disk was replaced must not be initialised again: it may have voted.
     It starts without, joins as a learner and is made a voter by the others.
     """
-    folder = DataFolder(host_settings.host.data_folder)
+    folder = datafolder.DataFolder(host_settings.host.data_folder)
     voters = host_settings.groups.configuration_voters
     if folder.path is None or host_settings.host.id not in voters:
         raise errors.ProxyError(
@@ -166,7 +102,7 @@
     identities = [voterset.make_identity(name, FIRST_DISK_ID) for name in voters]
     state = groupsettings.bootstrap_state(voterset.VoterSet(identities).encode())
     identity = voterset.make_identity(host_settings.host.id, FIRST_DISK_ID)
-    folder.write("configuration-" + IDENTITY_FILE, identity.encode())
+    folder.write("configuration-" + datafolder.IDENTITY_FILE, identity.encode())
     diskstore.format_directory(folder.path / CONFIGURATION_GROUP, identity, state)
 
 
@@ -174,11 +110,11 @@
     """Own the tasks and servers of one host."""
 
     def __init__(self, host_settings, key: bytes, roles_by_token, seed: int = 0):
-        now = time.monotonic()
+        now = clock.now()
         self.settings: settings.HostSettings = host_settings
         host = host_settings.host
         self._rng = random.Random(seed or secrets.randbits(64))
-        self._folder = DataFolder(host.data_folder)
+        self._folder = datafolder.DataFolder(host.data_folder)
         self._log = logs.Log("host")
         self._is_closed = False
         self.metrics = metrics.Metrics()
@@ -261,7 +197,7 @@
         self._admin_server.start()
         self._entry_server.start()
         host = self.settings.host
-        self._log.write(time.monotonic(), f"{host.id} serves callers at {host.callers}")
+        self._log.write(clock.now(), f"{host.id} serves callers at {host.callers}")
 
     def _on_message(self, sender, message):
         self.control.tell(control.Received(sender, message))
@@ -271,7 +207,7 @@
         voters = self.settings.groups.configuration_voters
         if host_id not in voters:
             return None
-        name = "configuration-" + IDENTITY_FILE
+        name = "configuration-" + datafolder.IDENTITY_FILE
         identity = self._folder.read(name).decode()
         if not identity:
             identity = voterset.make_identity(host_id, self._folder.disk_id())
@@ -295,7 +231,7 @@
     def stop(self) -> None:
         """Stop as planned: not ready, drain, hand over, close."""
         host = self.settings.host
-        self._log.write(time.monotonic(), f"{host.id} is stopping")
+        self._log.write(clock.now(), f"{host.id} is stopping")
         self.entry.stopping = True
         self.control.ask(control.StartLeaving(), CLOSE_TIMEOUT_S)
         gevent.sleep(host.settle_time)
@@ -306,8 +242,8 @@
         self.kill()
 
     def _wait_until_drained(self, timeout_s):
-        end = time.monotonic() + timeout_s
-        while self.entry.active and time.monotonic() < end:
+        end = clock.now() + timeout_s
+        while self.entry.active and clock.now() < end:
             gevent.sleep(DRAIN_POLL_S)
 
     def kill(self) -> None:
--- a/kumquatproxy/httpapi.py
+++ b/kumquatproxy/httpapi.py
@@ -2,13 +2,12 @@
 
 import functools
 import json
-import time
 
 import gevent
 import gevent.pool
 import gevent.pywsgi
 
-from kumquatproxy import errors
+from kumquatproxy import clock, errors
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_CONNECTIONS = 4096
@@ -168,7 +167,7 @@
     def __call__(self, environ, start_response):
         request = Request(environ)
         try:
-            reply = self.answer(request, time.monotonic())
+            reply = self.answer(request, clock.now())
         except errors.ProxyError as error:
             reply = problem_reply(error)
         request_id = request.header("X-Request-Id")
--- a/kumquatproxy/leadership.py
+++ b/kumquatproxy/leadership.py
@@ -2,7 +2,14 @@
 
 import contextlib
 
-from kumquatproxy import errors, progress, raftmessages, replicalog, voterset
+from kumquatproxy import (
+    errors,
+    progress,
+    raftmessages,
+    replicalog,
+    voterpolicy,
+    voterset,
+)
 
 # A learner this close behind the last entry has caught up.
 CAUGHT_UP_ENTRIES = 64
@@ -263,12 +270,34 @@
     def _move_learners(self, now):
         if not self.may_change():
             return
+        if self.settings.voter_target:
+            self._repair_voters(now)
+            return
         for identity in self._member.voter_set.promoting:
             change = self._next_change(identity, now)
             if change is not None:
                 self._propose_if_possible(change, now)
                 return
 
+    def _repair_voters(self, now):
+        """Replace silent voters by learners, towards the target number."""
+        views_by_identity = {
+            identity: voterpolicy.MemberView(
+                self.has_caught_up(identity), now - peer.contact_at
+            )
+            for identity, peer in self.progress_by_identity.items()
+        }
+        change = voterpolicy.next_change(
+            self._member.voter_set,
+            self.settings.identity,
+            views_by_identity,
+            self.settings.voter_target,
+            self.settings.replace_after_s,
+            self.settings.learner_expiry_s,
+        )
+        if change is not None:
+            self._propose_if_possible(change, now)
+
     def _propose_if_possible(self, change, now):
         """Propose a change that another member's state asks for."""
         with contextlib.suppress(errors.ProxyError):
@@ -295,6 +324,9 @@
         """
         voter_set = self._member.voter_set
         identity = message.source
+        if self.settings.voter_target:
+            self._admit(identity, now)
+            return
         replaced = voter_set.others_of_host(identity)
         lost = [name for name in replaced if name != self.settings.identity]
         is_admitted = voterset.host_of(identity) in self.settings.admitted_hosts
@@ -307,6 +339,13 @@
             kind = voterset.ChangeKind.ADD_VOTER
         self._propose_if_possible(voterset.Change(kind, identity), now)
 
+    def _admit(self, identity, now):
+        """Add any host that joins as a learner."""
+        if identity in self._member.voter_set.members or not self.may_change():
+            return
+        change = voterset.Change(voterset.ChangeKind.ADD_LEARNER, identity)
+        self._propose_if_possible(change, now)
+
     def append_noop(self) -> None:
         """Add the entry that lets earlier entries commit."""
         self._member.append_entry(replicalog.EntryKind.NOOP, b"")
--- a/kumquatproxy/placementcontrol.py
+++ b/kumquatproxy/placementcontrol.py
@@ -5,6 +5,7 @@
 import gevent
 
 from kumquatproxy import (
+    clock,
     configstate,
     consensus,
     demand,
@@ -22,7 +23,6 @@
     placementstate,
     records,
     replication,
-    tasks,
     voterset,
     wire,
 )
@@ -353,7 +353,7 @@
         server = self._context.server(order.backend_id)
         if server is None or self.replication is None:
             return
-        now = tasks.time.monotonic()
+        now = clock.now()
         if not engine.may_send(output, now, self.replication.member.lease_until):
             self._order_log.write(now, f"{order.order_id} not sent: no lease")
             return
@@ -365,7 +365,7 @@
         except drivers.CallFailed as failure:
             detail = failure.detail
         self._order_log.write(
-            tasks.time.monotonic(),
+            clock.now(),
             f"{order.order_id} {order.action} {order.item.key()} at "
             f"{order.backend_id}: {detail}",
         )
--- a/kumquatproxy/replication.py
+++ b/kumquatproxy/replication.py
@@ -1,11 +1,18 @@
 """Task that runs one member: disk, messages, state machine, proposals."""
 
-import time
-
 import gevent
 import gevent.event
 
-from kumquatproxy import applying, errors, groupsettings, logs, tasks, voterset, wire
+from kumquatproxy import (
+    applying,
+    clock,
+    errors,
+    groupsettings,
+    logs,
+    tasks,
+    voterset,
+    wire,
+)
 
 MAX_BATCHED_MESSAGES = 256
 STORAGE_RETRY_S = 1.0
@@ -195,12 +202,12 @@
         return True
 
     def _append(self, persist):
-        start = time.monotonic()
+        start = clock.now()
         if self._write_s < INLINE_WRITE_S:
             self.store.append(persist)
         else:
             gevent.get_hub().threadpool.apply(self.store.append, (persist,))
-        self._write_s = time.monotonic() - start
+        self._write_s = clock.now() - start
 
     def _finish(self, ready):
         if ready.persist.entries:
--- a/kumquatproxy/settings.py
+++ b/kumquatproxy/settings.py
@@ -109,6 +109,10 @@
     def __init__(self, by_name):
         self._by_name: dict = by_name
 
+    def replace(self, **values_by_name) -> None:
+        """Set options to other values than the file has."""
+        self._by_name.update(values_by_name)
+
     def __getattr__(self, name):
         if name.startswith("_"):
             raise AttributeError(name)
--- a/kumquatproxy/tasks.py
+++ b/kumquatproxy/tasks.py
@@ -1,13 +1,12 @@
 """Tasks that own their state and talk by messages."""
 
-import time
 from collections.abc import Callable
 
 import gevent
 import gevent.event
 import gevent.queue
 
-from kumquatproxy import errors, logs
+from kumquatproxy import clock, errors, logs
 
 TICK_INTERVAL_S = 0.05
 
@@ -84,21 +83,19 @@
         except Exception as error:
             # The state may be half changed, so the task must not go on; whoever owns
             # it ends the process.
-            self._log.write(
-                time.monotonic(), f"{type(self).__name__} failed: {error!r}"
-            )
+            self._log.write(clock.now(), f"{type(self).__name__} failed: {error!r}")
             self.on_failure(error)
             raise
 
     def _loop(self):
-        next_tick = time.monotonic()
+        next_tick = clock.now()
         while True:
-            wait_s = max(0.0, next_tick - time.monotonic())
+            wait_s = max(0.0, next_tick - clock.now())
             try:
                 message = self._inbox.get(timeout=wait_s)
             except gevent.queue.Empty:
                 message = None
-            now = time.monotonic()
+            now = clock.now()
             if isinstance(message, Stop):
                 return
             if message is not None:
--- a/kumquatproxy/transport.py
+++ b/kumquatproxy/transport.py
@@ -1,13 +1,12 @@
 """Links between hosts: who is connected, dialling, replacement, queues."""
 
 import random
-import time
 
 import gevent
 import gevent.pool
 import gevent.server
 
-from kumquatproxy import errors, hello, link, logs, sendqueue, wire
+from kumquatproxy import clock, errors, hello, link, logs, sendqueue, wire
 
 MAX_LINKS = 2000
 MIN_REDIAL_S = 0.1
@@ -53,7 +52,7 @@
     is called for each link that was refused or replaced.
     """
 
-    def __init__(self, settings, on_message, on_refused=None, clock=time.monotonic):
+    def __init__(self, settings, on_message, on_refused=None, clock=clock.now):
         self._settings: Settings = settings
         self._on_message = on_message
         self._on_refused = on_refused or (lambda error: None)
