Give orders to engines: swaps of models and adapters on demand

Cause: models that were not resident at the start were never served. Change: the leader of the control group owns the orders (fence = term, committed before the first order, lease checked before each), plans swaps by predicted waiting, and keeps the weight store's window across a change of owner. Each order carries the number of orders that the engine has accepted, so a late one is not carried out after newer ones.

--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -26,8 +26,10 @@
     fleetmessages,
     fleetsettings,
     fleetstate,
+    modelowner,
     proposing,
     servers,
+    serviceconfig,
     spreading,
 )
 from kumquatproxy.gateway import dialects
@@ -136,6 +138,8 @@
             self.host_id, self.replication, self.send_message
         )
         self._marks_seen: dict[tuple, str] = {}
+        self._parsed: serviceconfig.Configuration | None = None
+        self.owner = modelowner.ModelOwner(self)
         application = controlapis.CONTROL_APIS.get(host_settings.dialect.name)(self)
         self._server = httpapi.Server(host_settings.control.api, application)
 
@@ -160,6 +164,9 @@
         self.transport.start()
         self.replication.start()
         super().start()
+        self.owner.on_failure = self.on_failure
+        self.replication.on_failure = self.on_failure
+        self.owner.start()
         self._server.start()
         self._host_log.write(
             clock.now(),
@@ -190,9 +197,20 @@
         self.transport.learn(host_id, self.settings.link_address(host_id))
         self.transport.send(host_id, message)
 
+    def send_to_entries(self, message, now: float) -> None:
+        """Send a message to all entry hosts that listen to this host."""
+        for host_id in self.spreader.entry_ids(now):
+            self.send_message(host_id, message)
+
+    def configuration(self) -> serviceconfig.Configuration | None:
+        """Return the configuration that this host has applied, if there is one."""
+        return self._parsed
+
     def _on_message(self, sender, message):
         if isinstance(message, raftmessages.GroupMessage):
             self.replication.receive(sender, message)
+        elif isinstance(message, _FOR_OWNER):
+            self.owner.tell(Received(sender, message))
         elif isinstance(message, fleetmessages.FleetCommand):
             self.proposer.serve(sender, message)
         elif isinstance(message, fleetmessages.FleetCommandAnswer):
@@ -287,6 +305,8 @@
         machine = self.replication.machine
         if machine.version > self.spreader.version:
             self._config_log.write(now, f"version {machine.version} is in force")
+            text = fleetstate.unpack(machine.content)
+            self._parsed = self.dialect.parse_configuration(text)
             self._emit(self.spreader.configure(machine.version, machine.content, now))
         self._follow_marks(machine, now)
         self._subscribe(now)
@@ -332,6 +352,7 @@
             self.send_message(host_id, message)
 
 
+_FOR_OWNER = (fleetmessages.EntryReport, fleetmessages.AdapterWanted)
 _HANDLERS = {
     fleetmessages.Subscribe: ControlHost._on_subscribe,
     fleetmessages.ServersPush: ControlHost._on_servers,
--- /dev/null
+++ b/kumquatproxy/fleet/engineclient.py
@@ -0,0 +1,91 @@
+"""Calls of the owner at engines: orders and reports."""
+
+import gevent
+
+from kumquatproxy import clock, logs
+from kumquatproxy.fleet import engineorders
+from kumquatproxy.gateway import backendlinks, calls
+
+CALL_TIMEOUT_S = 1.0
+MAX_IDLE_S = 5.0
+REFUSING = (400, 404)
+
+
+class EngineClient:
+    """Send orders and ask for reports; one connection to each engine is kept."""
+
+    __slots__ = ("_dialect", "_log", "links")
+
+    def __init__(self, dialect):
+        self._dialect = dialect
+        self._log = logs.Log("order")
+        self.links = backendlinks.LinkPool()
+
+    def report(self, announcement) -> engineorders.EngineReport | None:
+        """Return what an engine reports, or None if it does not answer."""
+        method, target, headers, body = self._dialect.report_call(announcement)
+        answer = self._call(announcement, method, target, headers, body)
+        if answer is None or answer[0].status != 200:
+            return None
+        try:
+            return self._dialect.read_report(answer[1])
+        except ValueError as error:
+            self._log.write(
+                clock.now(),
+                f"report of {announcement.instance_id} cannot be read: {error}",
+            )
+            return None
+
+    def order(
+        self, announcement, order: engineorders.Order, holder: str, fence: int
+    ) -> engineorders.OrderOutcome:
+        """Send an order and return what came of it."""
+        method, target, headers, body = self._dialect.order_call(
+            announcement, order, holder, fence
+        )
+        answer = self._call(announcement, method, target, headers, body)
+        outcome = engineorders.OrderOutcome.UNKNOWN
+        if answer is not None:
+            outcome = self._dialect.read_order_answer(answer[0].status)
+        self._log.write(
+            clock.now(),
+            f"{order.action.value} {order.key()} at {announcement.instance_id}: "
+            f"{outcome.value}",
+            fence=fence,
+            expected_count=order.expected_count,
+        )
+        return outcome
+
+    def _call(self, announcement, method, target, headers, body):
+        link = None
+        is_in_step = False
+        try:
+            with gevent.Timeout(CALL_TIMEOUT_S, TimeoutError):
+                link = self.links.take(
+                    announcement.instance_id,
+                    announcement.address,
+                    MAX_IDLE_S,
+                    CALL_TIMEOUT_S,
+                )
+                link.send(method, target, headers, body)
+                head: calls.AnswerHead = link.read_head(self._dialect.read_answer)
+                parts = []
+                while True:
+                    part = link.read_part()
+                    if part is None:
+                        break
+                    parts.append(part)
+                is_in_step = True
+                return head, b"".join(parts)
+        except (OSError, backendlinks.BackendError) as error:
+            self._log.write_limited(
+                clock.now(),
+                announcement.instance_id,
+                f"call to {announcement.instance_id} failed: {error!r}",
+            )
+            return None
+        finally:
+            if link is not None and is_in_step:
+                self.links.give(link)
+            elif link is not None:
+                link.close()
--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -38,6 +38,12 @@
 SETTLE_S = 2.6
 STOP_MARGIN_S = 0.5
 POLL_S = 0.05
+# A wish for an adapter that was not answered is repeated after so long.
+ASK_AGAIN_S = 0.15
+# Time that a swap of models takes besides the load.
+SWAP_S = 0.5
+# Engine time of one generated token, as a share of a batch that makes many at once.
+OUTPUT_TOKEN_S = 0.0006
 EXPIRE_INTERVAL_S = 5.0
 
 
@@ -75,6 +81,11 @@
         self._expire_at = now
         self._heard_at_by_id: dict[str, float] = {}
         self._changed = gevent.event.Event()
+        self._coming: dict[str, float] = {}  # time when a model is expected
+        self._asked_at_by_key: dict[tuple, float] = {}
+        self._arrivals_by_key: dict[tuple, tuple] = {}
+        self._reported: dict = {}
+        self._report_number = 0
         self._waiting_calls: dict[calls.Call, None] = {}
         self.relay = relay.Relay(self)
         links = transport.Settings(
@@ -157,7 +168,46 @@
 
     def outlook(self, call: calls.Call) -> waiting.Outlook:
         """Return when a server for a call is expected."""
-        return waiting.Outlook(None)
+        if call.need is None:
+            return waiting.Outlook(None)
+        now = clock.now()
+        if call.need.adapter:
+            self._ask_for_adapter(call, now)
+        due = self._coming.get(call.need.model)
+        if due is not None:
+            return waiting.Outlook(max(0.0, due - now))
+        return waiting.Outlook(self._unplanned_s(call))
+
+    def _unplanned_s(self, call):
+        """Return how long a load of a model takes that is not under way yet."""
+        engine = self.service(call.service).engine
+        if engine is None or call.need.model not in engine.models_by_name:
+            return None
+        model = engine.models_by_name[call.need.model]
+        return model.disk_load_s + SWAP_S
+
+    def _ask_for_adapter(self, call, now):
+        key = (call.service, call.need.key())
+        if now - self._asked_at_by_key.get(key, 0.0) < ASK_AGAIN_S or not self._leader:
+            return
+        self._asked_at_by_key[key] = now
+        message = fleetmessages.AdapterWanted(
+            adapter=call.need.adapter,
+            model=call.need.model,
+            number=0,
+            service=call.service,
+        )
+        self._send(self._leader, message)
+
+    def note_arrival(self, call: calls.Call) -> None:
+        """Count a call in the demand that the owner of the orders is told of."""
+        if call.need is None:
+            return
+        key = (call.service, call.need.model, call.need.adapter)
+        count, work_s = self._arrivals_by_key.get(key, (0, 0.0))
+        work_s += call.need.prompt_tokens / choice.DEFAULT_PREFILL_TOKENS_PER_S
+        work_s += call.need.expected_output_tokens * OUTPUT_TOKEN_S
+        self._arrivals_by_key[key] = (count + 1, work_s)
 
     # Messages
 
@@ -201,7 +251,45 @@
             self._leader = message.leader
 
     def _on_loads(self, message, now):
-        self.chooser.set_others(message.loads_by_id)
+        self.chooser.set_others(message.loads_by_id, self._reported)
+
+    def _on_placement(self, message, now):
+        self.chooser.adapters_by_id = {
+            instance_id: frozenset(keys)
+            for instance_id, keys in message.adapters_by_id.items()
+        }
+        self.chooser.leaving_models_by_id = {
+            instance_id: frozenset(names)
+            for instance_id, names in message.leaving_models_by_id.items()
+        }
+        self._coming = {name: now + left_s for name, left_s in message.coming.items()}
+        self._notify()
+
+    def _on_adapter(self, message, now):
+        self._notify()
+
+    def _report(self, now):
+        """Tell the owner of the orders what is in flight, arrives and waits."""
+        self._report_at = now + REPORT_INTERVAL_S
+        loads = self.chooser.own_loads()
+        arrivals, self._arrivals_by_key = self._arrivals_by_key, {}
+        waiting_by_key: dict[tuple, int] = {}
+        for call in self._waiting_calls:
+            if call.need is not None:
+                key = (call.service, call.need.model, call.need.adapter)
+                waiting_by_key[key] = waiting_by_key.get(key, 0) + 1
+        needs = [
+            [*key, *arrivals.get(key, (0, 0.0)), waiting_by_key.get(key, 0)]
+            for key in {**arrivals, **waiting_by_key}
+        ]
+        if not self._leader or not (loads or needs or self._reported):
+            return
+        self._reported = loads
+        self._report_number += 1
+        report = fleetmessages.EntryReport(
+            loads_by_id=loads, needs=needs, number=self._report_number
+        )
+        self._send(self._leader, report)
 
     def _notify(self):
         self._changed.set()
@@ -212,6 +300,8 @@
         if now >= self._subscribe_at:
             self._subscribe_at = now + SUBSCRIBE_INTERVAL_S
             self._subscribe()
+        if now >= self._report_at:
+            self._report(now)
         if now >= self._expire_at:
             self._expire_at = now + EXPIRE_INTERVAL_S
             self.table.expire(now)
@@ -248,6 +338,8 @@
     fleetmessages.ServersPush: EntryHost._on_servers,
     fleetmessages.ControlHosts: EntryHost._on_hosts,
     fleetmessages.LoadPush: EntryHost._on_loads,
+    fleetmessages.PlacementPush: EntryHost._on_placement,
+    fleetmessages.AdapterReady: EntryHost._on_adapter,
 }
 
 
--- a/kumquatproxy/fleet/fleetmessages.py
+++ b/kumquatproxy/fleet/fleetmessages.py
@@ -50,12 +50,13 @@
     servers: list  # plain announcements
 
 
-@wire.register("adapters-push")
-class AdaptersPush(wire.Message):
-    """Tell which adapters the owner of the orders has loaded where."""
+@wire.register("placement-push")
+class PlacementPush(wire.Message):
+    """Tell what the owner of the orders has loaded and is about to change."""
 
-    __slots__ = ("adapters_by_id", "fence", "leaving_models_by_id", "number")
+    __slots__ = ("adapters_by_id", "coming", "fence", "leaving_models_by_id", "number")
     adapters_by_id: dict  # instance id: list of MODEL/ADAPTER
+    coming: dict  # model: seconds until it is there
     fence: int
     leaving_models_by_id: dict  # instance id: models about to be unloaded
     number: int
@@ -76,7 +77,7 @@
 
     __slots__ = ("loads_by_id", "needs", "number")
     loads_by_id: dict  # instance id: [calls in flight, prompt tokens not yet read]
-    needs: list  # [service, model/adapter, arrivals, waiting, worth of these]
+    needs: list  # [service, model, adapter, arrivals, engine seconds, waiting]
     number: int
 
 
@@ -84,17 +85,16 @@
 class AdapterWanted(wire.Message):
     """Ask the owner to make an adapter ready at a server that has its model."""
 
-    __slots__ = ("adapter", "model", "number", "preferred", "service")
+    __slots__ = ("adapter", "model", "number", "service")
     adapter: str
     model: str
     number: int
-    preferred: list  # instance ids in order
     service: str
 
 
 @wire.register("adapter-ready")
 class AdapterReady(wire.Message):
-    """Answer an AdapterWanted; without an id there is no server for it now."""
+    """Answer an AdapterWanted with a server that has the adapter now."""
 
     __slots__ = ("instance_id", "number")
     instance_id: str
--- /dev/null
+++ b/kumquatproxy/fleet/modelowner.py
@@ -0,0 +1,405 @@
+"""The only host that gives orders: swaps of models, adapters on demand."""
+
+import gevent
+
+from kumquatproxy import clock, errors, logs, tasks
+from kumquatproxy.fleet import (
+    engineclient,
+    engineorders,
+    engines,
+    fleetdemand,
+    fleetmessages,
+    fleetstate,
+    modelplan,
+    serviceconfig,
+    storewindow,
+)
+
+PLAN_INTERVAL_S = 0.1
+PUSH_INTERVAL_S = 0.25
+TAKE_TIMEOUT_S = 1.0
+# Entry hosts stop sending calls for a model that is about to go for so long before.
+AVOID_S = 0.06
+# How often an engine is asked whether an order is done. Its report is a moment old.
+POLL_S = 0.2
+# Longest time for the calls of a model to end after its unload was ordered.
+UNLOAD_TIMEOUT_S = 20.0
+LOAD_MARGIN_S = 12.0
+FAILED_WAIT_S = 1.0
+# An adapter that was used so lately is not given up for another one.
+ADAPTER_STAY_S = 0.4
+ORDERS_PER_ADAPTER = 3
+
+_ACCEPTED = (engineorders.OrderOutcome.ACCEPTED, engineorders.OrderOutcome.HOLDS)
+
+
+class Command:
+    """Hold an adapter that an entry host wants."""
+
+    __slots__ = ("message", "sender")
+
+    def __init__(self, sender, message):
+        self.sender: str = sender
+        self.message: fleetmessages.AdapterWanted = message
+
+
+class ModelOwner(tasks.Task):
+    """Plan and give orders while this host leads the control group."""
+
+    def __init__(self, host):
+        super().__init__(PLAN_INTERVAL_S)
+        self._host = host
+        self._log = logs.Log("place")
+        self._client = engineclient.EngineClient(host.dialect)
+        self._fence = 0  # of the ownership held, 0 without one
+        self._may_order_from = 0.0
+        self._taking = False
+        self._push_at = 0.0
+        self._push_number = 0
+        self._pushed: tuple = ()
+        self._parsed: serviceconfig.Configuration | None = None
+        self._adapter_tasks: set[tuple] = set()
+        self.table = engines.EngineTable()
+        self.demand = fleetdemand.FleetDemand()
+        self.window = storewindow.StoreWindow(host.settings.bounds.load_window)
+
+    # Ownership
+
+    def may_order(self, now: float) -> bool:
+        """Return whether this host certainly is the only owner at ``now``."""
+        member = self._host.replication.member
+        return (
+            self._fence != 0
+            and self._fence == member.term
+            and member.leader is not None
+            and member.has_lease(now)
+            and now >= self._may_order_from
+        )
+
+    def _follow_leadership(self, now):
+        member = self._host.replication.member
+        if member.leader is None:
+            if self._fence:
+                self._log.write(now, "orders are given up", fence=self._fence)
+            self._fence = 0
+            return
+        if self._fence != member.term and not self._taking:
+            self._taking = True
+            gevent.spawn(self._take_ownership, member.term)
+
+    def _take_ownership(self, term):
+        """Commit the ownership, and wait out the orders of an earlier owner."""
+        command = fleetstate.TakeOwnership(fence=term, host_id=self._host.host_id)
+        try:
+            answer = self._host.replication.submit(command, TAKE_TIMEOUT_S)
+        except errors.ProxyError as error:
+            self._log.write(clock.now(), f"the ownership is not committed: {error}")
+            return
+        finally:
+            self._taking = False
+        now = clock.now()
+        if answer.fence != term:
+            return
+        self._fence = term
+        self._may_order_from = now
+        self.table.states_by_lifetime.clear()
+        if answer.previous_host_id not in ("", self._host.host_id):
+            self._may_order_from = now + self._host.settings.bounds.lease
+        if answer.previous_host_id:
+            for service in self._engine_services():
+                self.window.fill(service.engine.loads_per_s, now)
+        self._log.write(
+            now,
+            f"this host gives the orders, after {answer.previous_host_id or 'nobody'}",
+            fence=term,
+            from_s=round(self._may_order_from - now, 1),
+        )
+
+    # Messages
+
+    def handle(self, message, now: float, reply=None):
+        """Handle a report or a wish of an entry host."""
+        if isinstance(message.message, fleetmessages.EntryReport):
+            report = message.message
+            self.demand.report(message.sender, report.loads_by_id, report.needs, now)
+        elif isinstance(message.message, fleetmessages.AdapterWanted):
+            self._on_adapter_wanted(message.sender, message.message, now)
+
+    def tick(self, now: float) -> None:
+        """Plan swaps and tell the entry hosts."""
+        self._follow_leadership(now)
+        if not self._fence:
+            return
+        for state in self.table.follow(self._engine_announcements()):
+            self._spawn(state, self._refresh)
+        if self.may_order(now):
+            self._plan(now)
+        if now >= self._push_at:
+            self._push_at = now + PUSH_INTERVAL_S
+            self._push_loads(now)
+        self._push_placement(now)
+
+    def _engine_services(self):
+        content = self._host.configuration()
+        if content is None:
+            return []
+        services = content.services_by_name.values()
+        return [one for one in services if one.engine is not None]
+
+    def _engine_announcements(self):
+        names = {service.name for service in self._engine_services()}
+        return [one for one in self._host.table.all() if one.service in names]
+
+    # Plan
+
+    def _plan(self, now):
+        for service in self._engine_services():
+            states_by_id = {
+                state.announcement.instance_id: state
+                for state in self.table.all()
+                if state.announcement.service == service.name
+                and state.order_count is not None
+            }
+            views = [self._view(state, service, now) for state in states_by_id.values()]
+            if not views:
+                continue
+            planner = modelplan.Planner(service, views, self.demand, now)
+            rate = service.engine.loads_per_s
+            for swap in planner.swaps(lambda: self.window.allows(rate, now)):
+                self._begin_swap(states_by_id[swap.instance_id], swap, service, now)
+
+    def _view(self, state, service, now):
+        announcement = state.announcement
+        loads = self.demand.loads_by_id(now).get(announcement.instance_id, (0, 0))
+        models_by_name = service.engine.models_by_name
+        # Adapters take no more than all places filled with the largest one.
+        largest = max((one.adapter_mb for one in models_by_name.values()), default=0.0)
+        return modelplan.EngineView(
+            announcement.instance_id,
+            service.name,
+            announcement.data_centre,
+            state.models,
+            state.in_memory,
+            state.on_disk,
+            state.is_usable(now),
+            loads[0],
+            largest * service.engine.adapter_places,
+            state.loaded_at_by_model,
+        )
+
+    def _begin_swap(self, state, swap, service, now):
+        if swap.needs_store:
+            self.window.begin(now)
+        state.loading = swap.load
+        state.loading_until = now + swap.takes_s + 2 * POLL_S * len(swap.unload)
+        state.unloading = set(swap.unload)
+        self._log.write(
+            now,
+            f"{swap!r}",
+            takes_s=round(swap.takes_s, 2),
+            from_store=swap.needs_store,
+        )
+        self._spawn(state, self._swap, swap)
+
+    def _spawn(self, state, work, *arguments):
+        state.is_busy = True
+        gevent.spawn(self._run_work, state, work, *arguments)
+
+    def _run_work(self, state, work, *arguments):
+        try:
+            work(state, *arguments)
+        finally:
+            state.is_busy = False
+            state.loading = ""
+            state.unloading = set()
+
+    # Work on one engine, each in a greenlet of its own
+
+    def _refresh(self, state):
+        report = self._client.report(state.announcement)
+        if report is None:
+            state.retry_at = clock.now() + FAILED_WAIT_S
+            return False
+        state.take_report(report, clock.now())
+        return True
+
+    def _swap(self, state, swap):
+        self._push_placement(clock.now())
+        if swap.unload:
+            gevent.sleep(AVOID_S)
+        for name in swap.unload:
+            order = engineorders.Order(engineorders.Action.UNLOAD, name)
+            if not self._carry_out(state, order, UNLOAD_TIMEOUT_S):
+                return
+        order = engineorders.Order(engineorders.Action.LOAD, swap.load)
+        if self._carry_out(state, order, swap.takes_s * 3 + LOAD_MARGIN_S):
+            state.loaded_at_by_model[swap.load] = clock.now()
+        elif swap.needs_store:
+            self.window.begin_unknown(clock.now())
+
+    def _carry_out(self, state, order, timeout_s):
+        """Send an order and wait until a report shows its effect."""
+        end = clock.now() + timeout_s
+        if not self._send(state, order):
+            state.retry_at = clock.now() + FAILED_WAIT_S
+            self._refresh(state)
+            return False
+        while clock.now() < end:
+            gevent.sleep(POLL_S)
+            if not self._refresh(state):
+                return False
+            holds = order.model in state.report.models
+            wanted = order.action is engineorders.Action.LOAD
+            if not state.report.is_busy and holds == wanted:
+                return True
+            if not state.report.is_busy and not wanted and not holds:
+                return True
+        return False
+
+    def _send(self, state, order):
+        """Send one order if this host may; return whether it was accepted."""
+        if state.order_count is None or not self.may_order(clock.now()):
+            return False
+        order.expected_count = state.order_count
+        outcome = self._client.order(
+            state.announcement, order, self._host.host_id, self._fence
+        )
+        if outcome is engineorders.OrderOutcome.ACCEPTED:
+            state.order_count += 1
+        elif outcome is engineorders.OrderOutcome.STALE_FENCE:
+            self._log.write(clock.now(), "another owner has a higher fence")
+            self._fence = 0
+        return outcome in _ACCEPTED
+
+    # Adapters
+
+    def _on_adapter_wanted(self, sender, message, now):
+        if not self.may_order(now):
+            return
+        key = f"{message.model}/{message.adapter}"
+        holder = self._holder_of(message.service, message.model, key)
+        if holder is not None:
+            holder.adapters_used_at[key] = now
+            self._answer_adapter(sender, message, holder)
+            return
+        task = (message.service, key)
+        if task in self._adapter_tasks:
+            return
+        self._adapter_tasks.add(task)
+        gevent.spawn(self._bring_adapter, sender, message, task)
+
+    def _holder_of(self, service, model, key):
+        holders = [
+            state
+            for state in self.table.all()
+            if state.announcement.service == service
+            and key in state.adapters_used_at
+            and model in state.models
+            and state.is_usable(clock.now()) | state.is_busy
+        ]
+        return holders[0] if holders else None
+
+    def _answer_adapter(self, sender, message, state):
+        answer = fleetmessages.AdapterReady(
+            instance_id=state.announcement.instance_id, number=message.number
+        )
+        self._host.send_message(sender, answer)
+
+    def _bring_adapter(self, sender, message, task):
+        try:
+            for _ in range(ORDERS_PER_ADAPTER):
+                state = self._pick_engine(message)
+                if state is None:
+                    return
+                state.is_busy = True
+                try:
+                    is_there = self._load_adapter(state, message)
+                finally:
+                    state.is_busy = False
+                if is_there:
+                    gevent.sleep(engines.ADAPTER_READY_S)
+                    self._push_placement(clock.now())
+                    self._answer_adapter(sender, message, state)
+                    return
+        finally:
+            self._adapter_tasks.discard(task)
+
+    def _pick_engine(self, message):
+        """Return the engine with the model that has the most room for adapters."""
+        now = clock.now()
+        loads = self.demand.loads_by_id(now)
+        usable = [
+            state
+            for state in self.table.all()
+            if state.announcement.service == message.service
+            and state.order_count is not None
+            and state.report is not None
+            and message.model in state.report.models
+            and message.model not in state.unloading
+            and state.is_usable(now)
+        ]
+
+        def cost(state):
+            load = loads.get(state.announcement.instance_id, (0, 0))
+            return len(state.adapters_used_at) * 0.5 + load[0] * 0.1
+
+        return min(usable, key=cost, default=None)
+
+    def _load_adapter(self, state, message):
+        now = clock.now()
+        service = self._host.configuration().services_by_name[message.service]
+        while len(state.adapters_used_at) >= service.engine.adapter_places:
+            oldest = state.oldest_adapter(now - ADAPTER_STAY_S)
+            if not oldest:
+                return False
+            model, _, adapter = oldest.partition("/")
+            order = engineorders.Order(engineorders.Action.UNLOAD, model, adapter)
+            if not self._send(state, order):
+                self._refresh(state)
+                return False
+            del state.adapters_used_at[oldest]
+        order = engineorders.Order(
+            engineorders.Action.LOAD, message.model, message.adapter
+        )
+        if not self._send(state, order):
+            self._refresh(state)
+            return False
+        state.adapters_used_at[order.key()] = clock.now()
+        return True
+
+    # What the entry hosts are told
+
+    def _push_loads(self, now):
+        self._push_number += 1
+        push = fleetmessages.LoadPush(
+            loads_by_id=self.demand.loads_by_id(now), number=self._push_number
+        )
+        self._host.send_to_entries(push, now)
+
+    def _push_placement(self, now):
+        adapters = {}
+        leaving = {}
+        coming: dict[str, float] = {}
+        for state in self.table.all():
+            instance_id = state.announcement.instance_id
+            if state.adapters_used_at:
+                adapters[instance_id] = sorted(state.adapters_used_at)
+            if state.unloading:
+                leaving[instance_id] = sorted(state.unloading)
+            if state.loading:
+                left_s = max(0.0, state.loading_until - now)
+                earlier_s = coming.get(state.loading, left_s)
+                coming[state.loading] = min(left_s, earlier_s)
+        content = (adapters, leaving, sorted(coming))
+        if content == self._pushed:
+            return
+        self._pushed = content
+        self._push_number += 1
+        push = fleetmessages.PlacementPush(
+            adapters_by_id=adapters,
+            coming=coming,
+            fence=self._fence,
+            leaving_models_by_id=leaving,
+            number=self._push_number,
+        )
+        self._host.send_to_entries(push, now)
--- a/kumquatproxy/fleet/spreading.py
+++ b/kumquatproxy/fleet/spreading.py
@@ -124,11 +124,15 @@
 
     def entry_count(self, now: float) -> int:
         """Return the number of entry hosts that listen to this host."""
-        return sum(
-            1
+        return len(self.entry_ids(now))
+
+    def entry_ids(self, now: float) -> list[str]:
+        """Return the entry hosts that listen to this host."""
+        return [
+            name
             for name in self._live(now)
             if self.subscribers_by_id[name].kind == fleetmessages.ENTRY
-        )
+        ]
 
     def tick(self, hosts, voters, leader: str, now: float) -> list[wire.Send]:
         """Return the messages that are due."""
--- a/kumquatproxy/gateway/choice.py
+++ b/kumquatproxy/gateway/choice.py
@@ -162,12 +162,14 @@
         """Note that a call has left a server."""
         self.view(announcement).flights.pop(flight, None)
 
-    def set_others(self, loads_by_id: dict) -> None:
-        """Take the calls that other entry hosts have in flight."""
+    def set_others(self, loads_by_id: dict, own_by_id: dict) -> None:
+        """Take the calls that all entry hosts have in flight, less the own ones."""
         for announcement in self.table.all():
             view = self.view(announcement)
-            load = loads_by_id.get(announcement.instance_id, (0, 0))
-            view.others, view.others_tokens = load
+            count, tokens = loads_by_id.get(announcement.instance_id, (0, 0))
+            own_count, own_tokens = own_by_id.get(announcement.instance_id, (0, 0))
+            view.others = max(0, count - own_count)
+            view.others_tokens = max(0, tokens - own_tokens)
 
     def own_loads(self) -> dict:
         """Return calls and unread prompt tokens of this host by instance."""
--- a/kumquatproxy/gateway/dialects.py
+++ b/kumquatproxy/gateway/dialects.py
@@ -30,6 +30,22 @@
         """Return the head of a backend server's answer."""
         raise NotImplementedError
 
+    def report_call(self, announcement):
+        """Return method, target, headers and body of a call for an engine's report."""
+        raise NotImplementedError
+
+    def read_report(self, body: bytes):
+        """Return the engineorders.EngineReport of an answer; raise ValueError."""
+        raise NotImplementedError
+
+    def order_call(self, announcement, order, holder: str, fence: int):
+        """Return method, target, headers and body of an order."""
+        raise NotImplementedError
+
+    def read_order_answer(self, status: int):
+        """Return the engineorders.OrderOutcome that a status stands for."""
+        raise NotImplementedError
+
     def parse_configuration(self, data: bytes):
         """Return a checked serviceconfig.Configuration; raise ProxyError."""
         raise NotImplementedError
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -147,6 +147,7 @@
         allowed_s = timeout_s if allowed_s is None else min(allowed_s, timeout_s)
         call.deadline = call.arrived_at + allowed_s
         call.service = self._host.pick_service(call.route)
+        self._host.note_arrival(call)
 
     def _run(self, call, progress, connection):
         while True:
--- a/kumquatproxy/platform/callformat.py
+++ b/kumquatproxy/platform/callformat.py
@@ -2,7 +2,7 @@
 
 from kumquatproxy import errors
 from kumquatproxy.gateway import calls, dialects, framing
-from kumquatproxy.platform import configformat
+from kumquatproxy.platform import configformat, engineformat
 
 REQUEST_ID = b"kumquatproxy-request-id"
 DEADLINE = b"kumquatproxy-deadline-ms"
@@ -96,11 +96,38 @@
         head.load = _load(_text(headers, LOAD))
         return head
 
+    def report_call(self, announcement):
+        """Return the call for an engine's report."""
+        return b"GET", engineformat.REPORT, _call_headers(announcement, b""), b""
+
+    def read_report(self, body: bytes):
+        """Return an engine's report."""
+        return engineformat.read_report(body)
+
+    def order_call(self, announcement, order, holder: str, fence: int):
+        """Return the call that gives an order."""
+        body = engineformat.write_order(order, holder, fence)
+        headers = _call_headers(announcement, body)
+        headers.append((EXPECT_INSTANCE, announcement.instance_id.encode()))
+        return b"POST", engineformat.ORDER, headers, body
+
+    def read_order_answer(self, status: int):
+        """Return what came of an order."""
+        return engineformat.OUTCOMES.get(status, engineformat.OTHER_OUTCOME)
+
     def parse_configuration(self, data: bytes):
         """Return a checked configuration."""
         return configformat.parse(data)
 
 
+def _call_headers(announcement, body):
+    headers = [(b"host", announcement.address.encode())]
+    if body:
+        headers.append((b"content-type", b"application/json"))
+        headers.append((b"content-length", str(len(body)).encode()))
+    return headers
+
+
 def _text(headers, name):
     return framing.header(headers, name).decode("latin-1").strip()
 
