--- a/kumquatproxy/fleet/engineorders.py
+++ b/kumquatproxy/fleet/engineorders.py
@@ -31,6 +31,10 @@
         self.adapter: str = adapter
         self.expected_count: int | None = expected_count
 
+    def is_adapter_unload(self) -> bool:
+        """Return whether an adapter is to be unloaded, which is done at once."""
+        return self.action is Action.UNLOAD and bool(self.adapter)
+
     def key(self) -> str:
         """Return the name of the model with its adapter."""
         return f"{self.model}/{self.adapter}" if self.adapter else self.model
--- a/kumquatproxy/fleet/engines.py
+++ b/kumquatproxy/fleet/engines.py
@@ -36,12 +36,23 @@
         self.adapters_used_at: dict[str, float] = {}
         self.loaded_at_by_model: dict[str, float] = {}
 
-    def take_report(self, report: engineorders.EngineReport, now: float) -> None:
-        """Take what the engine says of itself."""
+    def take_report(self, report: engineorders.EngineReport) -> bool:
+        """Take what the engine says of itself, unless that is older than known.
+
+        A report shows the engine as it was a moment before. One that counts fewer
+        orders than were accepted does not show what the last of them changed.
+        """
+        if self.order_count is not None and report.order_count < self.order_count:
+            return False
         self.report = report
         self.order_count = report.order_count
         used = self.adapters_used_at
         self.adapters_used_at = {key: used.get(key, 0.0) for key in report.adapters}
+        return True
+
+    def doubt(self) -> None:
+        """Trust the next report alone: orders may have been accepted or not."""
+        self.order_count = None
 
     @property
     def models(self) -> set[str]:
@@ -70,7 +81,20 @@
     def is_usable(self, now: float) -> bool:
         """Return whether orders may go to the engine now."""
         is_ready = self.announcement.state is servers.ServerState.READY
-        return is_ready and not self.is_busy and now >= self.retry_at
+        is_settled = self.order_count is not None and not self.has_unknown_order()
+        return is_ready and is_settled and not self.is_busy and now >= self.retry_at
+
+    def has_unknown_order(self) -> bool:
+        """Return whether the engine carries out an order that this owner did not give.
+
+        Its report does not show yet what will be resident then.
+        """
+        return self.report is not None and self.report.is_busy and not self.is_busy
+
+    def needs_refresh(self, now: float) -> bool:
+        """Return whether the engine must be asked before it can get orders."""
+        is_unclear = self.order_count is None or self.has_unknown_order()
+        return is_unclear and not self.is_busy and now >= self.retry_at
 
     def oldest_adapter(self, used_before: float) -> str:
         """Return the adapter unused for longest, '' if all were used lately."""
@@ -88,9 +112,8 @@
     def __init__(self):
         self.states_by_lifetime: dict[tuple, EngineState] = {}
 
-    def follow(self, announcements: list[servers.Announcement]) -> list[EngineState]:
-        """Take the newest announcements; return the states of engines that are new."""
-        fresh = []
+    def follow(self, announcements: list[servers.Announcement]) -> None:
+        """Take the newest announcements and forget engines that are gone."""
         live = set()
         for announcement in announcements:
             live.add(announcement.lifetime)
@@ -98,11 +121,9 @@
             if state is None:
                 state = EngineState(announcement)
                 self.states_by_lifetime[announcement.lifetime] = state
-                fresh.append(state)
             state.announcement = announcement
         for lifetime in [one for one in self.states_by_lifetime if one not in live]:
             del self.states_by_lifetime[lifetime]
-        return fresh
 
     def all(self) -> list[EngineState]:
         """Return all states."""
--- a/kumquatproxy/fleet/modelowner.py
+++ b/kumquatproxy/fleet/modelowner.py
@@ -26,6 +26,8 @@
 UNLOAD_TIMEOUT_S = 20.0
 LOAD_MARGIN_S = 12.0
 FAILED_WAIT_S = 1.0
+# Reports show an engine as it was up to a few hundred milliseconds before.
+REPORT_AGE_S = 0.4
 # An adapter that was used so lately is not given up for another one.
 ADAPTER_STAY_S = 0.4
 ORDERS_PER_ADAPTER = 3
@@ -130,8 +132,11 @@
         self._follow_leadership(now)
         if not self._fence:
             return
-        for state in self.table.follow(self._engine_announcements()):
-            self._spawn(state, self._refresh)
+        self.table.follow(self._engine_announcements())
+        for state in self.table.all():
+            if state.needs_refresh(now):
+                state.retry_at = now + POLL_S
+                self._spawn(state, self._refresh)
         if self.may_order(now):
             self._plan(now)
         if now >= self._push_at:
@@ -158,7 +163,7 @@
                 state.announcement.instance_id: state
                 for state in self.table.all()
                 if state.announcement.service == service.name
-                and state.order_count is not None
+                and state.report is not None
             }
             views = [self._view(state, service, now) for state in states_by_id.values()]
             if not views:
@@ -220,9 +225,17 @@
         if report is None:
             state.retry_at = clock.now() + FAILED_WAIT_S
             return False
-        state.take_report(report, clock.now())
+        state.take_report(report)
         return True
 
+    def _resynchronise(self, state):
+        """Learn the number of orders anew, from a report that cannot be too old."""
+        state.doubt()
+        state.retry_at = clock.now() + FAILED_WAIT_S
+        gevent.sleep(REPORT_AGE_S)
+        if self._refresh(state):
+            state.retry_at = 0.0
+
     def _swap(self, state, swap):
         self._push_placement(clock.now())
         if swap.unload:
@@ -241,19 +254,18 @@
         """Send an order and wait until a report shows its effect."""
         end = clock.now() + timeout_s
         if not self._send(state, order):
-            state.retry_at = clock.now() + FAILED_WAIT_S
-            self._refresh(state)
+            self._resynchronise(state)
             return False
         while clock.now() < end:
             gevent.sleep(POLL_S)
             if not self._refresh(state):
                 return False
+            if state.report.order_count < state.order_count:
+                continue
             holds = order.model in state.report.models
             wanted = order.action is engineorders.Action.LOAD
             if not state.report.is_busy and holds == wanted:
                 return True
-            if not state.report.is_busy and not wanted and not holds:
-                return True
         return False
 
     def _send(self, state, order):
@@ -264,7 +276,9 @@
         outcome = self._client.order(
             state.announcement, order, self._host.host_id, self._fence
         )
-        if outcome is engineorders.OrderOutcome.ACCEPTED:
+        if outcome is engineorders.OrderOutcome.ACCEPTED or (
+            outcome is engineorders.OrderOutcome.HOLDS and order.is_adapter_unload()
+        ):
             state.order_count += 1
         elif outcome is engineorders.OrderOutcome.STALE_FENCE:
             self._log.write(clock.now(), "another owner has a higher fence")
@@ -332,7 +346,6 @@
             state
             for state in self.table.all()
             if state.announcement.service == message.service
-            and state.order_count is not None
             and state.report is not None
             and message.model in state.report.models
             and message.model not in state.unloading
@@ -355,14 +368,14 @@
             model, _, adapter = oldest.partition("/")
             order = engineorders.Order(engineorders.Action.UNLOAD, model, adapter)
             if not self._send(state, order):
-                self._refresh(state)
+                self._resynchronise(state)
                 return False
             del state.adapters_used_at[oldest]
         order = engineorders.Order(
             engineorders.Action.LOAD, message.model, message.adapter
         )
         if not self._send(state, order):
-            self._refresh(state)
+            self._resynchronise(state)
             return False
         state.adapters_used_at[order.key()] = clock.now()
         return True
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -65,10 +65,10 @@
         "waited_s",
     )
 
-    def __init__(self, call):
+    def __init__(self):
         self.attempts: list[Attempt] = []
         self.has_answer_begun = False  # the caller has got a head
-        self.last_event_id: str = call.last_event_id
+        self.last_event_id = ""  # last one that the caller has
         self.refusals = 0
         self.runs = 0  # attempts that may have run
         self.tried: set[tuple] = set()
@@ -109,11 +109,12 @@
 
     def serve(self, call: calls.Call, connection: callers.CallerConnection) -> None:
         """Answer one call on the connection of its caller."""
-        progress = Progress(call)
+        progress = Progress()
         current = gevent.getcurrent()
         connection.watch(lambda: current.kill(calls.GoneError, block=False))
         try:
             self._prepare(call)
+            progress.last_event_id = call.last_event_id
             left_s = call.deadline - clock.now() - ANSWER_MARGIN_S
             with gevent.Timeout(max(0.0, left_s), TimeOverError):
                 self._run(call, progress, connection)
