Let no call wait on a host until it stops

Change: on a host that stops, a call that cannot be placed a second before its end is refused, so that the caller comes back elsewhere.

--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -74,6 +74,7 @@
         )
         self.entry_count = 1
         self.is_stopping = False
+        self.stops_at: float | None = None  # when the last calls are cut off
         self._control_ids: set[str] = set(host_settings.seed_ids)
         self._leader = ""
         self._subscribe_at = now
@@ -120,6 +121,7 @@
         end = now + self.settings.bounds.stop_grace - STOP_MARGIN_S
         self._host_log.write(now, "stopping", in_flight=self._callers.active)
         self.is_stopping = True
+        self.stops_at = end
         self._callers.start_closing()
         gevent.sleep(SETTLE_S)
         self._callers.close()
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -176,7 +176,8 @@
                 if chosen is not None:
                     progress.waited_s += now - waiter.since
                     return chosen
-                verdict = waiter.verdict(service, self._host.outlook(call), now)
+                outlook = self._host.outlook(call)
+                verdict = waiter.verdict(service, outlook, now, self._host.stops_at)
                 if verdict.error is not None:
                     raise verdict.error
                 self._host.wait_for_change(verdict.wait_s)
--- a/kumquatproxy/gateway/waiting.py
+++ b/kumquatproxy/gateway/waiting.py
@@ -12,6 +12,8 @@
 # Longest wait for a server that is not known to come.
 BLIND_WAIT_S = 0.4
 RETRY_AFTER_S = 0.6
+# Time that a call needs after its wait on a host that stops.
+STOP_RESERVE_S = 1.0
 
 
 class Outlook:
@@ -42,9 +44,18 @@
         self._call = call
         self.since: float = now
 
-    def verdict(self, service, outlook: Outlook, now: float) -> Verdict:
-        """Return whether to wait on; ``outlook`` tells what is expected."""
-        left_s = self._call.deadline - now
+    def verdict(
+        self, service, outlook: Outlook, now: float, stops_at: float | None = None
+    ) -> Verdict:
+        """Return whether to wait on; ``outlook`` tells what is expected.
+
+        A host that stops at ``stops_at`` keeps no call that would wait until then:
+        the caller finds another host sooner.
+        """
+        end = self._call.deadline
+        if stops_at is not None:
+            end = min(end, stops_at - STOP_RESERVE_S)
+        left_s = end - now
         if outlook.ready_in_s is not None and outlook.ready_in_s < left_s:
             return Verdict(wait_s=min(CHECK_S, left_s))
         if outlook.ready_in_s is None and now - self.since < BLIND_WAIT_S < left_s:
