Frame calls of drivers strictly, check messages, test gateway, fleet and adapter

Cause: the plain-http driver joined two answers that arrived in one read, and a caller's messages that were no list reached the engine. Ruled out: a guard round geventhttpclient's parser, which has already joined the bodies when it returns; h11 stops at the end of an answer. Change: drivers use the gateway's connections; 400 for messages with the place. Before: okother for ok followed by other. After: each row of the table of odd bytes has a test. Conclusion: one client for backend servers is left.

--- a/kumquatproxy/drivers.py
+++ b/kumquatproxy/drivers.py
@@ -3,18 +3,15 @@
 import json
 
 import gevent
-import gevent.socket
-import geventhttpclient
-import geventhttpclient.httplib
-import geventhttpclient.response
 
 from kumquatproxy import clock, records, registry, retries
+from kumquatproxy.gateway import backendlinks, calls, eventstream
 
 DRIVERS = registry.Registry("driver")
 
 CONNECT_TIMEOUT_S = 1.0
-CONNECTIONS_PER_SERVER = 512
-MAX_CALL_S = 86_400.0  # each call sets its own, shorter timeout
+# A kept connection that was idle for longer may be about to be closed.
+MAX_IDLE_S = 10.0
 EVENT_END = b"\n\n"
 LAST_EVENT = b"data: [DONE]"
 
@@ -48,6 +45,10 @@
         self.body: bytes = body
 
 
+class CallTimeoutError(Exception):
+    """Tell that the time of a call is over."""
+
+
 class CallFailed(Exception):
     """Report a failed call and how far it may have got."""
 
@@ -65,38 +66,28 @@
 
 
 class Pool:
-    """Keep one HTTP client with its connections for each backend address."""
+    """Keep the connections to each backend address."""
 
-    __slots__ = ("_clients_by_address",)
+    __slots__ = ("_links",)
 
     def __init__(self):
-        self._clients_by_address: dict[str, geventhttpclient.HTTPClient] = {}
-
-    def client(self, address: str) -> geventhttpclient.HTTPClient:
-        """Return the client of an address."""
-        client = self._clients_by_address.get(address)
-        if client is None:
-            host, _, port = address.rpartition(":")
-            client = geventhttpclient.HTTPClient(
-                host,
-                int(port),
-                concurrency=CONNECTIONS_PER_SERVER,
-                connection_timeout=CONNECT_TIMEOUT_S,
-                network_timeout=MAX_CALL_S,
-            )
-            self._clients_by_address[address] = client
-        return client
+        self._links = backendlinks.LinkPool()
+
+    def open(self, address: str, max_idle_s: float) -> backendlinks.BackendLink:
+        """Return a connection that was idle for at most ``max_idle_s``."""
+        return self._links.take(address, address, max_idle_s, CONNECT_TIMEOUT_S)
+
+    def keep(self, link: backendlinks.BackendLink) -> None:
+        """Keep a connection whose answer was read whole, if it is sound."""
+        self._links.give(link)
 
     def renew(self, address: str) -> None:
         """Close the idle connections of an address, so that new ones are made."""
-        client = self._clients_by_address.pop(address, None)
-        if client is not None:
-            client.close()
+        self._links.forget(address)
 
     def close(self) -> None:
         """Close all idle connections."""
-        for address in list(self._clients_by_address):
-            self.renew(address)
+        self._links.forget_all()
 
 
 class Driver:
@@ -111,85 +102,87 @@
         """Make a call that may be repeated; raise CallFailed."""
         return self._call(server.address, method, path, headers, body, timeout_s)
 
-    def _call(self, address, method, path, headers, body, timeout_s):
-        try:
-            with gevent.Timeout(timeout_s):
-                response = self._request(address, method, path, headers, body)
-                return BackendReply(
-                    response.status_code,
-                    forwarded_headers(response.items()),
-                    response.read(),
-                )
-        except gevent.Timeout:
-            self._pool.renew(address)
-            raise CallFailed(
-                retries.Failure.TIMEOUT,
-                f"{address} gave no complete answer within {timeout_s:.3f} s",
-            ) from None
-        except (OSError, geventhttpclient.response.HTTPParseError) as error:
-            raise _failure(address, error) from None
-
-    def _request(self, address, method, path, headers, body):
-        client = self._pool.client(address)
-        return client.request(method, path, body=body, headers=dict(headers))
-
     def call_once(
         self, server: records.BackendServer, method, path, headers, body, timeout_s
     ) -> BackendReply:
         """Make a call that must not be repeated, on a new connection.
 
-        The connection is made right before the call, which proves it alive,
-        and the library's own retries on broken connections are not in play.
+        The connection is made right before the call, which proves it alive.
         """
-        host, _, port = server.address.rpartition(":")
-        connection = geventhttpclient.httplib.HTTPConnection(host, int(port))
+        address = server.address
+        return self._call(address, method, path, headers, body, timeout_s, 0.0)
+
+    def _call(
+        self, address, method, path, headers, body, timeout_s, max_idle_s=MAX_IDLE_S
+    ):
+        link = None
+        is_whole = False
         try:
-            connection.sock = _connect(host, int(port), server.address)
-            with gevent.Timeout(timeout_s):
-                connection.request(method, path, body=body, headers=dict(headers))
-                response = connection.getresponse()
-                data = response.read()
-        except gevent.Timeout:
+            with gevent.Timeout(timeout_s, CallTimeoutError):
+                link = self._open(address, max_idle_s)
+                head = _send(link, address, method, path, headers, body)
+                data = link.read_whole()
+            is_whole = True
+            return BackendReply(head.status, _plain_headers(head), data)
+        except CallTimeoutError:
+            self._pool.renew(address)
             raise CallFailed(
                 retries.Failure.TIMEOUT,
-                f"{server.address} gave no complete answer within {timeout_s:.3f} s",
+                f"{address} gave no complete answer within {timeout_s:.3f} s",
             ) from None
-        except CallFailed:
-            raise
-        except Exception as error:
+        except (OSError, backendlinks.BackendError) as error:
+            raise _failure(address, error) from None
+        finally:
+            if link is not None and is_whole:
+                self._pool.keep(link)
+            elif link is not None:
+                link.close()
+
+    def _open(self, address, max_idle_s):
+        try:
+            return self._pool.open(address, max_idle_s)
+        except OSError as error:
             raise CallFailed(
-                retries.Failure.LOST, f"{server.address} failed: {error}"
+                retries.Failure.NOT_SENT, f"{address} accepts no connection: {error}"
             ) from None
-        finally:
-            connection.close()
-        headers = forwarded_headers(response.getheaders())
-        return BackendReply(response.status, headers, data)
 
 
-def _connect(host, port, address):
-    try:
-        return gevent.socket.create_connection((host, port), CONNECT_TIMEOUT_S)
-    except OSError as error:
-        raise CallFailed(
-            retries.Failure.NOT_SENT, f"{address} accepts no connection: {error}"
-        ) from None
+def _send(link, address, method, path, headers, body):
+    """Send a call and return the head of its answer."""
+    fields = [(name.lower(), value) for name, value in headers]
+    fields = [pair for pair in fields if pair[0] not in ("host", "content-length")]
+    fields.append(("host", address))
+    if body or method not in ("GET", "HEAD"):
+        fields.append(("content-length", str(len(body or b""))))
+    link.send(method.encode(), path.encode("latin-1"), fields, body or b"")
+    return link.read_head(calls.AnswerHead)
+
+
+def _plain_headers(head):
+    pairs = [
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in head.headers
+    ]
+    return forwarded_headers(pairs)
 
 
 def _failure(address, error):
-    refused = isinstance(error, ConnectionRefusedError)
-    failure = retries.Failure.NOT_SENT if refused else retries.Failure.LOST
-    return CallFailed(failure, f"{address} failed: {error or type(error).__name__}")
+    return CallFailed(
+        retries.Failure.LOST, f"{address} failed: {error or type(error).__name__}"
+    )
 
 
 class EventStream:
     """Read the server-sent events of one streamed answer."""
 
-    __slots__ = ("_address", "_pool", "_response")
+    __slots__ = ("_address", "_has_ended", "_link", "_pool", "_splitter")
 
-    def __init__(self, address, response, pool):
+    def __init__(self, address, link, pool):
         self._address: str = address
-        self._response = response
+        self._link: backendlinks.BackendLink = link
         self._pool: Pool = pool
+        self._splitter = eventstream.EventSplitter()
+        self._has_ended = False
 
     def next_events(self, timeout_s: float) -> list[bytes]:
         """Return all events that have arrived, at least one; raise CallFailed.
@@ -198,31 +191,35 @@
         a write for each of them.
         """
         try:
-            with gevent.Timeout(timeout_s):
-                events = [self._response.readline(EVENT_END)]
-        except gevent.Timeout:
+            with gevent.Timeout(timeout_s, CallTimeoutError):
+                return self._next()
+        except CallTimeoutError:
             self._pool.renew(self._address)
             raise CallFailed(
                 retries.Failure.TIMEOUT,
                 f"{self._address} sent nothing for {timeout_s:.3f} s",
             ) from None
-        except (OSError, geventhttpclient.response.HTTPParseError) as error:
+        except (OSError, ValueError, backendlinks.BackendError) as error:
             raise _failure(self._address, error) from None
-        if not events[0]:
-            raise CallFailed(
-                retries.Failure.LOST, f"{self._address} ended the stream early"
-            )
-        while EVENT_END in self._response._body_buffer:
-            events.append(self._response.readline(EVENT_END))
-        return events
+
+    def _next(self):
+        while True:
+            part = self._link.read_part()
+            if part is None:
+                self._has_ended = True
+                raise CallFailed(
+                    retries.Failure.LOST, f"{self._address} ended the stream early"
+                )
+            events = [event for event, _ in self._splitter.add(part)]
+            if events:
+                return events
 
     def close(self) -> None:
         """Release the connection; an unfinished stream is cancelled by closing it."""
-        if not self._response.message_complete:
-            socket = self._response._sock
-            if socket is not None:
-                socket.close()
-        self._response.release()
+        if self._has_ended:
+            self._pool.keep(self._link)
+        else:
+            self._link.close()
 
 
 @DRIVERS.register("plain-http")
@@ -280,31 +277,32 @@
         """Start a stream behind ``delivered`` tokens; raise CallFailed."""
         if delivered:
             body = {**body, "resume_from": delivered}
+        data = json.dumps(body).encode()
+        link = None
+        stream = None
         try:
-            with gevent.Timeout(timeout_s):
-                response = self._request(
-                    server.address,
-                    "POST",
-                    path,
-                    [*_JSON_HEADERS, *headers],
-                    json.dumps(body).encode(),
-                )
-                if response.status_code == 200:
-                    return EventStream(server.address, response, self._pool)
-                detail = response.read()[:200].decode(errors="replace")
-        except gevent.Timeout:
+            with gevent.Timeout(timeout_s, CallTimeoutError):
+                link = self._open(server.address, MAX_IDLE_S)
+                all_headers = [*_JSON_HEADERS, *headers]
+                head = _send(link, server.address, "POST", path, all_headers, data)
+                if head.status == 200:
+                    stream = EventStream(server.address, link, self._pool)
+                    return stream
+                detail = link.read_whole()[:200].decode(errors="replace")
+        except CallTimeoutError:
             self._pool.renew(server.address)
             raise CallFailed(
                 retries.Failure.TIMEOUT,
                 f"{server.address} started no stream within {timeout_s:.3f} s",
             ) from None
-        except (OSError, geventhttpclient.response.HTTPParseError) as error:
+        except (OSError, backendlinks.BackendError) as error:
             raise _failure(server.address, error) from None
-        refused = response.status_code in _NOT_RUN_STATUSES
+        finally:
+            if link is not None and stream is None:
+                link.close()
+        refused = head.status in _NOT_RUN_STATUSES
         failure = retries.Failure.REFUSED if refused else retries.Failure.FAILED
-        raise CallFailed(
-            failure, f"{server.address} answered {response.status_code}: {detail}"
-        )
+        raise CallFailed(failure, f"{server.address} answered {head.status}: {detail}")
 
     def send_order(self, address: str, order: records.Order, timeout_s) -> str:
         """Send an order and return the engine's answer; raise CallFailed."""
--- a/kumquatproxy/entry.py
+++ b/kumquatproxy/entry.py
@@ -22,7 +22,8 @@
 DEFAULT_TOKENS = 100  # counted as demand for a call that sets no limit
 
 _METRICS_TYPE = ("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
-_COMPLETION_PATHS = ("/v1/chat/completions", "/v1/completions")
+CHAT_PATH = "/v1/chat/completions"
+_COMPLETION_PATHS = (CHAT_PATH, "/v1/completions")
 _OWN_HEADERS = ("Idempotency-Key", dispatch.FORWARDED_HEADER)
 _SERVICES_PREFIX = "/services/"
 
@@ -133,6 +134,7 @@
     def _completion(self, request, parsed, now):
         data = request.body(self._max_body_bytes)
         body = httpapi.parse_json(data)
+        _check_completion(request.path, body)
         target = parsed.resolve(body.get("model", ""))
         call = _call_request(request, target.service, now)
         call.model = target.model.name
@@ -204,6 +206,23 @@
     return f"{_ID_PREFIX}-{number}"
 
 
+def _check_completion(path, body):
+    """Raise ProxyError if a completion has no usable prompt or messages."""
+    if path != CHAT_PATH:
+        return
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise errors.ProxyError(
+            errors.ErrorKind.INVALID_REQUEST, "'messages' must be a list with an entry"
+        )
+    for index, message in enumerate(messages):
+        if not isinstance(message, dict) or not isinstance(message.get("role"), str):
+            raise errors.ProxyError(
+                errors.ErrorKind.INVALID_REQUEST,
+                f"'messages[{index}]' is not an object with a role",
+            )
+
+
 def _call_request(request, service, now):
     return records.CallRequest(
         _unique_id(request.header("X-Request-Id")),
--- a/kumquatproxy/fleet/engineclient.py
+++ b/kumquatproxy/fleet/engineclient.py
@@ -69,14 +69,9 @@
                 )
                 link.send(method, target, headers, body)
                 head: calls.AnswerHead = link.read_head(self._dialect.read_answer)
-                parts = []
-                while True:
-                    part = link.read_part()
-                    if part is None:
-                        break
-                    parts.append(part)
+                body = link.read_whole()
                 is_in_step = True
-                return head, b"".join(parts)
+                return head, body
         except (OSError, backendlinks.BackendError) as error:
             self._log.write_limited(
                 clock.now(),
--- a/kumquatproxy/gateway/backendlinks.py
+++ b/kumquatproxy/gateway/backendlinks.py
@@ -81,7 +81,7 @@
         descriptor = self._sock.fileno()
         while True:
             try:
-                return self._sock.send(view, socket.MSG_DONTWAIT)
+                return self._sock.send(view, 0, 0.0)  # without waiting
             except BlockingIOError:
                 readable, _, _ = gevent.select.select([descriptor], [descriptor], [])
                 if readable:
@@ -153,6 +153,15 @@
             except h11.RemoteProtocolError as error:
                 raise BackendError(str(error)) from None
 
+    def read_whole(self) -> bytes:
+        """Return the rest of the body; raise BackendError if it breaks off."""
+        parts: list[bytes] = []
+        while True:
+            part = self.read_part()
+            if part is None:
+                return b"".join(parts)
+            parts.append(part)
+
     def _end(self):
         if self._parser.trailing_data[0] or self._parser.our_state is not h11.DONE:
             self.is_sound = False
@@ -222,6 +231,11 @@
         one.kept_at = clock.now()
         kept.append(one)
 
+    def forget_all(self) -> None:
+        """Close all kept connections."""
+        for instance_id in list(self._kept_by_id):
+            self.forget(instance_id)
+
     def forget(self, instance_id: str) -> None:
         """Close the kept connections to a server that is gone."""
         for one in self._kept_by_id.pop(instance_id, ()):
--- a/kumquatproxy/gateway/callers.py
+++ b/kumquatproxy/gateway/callers.py
@@ -153,8 +153,9 @@
     def unwatch(self) -> None:
         """Stop watching; what has arrived meanwhile is kept."""
         if self._watcher is not None:
-            self._watcher.kill(block=False)
-            self._watcher = None
+            # It must have left the socket before anything else is read from there.
+            watcher, self._watcher = self._watcher, None
+            watcher.kill()
 
     def start_answer(self, status: int, headers, is_last: bool = False) -> None:
         """Write the head of an answer."""
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -251,8 +251,7 @@
             attempt.outcome = wrong if head.is_wrong_server else calls.Outcome.NOT_RUN
             attempt.detail = f"refused with {head.status}"
             with gevent.Timeout(limits.first_s, SilentError):
-                while link.read_part() is not None:
-                    continue
+                link.read_whole()
             return
         if not head.is_sealed or not _is_plain(head):
             raise backendlinks.BackendError(
@@ -264,7 +263,7 @@
             self._pass_stream(attempt, progress, connection, link, stream)
         else:
             with gevent.Timeout(limits.first_s, SilentError):
-                body = _read_whole(link)
+                body = link.read_whole()
             self._pass_whole(call, attempt, progress, connection, head, body)
 
     def _read_own_head(self, call, link):
@@ -355,13 +354,13 @@
         if progress.may_have_run() and not call.is_repeatable:
             raise errors.ProxyError(
                 errors.ErrorKind.BACKEND_FAILED,
-                f"no whole answer came: {attempt.detail}",
+                "the server gave no whole answer",
             )
         hosts = self._host.entry_count
         allowed = self._host.budget.allows(call.service, hosts, clock.now())
         too_often = progress.refusals > MAX_REFUSALS
         if progress.runs >= call.route.attempts or too_often or not allowed:
-            raise _given_up(progress, attempt)
+            raise _given_up(progress)
         if outcome in (calls.Outcome.NOT_RUN, calls.Outcome.NOT_CONNECTED):
             # The same server may take the call a little later.
             progress.tried.discard(attempt.announcement.lifetime)
@@ -402,15 +401,6 @@
         )
 
 
-def _read_whole(link):
-    parts: list[bytes] = []
-    while True:
-        part = link.read_part()
-        if part is None:
-            return b"".join(parts)
-        parts.append(part)
-
-
 def _is_plain(head):
     return not framing.header(head.headers, b"content-encoding")
 
@@ -439,13 +429,13 @@
     )
 
 
-def _given_up(progress, attempt):
+def _given_up(progress):
     if progress.may_have_run():
         return errors.ProxyError(
-            errors.ErrorKind.BACKEND_FAILED, f"attempts failed: {attempt.detail}"
+            errors.ErrorKind.BACKEND_FAILED, "no server gave a whole answer"
         )
     return errors.ProxyError(
         errors.ErrorKind.OVERLOADED,
-        f"no server ran the call: {attempt.detail}",
+        "no server had room for the call",
         retry_after_s=GIVEN_UP_RETRY_S,
     )
--- /dev/null
+++ b/tests/gateway/rawservers.py
@@ -0,0 +1,80 @@
+"""Servers and clients that speak raw bytes on loopback."""
+
+import gevent
+import gevent.server
+import gevent.socket
+
+from kumquatproxy.gateway import framing
+
+
+class RawServer:
+    """Answer each request head with the next of the given byte strings.
+
+    ``None`` stands for closing the connection, ``...`` for never answering.
+    """
+
+    def __init__(self, answers, closes=False):
+        self.answers = list(answers)
+        self.heads = []
+        self.connections = 0
+        self.closes = closes
+        self._server = gevent.server.StreamServer(("127.0.0.1", 0), self._handle)
+        self._server.start()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def _handle(self, sock, address):
+        self.connections += 1
+        data = b""
+        while True:
+            while framing.find_head_end(data) < 0:
+                part = sock.recv(65536)
+                if not part:
+                    return
+                data += part
+            end = framing.find_head_end(data)
+            self.heads.append(data[:end])
+            data = self._skip_body(sock, data, end)
+            answer = self.answers.pop(0) if self.answers else None
+            if answer is None:
+                return
+            if answer is ...:
+                gevent.sleep(30)
+                return
+            sock.sendall(answer(self.heads[-1]) if callable(answer) else answer)
+            if self.closes:
+                return
+
+    def _skip_body(self, sock, data, end):
+        length = 0
+        for line in data[:end].lower().split(b"\r\n"):
+            if line.startswith(b"content-length:"):
+                length = int(line.split(b":")[1])
+        while len(data) < end + length:
+            data += sock.recv(65536)
+        return data[end + length :]
+
+    def close(self):
+        self._server.stop(timeout=0)
+
+
+def talk(address, data, wait_s=0.3):
+    """Send bytes and return all that comes back until silence or the end."""
+    host, _, port = address.rpartition(":")
+    sock = gevent.socket.create_connection((host, int(port)), 1.0)
+    sock.settimeout(None)
+    received = b""
+    try:
+        sock.sendall(data)
+        while True:
+            with gevent.Timeout(wait_s, False):
+                part = sock.recv(65536)
+                if not part:
+                    return received, True
+                received += part
+                continue
+            return received, False
+    finally:
+        sock.close()
--- /dev/null
+++ b/tests/gateway/test_framing.py
@@ -0,0 +1,86 @@
+"""Requests and answers that two parsers could frame differently are refused."""
+
+import pytest
+
+from kumquatproxy import errors
+from kumquatproxy.gateway import framing
+
+HOST = b"Host: a.example\r\n"
+
+
+def request(*lines, first=b"GET /a/ HTTP/1.1"):
+    return first + b"\r\n" + b"".join(lines) + b"\r\n"
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        request(HOST, b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"),
+        request(HOST, b"Content-Length: 5\r\nContent-Length: 5\r\n"),
+        request(HOST, b"Content-Length: 5\r\nContent-Length: 6\r\n"),
+        request(HOST, b"Content-Length: +5\r\n"),
+        request(HOST, b"Content-Length: 5, 5\r\n"),
+        request(HOST, b"Content-Length: -1\r\n"),
+        request(HOST, b"Content-Length:\r\n"),
+        request(HOST, b"Transfer-Encoding: xchunked\r\n"),
+        request(HOST, b"Transfer-Encoding: chunked, identity\r\n"),
+        request(HOST, b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"),
+        request(HOST, b"Transfer-Encoding : chunked\r\n"),
+        request(HOST, b" folded: value\r\n"),
+        request(HOST, b"A: b\nContent-Length: 5\r\n"),
+        request(HOST, b"A: b\rC: d\r\n"),
+        request(HOST, b"A: b\0c\r\n"),
+        request(HOST, b"no colon\r\n"),
+        request(HOST, b": no name\r\n"),
+        request(),
+        request(HOST, HOST),
+        request(HOST, first=b"GET  /a/ HTTP/1.1"),
+        request(HOST, first=b"GET /a b HTTP/1.1"),
+        request(HOST, first=b"GET /a/ HTTP/2.0"),
+        request(HOST, first=b"GET /a/"),
+    ],
+)
+def test_ambiguous_requests_are_refused(head):
+    """A smuggled request would reach a server under another caller's name."""
+    with pytest.raises(errors.ProxyError) as caught:
+        framing.check_head(head, is_request=True)
+    assert caught.value.status == 400
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        request(HOST),
+        request(HOST, b"Content-Length: 0\r\n"),
+        request(HOST, b"transfer-encoding: Chunked\r\n"),
+        request(first=b"GET /a%2Fb/../c?x=/ HTTP/1.0"),
+    ],
+)
+def test_plain_requests_pass(head):
+    framing.check_head(head, is_request=True)
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        b"Content-Length: 2\r\nContent-Length: 3\r\n",
+        b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+        b"Content-Length: 0x2\r\n",
+    ],
+)
+def test_ambiguous_answers_are_refused(lines):
+    """A server's answer of uncertain length could take the next caller's bytes."""
+    with pytest.raises(errors.ProxyError):
+        framing.check_head(b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n", is_request=False)
+
+
+def test_headers_about_one_connection_are_dropped():
+    """They would end up on a connection that they do not describe."""
+    headers = [
+        (b"connection", b"keep-alive, x-private"),
+        (b"x-private", b"1"),
+        (b"keep-alive", b"timeout=5"),
+        (b"te", b"trailers"),
+        (b"x-other", b"2"),
+    ]
+    assert framing.end_to_end(headers) == [(b"x-other", b"2")]
--- /dev/null
+++ b/tests/platform/test_platform.py
@@ -0,0 +1,281 @@
+"""The adapter: its boundary, its size, and what it reads and writes."""
+
+import ast
+import pathlib
+
+import orjson
+import pytest
+
+from kumquatproxy import errors
+from kumquatproxy.fleet import engineorders, servers
+from kumquatproxy.gateway import calls
+from kumquatproxy.platform import beatformat, callformat, configformat, engineformat
+
+PACKAGE = pathlib.Path(configformat.__file__).parent.parent
+ADAPTER = PACKAGE / "platform"
+# An adapter of names and formats alone stays a small part of what it translates for.
+MAX_SHARE = 0.06
+# Words that stand only in the platform's formats.
+WIRE_NAMES = (
+    "kumquatproxy-request-id",
+    "kumquatproxy-deadline-ms",
+    "kumquatproxy-expect-instance",
+    "kumquatproxy-response-seal",
+    "kumquatproxy-not-executed",
+    "kumquatproxy-token-usage",
+    "kumquatproxy-prompt-prefix",
+    "/-/config/",
+    "/-/report",
+    "/-/order",
+    "/-/instances",
+    "slo_ms",
+    "gap_target_ms",
+    "cold_left_ms",
+    "adapter_slots",
+    "kv_capacity",
+)
+# Registries and records that the adapter fills; none of them decides anything.
+ALLOWED_IMPORTS = {
+    "errors",
+    "httpapi",
+    "calls",
+    "dialects",
+    "framing",
+    "controlapis",
+    "engineorders",
+    "serviceconfig",
+    "servers",
+}
+
+
+def sources(folder):
+    return sorted(folder.rglob("*.py"))
+
+
+def test_no_name_of_the_platform_stands_outside_the_adapter():
+    for path in sources(PACKAGE):
+        if ADAPTER in path.parents:
+            continue
+        text = path.read_text(encoding="utf-8").lower()
+        found = [name for name in WIRE_NAMES if name in text]
+        assert not found, f"{path.name} holds {found}"
+
+
+def test_the_adapter_imports_nothing_that_decides():
+    own = {path.stem for path in sources(ADAPTER)}
+    for path in sources(ADAPTER):
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            if isinstance(node, ast.ImportFrom) and node.module:
+                names = {alias.name for alias in node.names}
+                assert names <= ALLOWED_IMPORTS | own, path.name
+
+
+def test_the_adapter_stays_small():
+    def count(paths):
+        return sum(len(path.read_text(encoding="utf-8").splitlines()) for path in paths)
+
+    assert count(sources(ADAPTER)) <= MAX_SHARE * count(sources(PACKAGE))
+
+
+ROUTE = {
+    "name": "r",
+    "hostname": "A.example",
+    "path_prefix": "/x/",
+    "mode": "streaming",
+    "timeout_ms": 4000,
+    "slo_ms": 600,
+    "priority": 1,
+    "backends": [{"backend": "s", "weight": 90}, {"backend": "t", "weight": 10}],
+    "attempts": 2,
+    "sticky": True,
+    "resumable": True,
+    "gap_target_ms": 400,
+}
+MODEL = {
+    "name": "m",
+    "weights_mb": 72700.0,
+    "load_time_s": 5.8,
+    "adapters": 32,
+    "adapter_mb": 66.0,
+    "warm_s": 0.63,
+    "disk_s": 1.2,
+}
+ENGINE = {
+    "slots": 64,
+    "kv_capacity": 144538,
+    "stride": 3,
+    "host_mb": 150000.0,
+    "disk_mb": 450000.0,
+    "models": [MODEL],
+    "weights_mb": 230000.0,
+    "adapter_slots": 8,
+    "loads_per_s": 1.1,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [
+        {"name": "s", "health_path": "/health", "max_conns": 370, "engine": ENGINE},
+        {"name": "t", "health_path": "/health", "max_conns": 110},
+    ],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 4194304,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+}
+
+
+def test_a_configuration_is_read():
+    made = configformat.parse(orjson.dumps(CONFIGURATION))
+    route = made.find_route("a.example", "/x/y")
+    assert made.version == 7 and route.mode is calls.Mode.STREAM
+    assert (route.timeout_s, route.objective_s, route.max_pause_s) == (4.0, 0.6, 0.4)
+    assert [target.weight for target in route.targets] == [90, 10]
+    engine = made.services_by_name["s"].engine
+    model = engine.models_by_name["m"]
+    assert (engine.adapter_places, engine.batch_slots) == (8, 64)
+    assert (model.store_load_s, model.disk_load_s, model.memory_load_s) == (
+        5.8,
+        1.2,
+        0.63,
+    )
+    assert made.limits.idle_timeout_s == 15.0
+
+
+def changed(**fields):
+    return {**CONFIGURATION, **fields}
+
+
+@pytest.mark.parametrize(
+    "plain",
+    [
+        changed(version=None),
+        changed(version="7"),
+        changed(version=True),
+        changed(routes=None),
+        changed(services=None),
+        changed(routes=[{**ROUTE, "timeout_ms": 0}]),
+        changed(routes=[{**ROUTE, "mode": "other"}]),
+        changed(routes=[{**ROUTE, "backends": [{"backend": "u", "weight": 1}]}]),
+        changed(routes=[{**ROUTE, "backends": [{"backend": "s", "weight": 0}]}]),
+        changed(routes=[ROUTE, {**ROUTE, "name": "other"}]),
+        changed(routes=["text"]),
+        changed(limits=[]),
+        [],
+    ],
+)
+def test_an_invalid_configuration_is_refused(plain):
+    with pytest.raises(errors.ProxyError) as caught:
+        configformat.parse(orjson.dumps(plain))
+    assert caught.value.status == 400
+
+
+def test_a_configuration_cut_short_is_refused():
+    data = orjson.dumps(CONFIGURATION)
+    for length in (0, 1, len(data) // 2, len(data) - 1):
+        with pytest.raises(errors.ProxyError):
+            configformat.parse(data[:length])
+
+
+BEAT = {
+    "backend": "s",
+    "address": "10.128.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "models": [{"name": "m", "version": 1, "adapters": ["a1"]}],
+    "sequence": 4,
+    "born": 1700000000000,
+    "at_hand": {"in_memory": ["m"], "on_disk": ["m", "n"]},
+}
+
+
+def test_a_heartbeat_is_read():
+    made = beatformat.parse("i-1", orjson.dumps(BEAT))
+    assert made.order == (1700000000000, 4) and made.models == [["m", 1, ["a1"]]]
+    assert made.on_disk == ["m", "n"] and made.state is servers.ServerState.READY
+    leaving = {**BEAT, "state": "draining", "remaining_ms": 1500}
+    made = beatformat.parse("i-1", orjson.dumps(leaving))
+    assert made.state is servers.ServerState.LEAVING and made.remaining_s == 1.5
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        orjson.dumps({**BEAT, "state": "resting"}),
+        orjson.dumps({**BEAT, "sequence": "4"}),
+        orjson.dumps({**BEAT, "address": None}),
+        orjson.dumps({**BEAT, "backend": 5}),
+        orjson.dumps({**BEAT, "models": "m"}),
+        orjson.dumps({**BEAT, "models": [{"version": 1}]}),
+        orjson.dumps({**BEAT, "born": 1.5}),
+    ],
+)
+def test_a_malformed_heartbeat_names_no_server(data):
+    with pytest.raises(errors.ProxyError):
+        beatformat.parse("i-1", data)
+
+
+def test_orders_and_reports():
+    order = engineorders.Order(engineorders.Action.LOAD, "m", "a3", 2)
+    assert orjson.loads(engineformat.write_order(order, "c1", 41)) == {
+        "operation": "load",
+        "model": "m",
+        "adapter": "a3",
+        "holder": "c1",
+        "fence": 41,
+        "precondition": 2,
+    }
+    report = {
+        "models": [{"name": "m", "version": 1, "adapters": ["a1"]}],
+        "busy": True,
+        "sequence": 3,
+        "coming": ["m/a2@1"],
+    }
+    made = engineformat.read_report(orjson.dumps(report))
+    assert (made.order_count, made.is_busy) == (3, True)
+    assert made.adapters == ["m/a1", "m/a2"]
+    with pytest.raises(ValueError):
+        engineformat.read_report(b"{}")
+
+
+def made_call(*headers):
+    call = calls.Call(b"POST", b"/x", "a", list(headers), b"body", 0.0)
+    callformat.PlatformDialect().read_call(call)
+    return call
+
+
+def test_a_call_is_read_and_passed_on():
+    """What only this system may set is never passed on from a caller."""
+    call = made_call(
+        (b"host", b"a"),
+        (b"kumquatproxy-request-id", b"9c41"),
+        (b"kumquatproxy-model", b"m/a3"),
+        (b"kumquatproxy-token-usage", b"1460,80"),
+        (b"kumquatproxy-prompt-prefix", b"5c1e:800,91bd:410"),
+        (b"kumquatproxy-deadline-ms", b"4000"),
+        (b"kumquatproxy-hold", b"x"),
+        (b"kumquatproxy-pin-ms", b"5"),
+        (b"kumquatproxy-kv-backup", b"x"),
+        (b"kv-from", b"x"),
+        (b"connection", b"keep-alive"),
+    )
+    need = call.need
+    assert (need.model, need.adapter, need.prompt_tokens) == ("m", "a3", 1460)
+    assert [part.tokens for part in need.parts] == [800, 410]
+    dialect = callformat.PlatformDialect()
+    assert dialect.deadline_s(call) == 4.0
+    sent = dict(dialect.forwarded_headers(call, "i-1", 1.5, ""))
+    assert sent[b"kumquatproxy-deadline-ms"] == b"1500"
+    assert sent[b"kumquatproxy-expect-instance"] == b"i-1"
+    assert sent[b"kumquatproxy-prompt-prefix"] == b"5c1e:800,91bd:410"
+    for name in (b"hold", b"pin-ms", b"kv-backup"):
+        assert b"kumquatproxy-" + name not in sent
+    assert b"kv-from" not in sent and b"connection" not in sent
