--- a/kumquatproxy/fleet/modelowner.py
+++ b/kumquatproxy/fleet/modelowner.py
@@ -55,6 +55,8 @@
         self._client = engineclient.EngineClient(host.dialect)
         self._fence = 0  # of the ownership held, 0 without one
         self._may_order_from = 0.0
+        self._seen_owner = ""
+        self._changed_at = -1e9  # when another host than before became the owner
         self._taking = False
         self._push_at = 0.0
         self._push_number = 0
@@ -78,6 +80,14 @@
             and now >= self._may_order_from
         )
 
+    def _follow_owner(self, now):
+        """Note when the ownership went from one host to another."""
+        owner = self._host.replication.machine.owner
+        if owner != self._seen_owner:
+            if self._seen_owner:
+                self._changed_at = now
+            self._seen_owner = owner
+
     def _follow_leadership(self, now):
         member = self._host.replication.member
         if member.leader is None:
@@ -106,7 +116,10 @@
         self._may_order_from = now
         self.table.states_by_lifetime.clear()
         if answer.previous_host_id not in ("", self._host.host_id):
-            self._may_order_from = now + self._host.settings.bounds.lease
+            # The lease of the one before is over. Two hosts must not take turns
+            # either, so after a recent change this one waits.
+            lease_s = self._host.settings.bounds.lease
+            self._may_order_from = max(now, self._changed_at + lease_s)
         if answer.previous_host_id:
             for service in self._engine_services():
                 self.window.fill(service.engine.loads_per_s, now)
@@ -130,6 +143,7 @@
     def tick(self, now: float) -> None:
         """Plan swaps and tell the entry hosts."""
         self._follow_leadership(now)
+        self._follow_owner(now)
         if not self._fence:
             return
         self.table.follow(self._engine_announcements())
--- a/kumquatproxy/gateway/callers.py
+++ b/kumquatproxy/gateway/callers.py
@@ -229,22 +229,11 @@
         except OSError:
             raise calls.GoneError from None
 
-    def is_idle(self) -> bool:
-        """Return whether no request has begun to arrive."""
-        return not self._buffer
-
     def close(self) -> None:
         """Close the connection."""
         self.unwatch()
         self._sock.close()
 
-    def shut(self) -> None:
-        """Wake a read that waits for the next request, so that it ends."""
-        try:
-            self._sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            return  # the caller has closed it already
-
 
 def problem(error: errors.ProxyError):
     """Return status, headers and body of the problem document of an error."""
@@ -311,12 +300,12 @@
         self._is_stopping = True
 
     def close(self) -> None:
-        """Stop accepting, and close the connections that are idle."""
+        """Stop accepting; open connections are served until ``stop``.
+
+        One that looks idle may have a request on its way, so none is closed before.
+        """
         self._is_stopping = True
         self._server.close()
-        for connection, is_busy in list(self._connections.items()):
-            if not is_busy and connection.is_idle():
-                connection.shut()
 
     def stop(self) -> None:
         """Cut off all connections."""
--- a/kumquatproxy/gateway/dialects.py
+++ b/kumquatproxy/gateway/dialects.py
@@ -22,7 +22,9 @@
         """Return how long the caller waits, in seconds, or None if it doesn't say."""
         raise NotImplementedError
 
-    def forwarded_headers(self, call, instance_id: str, left_s: float, last_event_id):
+    def forwarded_headers(
+        self, call, instance_id: str, left_s: float, last_event_id: str, priority=None
+    ):
         """Return the headers of a call as they go to a backend server."""
         raise NotImplementedError
 
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -12,6 +12,7 @@
     eventstream,
     framing,
     patience,
+    urgency,
     waiting,
 )
 
@@ -233,7 +234,11 @@
         if left_s < MIN_LEFT_S:
             raise TimeOverError
         headers = self._host.dialect.forwarded_headers(
-            call, attempt.announcement.instance_id, left_s, progress.last_event_id
+            call,
+            attempt.announcement.instance_id,
+            left_s,
+            progress.last_event_id,
+            urgency.level(call),
         )
         # From here on the call may run, whatever is seen of it.
         attempt.outcome = calls.Outcome.LOST
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -122,3 +122,14 @@
     data, is_closed = rawservers.talk(server.address, one)
     assert data.startswith(b"HTTP/1.1 200") and b"connection: close" in data.lower()
     assert is_closed
+
+
+def test_an_idle_connection_is_served_until_the_process_ends(server, recorder):
+    """trouble-2, LOST: a request that had just arrived was run but not answered."""
+    host, _, port = server.address.rpartition(":")
+    sock = gevent.socket.create_connection((host, int(port)), 1.0)
+    gevent.sleep(0.05)
+    server.close()
+    sock.sendall(HEAD + b"Content-Length: 2\r\n\r\nok")
+    gevent.sleep(0.05)
+    assert sock.recv(65536).startswith(b"HTTP/1.1 200")
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -43,7 +43,7 @@
     def deadline_s(self, call):
         return None
 
-    def forwarded_headers(self, call, instance_id, left_s, last_event_id):
+    def forwarded_headers(self, call, instance_id, left_s, last_event_id, _):
         headers = [(b"host", b"a"), (b"x-id", call.request_id.encode())]
         headers.append((b"x-expect", instance_id.encode()))
         headers.append((b"content-length", str(len(call.body)).encode()))
