--- a/kumquatproxy/fleet/fleetdemand.py
+++ b/kumquatproxy/fleet/fleetdemand.py
@@ -11,6 +11,7 @@
 SHORT_S = 2.5
 LONG_S = 20.0
 REPORT_EXPIRY_S = 2.0
+MIN_RAMP_S = 0.5
 
 
 class ModelDemand:
@@ -59,9 +60,10 @@
 class FleetDemand:
     """Sum what the entry hosts report."""
 
-    __slots__ = ("_reports_by_host", "by_key")
+    __slots__ = ("_reports_by_host", "by_key", "started_at")
 
     def __init__(self):
+        self.started_at: float | None = None  # first arrival of any call
         self.by_key: dict[tuple[str, str], ModelDemand] = {}  # by service and name
         self._reports_by_host: dict[str, _HostReport] = {}
 
@@ -74,6 +76,8 @@
             )
             if not arrivals:
                 continue
+            if self.started_at is None:
+                self.started_at = now
             self._demand(service, model, now).add(arrivals, work_s, now)
             if adapter:
                 key = f"{model}/{adapter}"
@@ -84,6 +88,20 @@
     def _demand(self, service, name, now):
         return self.by_key.setdefault((service, name), ModelDemand(now))
 
+    def ramp(self, now: float) -> float:
+        """Return the factor by which the short averages are still too low.
+
+        They begin at nothing, so in the first seconds they show only a part.
+        """
+        if self.started_at is None:
+            return 1.0
+        age_s = max(MIN_RAMP_S, now - self.started_at)
+        return 1.0 / (1.0 - math.exp(-age_s / SHORT_S))
+
+    def has_any(self) -> bool:
+        """Return whether any call has arrived so far."""
+        return bool(self.by_key)
+
     def get(self, service: str, name: str, now: float) -> ModelDemand:
         """Return the demand for a model or an adapter as of ``now``."""
         demand = self.by_key.get((service, name))
--- a/kumquatproxy/fleet/storewindow.py
+++ b/kumquatproxy/fleet/storewindow.py
@@ -8,6 +8,9 @@
 
 from kumquatproxy.fleet import engineorders
 
+# Loads beyond the rate that a window may hold; the store takes three.
+RESERVE_USED = 1.5
+
 
 class StoreWindow:
     """Count the loads that may have begun lately."""
@@ -25,7 +28,7 @@
             self._begins.popleft()
         self._unknown_until = [end for end in self._unknown_until if end > now]
         used = len(self._begins) + len(self._unknown_until)
-        return used + 1 <= max(1.0, loads_per_s * self.window_s)
+        return used + 1 <= loads_per_s * self.window_s + RESERVE_USED
 
     def begin(self, now: float) -> None:
         """Note a load that was ordered."""
--- a/kumquatproxy/gateway/callers.py
+++ b/kumquatproxy/gateway/callers.py
@@ -32,7 +32,16 @@
 class CallerConnection:
     """Own one connection of a caller and the framing on it."""
 
-    __slots__ = ("_buffer", "_has_ended", "_parser", "_sock", "_watcher", "is_closing")
+    __slots__ = (
+        "_buffer",
+        "_greenlet",
+        "_has_ended",
+        "_is_idle",
+        "_parser",
+        "_sock",
+        "_watcher",
+        "is_closing",
+    )
 
     def __init__(self, sock):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -41,6 +50,8 @@
         self._parser = framing.new_connection(h11.SERVER)
         self._has_ended = False  # the caller sends no more
         self._watcher: gevent.Greenlet | None = None
+        self._greenlet = gevent.getcurrent()
+        self._is_idle = False  # the greenlet waits for the first bytes of a request
         self.is_closing = False  # no further request is read after this answer
 
     def read_call(self, limits) -> calls.Call:
@@ -76,7 +87,11 @@
 
     def _read_head(self, limits):
         if not self._buffer:
-            self._receive(limits.idle_timeout_s)
+            self._is_idle = True
+            try:
+                self._receive(limits.idle_timeout_s)
+            finally:
+                self._is_idle = False
         with gevent.Timeout(limits.head_timeout_s, _slow("head")):
             while True:
                 # Empty lines before a request line are allowed and skipped.
@@ -107,6 +122,14 @@
             raise Closed
         self._buffer += data
 
+    def end_idle(self) -> None:
+        """End the wait for a request; to be run by the event loop itself.
+
+        There the greenlet either still waits, or has taken bytes and goes on.
+        """
+        if self._is_idle:
+            self._greenlet.throw(Closed)
+
     def _read_body(self, limit_bytes):
         if self._parser.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
@@ -300,12 +323,12 @@
         self._is_stopping = True
 
     def close(self) -> None:
-        """Stop accepting; open connections are served until ``stop``.
-
-        One that looks idle may have a request on its way, so none is closed before.
-        """
+        """Stop accepting, and end the connections on which no request has begun."""
         self._is_stopping = True
         self._server.close()
+        loop = gevent.get_hub().loop
+        for connection in list(self._connections):
+            loop.run_callback(connection.end_idle)
 
     def stop(self) -> None:
         """Cut off all connections."""
