--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -20,6 +20,7 @@
     tasks,
     transport,
     voterset,
+    wire,
 )
 from kumquatproxy.fleet import (
     controlapis,
@@ -199,8 +200,14 @@
 
     def send_to_entries(self, message, now: float) -> None:
         """Send a message to all entry hosts that listen to this host."""
-        for host_id in self.spreader.entry_ids(now):
-            self.send_message(host_id, message)
+        self._broadcast(self.spreader.entry_ids(now), message)
+
+    def _broadcast(self, host_ids, message):
+        """Send one message to many hosts; it is encoded once."""
+        data = wire.encode(message)
+        for host_id in host_ids:
+            self.transport.learn(host_id, self.settings.link_address(host_id))
+            self.transport.send_encoded(host_id, data)
 
     def configuration(self) -> serviceconfig.Configuration | None:
         """Return the configuration that this host has applied, if there is one."""
@@ -297,8 +304,14 @@
             self._known_hosts.setdefault(host_id, address)
 
     def _emit(self, sends):
+        """Send messages; those that go to several hosts are encoded once."""
+        hosts_by_message: dict[int, list[str]] = {}
+        for send in sends:
+            hosts_by_message.setdefault(id(send.message), []).append(send.to)
         for send in sends:
-            self.send_message(send.to, send.message)
+            host_ids = hosts_by_message.pop(id(send.message), None)
+            if host_ids is not None:
+                self._broadcast(host_ids, send.message)
 
     def tick(self, now: float) -> None:
         """Spread what was committed or heard, and subscribe at the others."""
@@ -344,6 +357,7 @@
         self.replication.member.settings.join_hosts = tuple(others)
         message = fleetmessages.Subscribe(
             address=self.settings.host.links,
+            has_details=True,
             kind=fleetmessages.CONTROL,
             session=self._session,
             version=self.spreader.version,
--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 import typing
+import zlib
 
 import gevent
 import gevent.event
@@ -38,6 +39,10 @@
 SETTLE_S = 2.6
 STOP_MARGIN_S = 0.5
 POLL_S = 0.05
+# Control hosts that send all news of backend servers, and the time within which such
+# a host must have been heard.
+DETAIL_HOSTS = 2
+CONTROL_FRESH_S = 1.6
 # A wish for an adapter that was not answered is repeated after so long.
 ASK_AGAIN_S = 0.15
 # Time that a swap of models takes besides the load.
@@ -82,6 +87,7 @@
         self._expire_at = now
         self._heard_at_by_id: dict[str, float] = {}
         self._changed = gevent.event.Event()
+        self._has_news = False
         self._coming: dict[str, float] = {}  # time when a model is expected
         self._asked_at_by_key: dict[tuple, float] = {}
         self._arrivals_by_key: dict[tuple, tuple] = {}
@@ -268,7 +274,9 @@
         self._notify()
 
     def _on_adapter(self, message, now):
-        self._notify()
+        self.chooser.gains(message.instance_id, message.key)
+        self._changed.set()
+        self._changed.clear()
 
     def _report(self, now):
         """Tell the owner of the orders what is in flight, arrives and waits."""
@@ -294,14 +302,21 @@
         self._send(self._leader, report)
 
     def _notify(self):
-        self._changed.set()
-        self._changed.clear()
+        """Let the calls that wait look again, with the next tick.
+
+        News come often, and each look costs every waiting call some time.
+        """
+        self._has_news = True
 
     def tick(self, now: float) -> None:
-        """Subscribe and report."""
+        """Subscribe, report, and wake the calls that wait if there is news."""
+        if self._has_news:
+            self._has_news = False
+            self._changed.set()
+            self._changed.clear()
         if now >= self._subscribe_at:
             self._subscribe_at = now + SUBSCRIBE_INTERVAL_S
-            self._subscribe()
+            self._subscribe(now)
         if now >= self._report_at:
             self._report(now)
         if now >= self._expire_at:
@@ -309,17 +324,35 @@
             self.table.expire(now)
             self.chooser.prune()
 
-    def _subscribe(self):
+    def _subscribe(self, now):
         version = self.configuration.version if self.configuration else 0
-        message = fleetmessages.Subscribe(
-            address=self.settings.host.links,
-            kind=fleetmessages.ENTRY,
-            session=self._session,
-            version=version,
-        )
+        detailed = self._detailed_ids(now)
         for host_id in self._control_ids:
+            message = fleetmessages.Subscribe(
+                address=self.settings.host.links,
+                has_details=host_id in detailed,
+                kind=fleetmessages.ENTRY,
+                session=self._session,
+                version=version,
+            )
             self._send(host_id, message)
 
+    def _detailed_ids(self, now):
+        """Return the control hosts that are asked for all news of backend servers.
+
+        Two are enough; leaves and configurations come from all of them. The hosts
+        differ in which two they ask.
+        """
+        fresh = [
+            host_id
+            for host_id in self._control_ids
+            if now - self._heard_at_by_id.get(host_id, -1e9) < CONTROL_FRESH_S
+        ]
+        if len(fresh) <= DETAIL_HOSTS:
+            return self._control_ids
+        ranked = sorted(fresh, key=lambda host_id: _rank(self.host_id, host_id))
+        return set(ranked[:DETAIL_HOSTS])
+
     def _send(self, host_id, message):
         self.transport.learn(host_id, self.settings.link_address(host_id))
         self.transport.send(host_id, message)
@@ -345,6 +378,11 @@
 }
 
 
+def _rank(host_id, control_id):
+    """Return a number by which each host orders the control hosts in its own way."""
+    return zlib.crc32(f"{host_id} {control_id}".encode())
+
+
 def _place(address):
     host, _, port = address.rpartition(":")
     return (host, int(port))
--- a/kumquatproxy/fleet/fleetmessages.py
+++ b/kumquatproxy/fleet/fleetmessages.py
@@ -13,8 +13,9 @@
     An entry host repeats this; a control host sends what is newer.
     """
 
-    __slots__ = ("address", "kind", "session", "version")
+    __slots__ = ("address", "has_details", "kind", "session", "version")
     address: str
+    has_details: bool  # the sender wants all news of backend servers from here
     kind: str  # ENTRY or CONTROL
     session: str  # drawn at each start of the sender
     version: int  # configuration in force at the sender
@@ -96,8 +97,9 @@
 class AdapterReady(wire.Message):
     """Answer an AdapterWanted with a server that has the adapter now."""
 
-    __slots__ = ("instance_id", "number")
+    __slots__ = ("instance_id", "key", "number")
     instance_id: str
+    key: str  # MODEL/ADAPTER
     number: int
 
 
--- a/kumquatproxy/fleet/modelowner.py
+++ b/kumquatproxy/fleet/modelowner.py
@@ -66,6 +66,7 @@
         self._prepared: set[tuple[str, str]] = set()
         self._push_number = 0
         self._pushed: tuple = ()
+        self._placement_at = 0.0
         self._parsed: serviceconfig.Configuration | None = None
         self._adapter_tasks: set[tuple] = set()
         self.table = engines.EngineTable()
@@ -277,20 +278,26 @@
             gevent.sleep(AVOID_S)
         for name in swap.unload:
             order = engineorders.Order(engineorders.Action.UNLOAD, name)
-            if not self._carry_out(state, order, UNLOAD_TIMEOUT_S):
+            if not self._carry_out(state, order, 0.0, UNLOAD_TIMEOUT_S):
                 return
         order = engineorders.Order(engineorders.Action.LOAD, swap.load)
-        if self._carry_out(state, order, swap.takes_s * 3 + LOAD_MARGIN_S):
+        expected_s = max(0.0, swap.takes_s - POLL_S)
+        timeout_s = swap.takes_s * 3 + LOAD_MARGIN_S
+        if self._carry_out(state, order, expected_s, timeout_s):
             state.loaded_at_by_model[swap.load] = clock.now()
         elif swap.needs_store:
             self.window.begin_unknown(clock.now())
 
-    def _carry_out(self, state, order, timeout_s):
-        """Send an order and wait until a report shows its effect."""
+    def _carry_out(self, state, order, expected_s, timeout_s):
+        """Send an order and wait until a report shows its effect.
+
+        The engine is asked only from the time on when that is likely.
+        """
         end = clock.now() + timeout_s
         if not self._send(state, order):
             self._resynchronise(state)
             return False
+        gevent.sleep(expected_s)
         while clock.now() < end:
             gevent.sleep(POLL_S)
             if not self._refresh(state):
@@ -350,7 +357,9 @@
 
     def _answer_adapter(self, sender, message, state):
         answer = fleetmessages.AdapterReady(
-            instance_id=state.announcement.instance_id, number=message.number
+            instance_id=state.announcement.instance_id,
+            key=f"{message.model}/{message.adapter}",
+            number=message.number,
         )
         self._host.send_message(sender, answer)
 
@@ -439,8 +448,10 @@
                 earlier_s = coming.get(state.loading, left_s)
                 coming[state.loading] = min(left_s, earlier_s)
         content = (adapters, leaving, sorted(coming))
-        if content == self._pushed:
+        is_urgent = content[1:] != self._pushed[1:]
+        if content == self._pushed or not (is_urgent or now >= self._placement_at):
             return
+        self._placement_at = now + PUSH_INTERVAL_S
         self._pushed = content
         self._push_number += 1
         push = fleetmessages.PlacementPush(
--- a/kumquatproxy/fleet/spreading.py
+++ b/kumquatproxy/fleet/spreading.py
@@ -15,11 +15,12 @@
 class Subscriber:
     """Hold what a control host knows of one that listens to it."""
 
-    __slots__ = ("address", "heard_at", "kind", "session", "version")
+    __slots__ = ("address", "has_details", "heard_at", "kind", "session", "version")
 
     def __init__(self, subscription, now):
         self.address: str = subscription.address
         self.kind: str = subscription.kind
+        self.has_details: bool = subscription.has_details
         self.session: str = subscription.session
         self.version: int = subscription.version
         self.heard_at: float = now
@@ -58,7 +59,8 @@
         known = self.subscribers_by_id.get(sender)
         self.subscribers_by_id[sender] = Subscriber(message, now)
         sends = []
-        if known is None or known.session != message.session:
+        is_new = known is None or known.session != message.session
+        if known is None or is_new or message.has_details > known.has_details:
             sends.append(wire.Send(sender, self._everything()))
         if message.version < self.version:
             sends.append(wire.Send(sender, self._configuration()))
@@ -140,7 +142,10 @@
         sends: list[wire.Send] = []
         if self._changed_ids or self._marks or now >= self._alive_at:
             push = self._changes(now)
-            sends.extend(wire.Send(name, push) for name in live)
+            detailed = [
+                name for name in live if self.subscribers_by_id[name].has_details
+            ]
+            sends.extend(wire.Send(name, push) for name in detailed)
         if now >= self._hosts_at:
             self._hosts_at = now + HOSTS_INTERVAL_S
             message = fleetmessages.ControlHosts(
--- a/kumquatproxy/gateway/choice.py
+++ b/kumquatproxy/gateway/choice.py
@@ -121,6 +121,11 @@
         adapters = self.adapters_by_id.get(announcement.instance_id, frozenset())
         self.adapters_by_id[announcement.instance_id] = adapters - {need.key()}
 
+    def gains(self, instance_id: str, key: str) -> None:
+        """Note that a server has an adapter now."""
+        adapters = self.adapters_by_id.get(instance_id, frozenset())
+        self.adapters_by_id[instance_id] = adapters | {key}
+
     def choose(self, candidates: list[Candidate]) -> servers.Announcement | None:
         """Return one of the servers that are about as good as the best one."""
         if not candidates:
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -12,6 +12,7 @@
     eventstream,
     framing,
     patience,
+    shedding,
     urgency,
     waiting,
 )
@@ -166,6 +167,7 @@
     def _place(self, call, progress):
         """Return the server to send a call to; wait for one if that helps."""
         waiter = waiting.Waiter(call, clock.now())
+        waited = False
         with self._host.counted_waiting(call):
             while True:
                 now = clock.now()
@@ -174,6 +176,10 @@
                     call, service, progress.tried, now
                 )
                 chosen = self._host.chooser.choose(found)
+                if chosen is not None and not progress.attempts and not waited:
+                    error = shedding.check(call, found[0].delay_s, now)
+                    if error is not None:
+                        raise error
                 if chosen is not None:
                     progress.waited_s += now - waiter.since
                     return chosen
@@ -181,6 +187,7 @@
                 verdict = waiter.verdict(service, outlook, now, self._host.stops_at)
                 if verdict.error is not None:
                     raise verdict.error
+                waited = True
                 self._host.wait_for_change(verdict.wait_s)
 
     def _count(self, call, progress):
--- a/kumquatproxy/transport.py
+++ b/kumquatproxy/transport.py
@@ -112,7 +112,10 @@
 
         Return whether it was queued; raise ProxyError if it is too large.
         """
-        data = wire.encode(message)
+        return self.send_encoded(host_id, wire.encode(message), is_droppable)
+
+    def send_encoded(self, host_id: str, data: bytes, is_droppable=True) -> bool:
+        """Queue a message that is encoded already, as for many hosts at once."""
         peer = self._peer(host_id)
         now = self._clock()
         peer.used_at = now
--- a/tests/fleet/test_fleet_core.py
+++ b/tests/fleet/test_fleet_core.py
@@ -82,8 +82,10 @@
         assert servers.from_plain(one.to_plain()) == one
 
 
-def subscription(version=0, session="x", kind=fleetmessages.ENTRY):
-    return fleetmessages.Subscribe("10.0.0.9:1", kind, session, version)
+def subscription(version=0, session="x", has_details=True):
+    return fleetmessages.Subscribe(
+        "10.0.0.9:1", has_details, fleetmessages.ENTRY, session, version
+    )
 
 
 class TestSpreading:
@@ -123,6 +125,17 @@
         assert send.message.marks == [["i-1", 100, "leaving"]]
         assert spreader.mark("i-1", 100, LEAVING, 0.0) == []
 
+    def test_a_listener_without_details_gets_leaves_and_versions_only(self, spreader):
+        """Of eight control hosts that all send the same, two are enough."""
+        spreader.subscribe("e1", subscription(has_details=False), 0.0)
+        spreader.hear(beat(), 0.0)
+        kinds = [type(one.message) for one in spreader.tick([], [], "", 0.0)]
+        assert kinds == [fleetmessages.ControlHosts]
+        assert spreader.mark("i-1", 100, LEAVING, 0.0)
+        assert spreader.configure(7, b"text", 0.0)
+        (first, _) = spreader.subscribe("e1", subscription(), 1.0)
+        assert len(first.message.servers) == 1
+
     def test_hosts_tell_each_other_what_they_heard(self, spreader):
         spreader.subscribe("e1", subscription(), 0.0)
         push = fleetmessages.ServersPush([], [["i-2", 5, "gone"]], [beat().to_plain()])
