--- a/kumquatproxy/applying.py
+++ b/kumquatproxy/agreement/applying.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable
 
-from kumquatproxy import errors, replicalog, wire
+from kumquatproxy import errors, wire
+from kumquatproxy.agreement import replicalog
 
 SNAPSHOT_EVERY_ENTRIES = 5000
 
--- a/kumquatproxy/consensus.py
+++ b/kumquatproxy/agreement/consensus.py
@@ -2,8 +2,8 @@
 
 import enum
 
-from kumquatproxy import (
-    errors,
+from kumquatproxy import errors, wire
+from kumquatproxy.agreement import (
     followership,
     groupsettings,
     leadership,
@@ -12,7 +12,6 @@
     raftmessages,
     replicalog,
     voterset,
-    wire,
 )
 
 NotLeader = groupsettings.NotLeader
--- a/kumquatproxy/datafolder.py
+++ b/kumquatproxy/agreement/datafolder.py
@@ -5,7 +5,8 @@
 
 import cbor2
 
-from kumquatproxy import diskstore, dissemination, durablefiles
+from kumquatproxy.agreement import diskstore, durablefiles
+from kumquatproxy.configuration import dissemination
 
 VERSION_FILE = "version"
 IDENTITY_FILE = "identity"
--- a/kumquatproxy/diskstore.py
+++ b/kumquatproxy/agreement/diskstore.py
@@ -4,7 +4,8 @@
 import os
 import pathlib
 
-from kumquatproxy import durablefiles, errors, frames, groupsettings, segments
+from kumquatproxy import errors
+from kumquatproxy.agreement import durablefiles, frames, groupsettings, segments
 
 SEGMENT_BYTES = 8 * 1024 * 1024
 _SEGMENT = "log-"
--- a/kumquatproxy/followership.py
+++ b/kumquatproxy/agreement/followership.py
@@ -1,6 +1,6 @@
 """Rules of a member that follows a leader: entries, snapshots, replies."""
 
-from kumquatproxy import raftmessages, snapshotassembly
+from kumquatproxy.agreement import raftmessages, snapshotassembly
 
 
 class Followership:
--- a/kumquatproxy/groupsettings.py
+++ b/kumquatproxy/agreement/groupsettings.py
@@ -1,6 +1,7 @@
 """Settings of one member of a replicated-log group, and its records for the edge."""
 
-from kumquatproxy import errors, records, replicalog, wire
+from kumquatproxy import errors, records, wire
+from kumquatproxy.agreement import replicalog
 
 ELECTION_TIMEOUT_S = 1.2
 HEARTBEAT_S = 0.5
--- a/kumquatproxy/leadership.py
+++ b/kumquatproxy/agreement/leadership.py
@@ -2,8 +2,8 @@
 
 import contextlib
 
-from kumquatproxy import (
-    errors,
+from kumquatproxy import errors
+from kumquatproxy.agreement import (
     progress,
     raftmessages,
     replicalog,
--- a/kumquatproxy/logstate.py
+++ b/kumquatproxy/agreement/logstate.py
@@ -1,6 +1,7 @@
 """Log, snapshot and voter sets of one member, and how far each is done."""
 
-from kumquatproxy import errors, groupsettings, replicalog, voterset
+from kumquatproxy import errors
+from kumquatproxy.agreement import groupsettings, replicalog, voterset
 
 
 class LogState:
--- a/kumquatproxy/outbox.py
+++ b/kumquatproxy/agreement/outbox.py
@@ -1,6 +1,7 @@
 """Messages of a member that wait for the next Ready."""
 
-from kumquatproxy import raftmessages, voterset, wire
+from kumquatproxy import wire
+from kumquatproxy.agreement import raftmessages, voterset
 
 _EARLY = (raftmessages.Append, raftmessages.SnapshotChunk)
 
--- a/kumquatproxy/progress.py
+++ b/kumquatproxy/agreement/progress.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from kumquatproxy import replicalog
+from kumquatproxy.agreement import replicalog
 
 
 class Progress:
--- a/kumquatproxy/raftmessages.py
+++ b/kumquatproxy/agreement/raftmessages.py
@@ -6,7 +6,8 @@
 
 import typing
 
-from kumquatproxy import errors, replicalog, wire
+from kumquatproxy import errors, wire
+from kumquatproxy.agreement import replicalog
 
 NO_TERM = 0  # of a message from a member that is in no term yet
 
--- a/kumquatproxy/replication.py
+++ b/kumquatproxy/agreement/replication.py
@@ -3,16 +3,8 @@
 import gevent
 import gevent.event
 
-from kumquatproxy import (
-    applying,
-    clock,
-    errors,
-    groupsettings,
-    logs,
-    tasks,
-    voterset,
-    wire,
-)
+from kumquatproxy import clock, errors, logs, tasks, wire
+from kumquatproxy.agreement import applying, groupsettings, voterset
 
 MAX_BATCHED_MESSAGES = 256
 STORAGE_RETRY_S = 1.0
--- a/kumquatproxy/segments.py
+++ b/kumquatproxy/agreement/segments.py
@@ -2,7 +2,7 @@
 
 import cbor2
 
-from kumquatproxy import frames, groupsettings, replicalog
+from kumquatproxy.agreement import frames, groupsettings, replicalog
 
 FORMAT_VERSION = 1
 HEADER = 0
--- a/kumquatproxy/snapshotassembly.py
+++ b/kumquatproxy/agreement/snapshotassembly.py
@@ -1,6 +1,6 @@
 """Putting a snapshot together from the chunks a leader sends."""
 
-from kumquatproxy import raftmessages, replicalog
+from kumquatproxy.agreement import raftmessages, replicalog
 
 
 class Assembly:
--- a/kumquatproxy/voterpolicy.py
+++ b/kumquatproxy/agreement/voterpolicy.py
@@ -1,6 +1,6 @@
 """Which voter or learner to change next, so that a group repairs itself."""
 
-from kumquatproxy import voterset
+from kumquatproxy.agreement import voterset
 
 
 class MemberView:
--- a/kumquatproxy/cli.py
+++ b/kumquatproxy/cli.py
@@ -6,7 +6,8 @@
 import os
 import sys
 
-from kumquatproxy import adminclient, errors, settings, sheet
+from kumquatproxy import adminclient, errors, settings
+from kumquatproxy.configuration import sheet
 
 EXIT_OK = 0
 EXIT_REFUSED = 1
@@ -195,7 +196,7 @@
 
 def run_demo(arguments) -> int:
     """Run the main job in one process, or serve until SIGTERM."""
-    from kumquatproxy import demo
+    from kumquatproxy.laboratory import demo
 
     if arguments.serve:
         return demo.serve(
@@ -206,7 +207,7 @@
 
 def run_bench(arguments) -> int:
     """Run measurements and print their figures."""
-    from kumquatproxy import measurements
+    from kumquatproxy.laboratory import measurements
 
     if arguments.name == "list":
         print("\n".join(measurements.names()))
--- a/kumquatproxy/claimcalls.py
+++ b/kumquatproxy/configuration/claimcalls.py
@@ -2,7 +2,8 @@
 
 import enum
 
-from kumquatproxy import claimrecords, errors, records, wire
+from kumquatproxy import errors, records, wire
+from kumquatproxy.configuration import claimrecords
 
 # A proposal or its answer may be lost; the repeat carries the same attempt number.
 REPEAT_S = 1.0
--- a/kumquatproxy/claimclient.py
+++ b/kumquatproxy/configuration/claimclient.py
@@ -4,17 +4,9 @@
 import itertools
 from collections.abc import Callable
 
-from kumquatproxy import (
-    claimcalls,
-    claimmessages,
-    claimrecords,
-    clock,
-    drivers,
-    errors,
-    logs,
-    records,
-    tasks,
-)
+from kumquatproxy import clock, errors, logs, records, tasks
+from kumquatproxy.configuration import claimcalls, claimmessages, claimrecords
+from kumquatproxy.requests import drivers
 
 BEGIN_TIMEOUT_S = 3.0
 FINISH_TIMEOUT_S = 0.5  # the caller's answer waits no longer for the kept result
--- a/kumquatproxy/claimrecords.py
+++ b/kumquatproxy/configuration/claimrecords.py
@@ -6,7 +6,8 @@
 
 import cbor2
 
-from kumquatproxy import errors, fingerprints, wire
+from kumquatproxy import errors, wire
+from kumquatproxy.configuration import fingerprints
 
 DIGEST_BYTES = 16
 
--- a/kumquatproxy/claims.py
+++ b/kumquatproxy/configuration/claims.py
@@ -5,7 +5,8 @@
 
 import cbor2
 
-from kumquatproxy import claimrecords, errors, fingerprints, wire
+from kumquatproxy import errors, wire
+from kumquatproxy.configuration import claimrecords, fingerprints
 
 ErrorKind = errors.ErrorKind
 Outcome = claimrecords.Outcome
--- a/kumquatproxy/configstate.py
+++ b/kumquatproxy/configuration/configstate.py
@@ -5,7 +5,9 @@
 
 import cbor2
 
-from kumquatproxy import errors, sheet, storeshare, wire
+from kumquatproxy import errors, wire
+from kumquatproxy.configuration import sheet
+from kumquatproxy.placement import storeshare
 
 # 380 changes a day give 26 days of digests, at about 300 bytes each.
 HISTORY_VERSIONS = 10_000
--- a/kumquatproxy/configurationgroup.py
+++ b/kumquatproxy/configuration/configurationgroup.py
@@ -2,7 +2,9 @@
 
 import cbor2
 
-from kumquatproxy import claimrecords, claims, configstate, sheet, storeshare, wire
+from kumquatproxy import wire
+from kumquatproxy.configuration import claimrecords, claims, configstate, sheet
+from kumquatproxy.placement import storeshare
 
 _CLAIM_COMMANDS = (
     claimrecords.BeginClaim,
--- a/kumquatproxy/dissemination.py
+++ b/kumquatproxy/configuration/dissemination.py
@@ -4,7 +4,9 @@
 import zlib
 from collections.abc import Callable
 
-from kumquatproxy import errors, membermessages, versionmessages, wire
+from kumquatproxy import errors, wire
+from kumquatproxy.configuration import versionmessages
+from kumquatproxy.membership import membermessages
 
 CHUNK_BYTES = 16 * 1024
 MAX_CONTENT_BYTES = 16 * 1024 * 1024
--- a/kumquatproxy/sheet.py
+++ b/kumquatproxy/configuration/sheet.py
@@ -3,7 +3,8 @@
 import fnmatch
 import hashlib
 
-from kumquatproxy import errors, naming, options, records
+from kumquatproxy import errors, options, records
+from kumquatproxy.configuration import naming
 
 MIN_PRIORITY = 1
 MAX_PRIORITY = 9
--- a/kumquatproxy/sheet_fit.py
+++ b/kumquatproxy/configuration/sheet_fit.py
@@ -1,6 +1,7 @@
 """Whether each listed model fits the announced memory, before a sheet is submitted."""
 
-from kumquatproxy import placementcover, placementlayout, placementplan, records
+from kumquatproxy import records
+from kumquatproxy.placement import placementcover, placementlayout, placementplan
 
 
 class Fit(records.Record):
--- a/kumquatproxy/control.py
+++ b/kumquatproxy/control.py
@@ -6,35 +6,34 @@
     adminmessages,
     adminviews,
     backendapi,
+    clock,
+    errors,
+    logs,
+    messagerouting,
+    records,
+    tasks,
+    wire,
+)
+from kumquatproxy.agreement import proposals, raftmessages, replication
+from kumquatproxy.configuration import (
     claimmessages,
     claimrecords,
     claims,
-    clock,
     configstate,
     configurationgroup,
+    sheet_fit,
+    versionmessages,
+)
+from kumquatproxy.configuration import sheet as sheets
+from kumquatproxy.membership import (
     demandreports,
-    dispatch,
-    entry,
-    errors,
-    formation,
-    logs,
     membermessages,
-    messagerouting,
-    orderrecords,
     peers,
-    placementcontrol,
-    proposals,
-    raftmessages,
-    records,
-    replication,
     reportstore,
-    sheet_fit,
     summaries,
-    tasks,
-    versionmessages,
-    wire,
 )
-from kumquatproxy import sheet as sheets
+from kumquatproxy.placement import formation, orderrecords, placementcontrol
+from kumquatproxy.requests import dispatch, entry
 
 _HostState = membermessages.HostState
 
--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -5,22 +5,14 @@
 
 import gevent
 
-from kumquatproxy import (
-    clock,
+from kumquatproxy import clock, errors, httpapi, logs, tasks, wire
+from kumquatproxy.agreement import (
     consensus,
     datafolder,
-    errors,
     groupsettings,
-    hello,
-    httpapi,
-    link,
-    logs,
     raftmessages,
     replication,
-    tasks,
-    transport,
     voterset,
-    wire,
 )
 from kumquatproxy.fleet import (
     controlapis,
@@ -34,6 +26,7 @@
     spreading,
 )
 from kumquatproxy.gateway import dialects
+from kumquatproxy.membership import hello, link, transport
 
 GROUP = "control"
 FIRST_DISK_ID = "first"  # of the voters that form the group
--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -10,7 +10,7 @@
 import gevent.event
 import gevent.pywsgi
 
-from kumquatproxy import clock, logs, tasks, transport
+from kumquatproxy import clock, logs, tasks
 from kumquatproxy.fleet import (
     controlhost,
     fleetmessages,
@@ -29,6 +29,7 @@
     relay,
     waiting,
 )
+from kumquatproxy.membership import transport
 
 SUBSCRIBE_INTERVAL_S = 1.0
 REPORT_INTERVAL_S = 0.25
--- a/kumquatproxy/fleet/fleetstate.py
+++ b/kumquatproxy/fleet/fleetstate.py
@@ -54,7 +54,7 @@
     state: str
 
 
-@wire.register("take-ownership")
+@wire.register("take-fleet-ownership")
 class TakeOwnership(wire.Message):
     """Make a host the only one that gives orders to backend servers."""
 
@@ -63,7 +63,7 @@
     host_id: str
 
 
-@wire.register("ownership")
+@wire.register("fleet-ownership")
 class Ownership(wire.Message):
     """Tell who owned the orders before a TakeOwnership."""
 
--- a/kumquatproxy/fleet/proposing.py
+++ b/kumquatproxy/fleet/proposing.py
@@ -5,7 +5,8 @@
 import gevent
 import gevent.event
 
-from kumquatproxy import clock, errors, replication, voterset, wire
+from kumquatproxy import clock, errors, wire
+from kumquatproxy.agreement import replication, voterset
 from kumquatproxy.fleet import fleetmessages
 
 RETRY_S = 0.1
--- a/kumquatproxy/host.py
+++ b/kumquatproxy/host.py
@@ -12,30 +12,30 @@
 from kumquatproxy import (
     admin,
     backendapi,
-    claimclient,
-    claims,
     clock,
-    configurationgroup,
-    consensus,
     control,
-    datafolder,
-    demandreports,
-    diskstore,
-    dispatch,
-    dissemination,
-    entry,
     errors,
-    groupsettings,
-    hello,
     httpapi,
     logs,
-    membermessages,
     metrics,
-    replication,
     settings,
-    transport,
+)
+from kumquatproxy.agreement import (
+    consensus,
+    datafolder,
+    diskstore,
+    groupsettings,
+    replication,
     voterset,
 )
+from kumquatproxy.configuration import (
+    claimclient,
+    claims,
+    configurationgroup,
+    dissemination,
+)
+from kumquatproxy.membership import demandreports, hello, membermessages, transport
+from kumquatproxy.requests import dispatch, entry
 
 CONFIGURATION_GROUP = "configuration"
 FIRST_DISK_ID = "first"  # of the voters that form the configuration group
--- /dev/null
+++ b/kumquatproxy/laboratory/__init__.py
@@ -0,0 +1,1 @@
+"""Models, simulations, fault schedules, the demo, and measurements."""
--- a/kumquatproxy/arrivals.py
+++ b/kumquatproxy/laboratory/arrivals.py
@@ -3,7 +3,8 @@
 import math
 import random
 
-from kumquatproxy import loadmodel, records
+from kumquatproxy import records
+from kumquatproxy.laboratory import loadmodel
 
 PREFIX_BLOCK_TOKENS = 128
 MEAN_TOKENS = 100.0
--- a/kumquatproxy/capacity.py
+++ b/kumquatproxy/laboratory/capacity.py
@@ -2,7 +2,7 @@
 
 import re
 
-from kumquatproxy import measure
+from kumquatproxy.laboratory import measure
 
 FIGURES_COLUMN = "figures"
 _NAME = re.compile(r"`([a-z0-9_]+)`")
--- a/kumquatproxy/claimschedules.py
+++ b/kumquatproxy/laboratory/claimschedules.py
@@ -4,7 +4,8 @@
 import random
 from typing import Any
 
-from kumquatproxy import claimcalls, claimrecords, claims, wire
+from kumquatproxy import wire
+from kumquatproxy.configuration import claimcalls, claimrecords, claims
 
 STEP_S = 0.25
 STEPS = 600
--- a/kumquatproxy/demo.py
+++ b/kumquatproxy/laboratory/demo.py
@@ -11,7 +11,9 @@
 import geventhttpclient
 import geventhttpclient.response
 
-from kumquatproxy import demosystem, fakes, httpapi, samples, sheet
+from kumquatproxy import httpapi
+from kumquatproxy.configuration import samples, sheet
+from kumquatproxy.laboratory import demosystem, fakes
 
 REQUESTS = 400
 ACTIONS = 40
--- a/kumquatproxy/demosystem.py
+++ b/kumquatproxy/laboratory/demosystem.py
@@ -7,15 +7,9 @@
 
 import gevent
 
-from kumquatproxy import (
-    adminmessages,
-    errors,
-    fakes,
-    host,
-    samples,
-    settings,
-    sheet,
-)
+from kumquatproxy import adminmessages, errors, host, settings
+from kumquatproxy.configuration import samples, sheet
+from kumquatproxy.laboratory import fakes
 
 KEY = b"a key for the demo only"
 READ_TOKEN = "demo-read"
--- a/kumquatproxy/experiments.py
+++ b/kumquatproxy/laboratory/experiments.py
@@ -6,16 +6,9 @@
 import statistics
 import time
 
-from kumquatproxy import (
-    arrivals,
-    bounds,
-    hedging,
-    measure,
-    records,
-    registry,
-    simulation,
-    systems,
-)
+from kumquatproxy import records, registry
+from kumquatproxy.laboratory import arrivals, bounds, measure, simulation, systems
+from kumquatproxy.requests import hedging
 
 EXPERIMENTS = registry.Registry("experiment")
 """Functions of a list of seeds that return rows of figures by label."""
--- a/kumquatproxy/faultschedules.py
+++ b/kumquatproxy/laboratory/faultschedules.py
@@ -2,17 +2,14 @@
 
 import random
 
-from kumquatproxy import (
-    consensus,
-    errors,
+from kumquatproxy import errors, records, wire
+from kumquatproxy.agreement import consensus, replicalog
+from kumquatproxy.laboratory import (
     groupinvariants,
     histories,
-    records,
     registermachine,
-    replicalog,
     simfaults,
     simgroup,
-    wire,
 )
 
 FAULT_INTERVAL_S = (0.2, 2.5)
--- a/kumquatproxy/groupinvariants.py
+++ b/kumquatproxy/laboratory/groupinvariants.py
@@ -1,6 +1,6 @@
 """Invariants of a replicated-log group, checked after every step of a schedule."""
 
-from kumquatproxy import raftmessages
+from kumquatproxy.agreement import raftmessages
 
 
 class InvariantError(Exception):
--- a/kumquatproxy/measure_consensus.py
+++ b/kumquatproxy/laboratory/measure_consensus.py
@@ -9,19 +9,17 @@
 import gevent
 import gevent.monkey
 
-from kumquatproxy import (
+from kumquatproxy import wire
+from kumquatproxy.agreement import (
     consensus,
     diskstore,
-    faultschedules,
     groupsettings,
-    measure,
     raftmessages,
-    registermachine,
     replicalog,
     replication,
     voterset,
-    wire,
 )
+from kumquatproxy.laboratory import faultschedules, measure, registermachine
 
 HOSTS = ("h1", "h2", "h3")
 CLIENTS = 64
--- a/kumquatproxy/measure_control.py
+++ b/kumquatproxy/laboratory/measure_control.py
@@ -4,14 +4,9 @@
 import time
 import tracemalloc
 
-from kumquatproxy import (
-    claimrecords,
-    claims,
-    claimschedules,
-    measure,
-    orderschedules,
-    sheetapply,
-)
+from kumquatproxy.configuration import claimrecords, claims
+from kumquatproxy.laboratory import claimschedules, measure, orderschedules
+from kumquatproxy.placement import sheetapply
 
 SCHEDULES = 40
 MEMORY_CLAIMS = 20_000
--- a/kumquatproxy/measure_hosts.py
+++ b/kumquatproxy/laboratory/measure_hosts.py
@@ -8,15 +8,9 @@
 import gevent
 import psutil
 
-from kumquatproxy import (
-    adminclient,
-    demosystem,
-    fakes,
-    host,
-    measure,
-    samples,
-    settings,
-)
+from kumquatproxy import adminclient, host, settings
+from kumquatproxy.configuration import samples
+from kumquatproxy.laboratory import demosystem, fakes, measure
 
 SIZES = (6, 24)
 ENGINES_PER_HOST = 1.5  # 600 backend servers for 380 hosts
--- a/kumquatproxy/measure_members.py
+++ b/kumquatproxy/laboratory/measure_members.py
@@ -11,17 +11,16 @@
 import gevent.event
 from websockets import client, frames, protocol, server, uri
 
-from kumquatproxy import (
+from kumquatproxy import wire
+from kumquatproxy.configuration import samples
+from kumquatproxy.laboratory import measure, membersimulation
+from kumquatproxy.membership import (
     hello,
     link,
     loadmessages,
-    measure,
     membermessages,
-    membersimulation,
     peers,
-    samples,
     transport,
-    wire,
 )
 
 SIZES = (
--- a/kumquatproxy/measure_placement.py
+++ b/kumquatproxy/laboratory/measure_placement.py
@@ -4,14 +4,13 @@
 import statistics
 import time
 
-from kumquatproxy import (
-    measure,
+from kumquatproxy.configuration import sheet
+from kumquatproxy.laboratory import measure, placementexperiments
+from kumquatproxy.placement import (
     placement,
     placementcheck,
-    placementexperiments,
     placementlayout,
     placementplan,
-    sheet,
 )
 
 SEEDS = 10
--- a/kumquatproxy/measure_proxy.py
+++ b/kumquatproxy/laboratory/measure_proxy.py
@@ -17,21 +17,13 @@
 import geventhttpclient
 import psutil
 
-from kumquatproxy import (
-    demandreports,
-    dispatch,
-    drivers,
-    entry,
-    fakes,
-    httpapi,
-    logs,
-    measure,
-    metrics,
-    records,
-    samples,
-    sheet,
-)
+from kumquatproxy import httpapi, logs, metrics, records
+from kumquatproxy.configuration import samples, sheet
+from kumquatproxy.laboratory import fakes, measure
+from kumquatproxy.membership import demandreports
+from kumquatproxy.requests import dispatch, drivers, entry
 
+MODULE_NAME = "kumquatproxy.laboratory.measure_proxy"
 MODEL = "gait-00"
 PATH = "/v1/completions"
 CONNECTIONS = 32
@@ -125,7 +117,7 @@
     """Run one role in a process of its own."""
 
     def __init__(self, role, address=""):
-        command = [sys.executable, "-m", "kumquatproxy.measure_proxy", role, address]
+        command = [sys.executable, "-m", MODULE_NAME, role, address]
         self._process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
         assert self._process.stdout is not None
         self.address: str = self._process.stdout.readline().strip()
--- a/kumquatproxy/measure_routing.py
+++ b/kumquatproxy/laboratory/measure_routing.py
@@ -5,15 +5,10 @@
 import statistics
 import time
 
-from kumquatproxy import (
-    arrivals,
-    experiments,
-    fixedplacement,
-    loadmodel,
-    measure,
-    records,
-    routing,
-)
+from kumquatproxy import records
+from kumquatproxy.laboratory import arrivals, experiments, loadmodel, measure
+from kumquatproxy.placement import fixedplacement
+from kumquatproxy.requests import routing
 
 REGISTER = measure.MEASUREMENTS.register
 DECISIONS = 1000
--- a/kumquatproxy/measurements.py
+++ b/kumquatproxy/laboratory/measurements.py
@@ -4,8 +4,8 @@
 import pathlib
 import pkgutil
 
-import kumquatproxy
-from kumquatproxy import capacity, errors, measure
+from kumquatproxy import errors, laboratory
+from kumquatproxy.laboratory import capacity, measure
 
 MODULE_PREFIX = "measure_"
 PAGE = pathlib.Path("docs/CAPACITY.md")
@@ -13,9 +13,9 @@
 
 def names() -> list[str]:
     """Return the names of all measurements."""
-    for module in pkgutil.iter_modules(kumquatproxy.__path__):
+    for module in pkgutil.iter_modules(laboratory.__path__):
         if module.name.startswith(MODULE_PREFIX):
-            importlib.import_module(f"kumquatproxy.{module.name}")
+            importlib.import_module(f"{laboratory.__name__}.{module.name}")
     return measure.MEASUREMENTS.aliases()
 
 
--- a/kumquatproxy/membersimulation.py
+++ b/kumquatproxy/laboratory/membersimulation.py
@@ -2,7 +2,10 @@
 
 import random
 
-from kumquatproxy import fakenetwork, membermessages, peers, records, versionmessages
+from kumquatproxy import records
+from kumquatproxy.configuration import versionmessages
+from kumquatproxy.laboratory import fakenetwork
+from kumquatproxy.membership import membermessages, peers
 
 REGIONS_BY_CENTRE = {"a": 1, "b": 1, "c": 1, "d": 2, "e": 2}
 LOCAL_DELAY_S = 0.001
--- a/kumquatproxy/orderschedules.py
+++ b/kumquatproxy/laboratory/orderschedules.py
@@ -2,15 +2,14 @@
 
 import random
 
-from kumquatproxy import (
-    configstate,
+from kumquatproxy import records
+from kumquatproxy.configuration import configstate
+from kumquatproxy.laboratory import schedulefakes, schedulehosts
+from kumquatproxy.placement import (
     orderrecords,
     orderrules,
     orders,
     placementstate,
-    records,
-    schedulefakes,
-    schedulehosts,
     storeshare,
 )
 
--- a/kumquatproxy/placementbaselines.py
+++ b/kumquatproxy/laboratory/placementbaselines.py
@@ -1,6 +1,7 @@
 """Baseline planners: static even placement and least recently used eviction."""
 
-from kumquatproxy import placementlayout, placementplan, placementroom, records
+from kumquatproxy import records
+from kumquatproxy.placement import placementlayout, placementplan, placementroom
 
 
 def finish(layout, not_fitting, store, current) -> placementplan.Plan:
--- a/kumquatproxy/placementexperiments.py
+++ b/kumquatproxy/laboratory/placementexperiments.py
@@ -8,15 +8,14 @@
 
 import random
 
-from kumquatproxy import (
+from kumquatproxy import records
+from kumquatproxy.configuration import samples, sheet
+from kumquatproxy.placement import (
     demand,
     placement,
     placementlayout,
     placementplan,
     placementscale,
-    records,
-    samples,
-    sheet,
 )
 
 RATE_PER_ACCELERATOR = placement.RATE_PER_ACCELERATOR
--- a/kumquatproxy/registermachine.py
+++ b/kumquatproxy/laboratory/registermachine.py
@@ -2,7 +2,8 @@
 
 import cbor2
 
-from kumquatproxy import histories, wire
+from kumquatproxy import wire
+from kumquatproxy.laboratory import histories
 
 
 @wire.register("register-call")
--- a/kumquatproxy/schedulefakes.py
+++ b/kumquatproxy/laboratory/schedulefakes.py
@@ -1,6 +1,7 @@
 """Fake engines and a fake placement group for schedules of orders."""
 
-from kumquatproxy import orderrules, placementstate, records
+from kumquatproxy import records
+from kumquatproxy.placement import orderrules, placementstate
 
 REPORT_INTERVAL_S = 0.5
 LEASE_S = 2.0
--- a/kumquatproxy/schedulehosts.py
+++ b/kumquatproxy/laboratory/schedulehosts.py
@@ -1,12 +1,8 @@
 """Hosts of a schedule: clock, log replica, order queue and reports."""
 
-from kumquatproxy import (
-    orderrecords,
-    orders,
-    placementstate,
-    records,
-    schedulefakes,
-)
+from kumquatproxy import records
+from kumquatproxy.laboratory import schedulefakes
+from kumquatproxy.placement import orderrecords, orders, placementstate
 
 
 class Host:
--- a/kumquatproxy/simfaults.py
+++ b/kumquatproxy/laboratory/simfaults.py
@@ -1,6 +1,7 @@
 """Faults that a schedule can start in a simulated group."""
 
-from kumquatproxy import errors, registry, voterset
+from kumquatproxy import errors, registry
+from kumquatproxy.agreement import voterset
 
 FAULTS = registry.Registry("fault")
 """Functions of a ``faultschedules.Schedule`` that start one fault."""
--- a/kumquatproxy/simgroup.py
+++ b/kumquatproxy/laboratory/simgroup.py
@@ -5,7 +5,8 @@
 import random
 from typing import Any
 
-from kumquatproxy import applying, consensus, groupsettings, voterset, wire
+from kumquatproxy import wire
+from kumquatproxy.agreement import applying, consensus, groupsettings, voterset
 
 TICK_S = 0.1
 # Share of messages that pass through their wire form, to find what it cannot carry.
--- a/kumquatproxy/simulation.py
+++ b/kumquatproxy/laboratory/simulation.py
@@ -4,19 +4,10 @@
 import itertools
 import random
 
-from kumquatproxy import (
-    admission,
-    arrivals,
-    breaker,
-    estimates,
-    fixedplacement,
-    loadmodel,
-    ondemand,
-    records,
-    retries,
-    routing,
-    systems,
-)
+from kumquatproxy import records
+from kumquatproxy.laboratory import arrivals, loadmodel, systems
+from kumquatproxy.placement import fixedplacement, ondemand
+from kumquatproxy.requests import admission, breaker, estimates, retries, routing
 
 SLOWED = 5.0  # factor of a slow engine's step times
 NETWORK_S = 0.001  # one way between host and engine
--- a/kumquatproxy/systems.py
+++ b/kumquatproxy/laboratory/systems.py
@@ -1,6 +1,6 @@
 """What a simulated run is made of: the system, the faults and the result."""
 
-from kumquatproxy import loadmodel
+from kumquatproxy.laboratory import loadmodel
 
 MEASURED_FROM_S = 10.0  # requests before this time only warm up the tables
 
--- /dev/null
+++ b/kumquatproxy/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts and backend servers of a data centre, links, and reports on trees."""
--- a/kumquatproxy/backendtable.py
+++ b/kumquatproxy/membership/backendtable.py
@@ -2,7 +2,8 @@
 
 import struct
 
-from kumquatproxy import errors, membermessages, records
+from kumquatproxy import errors, records
+from kumquatproxy.membership import membermessages
 
 EXPIRY_S = 10.0
 """A backend server not heard of for this long gets no requests; reports come each
--- a/kumquatproxy/demandreports.py
+++ b/kumquatproxy/membership/demandreports.py
@@ -1,6 +1,7 @@
 """Counts of demand that entry hosts send to the placement voters."""
 
-from kumquatproxy import demand, records, wire
+from kumquatproxy import records, wire
+from kumquatproxy.placement import demand
 
 REPORT_INTERVAL_S = 5.0
 MAX_ITEMS_PER_REPORT = 2000
--- a/kumquatproxy/hosttable.py
+++ b/kumquatproxy/membership/hosttable.py
@@ -2,7 +2,8 @@
 
 import math
 
-from kumquatproxy import membermessages, records
+from kumquatproxy import records
+from kumquatproxy.membership import membermessages
 
 MAX_UPDATES = 8
 """Changes in one probe; with an address each takes about 40 bytes."""
--- a/kumquatproxy/link.py
+++ b/kumquatproxy/membership/link.py
@@ -11,7 +11,8 @@
 from websockets import client, frames, http11, server, uri
 from websockets.protocol import State
 
-from kumquatproxy import errors, hello, wire
+from kumquatproxy import errors, wire
+from kumquatproxy.membership import hello
 
 RECEIVED_BYTES = 64 * 1024
 MAX_UNSENT_BYTES = 64 * 1024
--- a/kumquatproxy/loadreports.py
+++ b/kumquatproxy/membership/loadreports.py
@@ -6,7 +6,8 @@
 hosts stay in step and a report reaches every host within about one interval.
 """
 
-from kumquatproxy import loadmessages, records, reportstore, trees, wire
+from kumquatproxy import records, wire
+from kumquatproxy.membership import loadmessages, reportstore, trees
 
 FAN_OUT = 2
 WAVE_INTERVAL_S = 0.5
--- a/kumquatproxy/membership.py
+++ b/kumquatproxy/membership/membership.py
@@ -2,17 +2,16 @@
 
 import struct
 
-from kumquatproxy import (
+from kumquatproxy import records, wire
+from kumquatproxy.laboratory import repeats
+from kumquatproxy.membership import (
     backendtable,
     hosttable,
     membermessages,
     probing,
-    records,
     relaylinks,
-    repeats,
     suspicion,
     trees,
-    wire,
 )
 
 INDIRECT_PEERS = 3
--- a/kumquatproxy/peers.py
+++ b/kumquatproxy/membership/peers.py
@@ -2,18 +2,15 @@
 
 import struct
 
-from kumquatproxy import (
-    dissemination,
-    errors,
+from kumquatproxy import errors, records, wire
+from kumquatproxy.configuration import dissemination, versionmessages
+from kumquatproxy.membership import (
     loadmessages,
     loadreports,
     membermessages,
     membership,
-    records,
     reportstore,
     trees,
-    versionmessages,
-    wire,
 )
 
 PUSH_FAN_OUT = 4
--- a/kumquatproxy/relaylinks.py
+++ b/kumquatproxy/membership/relaylinks.py
@@ -1,6 +1,7 @@
 """What the relays of one data centre know of the relays of the others."""
 
-from kumquatproxy import membermessages, wire
+from kumquatproxy import wire
+from kumquatproxy.membership import membermessages
 
 NOTICE_INTERVAL_S = 2.0
 SILENT_AFTER_S = 6.0
--- a/kumquatproxy/reportstore.py
+++ b/kumquatproxy/membership/reportstore.py
@@ -1,6 +1,7 @@
 """The newest load report of each backend server of a data centre."""
 
-from kumquatproxy import loadmessages, records
+from kumquatproxy import records
+from kumquatproxy.membership import loadmessages
 
 PULL_INTERVAL_S = 0.5
 MAX_PULLED = 200
--- a/kumquatproxy/summaries.py
+++ b/kumquatproxy/membership/summaries.py
@@ -2,7 +2,8 @@
 
 import hashlib
 
-from kumquatproxy import records, trees, wire
+from kumquatproxy import records, wire
+from kumquatproxy.membership import trees
 
 SUMMARY_INTERVAL_S = 2.0
 FULL_INTERVAL_S = 10.0
--- a/kumquatproxy/transport.py
+++ b/kumquatproxy/membership/transport.py
@@ -6,7 +6,8 @@
 import gevent.pool
 import gevent.server
 
-from kumquatproxy import clock, errors, hello, link, logs, sendqueue, wire
+from kumquatproxy import clock, errors, logs, wire
+from kumquatproxy.membership import hello, link, sendqueue
 
 MAX_LINKS = 2000
 MIN_REDIAL_S = 0.1
--- a/kumquatproxy/messagerouting.py
+++ b/kumquatproxy/messagerouting.py
@@ -1,6 +1,7 @@
 """Which messages between hosts may be dropped when a link is slow."""
 
-from kumquatproxy import proposals, raftmessages, wire
+from kumquatproxy import wire
+from kumquatproxy.agreement import proposals, raftmessages
 
 # Proposals are repeated, but a late answer costs the caller a round trip; the messages
 # of a group are repeated only after a heartbeat.
--- /dev/null
+++ b/kumquatproxy/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Memory, orders, the weight store, and plans for models and adapters."""
--- a/kumquatproxy/fixedplacement.py
+++ b/kumquatproxy/placement/fixedplacement.py
@@ -1,6 +1,7 @@
 """Fixed placements for experiments; the planner is measured elsewhere."""
 
-from kumquatproxy import arrivals, records
+from kumquatproxy import records
+from kumquatproxy.laboratory import arrivals
 
 
 def place(scenario, kind, average_by_model) -> list[set[records.Item]]:
--- a/kumquatproxy/formation.py
+++ b/kumquatproxy/placement/formation.py
@@ -7,7 +7,9 @@
 the configured hosts, so they share a host and the old group cannot go on.
 """
 
-from kumquatproxy import configstate, voterset, wire
+from kumquatproxy import wire
+from kumquatproxy.agreement import voterset
+from kumquatproxy.configuration import configstate
 
 CANDIDATE_INTERVAL_S = 1.0
 CANDIDATE_EXPIRY_S = 4.0
--- a/kumquatproxy/orderbook.py
+++ b/kumquatproxy/placement/orderbook.py
@@ -1,6 +1,7 @@
 """Orders known to the present owner, with the memory and store share they hold."""
 
-from kumquatproxy import ledger, orderrules, placementstate, records, storeshare
+from kumquatproxy import records
+from kumquatproxy.placement import ledger, orderrules, placementstate, storeshare
 
 Stage = orderrules.Stage
 
--- a/kumquatproxy/orderrecords.py
+++ b/kumquatproxy/placement/orderrecords.py
@@ -1,6 +1,8 @@
 """Inputs and outputs of the order engine."""
 
-from kumquatproxy import configstate, orderrules, records, wire
+from kumquatproxy import records, wire
+from kumquatproxy.configuration import configstate
+from kumquatproxy.placement import orderrules
 
 
 class Action(records.Record):
--- a/kumquatproxy/orderrules.py
+++ b/kumquatproxy/placement/orderrules.py
@@ -2,7 +2,8 @@
 
 import enum
 
-from kumquatproxy import ledger, placementstate, records
+from kumquatproxy import records
+from kumquatproxy.placement import ledger, placementstate
 
 
 class Stage(enum.Enum):
--- a/kumquatproxy/orders.py
+++ b/kumquatproxy/placement/orders.py
@@ -2,13 +2,13 @@
 
 import random
 
-from kumquatproxy import (
+from kumquatproxy import records
+from kumquatproxy.placement import (
     orderbook,
     orderrecords,
     orderrules,
     orderselection,
     placementstate,
-    records,
     shareadoption,
     storeshare,
 )
--- a/kumquatproxy/orderselection.py
+++ b/kumquatproxy/placement/orderselection.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from kumquatproxy import ledger, orderrecords, placementstate, storeshare
+from kumquatproxy.placement import ledger, orderrecords, placementstate, storeshare
 
 
 class Selection:
--- a/kumquatproxy/placement.py
+++ b/kumquatproxy/placement/placement.py
@@ -1,7 +1,7 @@
 """Planners: what should be loaded where, and the actions that lead there."""
 
-from kumquatproxy import (
-    placementbaselines,
+from kumquatproxy.laboratory import placementbaselines
+from kumquatproxy.placement import (
     placementcover,
     placementlayout,
     placementplan,
--- a/kumquatproxy/placementcheck.py
+++ b/kumquatproxy/placement/placementcheck.py
@@ -2,7 +2,8 @@
 
 import itertools
 
-from kumquatproxy import placementplan, records
+from kumquatproxy import records
+from kumquatproxy.placement import placementplan
 
 
 class Replay:
--- a/kumquatproxy/placementcontrol.py
+++ b/kumquatproxy/placement/placementcontrol.py
@@ -4,28 +4,21 @@
 
 import gevent
 
-from kumquatproxy import (
-    clock,
-    configstate,
-    consensus,
+from kumquatproxy import clock, errors, logs, records, wire
+from kumquatproxy.agreement import consensus, groupsettings, replication, voterset
+from kumquatproxy.configuration import configstate
+from kumquatproxy.membership import demandreports
+from kumquatproxy.placement import (
     demand,
-    demandreports,
-    drivers,
-    errors,
     formation,
-    groupsettings,
-    logs,
     orderrecords,
     orderrules,
     orders,
     placement,
     placementplan,
     placementstate,
-    records,
-    replication,
-    voterset,
-    wire,
 )
+from kumquatproxy.requests import drivers
 
 PLAN_INTERVAL_S = 1.0  # while a plan has actions
 IDLE_PLAN_INTERVAL_S = 4.0  # changes of servers and sheet start a plan at once
--- a/kumquatproxy/placementcover.py
+++ b/kumquatproxy/placement/placementcover.py
@@ -1,6 +1,7 @@
 """Coverage: a replica of every listed item in each data centre where it fits."""
 
-from kumquatproxy import placementplan, placementroom, records
+from kumquatproxy import records
+from kumquatproxy.placement import placementplan, placementroom
 
 CRAMPED = 0.9  # share of the free memory above which priority decides who gets it
 
--- a/kumquatproxy/placementlayout.py
+++ b/kumquatproxy/placement/placementlayout.py
@@ -2,7 +2,8 @@
 
 import bisect
 
-from kumquatproxy import placementplan, records
+from kumquatproxy import records
+from kumquatproxy.placement import placementplan
 
 # A choice looks at this many backend servers with room, evenly picked from all of
 # them, so that the cost of a choice does not grow with the number of servers.
--- a/kumquatproxy/placementscale.py
+++ b/kumquatproxy/placement/placementscale.py
@@ -2,7 +2,8 @@
 
 import heapq
 
-from kumquatproxy import placementlayout, placementplan, placementroom, records
+from kumquatproxy import records
+from kumquatproxy.placement import placementlayout, placementplan, placementroom
 
 # A server above HIGH is relieved down to LOW, so that its demand must grow by a third
 # before it is relieved again; without the gap, noise around HIGH causes moves.
--- a/kumquatproxy/placementstate.py
+++ b/kumquatproxy/placement/placementstate.py
@@ -2,7 +2,8 @@
 
 import cbor2
 
-from kumquatproxy import errors, records, storeshare, wire
+from kumquatproxy import errors, records, wire
+from kumquatproxy.placement import storeshare
 
 LOAD = "load"
 UNLOAD = "unload"
--- a/kumquatproxy/shareadoption.py
+++ b/kumquatproxy/placement/shareadoption.py
@@ -1,7 +1,8 @@
 """Adoption of a new store share by the placement owner, and its acknowledgement."""
 
-from kumquatproxy import configstate, orderrecords, placementstate
-from kumquatproxy import storeshare as shares
+from kumquatproxy.configuration import configstate
+from kumquatproxy.placement import orderrecords, placementstate
+from kumquatproxy.placement import storeshare as shares
 
 REPEAT_INTERVAL_S = 5.0
 
--- a/kumquatproxy/sheetapply.py
+++ b/kumquatproxy/placement/sheetapply.py
@@ -2,17 +2,14 @@
 
 import random
 
-from kumquatproxy import (
-    configstate,
+from kumquatproxy import records
+from kumquatproxy.configuration import configstate, samples, sheet
+from kumquatproxy.laboratory import orderschedules, schedulefakes
+from kumquatproxy.placement import (
     orderrecords,
     orderrules,
     orders,
-    orderschedules,
     placementstate,
-    records,
-    samples,
-    schedulefakes,
-    sheet,
     storeshare,
 )
 
--- /dev/null
+++ b/kumquatproxy/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Calls of callers: routing, admission, retries, and protocols of servers."""
--- a/kumquatproxy/admission.py
+++ b/kumquatproxy/requests/admission.py
@@ -3,7 +3,8 @@
 import heapq
 import itertools
 
-from kumquatproxy import errors, fairqueue, records, routing
+from kumquatproxy import errors, records
+from kumquatproxy.requests import fairqueue, routing
 
 FIRST_LIMIT = 64.0  # requests in flight from one host at one backend server
 MIN_LIMIT = 2.0
--- a/kumquatproxy/admissionwait.py
+++ b/kumquatproxy/requests/admissionwait.py
@@ -5,7 +5,8 @@
 import gevent
 import gevent.event
 
-from kumquatproxy import admission, clock, routing
+from kumquatproxy import clock
+from kumquatproxy.requests import admission, routing
 
 EXPIRY_MARGIN_S = 0.005
 
--- a/kumquatproxy/dispatch.py
+++ b/kumquatproxy/requests/dispatch.py
@@ -8,19 +8,15 @@
 
 import gevent
 
-from kumquatproxy import (
+from kumquatproxy import clock, errors, logs, metrics, records
+from kumquatproxy.configuration import sheet
+from kumquatproxy.requests import (
     admissionwait,
     breaker,
-    clock,
     drivers,
-    errors,
     estimates,
-    logs,
-    metrics,
-    records,
     retries,
     routing,
-    sheet,
 )
 
 REMOTE_INCARNATION = 1
--- a/kumquatproxy/drivers.py
+++ b/kumquatproxy/requests/drivers.py
@@ -4,8 +4,9 @@
 
 import gevent
 
-from kumquatproxy import clock, records, registry, retries
+from kumquatproxy import clock, records, registry
 from kumquatproxy.gateway import backendlinks, calls, eventstream
+from kumquatproxy.requests import retries
 
 DRIVERS = registry.Registry("driver")
 
--- a/kumquatproxy/entry.py
+++ b/kumquatproxy/requests/entry.py
@@ -4,16 +4,10 @@
 import json
 import uuid
 
-from kumquatproxy import (
-    claimclient,
-    demandreports,
-    dispatch,
-    errors,
-    httpapi,
-    metrics,
-    records,
-    sheet,
-)
+from kumquatproxy import errors, httpapi, metrics, records
+from kumquatproxy.configuration import claimclient, sheet
+from kumquatproxy.membership import demandreports
+from kumquatproxy.requests import dispatch
 
 MAX_TIMEOUT_S = 24 * 3600.0
 MAX_KEY_LENGTH = 255  # characters
--- a/kumquatproxy/hedging.py
+++ b/kumquatproxy/requests/hedging.py
@@ -1,6 +1,8 @@
 """Simulated runs in which a late first token leads to a second attempt."""
 
-from kumquatproxy import estimates, loadmodel, records, retries, simulation
+from kumquatproxy import records
+from kumquatproxy.laboratory import loadmodel, simulation
+from kumquatproxy.requests import estimates, retries
 
 COPY_MARK = "~2"
 
--- a/kumquatproxy/policies.py
+++ b/kumquatproxy/requests/policies.py
@@ -2,7 +2,8 @@
 
 import zlib
 
-from kumquatproxy import estimates, registry
+from kumquatproxy import registry
+from kumquatproxy.requests import estimates
 
 POLICIES = registry.Registry("routing policy")
 """Policies by alias; each has ``pick(table, request, candidates, now, rng)``."""
--- a/kumquatproxy/routing.py
+++ b/kumquatproxy/requests/routing.py
@@ -3,7 +3,8 @@
 import collections
 import math
 
-from kumquatproxy import errors, estimates, policies, prefixes, records
+from kumquatproxy import errors, records
+from kumquatproxy.requests import estimates, policies, prefixes
 
 POLICIES = policies.POLICIES
 
--- a/tests/clusters.py
+++ b/tests/clusters.py
@@ -3,7 +3,10 @@
 import itertools
 import random
 
-from kumquatproxy import fakenetwork, membermessages, peers, records, versionmessages
+from kumquatproxy import records
+from kumquatproxy.configuration import versionmessages
+from kumquatproxy.laboratory import fakenetwork
+from kumquatproxy.membership import membermessages, peers
 
 LOSSY = fakenetwork.Conditions(delay_s=0.001, jitter_s=0.004, lost=0.1, duplicated=0.02)
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -14,7 +14,9 @@
 import gevent.subprocess
 import geventhttpclient.response
 
-from kumquatproxy import demo, demosystem, diskstore, fakes, host, logstate
+from kumquatproxy import host
+from kumquatproxy.agreement import diskstore, logstate
+from kumquatproxy.laboratory import demo, demosystem, fakes
 
 HOSTS = ("host-1", "host-2", "host-3")
 LAYOUT = demosystem.Layout(dict.fromkeys(HOSTS, "dc-1"))
--- a/tests/test_adminviews.py
+++ b/tests/test_adminviews.py
@@ -2,7 +2,8 @@
 
 import types
 
-from kumquatproxy import adminmessages, adminviews, configstate
+from kumquatproxy import adminmessages, adminviews
+from kumquatproxy.configuration import configstate
 
 
 def test_history_shows_a_version_that_is_in_force_before_it_is_applied():
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,16 +2,9 @@
 
 import pytest
 
-from kumquatproxy import (
-    admission,
-    errors,
-    estimates,
-    fairqueue,
-    records,
-    routing,
-    samples,
-    sheet,
-)
+from kumquatproxy import errors, records
+from kumquatproxy.configuration import samples, sheet
+from kumquatproxy.requests import admission, estimates, fairqueue, routing
 
 
 def call(number, priority=5, deadline=10.0, service="s", model="m"):
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -2,7 +2,8 @@
 
 import random
 
-from kumquatproxy import breaker, samples, sheet
+from kumquatproxy.configuration import samples, sheet
+from kumquatproxy.requests import breaker
 
 RNG = random.Random(1)
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -2,7 +2,7 @@
 
 import pathlib
 
-from kumquatproxy import capacity
+from kumquatproxy.laboratory import capacity
 
 PAGE = pathlib.Path(__file__).parent.parent / "docs" / "CAPACITY.md"
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -6,7 +6,8 @@
 import pytest
 from hypothesis import stateful, strategies
 
-from kumquatproxy import claimrecords, claims, errors, fingerprints
+from kumquatproxy import errors
+from kumquatproxy.configuration import claimrecords, claims, fingerprints
 
 ErrorKind = errors.ErrorKind
 Outcome = claimrecords.Outcome
--- a/tests/test_claimschedules.py
+++ b/tests/test_claimschedules.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from kumquatproxy import claimcalls, claimrecords, claims, claimschedules
+from kumquatproxy.configuration import claimcalls, claimrecords, claims
+from kumquatproxy.laboratory import claimschedules
 
 Phase = claimcalls.Phase
 
--- a/tests/test_configstate.py
+++ b/tests/test_configstate.py
@@ -4,7 +4,9 @@
 
 import pytest
 
-from kumquatproxy import configstate, errors, samples, storeshare
+from kumquatproxy import errors
+from kumquatproxy.configuration import configstate, samples
+from kumquatproxy.placement import storeshare
 
 LIMITS = storeshare.Share(adapters=48, rate=1.0, slots=6)
 NAMES = ("a", "b", "c")
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -4,18 +4,15 @@
 
 import pytest
 
-from kumquatproxy import (
+from kumquatproxy import errors, wire
+from kumquatproxy.agreement import (
     consensus,
-    errors,
-    groupinvariants,
     groupsettings,
     raftmessages,
-    registermachine,
     replicalog,
-    simgroup,
     voterset,
-    wire,
 )
+from kumquatproxy.laboratory import groupinvariants, registermachine, simgroup
 
 VOTERS = ("h1/0", "h2/0", "h3/0")
 
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from kumquatproxy import demand, records
+from kumquatproxy import records
+from kumquatproxy.placement import demand
 
 ITEM = records.Item("model", "m", "1")
 STEP_S = 5.0
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kumquatproxy import demo, fakes
+from kumquatproxy.laboratory import demo, fakes
 
 
 @pytest.fixture(scope="module")
--- a/tests/test_diskstore.py
+++ b/tests/test_diskstore.py
@@ -10,15 +10,15 @@
 from hypothesis import settings, stateful
 from hypothesis import strategies as st
 
-from kumquatproxy import (
+from kumquatproxy import errors
+from kumquatproxy.agreement import (
     diskstore,
     durablefiles,
-    errors,
     frames,
     groupsettings,
     replicalog,
-    simgroup,
 )
+from kumquatproxy.laboratory import simgroup
 
 IDENTITY = "h1/0"
 VOTERS = b"voters"
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -5,7 +5,8 @@
 import clusters
 import pytest
 
-from kumquatproxy import dissemination, errors, versionmessages, wire
+from kumquatproxy import errors, wire
+from kumquatproxy.configuration import dissemination, versionmessages
 
 CONTENT = random.Random(1).randbytes(100_000)  # 7 chunks, as it does not compress
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -12,7 +12,8 @@
 import openai
 import pytest
 
-from kumquatproxy import cli, demosystem, fakes
+from kumquatproxy import cli
+from kumquatproxy.laboratory import demosystem, fakes
 
 SECRET = {"Authorization": f"Bearer {demosystem.OPERATE_TOKEN}"}
 
--- a/tests/test_faultschedules.py
+++ b/tests/test_faultschedules.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from kumquatproxy import (
-    consensus,
+from kumquatproxy import wire
+from kumquatproxy.agreement import consensus
+from kumquatproxy.laboratory import (
     faultschedules,
     groupinvariants,
     registermachine,
     simgroup,
-    wire,
 )
 
 SEED = int(os.environ.get("FUZZ_SEED", "1"))
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -1,6 +1,7 @@
 """Formation of placement groups: who is proposed, and when."""
 
-from kumquatproxy import configstate, formation
+from kumquatproxy.configuration import configstate
+from kumquatproxy.placement import formation
 
 HOSTS = ("a", "b", "c")
 
--- a/tests/test_groupinvariants.py
+++ b/tests/test_groupinvariants.py
@@ -2,15 +2,9 @@
 
 import pytest
 
-from kumquatproxy import (
-    groupinvariants,
-    groupsettings,
-    raftmessages,
-    registermachine,
-    replicalog,
-    simgroup,
-    wire,
-)
+from kumquatproxy import wire
+from kumquatproxy.agreement import groupsettings, raftmessages, replicalog
+from kumquatproxy.laboratory import groupinvariants, registermachine, simgroup
 
 
 @pytest.fixture
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from kumquatproxy import histories
+from kumquatproxy.laboratory import histories
 
 register = histories.compare_and_set_register
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from kumquatproxy import ledger, records, storeshare
+from kumquatproxy import records
+from kumquatproxy.placement import ledger, storeshare
 
 A = records.Item("model", "a", "1")
 B = records.Item("model", "b", "1")
--- a/tests/test_loadreports.py
+++ b/tests/test_loadreports.py
@@ -5,14 +5,9 @@
 import clusters
 import pytest
 
-from kumquatproxy import (
-    fakenetwork,
-    loadmessages,
-    loadreports,
-    records,
-    reportstore,
-    wire,
-)
+from kumquatproxy import records, wire
+from kumquatproxy.laboratory import fakenetwork
+from kumquatproxy.membership import loadmessages, loadreports, reportstore
 
 RELIABLE = fakenetwork.Conditions()
 
--- a/tests/test_measure_consensus.py
+++ b/tests/test_measure_consensus.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from kumquatproxy import faultschedules, measure, measure_consensus
+from kumquatproxy.laboratory import faultschedules, measure, measure_consensus
 
 SMALL = {
     "PERIOD_S": 0.05,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,7 +3,8 @@
 import clusters
 import pytest
 
-from kumquatproxy import errors, membermessages, membership
+from kumquatproxy import errors
+from kumquatproxy.membership import membermessages, membership
 
 SETTLE_S = 40.0
 LEAVING = membermessages.HostState.LEAVING
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -3,13 +3,13 @@
 import itertools
 import random
 
-from kumquatproxy import (
-    configstate,
+from kumquatproxy import records
+from kumquatproxy.configuration import configstate
+from kumquatproxy.placement import (
     orderrecords,
     orderrules,
     orders,
     placementstate,
-    records,
     storeshare,
 )
 
--- a/tests/test_orderschedules.py
+++ b/tests/test_orderschedules.py
@@ -2,13 +2,8 @@
 
 import pytest
 
-from kumquatproxy import (
-    orderrules,
-    orders,
-    orderschedules,
-    placementstate,
-    storeshare,
-)
+from kumquatproxy.laboratory import orderschedules
+from kumquatproxy.placement import orderrules, orders, placementstate, storeshare
 
 
 @pytest.mark.parametrize("seed", range(24))
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,7 +9,8 @@
 import test_transport
 from hypothesis import strategies
 
-from kumquatproxy import errors, hello, membermessages, peers, transport, wire
+from kumquatproxy import errors, wire
+from kumquatproxy.membership import hello, membermessages, peers, transport
 
 CLASSES = sorted(
     peers._MEMBERSHIP + peers._REPORTS + peers._VERSIONS, key=lambda cls: cls.tag
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,15 +4,9 @@
 import pytest
 from hypothesis import strategies as st
 
-from kumquatproxy import (
-    errors,
-    placement,
-    placementcheck,
-    placementplan,
-    records,
-    samples,
-    sheet,
-)
+from kumquatproxy import errors, records
+from kumquatproxy.configuration import samples, sheet
+from kumquatproxy.placement import placement, placementcheck, placementplan
 
 CENTRES = ("a", "b", "c")
 
--- a/tests/test_placement_sequences.py
+++ b/tests/test_placement_sequences.py
@@ -4,7 +4,7 @@
 import pytest
 from hypothesis import strategies as st
 
-from kumquatproxy import placementcheck, placementplan
+from kumquatproxy.placement import placementcheck, placementplan
 from tests import test_placement as worlds
 
 
--- a/tests/test_placementexperiments.py
+++ b/tests/test_placementexperiments.py
@@ -4,13 +4,8 @@
 
 import pytest
 
-from kumquatproxy import (
-    measure,
-    measure_placement,
-    placementexperiments,
-    placementplan,
-    placementscale,
-)
+from kumquatproxy.laboratory import measure, measure_placement, placementexperiments
+from kumquatproxy.placement import placementplan, placementscale
 from tests import test_placement as worlds
 
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -9,7 +9,9 @@
 import processes
 import pytest
 
-from kumquatproxy import demo, demosystem, fakes, host, voterset
+from kumquatproxy import host
+from kumquatproxy.agreement import voterset
+from kumquatproxy.laboratory import demo, demosystem, fakes
 
 SEED = 1
 MODELS = {
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -9,17 +9,15 @@
 import gevent.monkey
 import pytest
 
-from kumquatproxy import (
+from kumquatproxy import errors, wire
+from kumquatproxy.agreement import (
     consensus,
     diskstore,
-    errors,
     groupsettings,
-    histories,
-    registermachine,
     replication,
     voterset,
-    wire,
 )
+from kumquatproxy.laboratory import histories, registermachine
 
 HOSTS = ("h1", "h2", "h3")
 IDENTITIES = [voterset.make_identity(host, "0") for host in HOSTS]
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from kumquatproxy import errors, records, retries
+from kumquatproxy import errors, records
+from kumquatproxy.requests import retries
 
 Failure = retries.Failure
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from kumquatproxy import errors, estimates, policies, records, routing
+from kumquatproxy import errors, records
+from kumquatproxy.requests import estimates, policies, routing
 
 MODEL = records.Item("model", "m", "1")
 ADAPTER = records.Item("adapter", "a", "1")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from kumquatproxy import errors, samples, settings
+from kumquatproxy import errors, settings
+from kumquatproxy.configuration import samples
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 
--- a/tests/test_sheet.py
+++ b/tests/test_sheet.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from kumquatproxy import errors, samples, sheet
+from kumquatproxy import errors
+from kumquatproxy.configuration import samples, sheet
 
 
 @pytest.mark.parametrize(
--- a/tests/test_sheet_fit.py
+++ b/tests/test_sheet_fit.py
@@ -2,7 +2,8 @@
 
 import hypothesis
 
-from kumquatproxy import placementcheck, sheet_fit
+from kumquatproxy.configuration import sheet_fit
+from kumquatproxy.placement import placementcheck
 from tests import test_placement as worlds
 
 
--- a/tests/test_sheetapply.py
+++ b/tests/test_sheetapply.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kumquatproxy import orders, sheetapply
+from kumquatproxy.placement import orders, sheetapply
 
 
 class NeverResends(orders.OrderEngine):
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -5,17 +5,18 @@
 
 import pytest
 
-from kumquatproxy import (
+from kumquatproxy import records
+from kumquatproxy.laboratory import (
     arrivals,
     bounds,
     experiments,
-    fixedplacement,
     loadmodel,
     measure_routing,
-    records,
     simulation,
     systems,
 )
+from kumquatproxy.placement import fixedplacement
+from kumquatproxy.requests import breaker
 
 FIRST_FUZZ_SEED = 100 * int(os.environ.get("FUZZ_SEED", "0"))
 SHORT = {"duration_s": 30.0, "shift_s": 10.0, "utilisation": 1.3}
@@ -118,7 +119,7 @@
 def test_history_check_sees_a_server_that_is_not_removed(monkeypatch):
     """Guards against a history check that passes whatever a run does."""
     monkeypatch.setattr(simulation.Simulation, "_remove", lambda self, engine: None)
-    monkeypatch.setattr("kumquatproxy.breaker.CircuitBreaker.allows", lambda *_: True)
+    monkeypatch.setattr(breaker.CircuitBreaker, "allows", lambda *_: True)
     faults = [systems.Fault(12.0, "stop", [0])]
     result = experiments.run("cordillera", "designed", 3, faults, **SHORT)
     with pytest.raises(AssertionError, match="sent to a removed server"):
--- a/tests/test_summaries.py
+++ b/tests/test_summaries.py
@@ -1,6 +1,7 @@
 """Summaries of other data centres: newest only, unchanged parts, expiry."""
 
-from kumquatproxy import records, summaries
+from kumquatproxy import records
+from kumquatproxy.membership import summaries
 
 ENGINE = records.BackendServer("e-1", "", "dc-1", "engine", "llm", 1, 80_000)
 SERVED = {"llm": ["model:m@1"]}
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -6,7 +6,8 @@
 import pytest
 from websockets import client, frames, uri
 
-from kumquatproxy import errors, hello, link, sendqueue, transport, wire
+from kumquatproxy import errors, wire
+from kumquatproxy.membership import hello, link, sendqueue, transport
 
 KEY = b"k" * 32
 FAST = link.Timing(ping_s=0.05, silent_s=0.3, dial_s=2.0, hello_s=2.0)
--- a/tests/test_trees.py
+++ b/tests/test_trees.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kumquatproxy import trees
+from kumquatproxy.membership import trees
 
 
 @pytest.mark.parametrize("fan_out", [2, 4])
--- a/tests/test_voterpolicy.py
+++ b/tests/test_voterpolicy.py
@@ -1,6 +1,6 @@
 """Which voter is changed next, so that a group repairs itself."""
 
-from kumquatproxy import voterpolicy, voterset
+from kumquatproxy.agreement import voterpolicy, voterset
 
 KIND = voterset.ChangeKind
 VOTERS = ("a/first", "b/first", "c/first")
--- a/tests/test_voterset.py
+++ b/tests/test_voterset.py
@@ -6,7 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from kumquatproxy import errors, voterset
+from kumquatproxy import errors
+from kumquatproxy.agreement import voterset
 
 IDENTITIES = [f"h{host}/{disk}" for host in range(9) for disk in range(2)]
 
