Never wait for the reader of the logs, and bound their volume

Cause: a full pipe on standard output stalled the process. Change: the programs of a fleet write without blocking; lines beyond 128 KB are dropped, counted and told; 200 lines a second at most. Before: a reader that stops blocks a write. Conclusion: logs cost nothing but lines.

--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -322,6 +322,7 @@
         hosts = [[name, self.settings.link_address(name)] for name in self._others()]
         hosts.append([self.host_id, self.settings.host.links])
         self._emit(self.spreader.tick(hosts, voters, leader, now))
+        logs.flush()
 
     def _follow_marks(self, machine, now):
         if machine.marks == self._marks_seen:
--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -324,6 +324,7 @@
             self._expire_at = now + EXPIRE_INTERVAL_S
             self.table.expire(now)
             self.chooser.prune()
+        logs.flush()
 
     def _subscribe(self, now):
         version = self.configuration.version if self.configuration else 0
--- a/kumquatproxy/fleet/running.py
+++ b/kumquatproxy/fleet/running.py
@@ -25,7 +25,7 @@
 
 def run(role: str, path: str = "") -> int:
     """Run one host until SIGTERM; return the exit code."""
-    logs.to_stream(sys.stdout)
+    logs.to_stream(logs.BoundedStream(sys.stdout.fileno()))
     host_settings = read_settings(path)
     module_name, _, class_name = ROLES[role].partition(".")
     module = importlib.import_module(f"kumquatproxy.fleet.{module_name}")
--- a/kumquatproxy/logs.py
+++ b/kumquatproxy/logs.py
@@ -1,5 +1,6 @@
 """Eliot log lines: a short sentence with the fixed prefix of its part."""
 
+import os
 import sys
 
 import eliot
@@ -7,6 +8,10 @@
 
 REPEAT_WINDOW_S = 1.0
 FLUSH_INTERVAL_S = 0.2
+# Lines of one process in a second; ten times the usual load of an entry host.
+MAX_LINES_PER_S = 200
+# About 500 lines that wait for a slow reader.
+MAX_BUFFERED_BYTES = 128 * 1024
 
 
 class RepeatLimiter:
@@ -50,24 +55,91 @@
             self.write(now, sentence, kind=kind, **fields)
 
 
+class BoundedStream:
+    """Write to a descriptor without ever waiting for its reader.
+
+    What the reader does not take is kept up to a bound; lines beyond it are dropped
+    and counted, and a line tells the count as soon as there is room again.
+    """
+
+    __slots__ = ("_buffer", "_descriptor", "_max_bytes", "dropped", "told")
+
+    def __init__(self, descriptor: int, max_bytes: int = MAX_BUFFERED_BYTES):
+        os.set_blocking(descriptor, False)
+        self._descriptor: int = descriptor
+        self._max_bytes: int = max_bytes
+        self._buffer = bytearray()
+        self.dropped = 0  # lines so far
+        self.told = 0  # dropped lines that a line has told of
+
+    def write(self, text: str) -> None:
+        """Keep a line for the reader, or drop and count it."""
+        data = text.encode()
+        if len(self._buffer) + len(data) > self._max_bytes:
+            self.flush()
+        if len(self._buffer) + len(data) > self._max_bytes:
+            self.dropped += 1
+            return
+        self._tell_dropped()
+        self._buffer += data
+
+    def _tell_dropped(self):
+        count = self.dropped - self.told
+        if count and len(self._buffer) < self._max_bytes // 2:
+            self.told = self.dropped
+            line = {"text": f"log: {count} lines were dropped", "dropped": self.dropped}
+            self._buffer += orjson.dumps(line) + b"\n"
+
+    def flush(self) -> None:
+        """Write what the reader takes now."""
+        try:
+            while self._buffer:
+                count = os.write(self._descriptor, self._buffer)
+                del self._buffer[:count]
+        except BlockingIOError:
+            return
+        except OSError:
+            # Without a reader nothing can be told; the process must go on.
+            self._buffer.clear()
+
+
 class _Destination:
-    """Write lines as JSON; a flush for each line would double its cost."""
+    """Write lines as JSON, up to a rate; a flush for each would double its cost."""
 
-    __slots__ = ("_flushed_at", "_stream")
+    __slots__ = ("_flushed_at", "_lines", "_stream", "_window_start", "held_back")
 
     def __init__(self, stream):
         self._stream = stream
         self._flushed_at = 0.0
+        self._window_start = 0.0
+        self._lines = 0
+        self.held_back = 0  # lines over the rate in the present window
 
     def flush(self):
         self._stream.flush()
 
     def __call__(self, message):
+        timestamp = message["timestamp"]
+        if timestamp - self._window_start >= 1.0 or timestamp < self._window_start:
+            self._begin_window(timestamp)
+        if self._lines >= MAX_LINES_PER_S:
+            self.held_back += 1
+            return
+        self._lines += 1
         self._stream.write(orjson.dumps(message, default=str).decode() + "\n")
-        if message["timestamp"] - self._flushed_at >= FLUSH_INTERVAL_S:
-            self._flushed_at = message["timestamp"]
+        if abs(timestamp - self._flushed_at) >= FLUSH_INTERVAL_S:
+            self._flushed_at = timestamp
             self._stream.flush()
 
+    def _begin_window(self, timestamp):
+        if self.held_back:
+            text = f"log: {self.held_back} lines over the rate were held back"
+            line = {"text": text, "held_back": self.held_back, "timestamp": timestamp}
+            self._stream.write(orjson.dumps(line).decode() + "\n")
+        self._window_start = timestamp
+        self._lines = 0
+        self.held_back = 0
+
 
 # One eliot task for the process: lines without a task of their own would each
 # draw a random task id, which takes longer than the rest of the line.
