Wait out elections while commits are measured

Ruled out: the length of the period alone (5 ms still counts commits). Change: the client waits, and counts until its first commit. Before: the new test fails on the code before. After: it passes. Conclusion: traced; nothing is put down to load.

--- a/kumquatproxy/laboratory/measure_consensus.py
+++ b/kumquatproxy/laboratory/measure_consensus.py
@@ -28,6 +28,7 @@
 PERIOD_S = 0.6  # of each of the runs compared
 ROUNDS = 5
 READY_TIMEOUT_S = 10.0
+ELECTION_WAIT_S = 0.01  # lets the members elect while a client waits
 RECOVERY_CHANGES = 10_000
 RECOVERY_BATCH = 10  # entries in each synced batch
 SCHEDULES = 150
@@ -114,11 +115,14 @@
     end = time.monotonic() + period_s
 
     def run(client):
-        while time.monotonic() < end:
+        # A busy machine can delay heartbeats until there is no leader for a while; a
+        # period without any commit would measure that alone.
+        while time.monotonic() < end or not counts[client]:
             try:
                 group.leader().submit(_command(rng), READY_TIMEOUT_S)
             except consensus.NotLeader:
-                continue  # a busy machine can delay heartbeats
+                gevent.sleep(ELECTION_WAIT_S)
+                continue
             counts[client] += 1
 
     start = time.monotonic()
--- a/tests/test_measure_consensus.py
+++ b/tests/test_measure_consensus.py
@@ -1,9 +1,11 @@
 """Measurements run at a small size, and a violation is not passed over."""
 
 import functools
+import random
 
 import pytest
 
+from kumquatproxy.agreement import consensus
 from kumquatproxy.laboratory import faultschedules, measure, measure_consensus
 
 SMALL = {
@@ -37,3 +39,25 @@
     monkeypatch.setattr(faultschedules, "Schedule", broken)
     with pytest.raises(faultschedules.ViolationError, match="seed 1000000 with 3"):
         measure_consensus.measure_faults(1)
+
+
+class ElectingGroup:
+    """Refuse the first commands, as a group without a leader does."""
+
+    def __init__(self, refusals):
+        self.refusals = refusals
+
+    def leader(self):
+        return self
+
+    def submit(self, command, timeout_s):
+        if self.refusals:
+            self.refusals -= 1
+            raise consensus.NotLeader("")
+
+
+def test_a_period_without_a_leader_is_waited_out():
+    """Beside other load the clients spun for the whole period and counted nothing."""
+    group = ElectingGroup(refusals=20)
+    rng = random.Random(1)
+    assert measure_consensus.count_commits(group, 1, 0.01, rng) > 0
