Let the test of elections while measuring fail without the mend

Change: the group of the test elects only once other tasks have run. Before: passed with and without the mend. After: 0 commits without it, passes with it (both seen).

--- a/tests/test_measure_consensus.py
+++ b/tests/test_measure_consensus.py
@@ -3,6 +3,7 @@
 import functools
 import random
 
+import gevent
 import pytest
 
 from kumquatproxy.agreement import consensus
@@ -42,22 +43,26 @@
 
 
 class ElectingGroup:
-    """Refuse the first commands, as a group without a leader does."""
+    """Refuse commands until other tasks of the process have run for a while."""
 
-    def __init__(self, refusals):
-        self.refusals = refusals
+    def __init__(self, elects_after_s):
+        self.has_leader = False
+        gevent.spawn_later(elects_after_s, self.elect)
+
+    def elect(self):
+        self.has_leader = True
 
     def leader(self):
         return self
 
     def submit(self, command, timeout_s):
-        if self.refusals:
-            self.refusals -= 1
+        if not self.has_leader:
             raise consensus.NotLeader("")
+        gevent.sleep(0.001)
 
 
 def test_a_period_without_a_leader_is_waited_out():
     """Beside other load the clients spun for the whole period and counted nothing."""
-    group = ElectingGroup(refusals=20)
+    group = ElectingGroup(elects_after_s=0.02)
     rng = random.Random(1)
     assert measure_consensus.count_commits(group, 1, 0.01, rng) > 0
