Restore engines after copies were made before traffic

Change: a copy is a visit: the engine gets back what it held, from its own memory, and none is begun when traffic is near.

--- a/kumquatproxy/fleet/modelowner.py
+++ b/kumquatproxy/fleet/modelowner.py
@@ -62,8 +62,7 @@
         self._push_at = 0.0
         self._overview_at = 0.0
         # Only the first owner of a new deployment prepares: later ones see demand.
-        self._may_prepare = False
-        self._prepared: set[tuple[str, str]] = set()
+        self._preparation: modelplan.Preparation | None = None
         self._push_number = 0
         self._pushed: tuple = ()
         self._placement_at = 0.0
@@ -121,7 +120,8 @@
         self._fence = term
         self._may_order_from = now
         self.table.states_by_lifetime.clear()
-        self._may_prepare = not answer.previous_host_id
+        if not answer.previous_host_id:
+            self._preparation = modelplan.Preparation(now)
         if answer.previous_host_id not in ("", self._host.host_id):
             # The lease of the one before is over. Two hosts must not take turns
             # either, so after a recent change this one waits.
@@ -198,11 +198,8 @@
             def store_allows(rate=rate):
                 return self.window.allows(rate, now)
 
-            if self._may_prepare and not self.demand.has_any():
-                swaps = modelplan.preparations(
-                    service, views, self._prepared, store_allows
-                )
-                self._prepared.update((one.instance_id, one.load) for one in swaps)
+            if self._preparation is not None and not self.demand.has_any():
+                swaps = self._preparation.swaps(service, views, store_allows, now)
             else:
                 swaps = planner.swaps(store_allows)
             for swap in swaps:
--- a/kumquatproxy/fleet/modelplan.py
+++ b/kumquatproxy/fleet/modelplan.py
@@ -40,6 +40,9 @@
 LONG_LOAD_S = 3.0
 LONG_LOAD_SHARE = 0.5
 RARE_RATE = 1.0  # calls per second
+# Copies are begun only so long after a new deployment has its first owner: traffic
+# follows about ten seconds later, and a load takes up to nine.
+PREPARE_S = 2.5
 # Models looked at in one plan, the most urgent ones first.
 MAX_CANDIDATES = 12
 
@@ -329,64 +332,93 @@
         return (load.rate + WAITING_RATE * load.waiting) * late
 
 
-def preparations(
-    service, views: list[EngineView], done: set[tuple[str, str]], store_allows
-) -> list[Swap]:
-    """Return swaps that leave copies of models at engines before any demand.
+class Preparation:
+    """Make copies of models at engines before any demand, then restore the engines.
 
-    Models that no engine holds come first, because each is asked for some time. Then
-    those with adapters: they serve many kinds of calls, so demand will probably move
-    to them, and a load from an engine's own disk takes a fifth of the time. Each pair
-    of engine and model in ``done`` was prepared before.
+    Load pattern: a model that no engine holds is asked for, and its first load from
+    the store takes longer than its callers wait. Models held nowhere come first, then
+    those with adapters, which serve many kinds of calls. Afterwards each engine holds
+    what it held before, so nothing is missing when traffic begins.
     """
-    held = {name for view in views for name in view.models}
-    held.update(name for _, name in done)
-    models = list(service.engine.models_by_name.values())
-    nowhere = [model for model in models if model.name not in held]
-    likely = sorted(
-        (model for model in models if model.adapter_count > 0),
-        key=lambda model: -model.adapter_count,
-    )
-    swaps: list[Swap] = []
-    for view in views:
-        if not view.is_idle or not store_allows():
-            continue
-        wanted = nowhere or [
+
+    __slots__ = ("_home_by_id", "_visited", "_visits_until")
+
+    def __init__(self, now: float):
+        self._home_by_id: dict[str, frozenset[str]] = {}
+        self._visited: set[tuple[str, str]] = set()  # engine and model
+        self._visits_until: float = now + PREPARE_S
+
+    def swaps(self, service, views: list[EngineView], store_allows, now: float):
+        """Return the swaps to begin now."""
+        swaps: list[Swap] = []
+        for view in views:
+            home = self._home_by_id.setdefault(view.instance_id, view.models)
+            if not view.is_idle:
+                continue
+            swap = _restoring(service.engine, view, home)
+            if swap is None and now < self._visits_until and store_allows():
+                swap = self._visit(service.engine, views, view)
+            if swap is not None:
+                swaps.append(swap)
+        return swaps
+
+    def _visit(self, engine, views, view):
+        for model in self._wanted(engine, views):
+            if model.name in view.models or not view.needs_store(model.name):
+                continue
+            victims = _spare_models(engine, view, model)
+            if victims is None:
+                continue
+            self._visited.add((view.instance_id, model.name))
+            takes_s = model.store_load_s
+            return Swap(view.instance_id, model.name, victims, takes_s, True)
+        return None
+
+    def _wanted(self, engine, views):
+        """Return the models that a copy should be made of, the first ones first."""
+        visited = {name for _, name in self._visited}
+        held = {name: 0 for name in engine.models_by_name}
+        for view in views:
+            for name in view.models & held.keys():
+                held[name] += 1
+        models = [
             model
-            for model in likely
-            if model.name not in view.models
-            and view.needs_store(model.name)
-            and (view.instance_id, model.name) not in done
+            for model in engine.models_by_name.values()
+            if model.name not in visited
         ]
-        if not wanted:
-            continue
-        victims = _plain_victims(service.engine, view, wanted[0], done)
-        if victims is not None:
-            model = wanted[0]
-            nowhere = [one for one in nowhere if one is not model]
-            takes_s = model.store_load_s
-            swaps.append(Swap(view.instance_id, model.name, victims, takes_s, True))
-    return swaps
+        nowhere = [model for model in models if not held[model.name]]
+        likely = [
+            model for model in models if model.adapter_count and held[model.name] == 1
+        ]
+        return nowhere + sorted(likely, key=lambda model: -model.adapter_count)
+
+
+def _restoring(engine, view, home):
+    """Return the swap that brings back a model that an engine held, or None."""
+    missing = sorted(name for name in home - view.models if not view.needs_store(name))
+    if not missing:
+        return None
+    model = engine.models_by_name.get(missing[0])
+    if model is None:
+        return None
+    guests = sorted(view.models - home)
+    takes_s = view.load_s(model)
+    return Swap(view.instance_id, model.name, guests, takes_s, False)
 
 
-def _plain_victims(engine, view, model, done):
-    """Return models to give up for room, those without adapters first."""
+def _spare_models(engine, view, model):
+    """Return models to give up for a while, those without adapters first."""
     names = [name for name in view.models if name in engine.models_by_name]
-    by_adapters = sorted(
-        names,
-        key=lambda name: (
-            (view.instance_id, name) not in done,
-            engine.models_by_name[name].adapter_count,
-            name,
-        ),
+    spare = sorted(
+        names, key=lambda name: (engine.models_by_name[name].adapter_count, name)
     )
     free = engine.memory_mb - view.adapters_mb
     free -= sum(engine.models_by_name[name].memory_mb for name in names)
     victims = []
     while free < model.memory_mb:
-        if not by_adapters:
+        if not spare:
             return None
-        name = by_adapters.pop(0)
+        name = spare.pop(0)
         victims.append(name)
         free += engine.models_by_name[name].memory_mb
     return victims
--- a/tests/fleet/test_modelplan_load.py
+++ b/tests/fleet/test_modelplan_load.py
@@ -94,26 +94,40 @@
     assert shares == sorted(shares) and shares[0] == 0.0 and shares[-1] == 1.0
 
 
-class TestPreparations:
-    """Before traffic, copies are made of what will probably be asked for."""
+class TestPreparation:
+    """Before traffic, copies are made, and then the engines are as they were."""
 
     def test_models_that_no_engine_holds_come_first(self):
-        views = [view("1", ["a", "b", "c"]), view("2", ["a", "d", "e"])]
-        made = service(["a", "b", "c", "d", "e", "nowhere", "many"], adapters=["many"])
-        swaps = modelplan.preparations(made, views, {("3", "many")}, lambda: True)
-        assert [swap.load for swap in swaps] == ["nowhere", "many"]
-
-    def test_each_pair_is_prepared_once(self):
-        views = [view("1", ["a", "b", "c"])]
-        made = service(["a", "b", "c", "many"], adapters=["many"])
-        first = modelplan.preparations(made, views, set(), lambda: True)
-        assert [swap.load for swap in first] == ["many"]
-        assert modelplan.preparations(made, views, {("1", "many")}, lambda: True) == []
-
-    def test_the_store_limits_them(self):
-        views = [view("1", ["a", "b", "c"])]
+        views = [view("1", ["a", "b", "c"]), view("2", ["a", "d", "many"])]
+        names = ["a", "b", "c", "d", "nowhere", "many"]
+        made = service(names, adapters=["many"])
+        swaps = modelplan.Preparation(0.0).swaps(made, views, lambda: True, 0.0)
+        assert [swap.load for swap in swaps] == ["nowhere"]
+
+    def test_an_engine_gets_back_what_it_held(self):
+        """inc-b3c1: the second busiest model was resident nowhere at the start."""
         made = service(["a", "b", "c", "nowhere"])
-        assert modelplan.preparations(made, views, set(), lambda: False) == []
+        preparation = modelplan.Preparation(0.0)
+        before = view("1", ["a", "b", "c"])
+        (visit,) = preparation.swaps(made, [before], lambda: True, 0.0)
+        (lost,) = visit.unload
+        kept = {"a", "b", "c"} - {lost}
+        during = view("1", [*kept, "nowhere"], in_memory=[lost])
+        (back,) = preparation.swaps(made, [during], lambda: True, 6.0)
+        assert (back.load, back.unload, back.needs_store) == (lost, ["nowhere"], False)
+        after = view("1", ["a", "b", "c"], on_disk=["nowhere"])
+        assert preparation.swaps(made, [after], lambda: True, 7.0) == []
+
+    def test_no_copy_is_begun_shortly_before_traffic(self):
+        made = service(["a", "b", "c", "nowhere"])
+        preparation = modelplan.Preparation(0.0)
+        late = modelplan.PREPARE_S + 0.1
+        assert preparation.swaps(made, [view("1", ["a"])], lambda: True, late) == []
+
+    def test_the_store_limits_the_copies(self):
+        made = service(["a", "b", "c", "nowhere"])
+        preparation = modelplan.Preparation(0.0)
+        assert preparation.swaps(made, [view("1", ["a"])], lambda: False, 0.0) == []
 
 
 def call(objective_s=0.8, priority=1, need=True):
