--- a/kumquatproxy/fleet/engines.py
+++ b/kumquatproxy/fleet/engines.py
@@ -20,6 +20,7 @@
         "order_count",
         "report",
         "retry_at",
+        "unconfirmed",
         "unloading",
     )
 
@@ -28,6 +29,8 @@
         self.report: engineorders.EngineReport | None = None
         self.order_count: int | None = None  # orders that the engine has accepted
         self.is_busy = False  # a task of the owner works on this engine
+        # A model order was accepted and no report has shown its effect yet.
+        self.unconfirmed = False
         self.loading = ""  # model that is being loaded
         self.loading_until = 0.0
         self.unloading: set[str] = set()  # models that calls should avoid
@@ -48,8 +51,16 @@
         self.order_count = report.order_count
         used = self.adapters_used_at
         self.adapters_used_at = {key: used.get(key, 0.0) for key in report.adapters}
+        self.unconfirmed = self.unconfirmed and report.is_busy
         return True
 
+    def accepted(self, order: engineorders.Order) -> None:
+        """Note an order that the engine has accepted."""
+        if self.order_count is not None:
+            self.order_count += 1
+        if not order.adapter:
+            self.unconfirmed = True
+
     def doubt(self) -> None:
         """Trust the next report alone: orders may have been accepted or not."""
         self.order_count = None
@@ -81,7 +92,7 @@
     def is_usable(self, now: float) -> bool:
         """Return whether orders may go to the engine now."""
         is_ready = self.announcement.state is servers.ServerState.READY
-        is_settled = self.order_count is not None and not self.has_unknown_order()
+        is_settled = not self._is_unclear()
         return is_ready and is_settled and not self.is_busy and now >= self.retry_at
 
     def has_unknown_order(self) -> bool:
@@ -93,8 +104,13 @@
 
     def needs_refresh(self, now: float) -> bool:
         """Return whether the engine must be asked before it can get orders."""
-        is_unclear = self.order_count is None or self.has_unknown_order()
-        return is_unclear and not self.is_busy and now >= self.retry_at
+        return self._is_unclear() and not self.is_busy and now >= self.retry_at
+
+    def _is_unclear(self):
+        """Return whether what is resident is not known for certain."""
+        if self.order_count is None or self.unconfirmed:
+            return True
+        return self.has_unknown_order()
 
     def oldest_adapter(self, used_before: float) -> str:
         """Return the adapter unused for longest, '' if all were used lately."""
--- a/kumquatproxy/fleet/modelowner.py
+++ b/kumquatproxy/fleet/modelowner.py
@@ -318,7 +318,7 @@
         if outcome is engineorders.OrderOutcome.ACCEPTED or (
             outcome is engineorders.OrderOutcome.HOLDS and order.is_adapter_unload()
         ):
-            state.order_count += 1
+            state.accepted(order)
         elif outcome is engineorders.OrderOutcome.STALE_FENCE:
             self._log.write(clock.now(), "another owner has a higher fence")
             self._fence = 0
--- a/tests/fleet/test_fleet_core.py
+++ b/tests/fleet/test_fleet_core.py
@@ -308,3 +308,23 @@
         demand.report("e1", {}, [["s", "m", "", 30, 5.0, 0]], 0.0)
         before = demand.get("s", "m", 0.0).rate
         assert demand.get("s", "m", 10.0).rate < before / 20
+
+
+def test_an_engine_whose_load_was_not_seen_to_end_gets_no_order():
+    """trouble-1 --seed 639638647230, LIMIT: its report could not be had in a cut."""
+    state = engines.EngineState(beat())
+    state.take_report(report(5, ["m", "n"]))
+    state.accepted(engineorders.Order(engineorders.Action.LOAD, "o"))
+    assert not state.is_usable(0.0) and state.needs_refresh(0.0)
+    assert not state.take_report(report(5, ["m", "n"]))
+    state.take_report(report(6, ["m", "n"], is_busy=True))
+    assert not state.is_usable(0.0)
+    state.take_report(report(6, ["m", "n", "o"]))
+    assert state.is_usable(0.0) and state.models == {"m", "n", "o"}
+
+
+def test_an_adapter_order_leaves_an_engine_usable():
+    state = engines.EngineState(beat())
+    state.take_report(report(5, ["m"]))
+    state.accepted(engineorders.Order(engineorders.Action.LOAD, "m", "a1"))
+    assert state.is_usable(0.0) and state.order_count == 6
