--- a/kumquatproxy/cli.py
+++ b/kumquatproxy/cli.py
@@ -204,9 +204,7 @@
         lines.extend(tracing.read(text, path.stem))
     if arguments.problems:
         rows = tracing.problems(lines)
-        texts = [
-            f"{row['count']:6d} {row['problem']}; {row['example']}" for row in rows
-        ]
+        texts = [f"{row['count']} {row['problem']}; {row['example']}" for row in rows]
     else:
         rows = tracing.story(lines, arguments.request_id)
         texts = [f"{row['at']:.3f} {row['host']} {row['text']}" for row in rows]
--- a/kumquatproxy/gateway/callers.py
+++ b/kumquatproxy/gateway/callers.py
@@ -222,9 +222,10 @@
         lines.extend(name + b": " + value + b"\r\n" for name, value in head)
         self._write(b"".join(lines) + b"\r\n" + body)
         self.is_closing = True
-        self._linger()
+        self.finish()
 
-    def _linger(self):
+    def finish(self) -> None:
+        """End the connection so that the caller gets all that was written."""
         read = 0
         with gevent.Timeout(LINGER_S, False):
             try:
@@ -296,6 +297,7 @@
         self._log = logs.Log("caller")
         self._connections: dict[CallerConnection, bool] = {}  # whether in a request
         self._is_stopping = False
+        self._is_closed = False
         self._server = gevent.server.StreamServer(
             (host, int(port)),
             self._handle,
@@ -325,6 +327,7 @@
     def close(self) -> None:
         """Stop accepting, and end the connections on which no request has begun."""
         self._is_stopping = True
+        self._is_closed = True
         self._server.close()
         loop = gevent.get_hub().loop
         for connection in list(self._connections):
@@ -362,3 +365,6 @@
                 connection.unwatch()
             if not connection.is_reusable():
                 return
+            if self._is_closed:
+                connection.finish()
+                return
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -143,3 +143,20 @@
     gevent.sleep(0.05)
     server.close()
     assert sock.recv(65536) == b""
+
+
+def test_a_connection_ends_after_a_call_that_outlives_the_close(server, recorder):
+    """trouble-2 --seed 292485787688, LOST: it took one more call and cut that off."""
+    host, _, port = server.address.rpartition(":")
+    sock = gevent.socket.create_connection((host, int(port)), 1.0)
+    recorder.delay_s = 0.2
+    one = HEAD + b"Content-Length: 2\r\n\r\nok"
+    sock.sendall(one)
+    gevent.sleep(0.05)
+    server.close()
+    gevent.sleep(0.05)
+    data = sock.recv(65536)
+    assert data.startswith(b"HTTP/1.1 200") and b"connection: close" not in data
+    sock.sendall(one)
+    assert sock.recv(65536) == b""
+    assert len(recorder.calls) == 1
