Soak the real programs under faults from outside

Checked from callers and back ends: runs of calls that may run once, refusals, whole answers and streams, acknowledged configurations. Hosts can be dialled at another port than they listen at (link_port).

--- a/kumquatproxy/fleet/fleetsettings.py
+++ b/kumquatproxy/fleet/fleetsettings.py
@@ -11,6 +11,14 @@
     Option("data_centres", "list", (), help="all data centres"),
     Option("data_folder", "text", "", help="folder for durable state"),
     Option("links", "address", help="IP:port for links between hosts"),
+    Option(
+        "link_port",
+        "int",
+        0,
+        low=0,
+        high=65_535,
+        help="port at which all hosts are dialled; 0 for that of `links`",
+    ),
     Option("seeds", "list", (), help="IP:port of some control hosts"),
     Option("key", "text", help="key that all hosts share"),
     Option(
@@ -71,7 +79,7 @@
     @property
     def link_port(self) -> int:
         """Return the port of links, which is the same on all hosts."""
-        return int(self.host.links.rpartition(":")[2])
+        return self.host.link_port or int(self.host.links.rpartition(":")[2])
 
     def link_address(self, host_id: str) -> str:
         """Return the address at which a host takes links."""
--- /dev/null
+++ b/tests/soak/standins.py
@@ -0,0 +1,98 @@
+"""Stand-ins for the platform: backend servers that announce themselves, and runs."""
+
+import collections
+import itertools
+import json
+
+import gevent
+import gevent.pywsgi
+import geventhttpclient
+
+PIECES = 12
+PIECE_S = 0.03
+WORK_S = 0.05
+BEAT_S = 0.5
+
+
+class Runs:
+    """Remember what ran, as back ends see it."""
+
+    def __init__(self):
+        self.count_by_id = collections.Counter()
+
+    def begin(self, request_id):
+        self.count_by_id[request_id] += 1
+
+
+class StandIn:
+    """Serve one backend server of a service and announce it."""
+
+    def __init__(self, name, service, listen, announced, runs, controls):
+        self.name = name
+        self.service = service
+        self.address = announced
+        self.runs = runs
+        self.controls = controls
+        self.state = "ready"
+        self._sequence = itertools.count(1)
+        self._server = gevent.pywsgi.WSGIServer(
+            listen, self._answer, log=None, error_log=None
+        )
+        self._server.start()
+        self._beats = gevent.spawn(self._announce)
+
+    def _announce(self):
+        for number in itertools.count():
+            self.beat(number)
+            gevent.sleep(BEAT_S)
+
+    def beat(self, number):
+        """Send one heartbeat; return whether it was acknowledged."""
+        beat = {
+            "backend": self.service,
+            "address": self.address,
+            "zone": "z",
+            "slots": 8,
+            "state": self.state,
+            "sequence": next(self._sequence),
+            "born": 1,
+        }
+        host, _, port = self.controls[number % len(self.controls)].rpartition(":")
+        client = geventhttpclient.HTTPClient(
+            host, int(port), connection_timeout=0.5, network_timeout=1.0
+        )
+        try:
+            path = f"/-/instances/{self.name}/heartbeat"
+            response = client.post(path, body=json.dumps(beat).encode())
+            return response.status_code == 200
+        except (OSError, geventhttpclient.response.HTTPParseError):
+            return False
+        finally:
+            client.close()
+
+    def _answer(self, environ, start_response):
+        request_id = environ.get("HTTP_KUMQUATPROXY_REQUEST_ID", "")
+        headers = [("Kumquatproxy-Request-Id", request_id)]
+        if environ.get("HTTP_KUMQUATPROXY_EXPECT_INSTANCE") != self.name:
+            start_response("421 Misdirected", headers)
+            return [b""]
+        environ["wsgi.input"].read()
+        self.runs.begin(request_id)
+        headers.append(("Kumquatproxy-Response-Seal", self.name))
+        if "/stream/" in environ["PATH_INFO"]:
+            headers.append(("Content-Type", "text/event-stream"))
+            start_response("200 OK", headers)
+            first = int(environ.get("HTTP_LAST_EVENT_ID") or 0) + 1
+            return self._pieces(request_id, first)
+        gevent.sleep(WORK_S)
+        start_response("200 OK", headers)
+        return [f"{request_id} done".encode()]
+
+    def _pieces(self, request_id, first):
+        for number in range(first, PIECES + 1):
+            gevent.sleep(PIECE_S)
+            yield f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+
+    def close(self):
+        self._beats.kill()
+        self._server.stop(timeout=0)
