Wait for open connections at a planned stop; long averages stand for rare models

Change: the end waits until all connections are gone; the long average counts up to 0.4 calls a second; a waiting call for a missing model counts as one a second.

--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -132,7 +132,8 @@
         self._callers.start_closing()
         gevent.sleep(SETTLE_S)
         self._callers.close()
-        while self._callers.active and clock.now() < end:
+        # A request may be arriving on a connection that carries no call yet.
+        while self._callers.open_count and clock.now() < end:
             gevent.sleep(POLL_S)
         self._host_log.write(clock.now(), "stopped", in_flight=self._callers.active)
         self._callers.stop()
--- a/kumquatproxy/fleet/modelplan.py
+++ b/kumquatproxy/fleet/modelplan.py
@@ -17,7 +17,7 @@
 # A replica that was loaded this recently is not given up: it has not paid its load.
 MIN_STAY_S = 2.0
 # Calls per second that a waiting call counts as.
-WAITING_RATE = 0.5
+WAITING_RATE = 1.0
 # Share of calls that are late at an engine that is busy this share of the time. An
 # engine interleaves reading prompts with making tokens, so all get slow together.
 LATE_SHARES = (
@@ -43,6 +43,9 @@
 # Copies are begun only so long after a new deployment has its first owner: traffic
 # follows about ten seconds later, and a load takes up to nine.
 PREPARE_S = 2.5
+# Calls per second that the long average may stand for: it remembers rare models, not
+# that a model was busy until a moment ago.
+RARE_RATE_MEMORY = 0.4
 # Models looked at in one plan, the most urgent ones first.
 MAX_CANDIDATES = 12
 
@@ -164,7 +167,7 @@
         for name in self._engine.models_by_name:
             known = demand.get(service.name, name, now)
             waiting = demand.waiting(service.name, name, now)
-            rate = max(known.rate * ramp, known.long_rate)
+            rate = max(known.rate * ramp, min(known.long_rate, RARE_RATE_MEMORY))
             self._loads[name] = Load(rate, known.work * ramp, waiting)
         self._holders: dict[str, list[EngineView]] = {}
         for view in views:
--- a/kumquatproxy/gateway/callers.py
+++ b/kumquatproxy/gateway/callers.py
@@ -320,6 +320,11 @@
         """Return the number of requests in flight."""
         return sum(self._connections.values())
 
+    @property
+    def open_count(self) -> int:
+        """Return the number of open connections, also those that carry no call yet."""
+        return len(self._connections)
+
     def start_closing(self) -> None:
         """Make each answer the last of its connection."""
         self._is_stopping = True
--- a/tests/fleet/test_modelplan_load.py
+++ b/tests/fleet/test_modelplan_load.py
@@ -179,3 +179,21 @@
     levels = [urgency.level(call(priority=one)) for one in range(12)]
     assert levels == sorted(levels) and levels[0] == 3 and max(levels) == 9
     assert urgency.level(call(need=False)) is None
+
+
+def test_a_model_whose_demand_has_gone_is_not_loaded_for_its_past():
+    """inc-9020: a replica of a busy model made room for one that nobody asked for."""
+    made = fleetdemand.FleetDemand()
+    for step in range(160):
+        now = step * 0.25
+        has_moved = now >= 30.0
+        rates = (
+            {"past": 0.0, "busy": 15.0} if has_moved else {"past": 16.0, "busy": 2.0}
+        )
+        needs = [
+            ["s", name, "", rate * 0.25, rate * 0.03, 0] for name, rate in rates.items()
+        ]
+        made.report("e1", {}, needs, now)
+    views = [view("1", ["busy"]), view("2", ["busy"], on_disk=["past"])]
+    planner = modelplan.Planner(service(["busy", "past"], 75_000), views, made, now)
+    assert planner.swaps(lambda: True) == []
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -160,3 +160,18 @@
     sock.sendall(one)
     assert sock.recv(65536) == b""
     assert len(recorder.calls) == 1
+
+
+def test_a_connection_counts_while_its_request_arrives(server, recorder):
+    """trouble-2 --seed 1069286866644, LOST: the process ended as the call began."""
+    host, _, port = server.address.rpartition(":")
+    sock = gevent.socket.create_connection((host, int(port)), 1.0)
+    sock.sendall(HEAD)
+    gevent.sleep(0.05)
+    server.close()
+    gevent.sleep(0.05)
+    assert (server.active, server.open_count) == (0, 1)
+    sock.sendall(b"Content-Length: 0\r\n\r\n")
+    assert sock.recv(65536).startswith(b"HTTP/1.1 200")
+    gevent.sleep(0.05)
+    assert server.open_count == 0
