Share what entry and control hosts have in common; ignore pushes of earlier owners

Cause: both hosts built their links, dialect and logs in the same lines; a placement pushed by an owner before could undo the push of its successor; fields of messages that nothing read. Change: fleethost.FleetHost is the base of both; a push counts by fence and number; the unread fields and a constant are gone.

--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -1,11 +1,8 @@
 """A control host: a member of the control group, and what it tells the others."""
 
-import random
-import secrets
-
 import gevent
 
-from kumquatproxy import clock, errors, httpapi, logs, tasks, wire
+from kumquatproxy import clock, errors, httpapi, logs, wire
 from kumquatproxy.agreement import (
     consensus,
     datafolder,
@@ -16,6 +13,7 @@
 )
 from kumquatproxy.fleet import (
     controlapis,
+    fleethost,
     fleetmessages,
     fleetsettings,
     fleetstate,
@@ -25,33 +23,17 @@
     serviceconfig,
     spreading,
 )
-from kumquatproxy.gateway import dialects
-from kumquatproxy.membership import hello, link, transport
 
 GROUP = "control"
 FIRST_DISK_ID = "first"  # of the voters that form the group
 ELECTION_TIMEOUT_S = 0.8
 HEARTBEAT_S = 0.15
 LEASE_MARGIN_S = 0.15
-SUBSCRIBE_INTERVAL_S = 1.0
-# Connections may go silent for good; a link is replaced well within the three seconds
-# after which a host counts as connected again.
-LINK_TIMING = link.Timing(ping_s=0.5, silent_s=1.5, dial_s=1.0, hello_s=1.5)
 COMMIT_TIMEOUT_S = 2.5
 STORAGE_RETRY_S = 0.5
 STEP_DOWN_WAIT_S = 0.6
 
 
-class Received:
-    """Hold a message of another host."""
-
-    __slots__ = ("message", "sender")
-
-    def __init__(self, sender, message):
-        self.sender: str = sender
-        self.message = message
-
-
 class Heard:
     """Hold a heartbeat that a backend server sent to this host."""
 
@@ -61,13 +43,6 @@
         self.announcement: servers.Announcement = announcement
 
 
-def identity_of(host_settings: fleetsettings.FleetSettings) -> hello.Identity:
-    """Return the identity of a host on its links."""
-    host = host_settings.host
-    centres = set(host.data_centres) | {host.data_centre}
-    return hello.Identity(host.id, host.data_centre, host.key.encode(), centres)
-
-
 def open_store(host_settings, folder):
     """Return the store of this host's member; raise ProxyError or OSError.
 
@@ -103,30 +78,17 @@
             gevent.sleep(STORAGE_RETRY_S)
 
 
-class ControlHost(tasks.Task):
+class ControlHost(fleethost.FleetHost):
     """Own the server table and the subscribers of one control host."""
 
     def __init__(self, host_settings: fleetsettings.FleetSettings, seed: int = 0):
-        super().__init__()
+        super().__init__(host_settings, seed)
         now = clock.now()
-        self.settings = host_settings
-        self.host_id: str = host_settings.host.id
-        self.dialect = dialects.load(
-            host_settings.dialect.name, host_settings.dialect.module
-        )
-        self._rng = random.Random(seed or secrets.randbits(64))
-        self._session = secrets.token_hex(8)
         self._subscribe_at = now
-        self._config_log = logs.Log("config")
         self._member_log = logs.Log("member")
-        self._host_log = logs.Log("host")
-        self._known_hosts: dict[str, str] = {}
+        self._known_hosts: dict[str, str] = {}  # link address by host id
         self.table = servers.ServerTable()
         self.spreader = spreading.Spreader(self.host_id, self.table)
-        timing = transport.Settings(
-            host_settings.host.links, identity_of(host_settings), LINK_TIMING
-        )
-        self.transport = transport.Transport(timing, self._on_message)
         self.replication = self._open_member(now)
         self.proposer = proposing.Proposer(
             self.host_id, self.replication, self.send_message
@@ -169,11 +131,10 @@
             revision=self.replication.machine.version,
         )
 
-    def reload(self, host_settings: fleetsettings.FleetSettings) -> None:
-        """Take changed settings; addresses stay until the next start."""
-        for host_id in host_settings.seed_ids:
-            self._known_hosts[host_id] = host_settings.link_address(host_id)
-        self._host_log.write(clock.now(), "settings reloaded")
+    def learn_seeds(self, host_ids: list[str]) -> None:
+        """Note control hosts that the settings name."""
+        for host_id in host_ids:
+            self._known_hosts[host_id] = self.settings.link_address(host_id)
 
     def stop_planned(self) -> None:
         """Hand over the leadership, then end."""
@@ -186,11 +147,6 @@
         self.transport.stop()
         logs.flush()
 
-    def send_message(self, host_id: str, message) -> None:
-        """Send a message over the link to a host."""
-        self.transport.learn(host_id, self.settings.link_address(host_id))
-        self.transport.send(host_id, message)
-
     def send_to_entries(self, message, now: float) -> None:
         """Send a message to all entry hosts that listen to this host."""
         self._broadcast(self.spreader.entry_ids(now), message)
@@ -210,13 +166,13 @@
         if isinstance(message, raftmessages.GroupMessage):
             self.replication.receive(sender, message)
         elif isinstance(message, _FOR_OWNER):
-            self.owner.tell(Received(sender, message))
+            self.owner.tell(fleethost.Received(sender, message))
         elif isinstance(message, fleetmessages.FleetCommand):
             self.proposer.serve(sender, message)
         elif isinstance(message, fleetmessages.FleetCommandAnswer):
             self.proposer.answered(message)
         else:
-            self.tell(Received(sender, message))
+            super()._on_message(sender, message)
 
     # Calls of the API, each in the greenlet of its connection
 
@@ -346,7 +302,7 @@
     def _subscribe(self, now):
         if now < self._subscribe_at:
             return
-        self._subscribe_at = now + SUBSCRIBE_INTERVAL_S
+        self._subscribe_at = now + fleethost.SUBSCRIBE_INTERVAL_S
         others = self._others()
         self.replication.member.settings.join_hosts = tuple(others)
         message = fleetmessages.Subscribe(
--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -1,8 +1,6 @@
 """An entry host: serves callers by what control hosts tell it."""
 
 import contextlib
-import random
-import secrets
 import typing
 import zlib
 
@@ -10,9 +8,9 @@
 import gevent.event
 import gevent.pywsgi
 
-from kumquatproxy import clock, logs, tasks
+from kumquatproxy import clock, logs
 from kumquatproxy.fleet import (
-    controlhost,
+    fleethost,
     fleetmessages,
     fleetsettings,
     fleetstate,
@@ -25,16 +23,11 @@
     callers,
     calls,
     choice,
-    dialects,
     relay,
     waiting,
 )
-from kumquatproxy.membership import transport
 
-SUBSCRIBE_INTERVAL_S = 1.0
 REPORT_INTERVAL_S = 0.25
-# A host that has heard no control host for so long still serves what it knows.
-CONTACT_LOST_S = 5.0
 # The balancer needs two questions, a second apart, to see that a host is leaving, and
 # callers that it has sent before that still arrive a little later.
 SETTLE_S = 2.6
@@ -53,22 +46,12 @@
 EXPIRE_INTERVAL_S = 5.0
 
 
-class EntryHost(tasks.Task):
+class EntryHost(fleethost.FleetHost):
     """Own the view of the fleet of one entry host."""
 
     def __init__(self, host_settings: fleetsettings.FleetSettings, seed: int = 0):
-        super().__init__()
+        super().__init__(host_settings, seed)
         now = clock.now()
-        self.settings = host_settings
-        self.host_id: str = host_settings.host.id
-        self.dialect = dialects.load(
-            host_settings.dialect.name, host_settings.dialect.module
-        )
-        self._rng = random.Random(seed or secrets.randbits(64))
-        self._session = secrets.token_hex(8)
-        self._host_log = logs.Log("host")
-        self._config_log = logs.Log("config")
-        self._link_log = logs.Log("control")
         self.configuration: typing.Any = None  # serviceconfig.Configuration
         self.table = servers.ServerTable()
         self.chooser = choice.Chooser(
@@ -89,19 +72,13 @@
         self._heard_at_by_id: dict[str, float] = {}
         self._changed = gevent.event.Event()
         self._has_news = False
+        self._placement_order = (0, 0)  # fence and number of the push in use
         self._coming: dict[str, float] = {}  # time when a model is expected
         self._asked_at_by_key: dict[tuple, float] = {}
         self._arrivals_by_key: dict[tuple, tuple] = {}
         self._reported: dict = {}
-        self._report_number = 0
         self._waiting_calls: dict[calls.Call, None] = {}
         self.relay = relay.Relay(self)
-        links = transport.Settings(
-            host_settings.host.links,
-            controlhost.identity_of(host_settings),
-            controlhost.LINK_TIMING,
-        )
-        self.transport = transport.Transport(links, self._on_message)
         self._callers = callers.CallerServer(
             host_settings.entry.callers, self.relay.serve, self._limits
         )
@@ -141,10 +118,9 @@
         self.transport.stop()
         logs.flush()
 
-    def reload(self, host_settings: fleetsettings.FleetSettings) -> None:
-        """Take changed settings; addresses stay until the next start."""
-        self._control_ids.update(host_settings.seed_ids)
-        self._host_log.write(clock.now(), "settings reloaded")
+    def learn_seeds(self, host_ids: list[str]) -> None:
+        """Note control hosts that the settings name."""
+        self._control_ids.update(host_ids)
 
     # What the relay needs
 
@@ -208,10 +184,9 @@
         message = fleetmessages.AdapterWanted(
             adapter=call.need.adapter,
             model=call.need.model,
-            number=0,
             service=call.service,
         )
-        self._send(self._leader, message)
+        self.send_message(self._leader, message)
 
     def note_arrival(self, call: calls.Call) -> None:
         """Count a call in the demand that the owner of the orders is told of."""
@@ -225,9 +200,6 @@
 
     # Messages
 
-    def _on_message(self, sender, message):
-        self.tell(controlhost.Received(sender, message))
-
     def handle(self, message, now: float, reply=None):
         """Handle one message of a control host."""
         self._heard_at_by_id[message.sender] = now
@@ -268,6 +240,10 @@
         self.chooser.set_others(message.loads_by_id, self._reported)
 
     def _on_placement(self, message, now):
+        order = (message.fence, message.number)
+        if order <= self._placement_order:
+            return  # an earlier owner, or an earlier push of this one
+        self._placement_order = order
         self.chooser.adapters_by_id = {
             instance_id: frozenset(keys)
             for instance_id, keys in message.adapters_by_id.items()
@@ -301,11 +277,8 @@
         if not self._leader or not (loads or needs or self._reported):
             return
         self._reported = loads
-        self._report_number += 1
-        report = fleetmessages.EntryReport(
-            loads_by_id=loads, needs=needs, number=self._report_number
-        )
-        self._send(self._leader, report)
+        report = fleetmessages.EntryReport(loads_by_id=loads, needs=needs)
+        self.send_message(self._leader, report)
 
     def _notify(self):
         """Let the calls that wait look again, with the next tick.
@@ -321,7 +294,7 @@
             self._changed.set()
             self._changed.clear()
         if now >= self._subscribe_at:
-            self._subscribe_at = now + SUBSCRIBE_INTERVAL_S
+            self._subscribe_at = now + fleethost.SUBSCRIBE_INTERVAL_S
             self._subscribe(now)
         if now >= self._report_at:
             self._report(now)
@@ -342,7 +315,7 @@
                 session=self._session,
                 version=version,
             )
-            self._send(host_id, message)
+            self.send_message(host_id, message)
 
     def _detailed_ids(self, now):
         """Return the control hosts that are asked for all news of backend servers.
@@ -360,10 +333,6 @@
         ranked = sorted(fresh, key=lambda host_id: _rank(self.host_id, host_id))
         return set(ranked[:DETAIL_HOSTS])
 
-    def _send(self, host_id, message):
-        self.transport.learn(host_id, self.settings.link_address(host_id))
-        self.transport.send(host_id, message)
-
     def is_ready(self) -> bool:
         """Return whether callers may be sent here."""
         return self.configuration is not None and not self.is_stopping
--- /dev/null
+++ b/kumquatproxy/fleet/fleethost.py
@@ -0,0 +1,62 @@
+"""What entry hosts and control hosts have in common: identity, links, settings."""
+
+import random
+import secrets
+
+from kumquatproxy import clock, logs, tasks
+from kumquatproxy.fleet import fleetsettings
+from kumquatproxy.gateway import dialects
+from kumquatproxy.membership import hello, link, transport
+
+SUBSCRIBE_INTERVAL_S = 1.0
+# Connections may go silent for good; a link is replaced well within the three seconds
+# after which a host counts as connected again.
+LINK_TIMING = link.Timing(ping_s=0.5, silent_s=1.5, dial_s=1.0, hello_s=1.5)
+
+
+class Received:
+    """Hold a message of another host."""
+
+    __slots__ = ("message", "sender")
+
+    def __init__(self, sender, message):
+        self.sender: str = sender
+        self.message = message
+
+
+class FleetHost(tasks.Task):
+    """Own the links of one host of a fleet."""
+
+    def __init__(self, host_settings: fleetsettings.FleetSettings, seed: int = 0):
+        super().__init__()
+        host = host_settings.host
+        self.settings = host_settings
+        self.host_id: str = host.id
+        self.dialect = dialects.load(
+            host_settings.dialect.name, host_settings.dialect.module
+        )
+        self._rng = random.Random(seed or secrets.randbits(64))
+        self._session = secrets.token_hex(8)  # tells this start from earlier ones
+        self._host_log = logs.Log("host")
+        self._config_log = logs.Log("config")
+        centres = set(host.data_centres) | {host.data_centre}
+        identity = hello.Identity(host.id, host.data_centre, host.key.encode(), centres)
+        links = transport.Settings(host.links, identity, LINK_TIMING)
+        self.transport = transport.Transport(links, self._on_message)
+
+    def _on_message(self, sender, message):
+        self.tell(Received(sender, message))
+
+    def send_message(self, host_id: str, message) -> None:
+        """Send a message over the link to a host."""
+        self.transport.learn(host_id, self.settings.link_address(host_id))
+        self.transport.send(host_id, message)
+
+    def reload(self, host_settings: fleetsettings.FleetSettings) -> None:
+        """Take changed settings; addresses stay until the next start."""
+        self.learn_seeds(host_settings.seed_ids)
+        self._host_log.write(clock.now(), "settings reloaded")
+
+    def learn_seeds(self, host_ids: list[str]) -> None:
+        """Note control hosts that the settings name."""
+        raise NotImplementedError
--- a/kumquatproxy/fleet/fleetmessages.py
+++ b/kumquatproxy/fleet/fleetmessages.py
@@ -67,29 +67,26 @@
 class LoadPush(wire.Message):
     """Tell what the calls of all entry hosts make up together."""
 
-    __slots__ = ("loads_by_id", "number")
+    __slots__ = ("loads_by_id",)
     loads_by_id: dict  # instance id: [calls, prompt tokens not yet read]
-    number: int
 
 
 @wire.register("entry-report")
 class EntryReport(wire.Message):
     """Tell the control hosts what an entry host sends and waits for."""
 
-    __slots__ = ("loads_by_id", "needs", "number")
+    __slots__ = ("loads_by_id", "needs")
     loads_by_id: dict  # instance id: [calls in flight, prompt tokens not yet read]
     needs: list  # [service, model, adapter, arrivals, engine seconds, waiting]
-    number: int
 
 
 @wire.register("adapter-wanted")
 class AdapterWanted(wire.Message):
     """Ask the owner to make an adapter ready at a server that has its model."""
 
-    __slots__ = ("adapter", "model", "number", "service")
+    __slots__ = ("adapter", "model", "service")
     adapter: str
     model: str
-    number: int
     service: str
 
 
@@ -97,10 +94,9 @@
 class AdapterReady(wire.Message):
     """Answer an AdapterWanted with a server that has the adapter now."""
 
-    __slots__ = ("instance_id", "key", "number")
+    __slots__ = ("instance_id", "key")
     instance_id: str
     key: str  # MODEL/ADAPTER
-    number: int
 
 
 @wire.register("fleet-command")
@@ -116,8 +112,7 @@
 class FleetCommandAnswer(wire.Message):
     """Answer a FleetCommand: the result, or the code of an error."""
 
-    __slots__ = ("answer", "code", "leader", "number")
+    __slots__ = ("answer", "code", "number")
     answer: wire.Message | None
     code: str  # error kind, empty with an answer
-    leader: str  # host id of the leader if the receiver is not
     number: int
--- a/kumquatproxy/fleet/modelowner.py
+++ b/kumquatproxy/fleet/modelowner.py
@@ -356,7 +356,6 @@
         answer = fleetmessages.AdapterReady(
             instance_id=state.announcement.instance_id,
             key=f"{message.model}/{message.adapter}",
-            number=message.number,
         )
         self._host.send_message(sender, answer)
 
@@ -424,10 +423,7 @@
     # What the entry hosts are told
 
     def _push_loads(self, now):
-        self._push_number += 1
-        push = fleetmessages.LoadPush(
-            loads_by_id=self.demand.loads_by_id(now), number=self._push_number
-        )
+        push = fleetmessages.LoadPush(loads_by_id=self.demand.loads_by_id(now))
         self._host.send_to_entries(push, now)
 
     def _push_placement(self, now):
--- a/kumquatproxy/fleet/proposing.py
+++ b/kumquatproxy/fleet/proposing.py
@@ -74,7 +74,7 @@
         except errors.ProxyError as error:
             code = error.kind.value
         message = fleetmessages.FleetCommandAnswer(
-            answer=answer, code=code, leader="", number=request.number
+            answer=answer, code=code, number=request.number
         )
         self._send(sender, message)
 
