--- a/kumquatproxy/laboratory/demo.py
+++ b/kumquatproxy/laboratory/demo.py
@@ -112,7 +112,9 @@
             self._tally.note(service, "whole")
         else:
             self._tally.note(
-                service, "broken", f"{name}: status {status}, {data[:200]!r}"
+                service,
+                "broken",
+                f"{name}: status {status}, {data[:200]!r} to {data[-200:]!r}",
             )
 
     def act(self, index: int) -> None:
