Draw ports of the demo below those of outgoing connections

Change: ports from 12,000 to 32,000, as the tests of processes use. Before: drawn by the system from 32,768 on. After: never from there (test). Conclusion: traced and mended.

--- a/kumquatproxy/laboratory/demosystem.py
+++ b/kumquatproxy/laboratory/demosystem.py
@@ -1,6 +1,7 @@
 """Several hosts and fake backend servers in one process."""
 
 import pathlib
+import random
 import socket
 import tempfile
 import time
@@ -23,10 +24,22 @@
 
 
 def free_address() -> str:
-    """Return an address of a port that is free at present."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return an address of a port that is free at present.
+
+    It is below the ports that systems give to outgoing connections: one of those may
+    be taken by any process before it is used here.
+    """
+    while True:
+        port = random.SystemRandom().randint(FIRST_PORT, LAST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue  # in use
+            return f"127.0.0.1:{port}"
+
+
+FIRST_PORT, LAST_PORT = 12_000, 32_000
 
 
 class Layout:
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kumquatproxy.laboratory import demo, fakes
+from kumquatproxy.laboratory import demo, demosystem, fakes
 
 
 @pytest.fixture(scope="module")
@@ -36,3 +36,9 @@
 
     monkeypatch.setattr(fakes.FakeEngine, "_order", heavier)
     assert not demo.run(requests=10, actions=2, text=text)
+
+
+def test_free_addresses_are_not_those_of_outgoing_connections():
+    """The whole script failed once: another process had taken the port meanwhile."""
+    ports = [int(demosystem.free_address().rpartition(":")[2]) for _ in range(50)]
+    assert all(12_000 <= port <= 32_000 for port in ports)
