Let a silent stream stay where no better place is, and stamp reports on arrival

With its model on one server, the attempts or the budget spent, or an action that must not run twice, nothing came after it, and an answer with seconds left broke off. The timer also fired first when the own process had stood still while the bytes were already there. Ruled out: mixed answers (each stream that was whole was the expected one). Change: requests/silence decides whether a call leaves a silent server: only when another server has the model and a retry may be made. Otherwise it waits until its deadline. After a timer, bytes that have come are read first. The three copies of the handling of time limits in drivers are one class now (requests/exchanges).

On a machine that had run for more than a minute each purge, every 10 s, dropped all reports of this host until the servers reported again (up to 0.25 s); other hosts took each report for 5 s old. Seen by polling the status every 20 ms: all servers with 0 items for 0.06 to 0.2 s, 10 s after the start. Ruled out: expiry of backend servers (10 s) and of summaries (7 s), a new plan (fence and owner unchanged, no orders). Change: the host that takes a report stamps it. Simulations stamped reports themselves, which hid it. Tests: two in tests/test_loadreports.py fail on the code before.

--- a/kumquatproxy/gateway/backendlinks.py
+++ b/kumquatproxy/gateway/backendlinks.py
@@ -186,9 +186,13 @@
         idle_s = now - self.kept_at
         if idle_s > min(max_idle_s, self._keep_s * KEEP_SHARE):
             return False
+        return not self.has_input()
+
+    def has_input(self) -> bool:
+        """Return whether bytes or the end of the connection wait to be read."""
         poller = select.poll()
         poller.register(self._sock.fileno(), select.POLLIN)
-        return not poller.poll(0)
+        return bool(poller.poll(0))
 
     def close(self) -> None:
         """Close the connection; the server stops what it does for the call."""
--- a/kumquatproxy/membership/loadreports.py
+++ b/kumquatproxy/membership/loadreports.py
@@ -83,6 +83,7 @@
 
     def accept(self, report: records.LoadReport, now: float) -> bool:
         """Take a report that a backend server sent to this host; False if it is old."""
+        report.sent_at = now  # servers send no time: their clocks differ
         state = self.store.accept(report)
         if state is None:
             return False
--- a/kumquatproxy/placement/placementcontrol.py
+++ b/kumquatproxy/placement/placementcontrol.py
@@ -18,7 +18,7 @@
     placementplan,
     placementstate,
 )
-from kumquatproxy.requests import drivers
+from kumquatproxy.requests import drivers, exchanges
 
 PLAN_INTERVAL_S = 1.0  # while a plan has actions
 IDLE_PLAN_INTERVAL_S = 4.0  # changes of servers and sheet start a plan at once
@@ -66,7 +66,7 @@
         self._registered: configstate.Voters | None = None
         self._plan_at = now
         self._taking_term = 0
-        self._driver = drivers.OpenAIDriver(drivers.Pool())
+        self._driver = drivers.OpenAIDriver(exchanges.Pool())
         self._budget = placementplan.MoveBudget(MOVE_LIMIT, MOVE_INTERVAL_S, now)
         self._log = logs.Log("place")
         self._order_log = logs.Log("order")
@@ -355,7 +355,7 @@
         try:
             answer = self._driver.send_order(server.address, order, ORDER_TIMEOUT_S)
             stage, detail = _STAGES_BY_ANSWER[answer], answer
-        except drivers.CallFailed as failure:
+        except exchanges.CallFailed as failure:
             detail = failure.detail
         self._order_log.write(
             clock.now(),
--- a/kumquatproxy/requests/dispatch.py
+++ b/kumquatproxy/requests/dispatch.py
@@ -15,14 +15,18 @@
     breaker,
     drivers,
     estimates,
+    exchanges,
     retries,
     routing,
+    silence,
 )
 
 REMOTE_INCARNATION = 1
 PRIORITY_HEADER = "X-Priority"
 FORWARDED_HEADER = "X-Kumquatproxy-Forwarded"
-MIN_PROGRESS_TIMEOUT_S = 0.1  # scheduling delays of a busy host stay below this
+# Pauses of a busy host stay below this most of the time; a stream that has no better
+# place outlasts longer ones.
+MIN_PROGRESS_TIMEOUT_S = 0.1
 
 
 class Attempt:
@@ -75,7 +79,7 @@
         self._breakers = breaker.Breakers()
         self._admission = admissionwait.AdmissionWait()
         self._budget = retries.RetryBudget()
-        self._pool = drivers.Pool()
+        self._pool = exchanges.Pool()
         self._drivers_by_alias: dict[str, drivers.Driver] = {}
         self._log = logs.Log("route")
 
@@ -159,11 +163,13 @@
         driver = self.engine_driver(target.service)
 
         def send(attempt, now):
-            timeout_s = _completion_timeout_s(call, target.service, attempt, now)
+            limit_s = _completion_limit_s(call, target.service, attempt, now)
+            wait = self._wait(call, target.items(), attempt, attempts, limit_s)
             headers = self._extra_headers(attempt)
-            return driver.complete(attempt.server, path, headers, body, timeout_s)
+            return driver.complete(attempt.server, path, headers, body, wait)
 
-        return self._call(call, target.items(), send)
+        attempts = retries.Attempts()
+        return self._call(call, target.items(), attempts, send)
 
     def call_service(self, call, service, method, path, headers, body):
         """Return the answer of a plain service; raise ProxyError."""
@@ -171,14 +177,15 @@
         make = driver.call if call.idempotent else driver.call_once
 
         def send(attempt, now):
-            timeout_s = call.deadline - now
+            wait = exchanges.Wait(call.deadline - now)
             server = attempt.server
             is_remote = server.backend_id in self._remote_ids
             target = f"/services/{service.name}{path}" if is_remote else path
             all_headers = [*headers, *self._extra_headers(attempt)]
-            return make(server, method, target, all_headers, body, timeout_s)
+            return make(server, method, target, all_headers, body, wait)
 
-        return self._call(call, (routing.service_item(service.name),), send)
+        items = (routing.service_item(service.name),)
+        return self._call(call, items, retries.Attempts(), send)
 
     def _same_centre_ids(self, server):
         """Return the other ways into the data centre of a remote server.
@@ -199,8 +206,7 @@
             headers.append((FORWARDED_HEADER, self.table.data_centre))
         return headers
 
-    def _call(self, call, items, send):
-        attempts = retries.Attempts()
+    def _call(self, call, items, attempts, send):
         self._budget.request(call.service)
         while True:
             attempt = self._start(call, items, attempts)
@@ -210,7 +216,7 @@
                 result = "complete"
                 self._record(call, "complete")
                 return reply
-            except drivers.CallFailed as failure:
+            except exchanges.CallFailed as failure:
                 result = _result_of(failure.failure)
                 attempts.tried_ids |= self._same_centre_ids(attempt.server)
                 self._after_failure(call, failure.failure, failure, attempts, 0.0)
@@ -236,14 +242,17 @@
             try:
                 position = first + progress.resume_position()
                 driver = self.engine_driver(target.service)
-                wait_s = _first_token_timeout_s(call, target.service, attempt)
+                limit_s = _first_token_limit_s(call, target.service, attempt)
+                wait = self._wait(call, target.items(), attempt, attempts, limit_s)
                 headers = self._extra_headers(attempt)
                 source = driver.open_stream(
-                    attempt.server, path, headers, body, position, wait_s
+                    attempt.server, path, headers, body, position, wait
+                )
+                yield from self._relay(
+                    call, target, attempt, attempts, source, progress
                 )
-                yield from self._relay(call, target.service, attempt, source, progress)
                 result = "complete"
-            except drivers.CallFailed as failed:
+            except exchanges.CallFailed as failed:
                 result = _result_of(failed.failure)
                 attempts.tried_ids |= self._same_centre_ids(attempt.server)
                 failure = failed.failure
@@ -257,14 +266,15 @@
                 self._finish(call, attempt, result)
         self._record(call, "complete")
 
-    def _relay(self, call, service, attempt, source, progress):
-        wait_s = _first_token_timeout_s(call, service, attempt)
+    def _relay(self, call, target, attempt, attempts, source, progress):
+        limit_s = _first_token_limit_s(call, target.service, attempt)
         gap_s = attempt.decision.estimate.gap_s
-        progress_s = breaker.progress_deadline_s(service, gap_s)
+        progress_s = breaker.progress_deadline_s(target.service, gap_s)
         progress_s = max(progress_s, MIN_PROGRESS_TIMEOUT_S)
         started = progress.delivered > 0
         while not progress.complete:
-            events = source.next_events(wait_s)
+            wait = self._wait(call, target.items(), attempt, attempts, limit_s)
+            events = source.next_events(wait)
             now = clock.now()
             for event in events:
                 if event.startswith(drivers.LAST_EVENT):
@@ -277,7 +287,31 @@
                 labels = {"service": call.service}
                 self._metrics.first_token.record(now - call.arrived_at, labels)
             yield b"".join(events)
-            wait_s = max(0.001, min(progress_s, call.deadline - now))
+            limit_s = min(progress_s, call.deadline - now)
+
+    def _wait(self, call, items, attempt, attempts, limit_s):
+        """Return the bound of a wait for progress of an attempt."""
+
+        def further_s():
+            now = clock.now()
+            expected_s = attempt.decision.estimate.first_token_s
+            return silence.further_wait_s(
+                call,
+                attempts,
+                self._budget,
+                self._has_other_server(call, items, attempts, now),
+                expected_s,
+                now,
+            )
+
+        return exchanges.Wait(max(exchanges.MIN_WAIT_S, limit_s), further_s)
+
+    def _has_other_server(self, call, items, attempts, now):
+        excluded_ids = self._breakers.excluded_ids(now) | attempts.tried_ids
+        if call.is_forwarded:
+            excluded_ids |= self._remote_ids
+        decision = self.table.choose(call, items, excluded_ids, now, self._rng)
+        return isinstance(decision, routing.Decision)
 
     def _start(self, call, items, attempts):
         """Choose a backend server and return the attempt, once it may be sent."""
@@ -378,20 +412,20 @@
     return "refused" if failure is retries.Failure.REFUSED else "failed"
 
 
-def _first_token_timeout_s(call, service, attempt):
+def _first_token_limit_s(call, service, attempt):
     expected_s = attempt.decision.estimate.first_token_s
     wait_s = breaker.first_token_deadline_s(service, expected_s)
-    return max(0.001, min(wait_s, call.deadline - attempt.started_at))
+    return min(wait_s, call.deadline - attempt.started_at)
 
 
-def _completion_timeout_s(call, service, attempt, now):
+def _completion_limit_s(call, service, attempt, now):
     left_s = call.deadline - now
     if not call.max_tokens:
         return left_s
     estimate = attempt.decision.estimate
     first_s = breaker.first_token_deadline_s(service, estimate.first_token_s)
     gap_s = breaker.progress_deadline_s(service, estimate.gap_s)
-    return max(0.001, min(left_s, first_s + call.max_tokens * gap_s))
+    return min(left_s, first_s + call.max_tokens * gap_s)
 
 
 def _with_first(first, events):
--- a/kumquatproxy/requests/drivers.py
+++ b/kumquatproxy/requests/drivers.py
@@ -2,17 +2,11 @@
 
 import json
 
-import gevent
-
 from kumquatproxy import clock, records, registry
-from kumquatproxy.gateway import backendlinks, calls, eventstream
-from kumquatproxy.requests import retries
+from kumquatproxy.requests import exchanges, retries
 
 DRIVERS = registry.Registry("driver")
 
-CONNECT_TIMEOUT_S = 1.0
-# A kept connection that was idle for longer may be about to be closed.
-MAX_IDLE_S = 10.0
 EVENT_END = b"\n\n"
 LAST_EVENT = b"data: [DONE]"
 
@@ -46,19 +40,6 @@
         self.body: bytes = body
 
 
-class CallTimeoutError(Exception):
-    """Tell that the time of a call is over."""
-
-
-class CallFailed(Exception):
-    """Report a failed call and how far it may have got."""
-
-    def __init__(self, failure, detail):
-        super().__init__(detail)
-        self.failure: retries.Failure = failure
-        self.detail: str = detail
-
-
 def forwarded_headers(headers) -> list[tuple[str, str]]:
     """Return the headers that a proxy passes on."""
     return [
@@ -66,97 +47,33 @@
     ]
 
 
-class Pool:
-    """Keep the connections to each backend address."""
-
-    __slots__ = ("_links",)
-
-    def __init__(self):
-        self._links = backendlinks.LinkPool()
-
-    def open(self, address: str, max_idle_s: float) -> backendlinks.BackendLink:
-        """Return a connection that was idle for at most ``max_idle_s``."""
-        return self._links.take(address, address, max_idle_s, CONNECT_TIMEOUT_S)
-
-    def keep(self, link: backendlinks.BackendLink) -> None:
-        """Keep a connection whose answer was read whole, if it is sound."""
-        self._links.give(link)
-
-    def renew(self, address: str) -> None:
-        """Close the idle connections of an address, so that new ones are made."""
-        self._links.forget(address)
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        self._links.forget_all()
-
-
 class Driver:
     """Base of all drivers: plain HTTP calls to one backend server."""
 
     def __init__(self, pool):
-        self._pool: Pool = pool
+        self._pool: exchanges.Pool = pool
 
     def call(
-        self, server: records.BackendServer, method, path, headers, body, timeout_s
+        self, server: records.BackendServer, method, path, headers, body, wait
     ) -> BackendReply:
         """Make a call that may be repeated; raise CallFailed."""
-        return self._call(server.address, method, path, headers, body, timeout_s)
+        return self._call(server.address, method, path, headers, body, wait)
 
     def call_once(
-        self, server: records.BackendServer, method, path, headers, body, timeout_s
+        self, server: records.BackendServer, method, path, headers, body, wait
     ) -> BackendReply:
         """Make a call that must not be repeated, on a new connection.
 
         The connection is made right before the call, which proves it alive.
         """
         address = server.address
-        return self._call(address, method, path, headers, body, timeout_s, 0.0)
+        return self._call(address, method, path, headers, body, wait, 0.0)
 
-    def _call(
-        self, address, method, path, headers, body, timeout_s, max_idle_s=MAX_IDLE_S
-    ):
-        link = None
-        is_whole = False
-        try:
-            with gevent.Timeout(timeout_s, CallTimeoutError):
-                link = self._open(address, max_idle_s)
-                head = _send(link, address, method, path, headers, body)
-                data = link.read_whole()
-            is_whole = True
-            return BackendReply(head.status, _plain_headers(head), data)
-        except CallTimeoutError:
-            self._pool.renew(address)
-            raise CallFailed(
-                retries.Failure.TIMEOUT,
-                f"{address} gave no complete answer within {timeout_s:.3f} s",
-            ) from None
-        except (OSError, backendlinks.BackendError) as error:
-            raise _failure(address, error) from None
-        finally:
-            if link is not None and is_whole:
-                self._pool.keep(link)
-            elif link is not None:
-                link.close()
-
-    def _open(self, address, max_idle_s):
-        try:
-            return self._pool.open(address, max_idle_s)
-        except OSError as error:
-            raise CallFailed(
-                retries.Failure.NOT_SENT, f"{address} accepts no connection: {error}"
-            ) from None
-
-
-def _send(link, address, method, path, headers, body):
-    """Send a call and return the head of its answer."""
-    fields = [(name.lower(), value) for name, value in headers]
-    fields = [pair for pair in fields if pair[0] not in ("host", "content-length")]
-    fields.append(("host", address))
-    if body or method not in ("GET", "HEAD"):
-        fields.append(("content-length", str(len(body or b""))))
-    link.send(method.encode(), path.encode("latin-1"), fields, body or b"")
-    return link.read_head(calls.AnswerHead)
+    def _call(self, address, method, path, headers, body, wait, *max_idle_s):
+        with exchanges.Exchange(self._pool, address, wait, *max_idle_s) as exchange:
+            head = exchange.ask(method, path, headers, body, wait)
+            data = exchange.read_whole(wait)
+        return BackendReply(head.status, _plain_headers(head), data)
 
 
 def _plain_headers(head):
@@ -167,62 +84,6 @@
     return forwarded_headers(pairs)
 
 
-def _failure(address, error):
-    return CallFailed(
-        retries.Failure.LOST, f"{address} failed: {error or type(error).__name__}"
-    )
-
-
-class EventStream:
-    """Read the server-sent events of one streamed answer."""
-
-    __slots__ = ("_address", "_has_ended", "_link", "_pool", "_splitter")
-
-    def __init__(self, address, link, pool):
-        self._address: str = address
-        self._link: backendlinks.BackendLink = link
-        self._pool: Pool = pool
-        self._splitter = eventstream.EventSplitter()
-        self._has_ended = False
-
-    def next_events(self, timeout_s: float) -> list[bytes]:
-        """Return all events that have arrived, at least one; raise CallFailed.
-
-        Events that arrive together are relayed together, which saves a timer and
-        a write for each of them.
-        """
-        try:
-            with gevent.Timeout(timeout_s, CallTimeoutError):
-                return self._next()
-        except CallTimeoutError:
-            self._pool.renew(self._address)
-            raise CallFailed(
-                retries.Failure.TIMEOUT,
-                f"{self._address} sent nothing for {timeout_s:.3f} s",
-            ) from None
-        except (OSError, ValueError, backendlinks.BackendError) as error:
-            raise _failure(self._address, error) from None
-
-    def _next(self):
-        while True:
-            part = self._link.read_part()
-            if part is None:
-                self._has_ended = True
-                raise CallFailed(
-                    retries.Failure.LOST, f"{self._address} ended the stream early"
-                )
-            events = [event for event, _ in self._splitter.add(part)]
-            if events:
-                return events
-
-    def close(self) -> None:
-        """Release the connection; an unfinished stream is cancelled by closing it."""
-        if self._has_ended:
-            self._pool.keep(self._link)
-        else:
-            self._link.close()
-
-
 @DRIVERS.register("plain-http")
 class PlainHttpDriver(Driver):
     """Talk to a plain service."""
@@ -231,13 +92,13 @@
 class EngineDriver(Driver):
     """Base of the drivers for model engines."""
 
-    def complete(self, server, path, headers, body: bytes, timeout_s) -> BackendReply:
+    def complete(self, server, path, headers, body: bytes, wait) -> BackendReply:
         """Return the whole answer of a completion; raise CallFailed."""
         raise NotImplementedError
 
     def open_stream(
-        self, server, path, headers, body: dict, delivered, timeout_s
-    ) -> EventStream:
+        self, server, path, headers, body: dict, delivered, wait
+    ) -> exchanges.EventStream:
         """Start a stream behind ``delivered`` tokens; raise CallFailed."""
         raise NotImplementedError
 
@@ -259,57 +120,43 @@
     ``POST /orders`` takes loads, unloads and role changes.
     """
 
-    def complete(self, server, path, headers, body: bytes, timeout_s) -> BackendReply:
+    def complete(self, server, path, headers, body: bytes, wait) -> BackendReply:
         """Return the whole answer of a completion; raise CallFailed."""
         all_headers = [*_JSON_HEADERS, *headers]
-        reply = self.call(server, "POST", path, all_headers, body, timeout_s)
+        reply = self.call(server, "POST", path, all_headers, body, wait)
         if reply.status == 200:
             return reply
-        refused = reply.status in _NOT_RUN_STATUSES
-        if not refused and reply.status < 500:
+        if reply.status not in _NOT_RUN_STATUSES and reply.status < 500:
             return reply
-        failure = retries.Failure.REFUSED if refused else retries.Failure.FAILED
         detail = reply.body[:200].decode(errors="replace")
-        raise CallFailed(failure, f"{server.address} answered {reply.status}: {detail}")
+        raise _refusal(server, reply.status, detail)
 
     def open_stream(
-        self, server, path, headers, body: dict, delivered, timeout_s
-    ) -> EventStream:
+        self, server, path, headers, body: dict, delivered, wait
+    ) -> exchanges.EventStream:
         """Start a stream behind ``delivered`` tokens; raise CallFailed."""
         if delivered:
             body = {**body, "resume_from": delivered}
         data = json.dumps(body).encode()
-        link = None
+        all_headers = [*_JSON_HEADERS, *headers]
+        exchange = exchanges.Exchange(self._pool, server.address, wait)
         stream = None
         try:
-            with gevent.Timeout(timeout_s, CallTimeoutError):
-                link = self._open(server.address, MAX_IDLE_S)
-                all_headers = [*_JSON_HEADERS, *headers]
-                head = _send(link, server.address, "POST", path, all_headers, data)
-                if head.status == 200:
-                    stream = EventStream(server.address, link, self._pool)
-                    return stream
-                detail = link.read_whole()[:200].decode(errors="replace")
-        except CallTimeoutError:
-            self._pool.renew(server.address)
-            raise CallFailed(
-                retries.Failure.TIMEOUT,
-                f"{server.address} started no stream within {timeout_s:.3f} s",
-            ) from None
-        except (OSError, backendlinks.BackendError) as error:
-            raise _failure(server.address, error) from None
+            head = exchange.ask("POST", path, all_headers, data, wait)
+            if head.status == 200:
+                stream = exchanges.EventStream(exchange)
+                return stream
+            detail = exchange.read_whole(wait)[:200].decode(errors="replace")
         finally:
-            if link is not None and stream is None:
-                link.close()
-        refused = head.status in _NOT_RUN_STATUSES
-        failure = retries.Failure.REFUSED if refused else retries.Failure.FAILED
-        raise CallFailed(failure, f"{server.address} answered {head.status}: {detail}")
+            if stream is None:
+                exchange.close()
+        raise _refusal(server, head.status, detail)
 
     def send_order(self, address: str, order: records.Order, timeout_s) -> str:
         """Send an order and return the engine's answer; raise CallFailed."""
         expires_in_s = order.expires_at - clock.now()
         if expires_in_s <= 0:
-            raise CallFailed(
+            raise exchanges.CallFailed(
                 retries.Failure.NOT_SENT, "the order expired before it was sent"
             )
         body = {
@@ -321,7 +168,8 @@
             "expires_in_s": expires_in_s,
         }
         data = json.dumps(body).encode()
-        reply = self._call(address, "POST", "/orders", _JSON_HEADERS, data, timeout_s)
+        wait = exchanges.Wait(timeout_s)
+        reply = self._call(address, "POST", "/orders", _JSON_HEADERS, data, wait)
         if reply.status in (200, 202):
             return "accepted"
         if reply.status in (400, 404, 409, 507):
@@ -329,6 +177,14 @@
         return _ORDER_ANSWERS_BY_STATUS.get(reply.status, "unknown")
 
 
+def _refusal(server, status, detail):
+    refused = status in _NOT_RUN_STATUSES
+    failure = retries.Failure.REFUSED if refused else retries.Failure.FAILED
+    return exchanges.CallFailed(
+        failure, f"{server.address} answered {status}: {detail}"
+    )
+
+
 def driver_alias(service) -> str:
     """Return the alias of a service's driver; empty settings take the usual one."""
     if service.driver:
--- a/kumquatproxy/requests/retries.py
+++ b/kumquatproxy/requests/retries.py
@@ -117,24 +117,37 @@
     rule = RULES[failure]
     if rule.executed != "no":
         attempts.executed = "unknown"
-    action = rule.repeatable if request.idempotent else rule.otherwise
-    if action == "give-up":
-        return _give_up(rule, attempts, "not-repeatable")
-    if not request.idempotent and attempts.executed != "no":
-        return _give_up(rule, attempts, "may-have-run")
-    if attempts.count >= MAX_ATTEMPTS:
-        return _give_up(rule, attempts, "attempts")
     delay_s = _delay_s(failure, attempts.count, rng)
-    if now + delay_s + expected_s > request.deadline:
-        return _give_up(rule, attempts, "deadline")
-    if not budget.available(request.service):
-        return _give_up(rule, attempts, "budget")
+    ends_at = now + delay_s + expected_s
+    reason = reason_to_give_up(request, failure, attempts, budget, ends_at)
+    if reason is not None:
+        return RetryDecision("give-up", reason, 0.0, rule.kind, attempts.executed)
     budget.spend(request.service)
-    return RetryDecision(action, failure.value, delay_s)
+    return RetryDecision(_action(request, rule), failure.value, delay_s)
+
+
+def reason_to_give_up(request, failure, attempts, budget, ends_at) -> str | None:
+    """Return why no attempt may follow a failure; None if one may.
+
+    ``ends_at`` is the predicted end of that attempt.
+    """
+    rule = RULES[failure]
+    if _action(request, rule) == "give-up":
+        return "not-repeatable"
+    executed = attempts.executed if rule.executed == "no" else rule.executed
+    if not request.idempotent and executed != "no":
+        return "may-have-run"
+    if attempts.count >= MAX_ATTEMPTS:
+        return "attempts"
+    if ends_at > request.deadline:
+        return "deadline"
+    if not budget.available(request.service):
+        return "budget"
+    return None
 
 
-def _give_up(rule, attempts, reason):
-    return RetryDecision("give-up", reason, 0.0, rule.kind, attempts.executed)
+def _action(request, rule):
+    return rule.repeatable if request.idempotent else rule.otherwise
 
 
 def _delay_s(failure, attempt, rng):
--- a/tests/test_loadreports.py
+++ b/tests/test_loadreports.py
@@ -176,3 +176,30 @@
     assert store.wanted == [detail.key()]
     store.take_full(loadmessages.full_detail(detail.key(), detail))
     assert store.reports_by_id["b"] == report
+
+
+def reports_at(host_id, now):
+    one = loadreports.LoadReports(host_id, random.Random(1), now)
+    one.set_order(["b", "a"], now)
+    return one
+
+
+def test_the_reports_of_backend_servers_outlast_a_purge():
+    """Guards against reports that are dropped as old although they just came.
+
+    Backend servers send no time. Their reports counted as sent at time 0, so a host
+    that had run for long dropped all of them every ten seconds.
+    """
+    collector = reports_at("a", 5000.0)
+    assert collector.accept(report_of("gpu-1", 1), 5010.0)
+    collector.tick(5010.4)
+    assert "gpu-1" in collector.reports_by_id
+
+
+def test_other_hosts_learn_when_a_report_came():
+    """Guards against servers that other hosts take for silent although they report."""
+    collector, other = reports_at("a", 5000.0), reports_at("b", 5000.0)
+    collector.accept(report_of("gpu-1", 1), 5000.2)
+    for output in collector.tick(5000.6):
+        other.receive("a", output.message, 5000.6)
+    assert other.reports_by_id["gpu-1"].sent_at == pytest.approx(5000.2, abs=0.05)
