--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -117,9 +117,8 @@
 
     def start(self) -> None:
         """Start all tasks and servers; raise OSError if an address is taken."""
-        self.transport.start()
-        self.replication.start()
         super().start()
+        self.replication.start()
         self.owner.on_failure = self.on_failure
         self.replication.on_failure = self.on_failure
         self.owner.start()
@@ -131,6 +130,18 @@
             revision=self.replication.machine.version,
         )
 
+    def gauges(self) -> dict[str, float]:
+        """Return the present values that metrics tell, by name."""
+        member = self.replication.member
+        return {
+            **super().gauges(),
+            "servers.known": len(self.table.all()),
+            "configuration.held": self.replication.machine.version,
+            "control.term": member.term,
+            "control.leads": float(member.leader is not None),
+            "orders.fence": self.owner.fence,
+        }
+
     def learn_seeds(self, host_ids: list[str]) -> None:
         """Note control hosts that the settings name."""
         for host_id in host_ids:
@@ -144,7 +155,7 @@
             gevent.sleep(STEP_DOWN_WAIT_S)
         self._server.stop(0.1)
         self.replication.stop()
-        self.transport.stop()
+        self._stop_links()
         logs.flush()
 
     def send_to_entries(self, message, now: float) -> None:
--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -91,7 +91,6 @@
 
     def start(self) -> None:
         """Start all tasks and servers; raise OSError if an address is taken."""
-        self.transport.start()
         super().start()
         self._readiness.start()
         self._callers.start()
@@ -115,13 +114,23 @@
         self._host_log.write(clock.now(), "stopped", in_flight=self._callers.active)
         self._callers.stop()
         self._readiness.stop(0.1)
-        self.transport.stop()
+        self._stop_links()
         logs.flush()
 
     def learn_seeds(self, host_ids: list[str]) -> None:
         """Note control hosts that the settings name."""
         self._control_ids.update(host_ids)
 
+    def gauges(self) -> dict[str, float]:
+        """Return the present values that metrics tell, by name."""
+        return {
+            **super().gauges(),
+            "calls.in_flight": self._callers.active,
+            "calls.waiting": len(self._waiting_calls),
+            "servers.known": len(self.table.all()),
+            "configuration.version": self.version(),
+        }
+
     # What the relay needs
 
     def _limits(self):
--- a/kumquatproxy/fleet/fleethost.py
+++ b/kumquatproxy/fleet/fleethost.py
@@ -1,7 +1,9 @@
 """What entry hosts and control hosts have in common: identity, links, settings."""
 
+import importlib
 import random
 import secrets
+import typing
 
 from kumquatproxy import clock, logs, tasks
 from kumquatproxy.fleet import fleetsettings
@@ -24,6 +26,19 @@
         self.message = message
 
 
+class NoMeter:
+    """Count nothing, where the settings name no address for metrics."""
+
+    def call(self, route: str, mode: str, outcome: str, took_s, waited_s) -> None:
+        """Count a call that has ended."""
+
+    def attempt(self, service: str, outcome: str) -> None:
+        """Count an attempt at a backend server."""
+
+    def order(self, action: str, outcome: str) -> None:
+        """Count an order to an engine."""
+
+
 class FleetHost(tasks.Task):
     """Own the links of one host of a fleet."""
 
@@ -43,6 +58,32 @@
         identity = hello.Identity(host.id, host.data_centre, host.key.encode(), centres)
         links = transport.Settings(host.links, identity, LINK_TIMING)
         self.transport = transport.Transport(links, self._on_message)
+        self.meter: typing.Any = NoMeter()
+        self.meter_server: typing.Any = None
+        if host.metrics:
+            self._open_meter(host.metrics)
+
+    def _open_meter(self, address):
+        # The instruments take 4 MB and 0.1 s to import.
+        meters = importlib.import_module("kumquatproxy.fleet.meters")
+        self.meter = meters.Meter(self.gauges)
+        self.meter_server = meters.MeterServer(address, self.meter)
+
+    def start(self) -> None:
+        """Start the links, this task and the metrics; raise OSError if one fails."""
+        self.transport.start()
+        super().start()
+        if self.meter_server is not None:
+            self.meter_server.start()
+
+    def _stop_links(self):
+        self.transport.stop()
+        if self.meter_server is not None:
+            self.meter_server.stop()
+
+    def gauges(self) -> dict[str, float]:
+        """Return the present values that metrics tell, by name."""
+        return {"log.dropped": logs.dropped_lines()}
 
     def _on_message(self, sender, message):
         self.tell(Received(sender, message))
--- a/kumquatproxy/fleet/modelowner.py
+++ b/kumquatproxy/fleet/modelowner.py
@@ -128,6 +128,11 @@
             from_s=round(self._may_order_from - now, 1),
         )
 
+    @property
+    def fence(self) -> int:
+        """Return the fence of the ownership held, 0 without one."""
+        return self._fence
+
     # Messages
 
     def handle(self, message, now: float, reply=None):
@@ -305,6 +310,7 @@
         outcome = self._client.order(
             state.announcement, order, self._host.host_id, self._fence
         )
+        self._host.meter.order(order.action.value, outcome.value)
         if outcome is engineorders.OrderOutcome.ACCEPTED or (
             outcome is engineorders.OrderOutcome.HOLDS and order.is_adapter_unload()
         ):
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -237,6 +237,7 @@
             elif link is not None:
                 link.close()
         self._judge(attempt, chooser)
+        self._host.meter.attempt(call.service, attempt.outcome.value)
 
     def _connect(self, call, announcement):
         left_s = call.deadline - clock.now()
@@ -438,6 +439,13 @@
 
     def _note(self, call, progress, outcome):
         now = clock.now()
+        self._host.meter.call(
+            call.route.name if call.route else "",
+            call.route.mode.value if call.route else "",
+            outcome.partition(":")[0],
+            now - call.arrived_at,
+            progress.waited_s,
+        )
         self._log.write(
             now,
             outcome,
--- a/kumquatproxy/laboratory/fleetmodel.py
+++ b/kumquatproxy/laboratory/fleetmodel.py
@@ -20,141 +20,18 @@
     serviceconfig,
     storewindow,
 )
-from kumquatproxy.gateway import calls, choice, shedding, waiting
+from kumquatproxy.gateway import choice, shedding, waiting
+from kumquatproxy.laboratory import fleetengines
 
 SERVICE = "engines"
 REPORT_INTERVAL_S = 0.25
 CHECK_S = 0.2  # how often waiting calls and orders are looked at again
 ORDER_S = 0.05  # from a decision to the engine's acceptance
-CHUNK_TOKENS = 2048  # most prompt tokens that one step reads
 WINDOW_S = 2.0  # width of the windows of which the worst one is told
 MIN_ASKED = 4  # requests for a model that was never served, to count it
 SETTLE_S = 20.0  # after the last arrival
 
 
-class Job:
-    """Hold one request with what it needs and how it ended."""
-
-    __slots__ = (
-        "arrived_at",
-        "call",
-        "ended_at",
-        "engine",
-        "first_at",
-        "kind",
-        "model",
-        "output_left",
-        "prompt_left",
-        "prompt_tokens",
-        "refusals",
-        "waiter",
-    )
-
-    def __init__(self, kind, model, prompt_tokens, output_tokens, now):
-        self.kind = kind
-        self.model: str = model
-        self.prompt_tokens: int = prompt_tokens
-        self.prompt_left: float = prompt_tokens
-        self.output_left: int = output_tokens
-        self.arrived_at: float = now
-        self.first_at: float | None = None
-        self.ended_at: float | None = None
-        self.engine: Engine | None = None
-        self.refusals = 0
-        self.waiter: waiting.Waiter | None = None
-        self.call = calls.Call(b"POST", b"/", "host", [], b"", now)
-        self.call.route = kind.route
-        self.call.need = calls.ModelNeed(model)
-        self.call.deadline = now + kind.deadline_s
-
-    def worth(self) -> float:
-        """Return what the answer is worth to its caller, by when it came."""
-        if self.ended_at is None or self.first_at is None:
-            return 0.0
-        if self.ended_at > self.call.deadline:
-            return 0.0
-        in_time = self.first_at - self.arrived_at <= self.kind.route.objective_s
-        return self.kind.worth if in_time else self.kind.late_worth
-
-
-class Engine:
-    """Run requests in steps and hold models, as the fleet's engines do."""
-
-    def __init__(self, instance_id, scenario, models, on_disk):
-        self.instance_id: str = instance_id
-        self.resident: set[str] = set(models)
-        self.on_disk: list[str] = list(on_disk)  # the one used last comes last
-        self.in_memory: list[str] = list(models)
-        self.loaded_at_by_model: dict[str, float] = {}
-        self.loading = ""
-        self.loading_until = 0.0
-        self.unloading: set[str] = set()
-        self.is_busy = False
-        self.jobs: list[Job] = []  # in the order in which they came
-        self.is_stepping = False
-        self.is_up = True
-        self.lifetime = 0
-        self.known_parts: set[str] = set()
-        self._scenario = scenario
-
-    def crash(self) -> list[Job]:
-        """Lose all but the disk; return the requests that were running."""
-        lost, self.jobs = self.jobs, []
-        self.is_up = False
-        self.lifetime += 1
-        self.resident = set()
-        self.in_memory = []
-        self.loading = ""
-        self.unloading = set()
-        self.is_busy = False
-        self.is_stepping = False
-        self.known_parts = set()
-        return lost
-
-    def unread_tokens(self) -> float:
-        """Return the prompt tokens that are not read yet."""
-        return sum(job.prompt_left for job in self.jobs)
-
-    def delay_s(self) -> float:
-        """Return the predicted time of a further call until its first event."""
-        rate = choice.DEFAULT_PREFILL_TOKENS_PER_S
-        running_s = len(self.jobs) * choice.RUNNING_CALL_S
-        return self.unread_tokens() / rate + running_s
-
-    def step(self, now: float) -> tuple[float, list[Job]]:
-        """Return when the next step ends and the requests that get a token then."""
-        scenario = self._scenario
-        running = self.jobs[: scenario.slots]
-        decoding = [job for job in running if job.prompt_left <= 0]
-        reading_s = 0.0
-        room = float(CHUNK_TOKENS)
-        urgent = sorted(
-            (job for job in running if job.prompt_left > 0),
-            key=lambda job: job.kind.route.priority,
-        )
-        for job in urgent:
-            part = min(room, job.prompt_left)
-            if part <= 0:
-                break
-            job.prompt_left -= part
-            room -= part
-            reading_s += part * scenario.pace(job.model) / scenario.tokens_per_s
-        step_s = scenario.step_s + scenario.step_per_slot_s * len(running)
-        return now + step_s + reading_s, decoding
-
-    def keep_copy(self, name: str) -> None:
-        """Note copies of a loaded model in memory and on disk; old ones go."""
-        for copies, limit_mb in (
-            (self.in_memory, self._scenario.memory_cache_mb),
-            (self.on_disk, self._scenario.disk_cache_mb),
-        ):
-            if name in copies:
-                copies.remove(name)
-            copies.append(name)
-            while sum(self._scenario.memory_mb(one) for one in copies) > limit_mb:
-                copies.pop(0)
-
-
 class Result:
     """Hold what one run served; shares are of the worth asked for."""
 
@@ -201,12 +78,12 @@
         self.scenario = scenario
         self.now = -scenario.lead_s
         self.engines = scenario.engines()
-        self.jobs: list[Job] = []
+        self.jobs: list[fleetengines.Job] = []
         self.swaps: list[modelplan.Swap] = []
         self._rng = random.Random(seed)
         self._events: list = []
         self._order = itertools.count()
-        self._waiting: list[Job] = []
+        self._waiting: list[fleetengines.Job] = []
         self._arrivals: dict[str, list[float]] = {}  # calls and work since a report
         self._engine_config: serviceconfig.Engine = scenario.engine_config()
         self._service = serviceconfig.Service(SERVICE, engine=self._engine_config)
@@ -261,7 +138,7 @@
 
     def _arrive(self, kind, model):
         prompt_tokens, output_tokens = kind.draw_tokens(self._rng)
-        job = Job(kind, model, prompt_tokens, output_tokens, self.now)
+        job = fleetengines.Job(kind, model, prompt_tokens, output_tokens, self.now)
         self.jobs.append(job)
         self._count(job)
         self._dispatch(job)
--- a/kumquatproxy/laboratory/fleetscenarios.py
+++ b/kumquatproxy/laboratory/fleetscenarios.py
@@ -9,7 +9,7 @@
 
 from kumquatproxy.fleet import serviceconfig
 from kumquatproxy.gateway import calls
-from kumquatproxy.laboratory import fleetmodel
+from kumquatproxy.laboratory import fleetengines
 
 TOKENS_PER_EVENT = 3
 # A request for one of several equal models prefers the first ones by this power.
@@ -197,11 +197,11 @@
             self.disk_cache_mb,
         )
 
-    def engines(self) -> list["fleetmodel.Engine"]:
+    def engines(self) -> list[fleetengines.Engine]:
         """Return the engines with the models that they hold at the start."""
         made = []
         for index, names in enumerate(self.held_at_start):
-            made.append(fleetmodel.Engine(f"e{index}", self, names, names))
+            made.append(fleetengines.Engine(f"e{index}", self, names, names))
         return made
 
     def arrivals(self, rng):
--- a/kumquatproxy/logs.py
+++ b/kumquatproxy/logs.py
@@ -106,7 +106,14 @@
 class _Destination:
     """Write lines as JSON, up to a rate; a flush for each would double its cost."""
 
-    __slots__ = ("_flushed_at", "_lines", "_stream", "_window_start", "held_back")
+    __slots__ = (
+        "_flushed_at",
+        "_lines",
+        "_stream",
+        "_window_start",
+        "all_held_back",
+        "held_back",
+    )
 
     def __init__(self, stream):
         self._stream = stream
@@ -114,16 +121,22 @@
         self._window_start = 0.0
         self._lines = 0
         self.held_back = 0  # lines over the rate in the present window
+        self.all_held_back = 0  # since the start
 
     def flush(self):
         self._stream.flush()
 
+    def dropped(self) -> int:
+        """Return the lines held back or not taken by the reader."""
+        return self.all_held_back + getattr(self._stream, "dropped", 0)
+
     def __call__(self, message):
         timestamp = message["timestamp"]
         if timestamp - self._window_start >= 1.0 or timestamp < self._window_start:
             self._begin_window(timestamp)
         if self._lines >= MAX_LINES_PER_S:
             self.held_back += 1
+            self.all_held_back += 1
             return
         self._lines += 1
         self._stream.write(orjson.dumps(message, default=str).decode() + "\n")
@@ -153,6 +166,11 @@
         _destination.flush()
 
 
+def dropped_lines() -> int:
+    """Return the lines since the start that nobody can read."""
+    return _destination.dropped() if _destination is not None else 0
+
+
 def to_stream(stream=None) -> None:
     """Send all log lines as JSON to ``stream``, by default standard error."""
     global _task, _destination
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -7,7 +7,7 @@
 import rawservers
 
 from kumquatproxy import clock
-from kumquatproxy.fleet import servers, serviceconfig
+from kumquatproxy.fleet import fleethost, servers, serviceconfig
 from kumquatproxy.gateway import (
     budget,
     callers,
@@ -76,6 +76,7 @@
         )
         self.dialect = TestDialect()
         self.entry_count = 1
+        self.meter = fleethost.NoMeter()
         self.stops_at = None
 
     def version(self):
--- a/tests/laboratory/test_fleetmodel.py
+++ b/tests/laboratory/test_fleetmodel.py
@@ -4,7 +4,7 @@
 
 from kumquatproxy.fleet import longloads, preparation
 from kumquatproxy.gateway import shedding
-from kumquatproxy.laboratory import fleetmodel, fleetscenarios
+from kumquatproxy.laboratory import fleetengines, fleetmodel, fleetscenarios
 
 SEEDS = (1, 2, 3)
 SHIFTS = ((1.0, 5.3), (13.0, 5.2), (24.0, 5.6))
@@ -72,9 +72,9 @@
 def test_an_engine_that_crashes_loses_its_models_and_keeps_its_disk():
     """Guards against a model that counts work which no engine would have done."""
     scenario = fleetscenarios.SlowLoads()
-    engine = fleetmodel.Engine("e", scenario, ("h0",), ("h0", "r1"))
+    engine = fleetengines.Engine("e", scenario, ("h0",), ("h0", "r1"))
     kind = scenario.kinds[0]
-    engine.jobs.append(fleetmodel.Job(kind, "h0", 100, 10, 0.0))
+    engine.jobs.append(fleetengines.Job(kind, "h0", 100, 10, 0.0))
     lost = engine.crash()
     assert len(lost) == 1 and not engine.jobs
     assert not engine.resident and engine.on_disk == ["h0", "r1"]
@@ -84,7 +84,7 @@
     """Guards against disks that hold more than they have room for."""
     scenario = fleetscenarios.SlowLoads()
     names = [model.name for model in scenario.models]
-    engine = fleetmodel.Engine("e", scenario, (), ())
+    engine = fleetengines.Engine("e", scenario, (), ())
     for name in names:
         engine.keep_copy(name)
     for copies, limit_mb in (
