--- a/kumquatproxy/fleet/longloads.py
+++ b/kumquatproxy/fleet/longloads.py
@@ -4,6 +4,8 @@
 store takes about as long, and meanwhile its engine cannot follow the demand by loads
 from copies at hand, which take a second or two. Long loads are for what lasts, for
 what is served nowhere, and for models of which there is no copy yet.
+
+The figures are the best of those tried on the fleet model (docs/decisions-fleet.md).
 """
 
 # Loads longer than this are long: about twice a load from a disk.
--- a/kumquatproxy/fleet/meters.py
+++ b/kumquatproxy/fleet/meters.py
@@ -9,7 +9,8 @@
 PREFIX = "kumquatproxy"
 PATH = "/metrics"
 DURATION_BUCKETS_S = (0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0)
-# Routes come from the operator, hundreds at times. Further ones count as one.
+# Routes come from the operator, hundreds at times, and each one keeps its histograms
+# for ever. Further ones count as one.
 MAX_ROUTES = 200
 OTHER_ROUTES = "other"
 
--- a/kumquatproxy/fleet/modelplan.py
+++ b/kumquatproxy/fleet/modelplan.py
@@ -5,6 +5,8 @@
 worth the calls that it brings in time, less those that it makes late, over the next
 seconds. Models that take much of the load get several replicas, and the others take
 turns in the places that are left.
+
+The weights are the best of those tried on the fleet model (docs/decisions-fleet.md).
 """
 
 import bisect
@@ -47,7 +49,8 @@
 # Models looked at in one plan, the most urgent ones first.
 MAX_CANDIDATES = 12
 
-# A plan is made this often, or so rarely that plans take at most this share of a core.
+# A plan is made this often, or so rarely that plans take at most this share of a core:
+# demand moves within seconds, and the owner must answer heartbeats in between.
 PLAN_INTERVAL_S = 0.1
 PLAN_SHARE = 0.05
 
