Serve callers although the address of the metrics is taken

Cause: read in the diff: a host whose metrics address could not be listened at ended at start, and as the metrics came first they could even take the port of the callers. Change: metrics listen last; if that fails, a line says so and the host goes on. Ruled out: another port in such a case (whoever reads the metrics knows only the one named). Test: one in tests/fleet/test_meters.py, fails on the code before.

--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -123,6 +123,7 @@
         self.replication.on_failure = self.on_failure
         self.owner.start()
         self._server.start()
+        self._start_meter()
         self._host_log.write(
             clock.now(),
             f"{self.settings.host.name or self.host_id} started",
--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -94,6 +94,7 @@
         super().start()
         self._readiness.start()
         self._callers.start()
+        self._start_meter()
         self._host_log.write(
             clock.now(), f"{self.settings.host.name or self.host_id} started"
         )
--- a/kumquatproxy/fleet/fleethost.py
+++ b/kumquatproxy/fleet/fleethost.py
@@ -70,11 +70,19 @@
         self.meter_server = meters.MeterServer(address, self.meter)
 
     def start(self) -> None:
-        """Start the links, this task and the metrics; raise OSError if one fails."""
+        """Start the links and this task; raise OSError if the address is taken."""
         self.transport.start()
         super().start()
-        if self.meter_server is not None:
+
+    def _start_meter(self):
+        """Serve the metrics; call this last, so that it takes no other address."""
+        if self.meter_server is None:
+            return
+        try:
             self.meter_server.start()
+        except OSError as error:
+            # Callers matter more than metrics.
+            self._host_log.write(clock.now(), f"metrics are not served: {error}")
 
     def _stop_links(self):
         self.transport.stop()
--- a/tests/fleet/test_meters.py
+++ b/tests/fleet/test_meters.py
@@ -1,5 +1,7 @@
 """Metrics: what is told, where, and that it stays small."""
 
+import socket
+
 import geventhttpclient
 import pytest
 
@@ -102,6 +104,20 @@
         host.stop()
 
 
+def test_a_host_serves_callers_although_the_address_of_metrics_is_taken():
+    """Guards against a host that ends because another program has the port."""
+    address = demosystem.free_address()
+    name, _, port = address.rpartition(":")
+    with socket.create_server((name, int(port))):
+        host = entryhost.EntryHost(parse(f"metrics = {address}"), seed=1)
+        host.start()
+        try:
+            callers = host.settings.entry.callers.rpartition(":")[2]
+            assert fetch(int(callers), "/x")[0] == 503  # no configuration yet
+        finally:
+            host.stop()
+
+
 def test_without_an_address_nothing_is_counted():
     """The instruments cost time and memory at each start."""
     host = entryhost.EntryHost(parse(), seed=1)
