Give metrics and small HTTP servers of fleet hosts what the project had

Cause: read again, fleet/meters repeated the registry, provider, page and end of metrics.Metrics, and ran a WSGI server of its own beside httpapi.Server, as the readiness of entry hosts did. Change: metrics.Instruments is the base of both; path and content type stand once. Metrics and readiness are httpapi applications, so they have its limits on connections and idle clients. The present values are read once a page, not once a gauge (nine times). A property nobody read is gone. Ruled out: one class for both hosts, since their instruments share one name. Names, units and pages as before; another path at the metrics address still gets 404, now with the problem document of the other interfaces.

--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -1,14 +1,14 @@
 """An entry host: serves callers by what control hosts tell it."""
 
+import collections.abc
 import contextlib
 import typing
 import zlib
 
 import gevent
 import gevent.event
-import gevent.pywsgi
 
-from kumquatproxy import clock, logs
+from kumquatproxy import clock, httpapi, logs
 from kumquatproxy.fleet import (
     fleethost,
     fleetmessages,
@@ -46,6 +46,17 @@
 EXPIRE_INTERVAL_S = 5.0
 
 
+class Readiness(httpapi.Application):
+    """Tell the balancer whether a host takes calls."""
+
+    def __init__(self, is_ready):
+        self._is_ready: collections.abc.Callable[[], bool] = is_ready
+
+    def answer(self, request, now):
+        """Return an empty answer, whatever is asked for."""
+        return httpapi.Reply(200 if self._is_ready() else 503)
+
+
 class EntryHost(fleethost.FleetHost):
     """Own the view of the fleet of one entry host."""
 
@@ -82,11 +93,8 @@
         self._callers = callers.CallerServer(
             host_settings.entry.callers, self.relay.serve, self._limits
         )
-        self._readiness = gevent.pywsgi.WSGIServer(
-            _place(host_settings.entry.readiness),
-            self._answer_readiness,
-            log=None,
-            error_log=None,
+        self._readiness = httpapi.Server(
+            host_settings.entry.readiness, Readiness(self.is_ready)
         )
 
     def start(self) -> None:
@@ -347,11 +355,6 @@
         """Return whether callers may be sent here."""
         return self.configuration is not None and not self.is_stopping
 
-    def _answer_readiness(self, environ, start_response):
-        status = "200 OK" if self.is_ready() else "503 Service Unavailable"
-        start_response(status, [("Content-Length", "0")])
-        return [b""]
-
 
 DEFAULT_LIMITS = serviceconfig.Limits()
 _HANDLERS = {
@@ -367,8 +370,3 @@
 def _rank(host_id, control_id):
     """Return a number by which each host orders the control hosts in its own way."""
     return zlib.crc32(f"{host_id} {control_id}".encode())
-
-
-def _place(address):
-    host, _, port = address.rpartition(":")
-    return (host, int(port))
--- a/kumquatproxy/fleet/fleethost.py
+++ b/kumquatproxy/fleet/fleethost.py
@@ -5,7 +5,7 @@
 import secrets
 import typing
 
-from kumquatproxy import clock, logs, tasks
+from kumquatproxy import clock, httpapi, logs, tasks
 from kumquatproxy.fleet import fleetsettings
 from kumquatproxy.gateway import dialects
 from kumquatproxy.membership import hello, link, transport
@@ -59,7 +59,7 @@
         links = transport.Settings(host.links, identity, LINK_TIMING)
         self.transport = transport.Transport(links, self._on_message)
         self.meter: typing.Any = NoMeter()
-        self.meter_server: typing.Any = None
+        self.meter_server: httpapi.Server | None = None
         if host.metrics:
             self._open_meter(host.metrics)
 
@@ -67,7 +67,8 @@
         # The instruments take 4 MB and 0.1 s to import.
         meters = importlib.import_module("kumquatproxy.fleet.meters")
         self.meter = meters.Meter(self.gauges)
-        self.meter_server = meters.MeterServer(address, self.meter)
+        application = meters.MeterApplication(self.meter)
+        self.meter_server = httpapi.Server(address, application)
 
     def start(self) -> None:
         """Start the links and this task; raise OSError if the address is taken."""
@@ -87,7 +88,8 @@
     def _stop_links(self):
         self.transport.stop()
         if self.meter_server is not None:
-            self.meter_server.stop()
+            self.meter_server.stop(0.1)
+            self.meter.close()
 
     def gauges(self) -> dict[str, float]:
         """Return the present values that metrics tell, by name."""
--- a/kumquatproxy/fleet/meters.py
+++ b/kumquatproxy/fleet/meters.py
@@ -1,66 +1,62 @@
 """Counters and latency histograms of a host of a fleet, and where they are read."""
 
-import gevent.pywsgi
-import opentelemetry.exporter.prometheus
 import opentelemetry.metrics
-import opentelemetry.sdk.metrics
-import prometheus_client
 
-PREFIX = "kumquatproxy"
-PATH = "/metrics"
+from kumquatproxy import errors, httpapi, metrics
+
 DURATION_BUCKETS_S = (0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0)
 # Routes come from the operator, hundreds at times, and each one keeps its histograms
 # for ever. Further ones count as one.
 MAX_ROUTES = 200
 OTHER_ROUTES = "other"
 
+# Present values: unit and description by name. A host has those of its role.
+GAUGES = {
+    "calls.in_flight": ("{call}", "Calls of callers that are being served"),
+    "calls.waiting": ("{call}", "Calls that wait for a backend server"),
+    "servers.known": ("{server}", "Backend servers that this host knows"),
+    "configuration.version": ("{version}", "Configuration in force; 0 without one"),
+    "configuration.held": ("{version}", "Newest configuration in the log"),
+    "control.term": ("{term}", "Term of the control group"),
+    "control.leads": ("{host}", "1 at the leader of the control group"),
+    "orders.fence": ("{fence}", "Fence of the ownership of orders; 0 without it"),
+    "log.dropped": ("{line}", "Log lines held back or not taken by the reader"),
+}
 
-class Meter:
+
+class Meter(metrics.Instruments):
     """Count what a host does; ``read_gauges`` returns its present values by name."""
 
     def __init__(self, read_gauges):
+        super().__init__()
         self._read_gauges = read_gauges
+        self._values: dict[str, float] = {}  # of the page that is being made
         self._routes: set[str] = set()
-        self._registry = prometheus_client.CollectorRegistry()
-        reader = opentelemetry.exporter.prometheus.PrometheusMetricReader(
-            registry=self._registry
-        )
-        self._provider = opentelemetry.sdk.metrics.MeterProvider(
-            metric_readers=[reader]
+        self._duration = self._durations(
+            "call.duration",
+            "Time from arrival to the end of the answer, by outcome",
+            DURATION_BUCKETS_S,
         )
-        meter = self._provider.get_meter(PREFIX)
-        self._duration = meter.create_histogram(
-            f"{PREFIX}.call.duration",
-            unit="s",
-            description="Time from arrival to the end of the answer, by outcome",
-            explicit_bucket_boundaries_advisory=DURATION_BUCKETS_S,
+        self._waited = self._durations(
+            "call.wait",
+            "Time that calls waited for a backend server",
+            DURATION_BUCKETS_S,
         )
-        self._waited = meter.create_histogram(
-            f"{PREFIX}.call.wait",
-            unit="s",
-            description="Time that calls waited for a backend server",
-            explicit_bucket_boundaries_advisory=DURATION_BUCKETS_S,
+        self._attempts = self._counter(
+            "attempts", "{attempt}", "Attempts at backend servers by outcome"
         )
-        self._attempts = meter.create_counter(
-            f"{PREFIX}.attempts",
-            unit="{attempt}",
-            description="Attempts at backend servers by outcome",
-        )
-        self._orders = meter.create_counter(
-            f"{PREFIX}.orders",
-            unit="{order}",
-            description="Orders to engines by action and outcome",
+        self._orders = self._counter(
+            "orders", "{order}", "Orders to engines by action and outcome"
         )
         for name, (unit, description) in GAUGES.items():
-            meter.create_observable_gauge(
-                f"{PREFIX}.{name}", [self._observer(name)], unit, description
+            self._meter.create_observable_gauge(
+                f"{metrics.PREFIX}.{name}", [self._observer(name)], unit, description
             )
 
     def _observer(self, name):
         def observe(options):
-            value = self._read_gauges().get(name)
-            if value is not None:
-                yield opentelemetry.metrics.Observation(value)
+            if name in self._values:
+                yield opentelemetry.metrics.Observation(self._values[name])
 
         return observe
 
@@ -86,54 +82,21 @@
         self._orders.add(1, {"action": action, "outcome": outcome})
 
     def page(self) -> bytes:
-        """Return all values as the text that is scraped."""
-        return prometheus_client.generate_latest(self._registry)
+        """Return the text page for scraping."""
+        self._values = self._read_gauges()
+        return super().page()
 
-    def close(self) -> None:
-        """Release the instruments."""
-        self._provider.shutdown()
 
+class MeterApplication(httpapi.Application):
+    """Serve the page of a meter."""
 
-# Present values: unit and description by name. A host has those of its role.
-GAUGES = {
-    "calls.in_flight": ("{call}", "Calls of callers that are being served"),
-    "calls.waiting": ("{call}", "Calls that wait for a backend server"),
-    "servers.known": ("{server}", "Backend servers that this host knows"),
-    "configuration.version": ("{version}", "Configuration in force; 0 without one"),
-    "configuration.held": ("{version}", "Newest configuration in the log"),
-    "control.term": ("{term}", "Term of the control group"),
-    "control.leads": ("{host}", "1 at the leader of the control group"),
-    "orders.fence": ("{fence}", "Fence of the ownership of orders; 0 without it"),
-    "log.dropped": ("{line}", "Log lines held back or not taken by the reader"),
-}
-
-
-class MeterServer:
-    """Serve the page of a meter at an address."""
-
-    def __init__(self, address: str, meter: Meter):
+    def __init__(self, meter: Meter):
         self._meter = meter
-        self._server = gevent.pywsgi.WSGIServer(
-            address, self._answer, log=None, error_log=None
-        )
 
-    def start(self) -> None:
-        """Listen; raise OSError if the address is taken."""
-        self._server.start()
-
-    def stop(self) -> None:
-        """End at once."""
-        self._server.stop(0.1)
-        self._meter.close()
-
-    @property
-    def port(self) -> int:
-        """Return the port listened at."""
-        return self._server.server_port
-
-    def _answer(self, environ, start_response):
-        if environ["PATH_INFO"] != PATH:
-            start_response("404 Not Found", [("Content-Type", "text/plain")])
-            return [b"not found\n"]
-        start_response("200 OK", [("Content-Type", "text/plain; version=0.0.4")])
-        return [self._meter.page()]
+    def answer(self, request, now):
+        """Return the page; raise ProxyError for any other path."""
+        if request.path != metrics.PATH:
+            raise errors.ProxyError(
+                errors.ErrorKind.NOT_FOUND, f"metrics are at {metrics.PATH}"
+            )
+        return httpapi.Reply(200, self._meter.page(), [metrics.CONTENT_TYPE])
--- a/kumquatproxy/requests/entry.py
+++ b/kumquatproxy/requests/entry.py
@@ -15,7 +15,6 @@
 BYTES_PER_TOKEN = 4  # of text, on average
 DEFAULT_TOKENS = 100  # counted as demand for a call that sets no limit
 
-_METRICS_TYPE = ("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
 CHAT_PATH = "/v1/chat/completions"
 _COMPLETION_PATHS = (CHAT_PATH, "/v1/completions")
 _OWN_HEADERS = ("Idempotency-Key", dispatch.FORWARDED_HEADER)
@@ -88,8 +87,8 @@
             return httpapi.text_reply("ok\n")
         if request.path == "/readyz":
             return self._ready()
-        if request.path == "/metrics":
-            return httpapi.Reply(200, self._metrics.page(), [_METRICS_TYPE])
+        if request.path == metrics.PATH:
+            return httpapi.Reply(200, self._metrics.page(), [metrics.CONTENT_TYPE])
         parsed = self._sheet()
         if request.path in _COMPLETION_PATHS:
             _require_method(request, ("POST",))
--- a/tests/fleet/test_meters.py
+++ b/tests/fleet/test_meters.py
@@ -100,7 +100,7 @@
         assert gauge(text, "kumquatproxy_configuration_version") == 0.0
         assert fetch(int(address.rpartition(":")[2]), "/other")[0] == 404
     finally:
-        host.meter_server.stop()
+        host.meter_server.stop(0.1)
         host.stop()
 
 
