Work out once what plans and schedules repeated

Each plan summed the waiting calls of each model over all entry hosts (models times hosts, 64 on the grown sites); they are counted once a plan. The free memory of an engine and the count of survived schedules stood twice. Two calls in test_fleet_core take the new form with the same figures.

--- a/kumquatproxy/fleet/fleetdemand.py
+++ b/kumquatproxy/fleet/fleetdemand.py
@@ -4,6 +4,7 @@
 models are asked for once in a while.
 """
 
+import collections
 import math
 
 # Time constants of the two averages. The short one sees a shift within a second or two;
@@ -111,11 +112,14 @@
         demand.decay(now)
         return demand
 
-    def waiting(self, service: str, model: str, now: float) -> int:
-        """Return the calls that wait for a model at all entry hosts."""
-        return sum(
-            report.waiting_by_key.get((service, model), 0) for report in self._live(now)
-        )
+    def waiting(self, service: str, now: float) -> collections.Counter:
+        """Return the calls that wait at all entry hosts, by model."""
+        counts: collections.Counter[str] = collections.Counter()
+        for report in self._live(now):
+            for (waiting_for, model), count in report.waiting_by_key.items():
+                if waiting_for == service:
+                    counts[model] += count
+        return counts
 
     def missing_s(self, service: str, model: str, is_held: bool, now: float) -> float:
         """Return for how long a model has been asked for while no engine held it."""
--- a/kumquatproxy/fleet/modelplan.py
+++ b/kumquatproxy/fleet/modelplan.py
@@ -121,6 +121,12 @@
         self.loaded_at_by_model: dict[str, float] = loaded_at_by_model or {}
         self.long_load: str = long_load  # model whose load takes a while yet
 
+    def free_mb(self, engine) -> float:
+        """Return the memory that neither models nor adapters may take."""
+        known = engine.models_by_name
+        taken_mb = sum(known[name].memory_mb for name in self.models if name in known)
+        return engine.memory_mb - self.adapters_mb - taken_mb
+
     def load_s(self, model) -> float:
         """Return how long a load of a model takes here."""
         if model.name in self.in_memory:
@@ -177,15 +183,17 @@
                 self._holders.setdefault(name, []).append(view)
         self._loads: dict[str, Load] = {}
         ramp = demand.ramp(now)
+        waiting_by_model = demand.waiting(service.name, now)
         for name in self._engine.models_by_name:
             known = demand.get(service.name, name, now)
-            waiting = demand.waiting(service.name, name, now)
             rate = max(known.rate * ramp, min(known.long_rate, RARE_RATE_MEMORY))
             is_held = name in self._holders
             missing_s = demand.missing_s(service.name, name, is_held, now)
             lasts = known.long_rate >= longloads.LASTING_SHARE * rate
             work = known.work * ramp
-            self._loads[name] = Load(rate, work, waiting, missing_s, lasts)
+            self._loads[name] = Load(
+                rate, work, waiting_by_model[name], missing_s, lasts
+            )
         self._room_by_id: dict[str, tuple[float, list[tuple[float, str]]]] = {}
         self._levels: dict[str, float] = {}
         self._level_by_model: dict[str, float] = {}
@@ -345,9 +353,8 @@
         room = self._room_by_id.get(view.instance_id)
         if room is None:
             ranked = sorted((self._loss(view, name), name) for name in view.models)
-            taken_mb = sum(self._memory_mb(name) for name in view.models)
-            free_mb = self._engine.memory_mb - view.adapters_mb - taken_mb
-            room = self._room_by_id[view.instance_id] = (free_mb, ranked)
+            room = (view.free_mb(self._engine), ranked)
+            self._room_by_id[view.instance_id] = room
         return room
 
     def _memory_mb(self, name):
--- a/kumquatproxy/fleet/preparation.py
+++ b/kumquatproxy/fleet/preparation.py
@@ -115,8 +115,7 @@
     spare = sorted(
         names, key=lambda name: (engine.models_by_name[name].adapter_count, name)
     )
-    free = engine.memory_mb - view.adapters_mb
-    free -= sum(engine.models_by_name[name].memory_mb for name in names)
+    free = view.free_mb(engine)
     victims = []
     while free < model.memory_mb:
         if not spare:
--- a/kumquatproxy/laboratory/measure_control.py
+++ b/kumquatproxy/laboratory/measure_control.py
@@ -22,26 +22,22 @@
 @measure.MEASUREMENTS.register("order-schedules")
 def measure_order_schedules(seed: int) -> list[measure.Figure]:
     """Count schedules of faults that the order engine survives without a violation."""
-    survived = 0
-    for number in range(SCHEDULES):
-        world = orderschedules.World(seed * SCHEDULES + number)
-        survived += not world.run()
-    return [
-        measure.Figure("order_schedules_survived", survived, low=SCHEDULES),
-        measure.Figure("order_schedules_run", SCHEDULES),
-    ]
+    return _schedules("order", orderschedules.World, seed)
 
 
 @measure.MEASUREMENTS.register("claim-schedules")
 def measure_claim_schedules(seed: int) -> list[measure.Figure]:
     """Count schedules in which no key ran twice and no ``no`` was wrong."""
+    return _schedules("claim", claimschedules.World, seed)
+
+
+def _schedules(name, make_world, seed):
     survived = 0
     for number in range(SCHEDULES):
-        world = claimschedules.World(seed * SCHEDULES + number)
-        survived += not world.run()
+        survived += not make_world(seed * SCHEDULES + number).run()
     return [
-        measure.Figure("claim_schedules_survived", survived, low=SCHEDULES),
-        measure.Figure("claim_schedules_run", SCHEDULES),
+        measure.Figure(f"{name}_schedules_survived", survived, low=SCHEDULES),
+        measure.Figure(f"{name}_schedules_run", SCHEDULES),
     ]
 
 
--- a/tests/fleet/test_fleet_core.py
+++ b/tests/fleet/test_fleet_core.py
@@ -299,8 +299,8 @@
         demand.report("e1", {"i": [2, 100]}, [["s", "m", "", 3, 0.5, 1]], 0.0)
         demand.report("e2", {"i": [1, 50]}, [["s", "m", "a1", 1, 0.1, 2]], 0.0)
         assert demand.loads_by_id(1.0) == {"i": [3, 150]}
-        assert demand.waiting("s", "m", 1.0) == 3
-        assert demand.loads_by_id(9.0) == {} and demand.waiting("s", "m", 9.0) == 0
+        assert demand.waiting("s", 1.0)["m"] == 3
+        assert demand.loads_by_id(9.0) == {} and demand.waiting("s", 9.0)["m"] == 0
         assert demand.get("s", "m/a1", 0.0).rate > 0
 
     def test_demand_that_moves_away_is_forgotten(self):
