--- a/kumquatproxy/laboratory/fleetmodel.py
+++ b/kumquatproxy/laboratory/fleetmodel.py
@@ -281,6 +281,7 @@
             self.scenario.adapters_mb,
             engine.loaded_at_by_model,
             engine.loading if left_s > longloads.LONG_LOAD_S else "",
+            len(engine.jobs),
         )
 
     def _begin_swap(self, engine, swap):
--- a/kumquatproxy/laboratory/fleetscenarios.py
+++ b/kumquatproxy/laboratory/fleetscenarios.py
@@ -155,7 +155,7 @@
     disk_cache_mb = 0.0
     kinds: typing.ClassVar[list[Kind]] = []
     paces_by_name: typing.ClassVar[dict[str, float]] = {}
-    held_at_start: typing.ClassVar[tuple[tuple[str, ...], ...]] = ()
+    held_at_start: tuple[tuple[str, ...], ...] = ()
 
     def __init__(
         self,
@@ -228,6 +228,10 @@
         moved = 0
         for at, for_s in self.shifts:
             moved += rng.random() < (now - at) / for_s
+        return self._hot_model(names, moved, rng)
+
+    def _hot_model(self, names, moved, rng):
+        """Return a model in demand after so many shifts."""
         first = moved % self.hot_count
         if rng.random() < self.busiest_share:
             return names[first]
@@ -311,3 +315,77 @@
                 )
             )
         return made
+
+
+class ManyEngines(Scenario):
+    """Twenty engines and 47 models; one model takes the work of several engines.
+
+    A shift moves each place in the order of demand to another model, so that the first
+    model must get many replicas within seconds.
+    """
+
+    hot_count = 14
+    step_s = 0.0082
+    tokens_per_s = 25_800.0
+    engine_count = 20
+    engine_mb = 200_000.0
+    loads_per_s = 6.2
+    memory_cache_mb = 130_000.0
+    disk_cache_mb = 400_000.0
+    seen_gap_s = 0.1
+    kinds = _kinds(0.6, 15.0, 1.5, (93.0, 13.0, 25.5))
+    # Shares of the hot requests by place in the order of demand.
+    hot_shares = (0.336, 0.125, 0.093, 0.077, 0.067, 0.06, 0.055, 0.051, 0.048, 0.045)
+    # Places in the order by which a shift moves each model.
+    shift_step = 4
+    # Engines that hold the first models of all at the start.
+    start_replicas = (6, 3, 2, 2, 2, 2, 1, 1, 1, 1, 1, 1, 1, 1)
+
+    def make_models(self):
+        """Return the models; see the base class."""
+        made = []
+        for index in range(self.hot_count + 33):
+            is_hot = index < self.hot_count
+            name = f"h{index}" if is_hot else f"r{index - self.hot_count}"
+            adapters = (32, 0, 12, 0)[index % 4] if is_hot else 0
+            memory_mb, store_s, disk_s = (
+                (72_700.0, 8.6, 1.7),
+                (65_500.0, 7.8, 1.6),
+                (34_300.0, 4.0, 0.8),
+            )[(0, 0, 1, 0, 2, 0, 1)[index % 7]]
+            made.append(
+                serviceconfig.Model(
+                    name, memory_mb, store_s, disk_s, 0.6, adapters, 66.0
+                )
+            )
+        return made
+
+    def __init__(self, **load):
+        super().__init__(**load)
+        self.held_at_start = self._place_at_start()
+
+    def _place_at_start(self):
+        """Return the models of each engine: replicas of hot ones, then rare ones."""
+        counts = dict(enumerate(self.start_replicas))
+        order = [
+            model
+            for index, model in enumerate(self.models)
+            for _ in range(counts.get(index, 1))
+        ]
+        held: list[list[str]] = [[] for _ in range(self.engine_count)]
+        room_mb = [self.engine_mb - self.adapters_mb] * self.engine_count
+        for model in order:
+            fitting = [
+                index
+                for index in range(self.engine_count)
+                if room_mb[index] >= model.memory_mb and model.name not in held[index]
+            ]
+            if fitting:
+                index = max(fitting, key=lambda one: (room_mb[one], -one))
+                held[index].append(model.name)
+                room_mb[index] -= model.memory_mb
+        return tuple(tuple(names) for names in held)
+
+    def _hot_model(self, names, moved, rng):
+        place = rng.choices(range(len(self.hot_shares)), self.hot_shares)[0]
+        return names[(place + moved * self.shift_step) % self.hot_count]
--- a/kumquatproxy/laboratory/measure_fleet.py
+++ b/kumquatproxy/laboratory/measure_fleet.py
@@ -12,6 +12,7 @@
 FLEETS_BY_NAME = {
     "slow_loads": fleetscenarios.SlowLoads,
     "few_places": fleetscenarios.FewPlaces,
+    "many_engines": fleetscenarios.ManyEngines,
 }
 SHIFTS = ((1.0, 5.3), (16.0, 5.2), (24.0, 5.6))
 BURSTS = ((9.0, 3.0, 1.8), (22.0, 5.0, 1.8))
