--- a/kumquatproxy/fleet/modelowner.py
+++ b/kumquatproxy/fleet/modelowner.py
@@ -7,6 +7,7 @@
     engineclient,
     engineorders,
     engines,
+    engineviews,
     fleetdemand,
     fleetmessages,
     fleetstate,
@@ -212,7 +213,7 @@
         models_by_name = service.engine.models_by_name
         # Adapters take no more than all places filled with the largest one.
         largest = max((one.adapter_mb for one in models_by_name.values()), default=0.0)
-        return modelplan.EngineView(
+        return engineviews.EngineView(
             announcement.instance_id,
             service.name,
             announcement.data_centre,
--- a/kumquatproxy/fleet/modelplan.py
+++ b/kumquatproxy/fleet/modelplan.py
@@ -9,10 +9,9 @@
 The weights are the best of those tried on the fleet model (docs/decisions-fleet.md).
 """
 
-import bisect
 import math
 
-from kumquatproxy.fleet import longloads
+from kumquatproxy.fleet import engineviews, lateness, longloads
 
 # Time over which a swap must pay, in seconds: demand moves on after a while.
 HORIZON_S = 5.0
@@ -28,19 +27,11 @@
 MIN_STAY_S = 2.0
 # Calls per second that a waiting call counts as.
 WAITING_RATE = 0.5
-# Share of calls that are late at one engine that is busy this share of the time. An
-# engine interleaves reading prompts with making tokens, so all get slow together.
-LATE_SHARES = ((0.0, 0.0), (0.4, 0.02), (0.6, 0.12), (0.8, 0.4), (1.0, 0.7))
-# Engines that share a model are late less often: a call finds the least busy one. Their
-# level is raised to this power of their number, and the share divided by the other one.
-POOL_POWER = 0.5
-OVER_POWER = 0.5
 # Time that one call keeps a model from being unloaded, for the estimate of how long an
 # unload waits: it grows with the logarithm of the calls in flight.
 DRAIN_S = 6.0
 # A plan adds so many replicas of one model at most, while its engines are beyond full.
 MAX_REPLICAS = 4
-FULL_LEVEL = 1.0
 # A model whose engines are less busy than this needs no further replica.
 CALM_LEVEL = 0.5
 # Share of the calls for a model that are late if it must be loaded for them first.
@@ -67,152 +58,22 @@
     return max(PLAN_INTERVAL_S, took_s / PLAN_SHARE)
 
 
-def late_share(level: float, replicas: int = 1) -> float:
-    """Return the share of late calls at so many engines that are this busy.
-
-    Beyond full load engines serve what they can, and the rest is turned away.
-    """
-    scale = replicas**OVER_POWER
-    full_share = LATE_SHARES[-1][1] / scale
-    if level >= FULL_LEVEL:
-        return 1.0 - (1.0 - full_share) / level
-    level **= replicas**POOL_POWER
-    place = bisect.bisect_right(LATE_SHARES, (level, 2.0))
-    (low, low_share), (high, high_share) = LATE_SHARES[place - 1 : place + 1]
-    share = low_share + (high_share - low_share) * (level - low) / (high - low)
-    return share / scale
-
-
-def fill_level(levels: list[float], work: float) -> float:
-    """Return the level up to which work fills the least busy of some engines."""
-    ordered = sorted(levels)
-    total = 0.0
-    for count, level in enumerate(ordered, start=1):
-        total += level
-        filled = (work + total) / count
-        if count == len(ordered) or filled <= ordered[count]:
-            return filled
-    return 0.0
-
-
-class EngineView:
-    """Hold what the plan needs to know of one engine."""
-
-    __slots__ = (
-        "adapters_mb",
-        "calls",
-        "data_centre",
-        "in_memory",
-        "instance_id",
-        "is_idle",
-        "loaded_at_by_model",
-        "long_load",
-        "models",
-        "on_disk",
-        "service",
-    )
-
-    def __init__(
-        self,
-        instance_id,
-        service,
-        data_centre,
-        models,
-        in_memory=(),
-        on_disk=(),
-        is_idle=True,
-        adapters_mb=0.0,
-        loaded_at_by_model=None,
-        long_load="",
-        calls=0,
-    ):
-        self.instance_id: str = instance_id
-        self.service: str = service
-        self.data_centre: str = data_centre
-        self.models: frozenset[str] = frozenset(models)  # also one that is coming
-        self.in_memory: frozenset[str] = frozenset(in_memory)
-        self.on_disk: frozenset[str] = frozenset(on_disk)
-        self.is_idle: bool = is_idle  # no order in progress
-        self.adapters_mb: float = adapters_mb
-        self.loaded_at_by_model: dict[str, float] = loaded_at_by_model or {}
-        self.long_load: str = long_load  # model whose load takes a while yet
-        self.calls: int = calls  # in flight
-
-    def free_mb(self, engine) -> float:
-        """Return the memory that neither models nor adapters may take."""
-        known = engine.models_by_name
-        taken_mb = sum(known[name].memory_mb for name in self.models if name in known)
-        return engine.memory_mb - self.adapters_mb - taken_mb
-
-    def load_s(self, model) -> float:
-        """Return how long a load of a model takes here."""
-        if model.name in self.in_memory:
-            return model.memory_load_s
-        if model.name in self.on_disk:
-            return model.disk_load_s
-        return model.store_load_s
-
-    def needs_store(self, name: str) -> bool:
-        """Return whether a load of a model fetches it from the weight store."""
-        return name not in self.in_memory and name not in self.on_disk
-
-
-class Swap:
-    """Ask for models to be unloaded at an engine and one to be loaded."""
-
-    __slots__ = ("instance_id", "load", "needs_store", "takes_s", "unload")
-
-    def __init__(self, instance_id, load, unload, takes_s, needs_store):
-        self.instance_id: str = instance_id
-        self.load: str = load
-        self.unload: list[str] = list(unload)
-        self.takes_s: float = takes_s
-        self.needs_store: bool = needs_store
-
-    def __repr__(self):
-        return f"load {self.load} at {self.instance_id}, unload {self.unload}"
-
-
-class Room:
-    """Hold how an engine makes room for a model of some size."""
-
-    __slots__ = ("drain_s", "level", "lost", "victims")
-
-    def __init__(self, victims, lost, level, drain_s):
-        self.victims: list[str] = victims
-        self.lost: float = lost  # calls per second that become late
-        self.level: float = level  # of the engine without them
-        self.drain_s: float = drain_s  # until their calls have ended
-
-
-class Load:
-    """Hold the demand for one model as the plan sees it."""
-
-    __slots__ = ("call_work", "lasts", "missing_s", "rate", "waiting", "work")
-
-    def __init__(self, rate, work, waiting, missing_s, lasts):
-        self.rate: float = rate  # calls per second
-        self.work: float = work  # engine seconds per second
-        self.waiting: int = waiting
-        self.missing_s: float = missing_s  # asked for and held nowhere for so long
-        self.lasts: bool = lasts  # the demand was alike for a while
-        self.call_work: float = work / rate if rate > 0 else 0.0
-
-
 class Planner:
     """Decide on swaps for the engines of one service."""
 
-    def __init__(self, service, views: list[EngineView], demand, now: float):
+    def __init__(
+        self, service, views: list[engineviews.EngineView], demand, now: float
+    ):
         self._engine = service.engine
         self._views = views
         self._view_by_id = {view.instance_id: view for view in views}
         self._now = now
-        self._holders: dict[str, list[EngineView]] = {}
+        self._holders: dict[str, list[engineviews.EngineView]] = {}
         self._long_loads = [view.long_load for view in views if view.long_load]
         for view in views:
             for name in sorted(view.models):
                 self._holders.setdefault(name, []).append(view)
-        self._loads: dict[str, Load] = {}
+        self._loads: dict[str, engineviews.Load] = {}
         ramp = demand.ramp(now)
         waiting_by_model = demand.waiting(service.name, now)
         for name in self._engine.models_by_name:
@@ -222,12 +83,12 @@
             missing_s = demand.missing_s(service.name, name, is_held, now)
             lasts = known.long_rate >= longloads.LASTING_SHARE * rate
             work = known.work * ramp
-            self._loads[name] = Load(
+            self._loads[name] = engineviews.Load(
                 rate, work, waiting_by_model[name], missing_s, lasts
             )
-        self._room_by_key: dict[tuple[str, float], Room | None] = {}
-        self._rooms_by_mb: dict[float, list[tuple[float, EngineView]]] = {}
-        self._copies: dict[str, list[EngineView]] = {}
+        self._room_by_key: dict[tuple[str, float], engineviews.Room | None] = {}
+        self._rooms_by_mb: dict[float, list[tuple[float, engineviews.EngineView]]] = {}
+        self._copies: dict[str, list[engineviews.EngineView]] = {}
         for view in views:
             for name in view.in_memory | view.on_disk if view.is_idle else ():
                 self._copies.setdefault(name, []).append(view)
@@ -244,7 +105,7 @@
             ids = [view.instance_id for view in self._holders[name]]
             if load is None or not ids:
                 continue
-            level = fill_level([self._levels[one] for one in ids], load.work)
+            level = lateness.fill_level([self._levels[one] for one in ids], load.work)
             for one in ids:
                 self._levels[one] = max(self._levels[one], level)
         for name, holders in self._holders.items():
@@ -263,9 +124,9 @@
                 rows[name] = [have, *(round(one, 2) for one in numbers), load.waiting]
         return rows
 
-    def swaps(self, store_allows) -> list[Swap]:
+    def swaps(self, store_allows) -> list[engineviews.Swap]:
         """Return the swaps to begin now; ``store_allows()`` limits store loads."""
-        swaps: list[Swap] = []
+        swaps: list[engineviews.Swap] = []
         used: set[str] = set()
         for name in self._wanted():
             for _ in range(MAX_REPLICAS):
@@ -275,7 +136,7 @@
                 swaps.append(swap)
                 used.add(swap.instance_id)
                 self._add_replica(name, swap)
-                if self._level_by_model[name] <= FULL_LEVEL:
+                if self._level_by_model[name] <= lateness.FULL_LEVEL:
                     break
         return swaps
 
@@ -344,7 +205,7 @@
             if not self._holders.get(name):
                 lacking.append((-self._missing_gain(load), name))
             elif self._level_by_model[name] > CALM_LEVEL:
-                late = load.rate * late_share(
+                late = load.rate * lateness.late_share(
                     self._level_by_model[name], len(self._holders[name])
                 )
                 lacking.append((-late, name))
@@ -383,7 +244,9 @@
         value -= room.lost * HORIZON_S + self._price(model.name, needs_store)
         if value <= 0.0 or (best is not None and value <= best[0]):
             return best
-        swap = Swap(view.instance_id, model.name, room.victims, takes_s, needs_store)
+        swap = engineviews.Swap(
+            view.instance_id, model.name, room.victims, takes_s, needs_store
+        )
         return value, swap
 
     def _value(self, gain, takes_s):
@@ -404,15 +267,19 @@
         load = self._loads[model.name]
         holders = self._holders.get(model.name)
         if not holders:
-            return self._missing_gain(load) * (1.0 - late_share(room.level))
+            return self._missing_gain(load) * (1.0 - lateness.late_share(room.level))
         level = self._level_by_model[model.name]
         after = self._level_after(room.level, model.name)
         if after >= level:
             return 0.0
         count = len(holders)
-        relieved = load.rate * (late_share(level, count) - late_share(after, count + 1))
+        relieved = load.rate * (
+            lateness.late_share(level, count) - lateness.late_share(after, count + 1)
+        )
         calls_here = room.level / load.call_work if load.call_work else 0.0
-        harmed = calls_here * (late_share(after) - late_share(room.level))
+        harmed = calls_here * (
+            lateness.late_share(after) - lateness.late_share(room.level)
+        )
         return max(0.0, relieved - max(0.0, harmed))
 
     def _most_gain(self, model):
@@ -422,8 +289,8 @@
         if not holders:
             return self._missing_gain(load)
         count = len(holders)
-        before = late_share(self._level_by_model[model.name], count)
-        after = late_share(self._level_after(0.0, model.name), count + 1)
+        before = lateness.late_share(self._level_by_model[model.name], count)
+        after = lateness.late_share(self._level_after(0.0, model.name), count + 1)
         return max(0.0, load.rate * (before - after))
 
     def _drain_s(self, view, victims):
@@ -489,7 +356,7 @@
             return None
         freed = sum(self._work_at(name) for name in victims)
         level = max(0.0, self._levels[view.instance_id] - freed)
-        return Room(victims, lost, level, self._drain_s(view, victims))
+        return engineviews.Room(victims, lost, level, self._drain_s(view, victims))
 
     def _forget_rooms(self, view):
         """Work out anew what an engine loses, after a swap elsewhere."""
@@ -515,7 +382,9 @@
             level = self._level_by_model[name]
             after = level + self._work_at(name) / (len(holders) - 1)
             count = len(holders)
-            late = late_share(after, count - 1) - late_share(level, count)
+            late = lateness.late_share(after, count - 1) - lateness.late_share(
+                level, count
+            )
             return load.rate * (late + REPLICA_SHARE)
         model = self._engine.models_by_name[name]
         # The model can be loaded again from a copy, here or where it is now.
--- a/kumquatproxy/fleet/preparation.py
+++ b/kumquatproxy/fleet/preparation.py
@@ -6,7 +6,7 @@
 
 import collections
 
-from kumquatproxy.fleet import modelplan
+from kumquatproxy.fleet import engineviews
 
 # Copies are made until so long after a new deployment has its first owner: traffic
 # follows about ten seconds later.
@@ -44,10 +44,10 @@
         self._first_until: float = now + PREPARE_FIRST_S
 
     def swaps(
-        self, service, views: list[modelplan.EngineView], store_allows, now: float
+        self, service, views: list[engineviews.EngineView], store_allows, now: float
     ):
         """Return the swaps to begin now."""
-        swaps: list[modelplan.Swap] = []
+        swaps: list[engineviews.Swap] = []
         if any(view.instance_id not in self._home_by_id for view in views):
             self._grown_at = now
         is_settled = now >= min(self._settled_by, self._grown_at + SETTLE_S)
@@ -77,7 +77,9 @@
                 continue
             self._visited.add((view.instance_id, model.name))
             takes_s = model.store_load_s
-            return modelplan.Swap(view.instance_id, model.name, victims, takes_s, True)
+            return engineviews.Swap(
+                view.instance_id, model.name, victims, takes_s, True
+            )
         return None
 
     def _wanted(self, engine, held):
@@ -106,7 +108,7 @@
         return None
     guests = sorted(view.models - home)
     takes_s = view.load_s(model)
-    return modelplan.Swap(view.instance_id, model.name, guests, takes_s, False)
+    return engineviews.Swap(view.instance_id, model.name, guests, takes_s, False)
 
 
 def _spare_models(engine, view, model):
--- a/kumquatproxy/laboratory/fleetmodel.py
+++ b/kumquatproxy/laboratory/fleetmodel.py
@@ -13,6 +13,7 @@
 import random
 
 from kumquatproxy.fleet import (
+    engineviews,
     fleetdemand,
     longloads,
     modelplan,
@@ -79,7 +80,7 @@
         self.now = -scenario.lead_s
         self.engines = scenario.engines()
         self.jobs: list[fleetengines.Job] = []
-        self.swaps: list[modelplan.Swap] = []
+        self.swaps: list[engineviews.Swap] = []
         self._rng = random.Random(seed)
         self._events: list = []
         self._order = itertools.count()
@@ -284,7 +285,7 @@
         if engine.loading:
             models.add(engine.loading)
         left_s = engine.loading_until - self.now if engine.loading else 0.0
-        return modelplan.EngineView(
+        return engineviews.EngineView(
             engine.instance_id,
             SERVICE,
             "",
--- a/kumquatproxy/laboratory/measure_fleet.py
+++ b/kumquatproxy/laboratory/measure_fleet.py
@@ -4,7 +4,13 @@
 import statistics
 import time
 
-from kumquatproxy.fleet import fleetdemand, modelplan, servers, serviceconfig
+from kumquatproxy.fleet import (
+    engineviews,
+    fleetdemand,
+    modelplan,
+    servers,
+    serviceconfig,
+)
 from kumquatproxy.gateway import calls, choice
 from kumquatproxy.laboratory import fleetmodel, fleetscenarios, measure
 
@@ -108,7 +114,7 @@
         ]
         demand.report("entry", {}, needs, step * 0.25)
     views = [
-        modelplan.EngineView(f"i{index}", "s", "a", _models_of(index, size))
+        engineviews.EngineView(f"i{index}", "s", "a", _models_of(index, size))
         for index in range(size)
     ]
     started_at = time.process_time()
--- a/tests/fleet/test_longloads.py
+++ b/tests/fleet/test_longloads.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kumquatproxy.fleet import longloads, modelplan
+from kumquatproxy.fleet import engineviews, longloads
 
 RARE, BUSY = 0.2, 12.0
 CALM, MIDDLE, FULL = 0.1, 0.35, 0.6
@@ -13,7 +13,7 @@
     load_fields |= {
         name: fields.pop(name) for name in list(fields) if name in load_fields
     }
-    load = modelplan.Load(
+    load = engineviews.Load(
         rate,
         rate * 0.1,
         load_fields["waiting"],
--- a/tests/fleet/test_modelplan.py
+++ b/tests/fleet/test_modelplan.py
@@ -1,6 +1,6 @@
 """Plans for models under the load patterns that they answer."""
 
-from kumquatproxy.fleet import fleetdemand, modelplan, serviceconfig
+from kumquatproxy.fleet import engineviews, fleetdemand, modelplan, serviceconfig
 
 MODELS = [serviceconfig.Model(f"m{one}", 70_000, 5.0, 1.2, 0.6) for one in range(8)]
 
@@ -11,7 +11,7 @@
 
 
 def view(name, models, **fields):
-    return modelplan.EngineView(name, "s", "a", models, **fields)
+    return engineviews.EngineView(name, "s", "a", models, **fields)
 
 
 def demand(**rates):
--- a/tests/fleet/test_modelplan_load.py
+++ b/tests/fleet/test_modelplan_load.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from kumquatproxy.fleet import fleetdemand, modelplan, serviceconfig
+from kumquatproxy.fleet import engineviews, fleetdemand, modelplan, serviceconfig
 from kumquatproxy.gateway import calls, shedding, urgency
 
 LARGE_MB = 72_700
@@ -42,7 +42,7 @@
 
 
 def view(name, models, **fields):
-    return modelplan.EngineView(name, "s", "a", models, **fields)
+    return engineviews.EngineView(name, "s", "a", models, **fields)
 
 
 def test_a_busy_model_goes_before_a_rare_missing_one():
@@ -134,37 +134,6 @@
     assert 0.2 / modelplan.pause_s(0.2) <= 0.05
 
 
-def test_work_fills_the_least_busy_engines():
-    assert modelplan.fill_level([0.0, 0.0], 1.0) == 0.5
-    assert modelplan.fill_level([0.8, 0.0], 0.4) == pytest.approx(0.4)
-    assert modelplan.fill_level([0.2, 0.4], 0.6) == pytest.approx(0.6)
-
-
-@pytest.mark.parametrize("replicas", [1, 2, 7])
-def test_late_shares_rise_with_the_level(replicas):
-    shares = [modelplan.late_share(level / 20, replicas) for level in range(240)]
-    assert shares == sorted(shares) and shares[0] == 0.0 and shares[-1] < 1.0
-
-
-def test_overloaded_engines_serve_as_many_calls_however_many_come():
-    """grown Cordillera: 127 calls/s at seven engines, at a level of 2.4 for 8 s.
-
-    When nearly all calls counted as late on both sides, a further engine brought
-    nothing, while it would have served five calls a second.
-    """
-    served = [
-        (1.0 - modelplan.late_share(level)) * level for level in (1.0, 2.4, 6.0, 20.0)
-    ]
-    assert served == pytest.approx([served[0]] * 4)
-
-
-def test_engines_that_share_a_model_are_late_less_often():
-    """Engines of a busy model got ever more company although none was late."""
-    for level in (0.5, 0.8, 1.0, 3.0):
-        alone, few, many = (modelplan.late_share(level, one) for one in (1, 3, 9))
-        assert alone > few > many
-
-
 def test_missing_models_do_not_wait_behind_overloaded_ones_that_cannot_move():
     """grown Port Louis: 83 models were missing and only twelve were looked at."""
     hot = {f"h{one}": 20.0 for one in range(20)}
--- a/tests/fleet/test_preparation.py
+++ b/tests/fleet/test_preparation.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kumquatproxy.fleet import modelplan, preparation, serviceconfig
+from kumquatproxy.fleet import engineviews, preparation, serviceconfig
 
 LARGE_MB = 72_700
 STORE_LOAD_S = 5.8
@@ -26,7 +26,7 @@
 
 
 def view(name, models, **fields):
-    return modelplan.EngineView(name, "s", "a", models, **fields)
+    return engineviews.EngineView(name, "s", "a", models, **fields)
 
 
 def settled(made, views):
