Work out once what plans repeated, and give twins of the change one piece

Read over the whole change once more; behaviour is meant to stay as it is.

Twins: three loops joined the parts of a body (backendlinks.join_parts), two picked models that make room (EngineView.make_room), two worked out what a replica relieves (Planner._relieved), two probed ports with the same range (demosystem.is_free), and PATIENCE_S stood for longloads.MAX_MISSING_S.

ManyEngines names its sizes.

--- a/kumquatproxy/fleet/engineviews.py
+++ b/kumquatproxy/fleet/engineviews.py
@@ -7,7 +7,6 @@
     __slots__ = (
         "adapters_mb",
         "calls",
-        "data_centre",
         "in_memory",
         "instance_id",
         "is_idle",
@@ -15,14 +14,11 @@
         "long_load",
         "models",
         "on_disk",
-        "service",
     )
 
     def __init__(
         self,
         instance_id,
-        service,
-        data_centre,
         models,
         in_memory=(),
         on_disk=(),
@@ -33,8 +29,6 @@
         calls=0,
     ):
         self.instance_id: str = instance_id
-        self.service: str = service
-        self.data_centre: str = data_centre
         self.models: frozenset[str] = frozenset(models)  # also one that is coming
         self.in_memory: frozenset[str] = frozenset(in_memory)
         self.on_disk: frozenset[str] = frozenset(on_disk)
@@ -50,6 +44,19 @@
         taken_mb = sum(known[name].memory_mb for name in self.models if name in known)
         return engine.memory_mb - self.adapters_mb - taken_mb
 
+    def make_room(self, engine, memory_mb: float, order) -> list[str] | None:
+        """Return the first models of an order that make room; None if all do not."""
+        known = engine.models_by_name
+        free_mb = self.free_mb(engine)
+        victims: list[str] = []
+        for name in order:
+            if free_mb >= memory_mb:
+                break
+            victims.append(name)
+            if name in known:
+                free_mb += known[name].memory_mb
+        return victims if free_mb >= memory_mb else None
+
     def load_s(self, model) -> float:
         """Return how long a load of a model takes here."""
         if model.name in self.in_memory:
--- a/kumquatproxy/fleet/lateness.py
+++ b/kumquatproxy/fleet/lateness.py
@@ -8,8 +8,9 @@
 # Share of calls that are late at one engine that is busy this share of the time. An
 # engine interleaves reading prompts with making tokens, so all get slow together.
 LATE_SHARES = ((0.0, 0.0), (0.4, 0.02), (0.6, 0.12), (0.8, 0.4), (1.0, 0.7))
-# Engines that share a model are late less often: a call finds the least busy one. Their
-# level is raised to this power of their number, and the share divided by the other one.
+# Engines that share a model are late less often: a call finds the least busy one. The
+# first power of their number is the exponent of their level, the second one divides the
+# share of late calls.
 POOL_POWER = 0.5
 OVER_POWER = 0.5
 # Engines that are busy for all of the time.
--- a/kumquatproxy/fleet/modelowner.py
+++ b/kumquatproxy/fleet/modelowner.py
@@ -185,8 +185,9 @@
                 if state.announcement.service == service.name
                 and state.report is not None
             }
+            adapters_mb = _adapters_mb(service.engine)
             views = [
-                self._view(state, service, loads_by_id, now)
+                self._view(state, adapters_mb, loads_by_id, now)
                 for state in states_by_id.values()
             ]
             if not views:
@@ -207,21 +208,16 @@
             for swap in swaps:
                 self._begin_swap(states_by_id[swap.instance_id], swap, service, now)
 
-    def _view(self, state, service, loads_by_id, now):
+    def _view(self, state, adapters_mb, loads_by_id, now):
         announcement = state.announcement
         calls = loads_by_id.get(announcement.instance_id, (0, 0))[0]
-        models_by_name = service.engine.models_by_name
-        # Adapters take no more than all places filled with the largest one.
-        largest = max((one.adapter_mb for one in models_by_name.values()), default=0.0)
         return engineviews.EngineView(
             announcement.instance_id,
-            service.name,
-            announcement.data_centre,
             state.models,
             state.in_memory,
             state.on_disk,
             state.is_usable(now),
-            largest * service.engine.adapter_places,
+            adapters_mb,
             state.loaded_at_by_model,
             state.loading if state.loading_until - now > longloads.LONG_LOAD_S else "",
             calls,
@@ -458,3 +454,9 @@
             number=self._push_number,
         )
         self._host.send_to_entries(push, now)
+
+
+def _adapters_mb(engine):
+    """Return the memory of all places for adapters, each filled with the largest."""
+    models = engine.models_by_name.values()
+    return engine.adapter_places * max((one.adapter_mb for one in models), default=0.0)
--- a/kumquatproxy/fleet/modelplan.py
+++ b/kumquatproxy/fleet/modelplan.py
@@ -22,7 +22,7 @@
 COPY_LOAD_CALLS = 0.05
 FULL_PRICE_LEVEL = 0.4
 # A model that has been missing for this long is loaded at no price.
-PATIENCE_S = 8.0
+PATIENCE_S = longloads.MAX_MISSING_S
 # A replica that was loaded this recently is not given up: it has not paid its load.
 MIN_STAY_S = 2.0
 # Calls per second that a waiting call counts as.
@@ -42,10 +42,9 @@
 # Calls per second that the long average may stand for: it remembers rare models, not
 # that a model was busy until a moment ago.
 RARE_RATE_MEMORY = 0.4
-# Models looked at in one plan at least, and for each engine, the most urgent first:
-# those may have to wait for long, and the others must not wait behind them.
+# Models looked at in one plan, as many as engines but at least these, the most urgent
+# first: those may have to wait for long, and the others must not wait behind them.
 MIN_CANDIDATES = 12
-CANDIDATES_PER_ENGINE = 1.0
 # Pairs of a model and an engine weighed in one plan, at about 20 us each.
 MAX_WEIGHED = 2500
 
@@ -96,7 +95,7 @@
         ] = {}
         self._copies: dict[str, list[engineviews.EngineView]] = {}
         for view in views:
-            for name in view.in_memory | view.on_disk if view.is_idle else ():
+            for name in view.in_memory | view.on_disk:
                 self._copies.setdefault(name, []).append(view)
         self._levels: dict[str, float] = {}
         self._level_by_model: dict[str, float] = {}
@@ -196,7 +195,7 @@
         case = longloads.Case(
             self._loads[name],
             bool(self._holders.get(name)),
-            any(not view.needs_store(name) for view in self._views),
+            name in self._copies,
             self._level_by_model.get(name, 0.0),
             self._mean_level,
             len(alike),
@@ -217,7 +216,7 @@
                     self._level_by_model[name], len(self._holders[name])
                 )
                 lacking.append((-late, name))
-        most = max(MIN_CANDIDATES, int(CANDIDATES_PER_ENGINE * len(self._views)))
+        most = max(MIN_CANDIDATES, len(self._views))
         return [name for _, name in sorted(lacking)[:most]]
 
     def _missing_gain(self, load):
@@ -226,9 +225,9 @@
     def _best_swap(self, model, used):
         """Return the swap of the highest value that makes room for a model, or None."""
         best = None
-        copies = self._copies.get(model.name, ())
-        for view in copies:
-            if view.instance_id not in used and model.name not in view.models:
+        for view in self._copies.get(model.name, ()):
+            taken = view.instance_id in used or model.name in view.models
+            if view.is_idle and not taken:
                 best = self._better(best, view, model)
         # Engines are left out where a load from the store cannot be worth more.
         most = self._most_gain(model)
@@ -280,31 +279,30 @@
     def _gain(self, view, model, room):
         """Return the calls per second that a replica here brings in time."""
         load = self._loads[model.name]
-        holders = self._holders.get(model.name)
-        if not holders:
+        if not self._holders.get(model.name):
             return self._missing_gain(load) * (1.0 - room.late)
-        level = self._level_by_model[model.name]
         after = self._level_after(room.level, model.name)
-        if after >= level:
+        if after >= self._level_by_model[model.name]:
             return 0.0
-        count = len(holders)
-        relieved = load.rate * (
-            lateness.late_share(level, count) - lateness.late_share(after, count + 1)
-        )
         calls_here = room.level / load.call_work if load.call_work else 0.0
         harmed = calls_here * (lateness.late_share(after) - room.late)
-        return max(0.0, relieved - max(0.0, harmed))
+        return max(0.0, self._relieved(model.name, after) - max(0.0, harmed))
+
+    def _relieved(self, name, after):
+        """Return the calls per second in time once one more engine holds a model.
+
+        ``after`` is the level of its engines then.
+        """
+        count = len(self._holders[name])
+        before = lateness.late_share(self._level_by_model[name], count)
+        late = lateness.late_share(after, count + 1)
+        return self._loads[name].rate * (before - late)
 
     def _most_gain(self, model):
         """Return what a replica brings in time at an engine without other work."""
-        load = self._loads[model.name]
-        holders = self._holders.get(model.name)
-        if not holders:
-            return self._missing_gain(load)
-        count = len(holders)
-        before = lateness.late_share(self._level_by_model[model.name], count)
-        after = lateness.late_share(self._level_after(0.0, model.name), count + 1)
-        return max(0.0, load.rate * (before - after))
+        if not self._holders.get(model.name):
+            return self._missing_gain(self._loads[model.name])
+        return max(0.0, self._relieved(model.name, self._level_after(0.0, model.name)))
 
     def _least_harm(self, model):
         """Return a function of the calls that a replica makes late somewhere at least.
@@ -378,30 +376,18 @@
         return rooms[memory_mb]
 
     def _find_room(self, view, memory_mb):
-        free_mb = view.free_mb(self._engine)
-        victims: list[str] = []
-        lost = 0.0
-        ranked = sorted((self._loss(view, name), name) for name in view.models)
-        for loss, name in ranked:
-            if free_mb >= memory_mb:
-                break
-            if self._stays(view, name):
-                return None
-            victims.append(name)
-            lost += loss
-            free_mb += self._memory_mb(name)
-        if free_mb < memory_mb:
+        loss_by_name = {name: self._loss(view, name) for name in view.models}
+        ranked = sorted(view.models, key=lambda name: (loss_by_name[name], name))
+        victims = view.make_room(self._engine, memory_mb, ranked)
+        if victims is None or any(self._stays(view, name) for name in victims):
             return None
+        lost = sum(loss_by_name[name] for name in victims)
         freed = sum(self._work_at(name) for name in victims)
         level = max(0.0, self._levels[view.instance_id] - freed)
         late = lateness.late_share(level)
         drain_s = self._drain_s(view, victims)
         return engineviews.Room(victims, lost, level, late, drain_s)
 
-    def _memory_mb(self, name):
-        model = self._engine.models_by_name.get(name)
-        return model.memory_mb if model is not None else 0.0
-
     def _stays(self, view, name):
         return self._now - view.loaded_at_by_model.get(name, -1e9) < MIN_STAY_S
 
--- a/kumquatproxy/fleet/preparation.py
+++ b/kumquatproxy/fleet/preparation.py
@@ -37,7 +37,7 @@
 
     def __init__(self, now: float):
         self._home_by_id: dict[str, frozenset[str]] = {}
-        self._visited: set[tuple[str, str]] = set()  # engine and model
+        self._visited: set[str] = set()  # models that a copy was made of
         self._grown_at: float = now  # when the last engine was seen first
         self._settled_by: float = now + MAX_SETTLE_S
         self._ends_at: float = now + PREPARE_S
@@ -51,22 +51,25 @@
         if any(view.instance_id not in self._home_by_id for view in views):
             self._grown_at = now
         is_settled = now >= min(self._settled_by, self._grown_at + SETTLE_S)
-        held = collections.Counter(name for view in views for name in view.models)
+        may_visit = is_settled and now < self._ends_at
+        wanted = self._wanted(service.engine, views) if may_visit else []
         for view in views:
             home = self._home_by_id.setdefault(view.instance_id, view.models)
             if not view.is_idle:
                 continue
             swap = None
-            if is_settled and now < self._ends_at and store_allows():
-                swap = self._visit(service.engine, view, held, now)
+            if may_visit and store_allows():
+                swap = self._visit(service.engine, view, wanted, now)
             if swap is None:
                 swap = _restoring(service.engine, view, home)
             if swap is not None:
                 swaps.append(swap)
         return swaps
 
-    def _visit(self, engine, view, held, now):
-        for model in self._wanted(engine, held):
+    def _visit(self, engine, view, wanted, now):
+        for model in wanted:
+            if model.name in self._visited:
+                continue
             if model.name in view.models or not view.needs_store(model.name):
                 continue
             is_first = now < self._first_until
@@ -75,20 +78,20 @@
             victims = _spare_models(engine, view, model)
             if victims is None:
                 continue
-            self._visited.add((view.instance_id, model.name))
+            self._visited.add(model.name)
             takes_s = model.store_load_s
             return engineviews.Swap(
                 view.instance_id, model.name, victims, takes_s, True
             )
         return None
 
-    def _wanted(self, engine, held):
+    def _wanted(self, engine, views):
         """Return the models that a copy should be made of, the first ones first."""
-        visited = {name for _, name in self._visited}
+        held = collections.Counter(name for view in views for name in view.models)
         models = [
             model
             for model in engine.models_by_name.values()
-            if model.name not in visited
+            if model.name not in self._visited
         ]
         nowhere = [model for model in models if not held[model.name]]
         nowhere.sort(key=lambda model: model.store_load_s)
@@ -117,12 +120,4 @@
     spare = sorted(
         names, key=lambda name: (engine.models_by_name[name].adapter_count, name)
     )
-    free = view.free_mb(engine)
-    victims = []
-    while free < model.memory_mb:
-        if not spare:
-            return None
-        name = spare.pop(0)
-        victims.append(name)
-        free += engine.models_by_name[name].memory_mb
-    return victims
+    return view.make_room(engine, model.memory_mb, spare)
--- a/kumquatproxy/gateway/backendlinks.py
+++ b/kumquatproxy/gateway/backendlinks.py
@@ -1,6 +1,7 @@
 """Connections to backend servers: one call at a time, kept while they are sound."""
 
 import collections
+import collections.abc
 import select
 import socket
 
@@ -29,6 +30,11 @@
     """Tell that a server made no progress for too long."""
 
 
+def join_parts(read_part: collections.abc.Callable[[], bytes | None]) -> bytes:
+    """Return a body of which ``read_part`` returns parts, and None after the last."""
+    return b"".join(iter(read_part, None))
+
+
 class BackendLink:
     """Own one connection to a backend server."""
 
@@ -175,12 +181,7 @@
 
     def read_whole(self) -> bytes:
         """Return the rest of the body; raise BackendError if it breaks off."""
-        parts: list[bytes] = []
-        while True:
-            part = self.read_part()
-            if part is None:
-                return b"".join(parts)
-            parts.append(part)
+        return join_parts(self.read_part)
 
     def _end(self):
         if self._parser.trailing_data[0] or self._parser.our_state is not h11.DONE:
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -314,10 +314,7 @@
             read(limits.first_s, link.skip_answer)
 
     def _read_whole(self, link, read, limits):
-        parts = []
-        while (part := read(limits.first_s, link.read_part)) is not None:
-            parts.append(part)
-        return b"".join(parts)
+        return backendlinks.join_parts(lambda: read(limits.first_s, link.read_part))
 
     def _pass_whole(self, call, attempt, progress, connection, head, body):
         if head.status >= SERVER_FAILURE and self._may_try_again(call, progress):
--- a/kumquatproxy/laboratory/demosystem.py
+++ b/kumquatproxy/laboratory/demosystem.py
@@ -23,25 +23,29 @@
 ENGINE_MEMORY_MB = 80_000
 
 
-def free_address() -> str:
-    """Return an address of a port that is free at present.
+# Below the ports that systems give to outgoing connections: one of those may be taken
+# by any process before it is used here.
+FIRST_PORT, LAST_PORT = 12_000, 32_000
+
+
+def is_free(port: int) -> bool:
+    """Return whether nobody uses a port at present."""
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
-    It is below the ports that systems give to outgoing connections: one of those may
-    be taken by any process before it is used here.
-    """
+
+def free_address() -> str:
+    """Return an address of a port that is free at present."""
     while True:
         port = random.SystemRandom().randint(FIRST_PORT, LAST_PORT)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue  # in use
+        if is_free(port):
             return f"127.0.0.1:{port}"
 
 
-FIRST_PORT, LAST_PORT = 12_000, 32_000
-
-
 class Layout:
     """Say which hosts stand in which data centre and who votes."""
 
--- a/kumquatproxy/laboratory/fleetmodel.py
+++ b/kumquatproxy/laboratory/fleetmodel.py
@@ -287,8 +287,6 @@
         left_s = engine.loading_until - self.now if engine.loading else 0.0
         return engineviews.EngineView(
             engine.instance_id,
-            SERVICE,
-            "",
             models,
             engine.in_memory,
             engine.on_disk,
--- a/kumquatproxy/laboratory/fleetscenarios.py
+++ b/kumquatproxy/laboratory/fleetscenarios.py
@@ -1,7 +1,8 @@
 """Loads and fleets for the model of engines: who asks for what, and where it fits.
 
-The two fleets are those of the users' sites, with the figures that their sheets state:
-models that nearly all fit and load slowly, and more models than places.
+Two fleets are those of the users' sites, with the figures that their sheets state:
+models that nearly all fit and load slowly, and more models than places. The third one
+stands for larger fleets, at a size that is played in seconds.
 """
 
 import math
@@ -143,7 +144,6 @@
     seen_gap_s = 0.55  # between two such engines
     length_s = 35.0
     slots = 64
-    engine_count = 5
     loads_per_s = 1.1
     load_window_s = 5.0
     adapters_mb = 500.0
@@ -344,30 +344,31 @@
     shift_step = 4
     # Engines that hold the first models of all at the start.
     start_replicas = (6, 3, 2, 2, 2, 2, 1, 1, 1, 1, 1, 1, 1, 1)
+    rare_count = 33
+    # Memory in MB, seconds to load from the store and from a disk; models take turns.
+    large = (72_700.0, 8.6, 1.7)
+    middle = (65_500.0, 7.8, 1.6)
+    small = (34_300.0, 4.0, 0.8)
+    sizes = (large, large, middle, large, small, large, middle)
+    hot_adapters = (32, 0, 12, 0)
+
+    def __init__(self, **load):
+        super().__init__(**load)
+        self.held_at_start = self._place_at_start()
 
     def make_models(self):
         """Return the models; see the base class."""
         made = []
-        for index in range(self.hot_count + 33):
+        for index in range(self.hot_count + self.rare_count):
             is_hot = index < self.hot_count
             name = f"h{index}" if is_hot else f"r{index - self.hot_count}"
-            adapters = (32, 0, 12, 0)[index % 4] if is_hot else 0
-            memory_mb, store_s, disk_s = (
-                (72_700.0, 8.6, 1.7),
-                (65_500.0, 7.8, 1.6),
-                (34_300.0, 4.0, 0.8),
-            )[(0, 0, 1, 0, 2, 0, 1)[index % 7]]
+            adapters = self.hot_adapters[index % len(self.hot_adapters)]
+            size = self.sizes[index % len(self.sizes)]
             made.append(
-                serviceconfig.Model(
-                    name, memory_mb, store_s, disk_s, 0.6, adapters, 66.0
-                )
+                serviceconfig.Model(name, *size, 0.6, adapters if is_hot else 0, 66.0)
             )
         return made
 
-    def __init__(self, **load):
-        super().__init__(**load)
-        self.held_at_start = self._place_at_start()
-
     def _place_at_start(self):
         """Return the models of each engine: replicas of hot ones, then rare ones."""
         counts = dict(enumerate(self.start_replicas))
--- a/kumquatproxy/laboratory/measure_fleet.py
+++ b/kumquatproxy/laboratory/measure_fleet.py
@@ -114,7 +114,7 @@
         ]
         demand.report("entry", {}, needs, step * 0.25)
     views = [
-        engineviews.EngineView(f"i{index}", "s", "a", _models_of(index, size))
+        engineviews.EngineView(f"i{index}", _models_of(index, size))
         for index in range(size)
     ]
     started_at = time.process_time()
--- a/kumquatproxy/requests/exchanges.py
+++ b/kumquatproxy/requests/exchanges.py
@@ -125,10 +125,7 @@
 
     def read_whole(self, wait) -> bytes:
         """Return the rest of the answer."""
-        parts = []
-        while (part := self.read_part(wait)) is not None:
-            parts.append(part)
-        return b"".join(parts)
+        return backendlinks.join_parts(lambda: self.read_part(wait))
 
     def lost(self, why: str) -> CallFailed:
         """Return the failure of a server whose answer makes no sense."""
--- a/tests/fleet/test_modelplan.py
+++ b/tests/fleet/test_modelplan.py
@@ -11,7 +11,7 @@
 
 
 def view(name, models, **fields):
-    return engineviews.EngineView(name, "s", "a", models, **fields)
+    return engineviews.EngineView(name, models, **fields)
 
 
 def demand(**rates):
--- a/tests/fleet/test_modelplan_load.py
+++ b/tests/fleet/test_modelplan_load.py
@@ -41,7 +41,7 @@
 
 
 def view(name, models, **fields):
-    return engineviews.EngineView(name, "s", "a", models, **fields)
+    return engineviews.EngineView(name, models, **fields)
 
 
 def test_a_busy_model_goes_before_a_rare_missing_one():
--- a/tests/fleet/test_preparation.py
+++ b/tests/fleet/test_preparation.py
@@ -26,7 +26,7 @@
 
 
 def view(name, models, **fields):
-    return engineviews.EngineView(name, "s", "a", models, **fields)
+    return engineviews.EngineView(name, models, **fields)
 
 
 def settled(made, views):
--- a/tests/gateway/test_shedding.py
+++ b/tests/gateway/test_shedding.py
@@ -4,10 +4,10 @@
 from kumquatproxy.gateway import calls, shedding
 
 
-def call(objective_s=0.8, priority=1, need=True):
+def call(objective_s=0.8, need=True):
     made = calls.Call(b"POST", b"/", "a", [], b"", 0.0)
     made.route = serviceconfig.Route(
-        "r", "a", "/", calls.Mode.STREAM, [], 4.0, objective_s, priority
+        "r", "a", "/", calls.Mode.STREAM, [], 4.0, objective_s, 1
     )
     made.need = calls.ModelNeed("m") if need else None
     return made
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -6,7 +6,6 @@
 import pathlib
 import shutil
 import signal
-import socket
 import sys
 import tempfile
 
@@ -20,7 +19,6 @@
 
 HOSTS = ("host-1", "host-2", "host-3")
 LAYOUT = demosystem.Layout(dict.fromkeys(HOSTS, "dc-1"))
-FIRST_PORT, LAST_PORT = 12_000, 32_000
 LIMIT_S = 40.0  # for conditions; generous, as the machine may be busy
 ENGINE_MEMORY_MB = 40_000
 CHECKING = "checking"
@@ -114,15 +112,12 @@
     one of the ephemeral range to a connection in the meantime.
     """
     ports: list[int] = []
-    port = FIRST_PORT + os.getpid() * 50 % (LAST_PORT - FIRST_PORT)
+    first, last = demosystem.FIRST_PORT, demosystem.LAST_PORT
+    port = first + os.getpid() * 50 % (last - first)
     while len(ports) < count:
-        port = port + 1 if port < LAST_PORT else FIRST_PORT
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        ports.append(port)
+        port = port + 1 if port < last else first
+        if demosystem.is_free(port):
+            ports.append(port)
     return ports
 
 
