Log whether a failed call had begun its response

Callers saw connections that end in mid-answer (LOST). The line of a call gave its outcome and attempts, so a call that got a 502 and one that was cut off after its first event looked alike; the hypotheses in docs/incidents/lost.md need them apart.

The line has the field response_begun now, and kumquatproxy trace says so for one request and in the list of problems. Ruled out: a value of the outcome label, which would change metrics that operators already have.

Before: no field. After: test_trace_shows_that_a_response_was_cut_off passes.

--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -489,6 +489,7 @@
             need=call.need.key() if call.need else "",
             version=self._host.version(),
             attempts=[_attempt_fields(attempt, call) for attempt in progress.attempts],
+            response_begun=progress.has_response_begun,
             waited_ms=round(progress.waited_s * 1000),
             took_ms=round((now - call.arrived_at) * 1000),
         )
--- a/kumquatproxy/tracing.py
+++ b/kumquatproxy/tracing.py
@@ -74,10 +74,18 @@
             events.append(_event(line, at, sentence))
         took_ms = line.fields.get("took_ms", 0)
         outcome = line.text.removeprefix("call: ")
-        events.append(_event(line, line.timestamp, f"{outcome} after {took_ms} ms"))
+        sentence = f"{outcome} after {took_ms} ms"
+        if _is_cut(line):
+            sentence += "; the response was cut off"
+        events.append(_event(line, line.timestamp, sentence))
     return events
 
 
+def _is_cut(line):
+    """Return whether a call failed after the caller had received a response head."""
+    return line.text != ANSWERED and line.fields.get("response_begun", False)
+
+
 def _describe_route(line):
     need = line.fields.get("need")
     route = line.fields.get("route") or "an unknown route"
@@ -102,6 +110,8 @@
         route = line.fields.get("route") or "no route"
         outcomes = [attempt["outcome"] for attempt in line.fields["attempts"]]
         key = f"{code}, {route}, attempts {outcomes or 'none'}"
+        if _is_cut(line):
+            key += ", response cut off"
         counts[key] += 1
         examples.setdefault(key, line.fields.get("request_id", ""))
     return [
--- /dev/null
+++ b/tests/gateway/test_lostanswers.py
@@ -0,0 +1,379 @@
+"""Calls that were read as a whole and that end without a complete answer.
+
+In each test a sound server can serve the call, the caller is still connected and the
+deadline has not passed.
+"""
+
+import contextlib
+
+import gevent
+import gevent.socket
+import pytest
+import rawservers
+import test_callers
+import test_relay
+
+from kumquatproxy import clock
+from kumquatproxy.fleet import entryhost, fleetsettings, servers, serviceconfig
+from kumquatproxy.gateway import (
+    callers,
+    calls,
+    relay,
+    retrybudget,
+    stalltimeouts,
+    waiting,
+)
+from kumquatproxy.platform import callformat
+
+TARGETS = test_relay.TARGETS
+STREAM_ROUTE = serviceconfig.Route(
+    "stream", "a", "/stream/", calls.Mode.STREAM, TARGETS, 6.0, attempts=2
+)
+STREAM_ROUTE.is_resumable = True
+SAFE_ROUTE = serviceconfig.Route(
+    "safe", "a", "/safe/", calls.Mode.SAFE, TARGETS, 2.0, attempts=2
+)
+WHOLE_ROUTE = serviceconfig.Route(
+    "whole", "a", "/whole/", calls.Mode.STREAM, TARGETS, 2.0
+)
+BIG_ROUTE = serviceconfig.Route("big", "a", "/big/", calls.Mode.SAFE, TARGETS, 9.0)
+ROUTES = [STREAM_ROUTE, SAFE_ROUTE, WHOLE_ROUTE, BIG_ROUTE]
+ENTRY_SETTINGS = """[host]
+id = 127.0.0.1
+data_centre = a
+links = 127.0.0.1:7380
+seeds = 127.0.0.2:7382
+key = test
+[entry]
+callers = 127.0.0.1:7383
+readiness = 127.0.0.1:7384
+[dialect]
+name = platform
+module = kumquatproxy.platform.adapter
+"""
+SERVER_ERROR = test_relay.make_response(b"no", status=b"500 Failed")
+WRONG_SERVER = test_relay.make_response(b"", status=b"421 Other")
+
+
+def connect(address):
+    host, _, port = address.rpartition(":")
+    return gevent.socket.create_connection((host, int(port)), 2.0)
+
+
+def receive_all(sock, wait_s):
+    """Return all data up to the end of the connection or a pause."""
+    data = b""
+    with gevent.Timeout(wait_s, False):
+        while part := sock.recv(65536):
+            data += part
+    return data
+
+
+@contextlib.contextmanager
+def running_relay(*responses_by_server):
+    """Run backend servers behind a caller server with the routes of this module."""
+    with test_relay.running_relay(*responses_by_server) as (address, backends, host):
+        host.configuration = serviceconfig.Configuration(
+            1, ROUTES, [serviceconfig.Service("s")]
+        )
+        yield address, backends, host
+
+
+def attempt_timeouts(route):
+    """Return the stall timeouts of an attempt that may be retried."""
+    call = calls.Call(b"POST", b"/", "a", [], b"", 0.0)
+    call.route = route
+    return stalltimeouts.for_attempt(call, may_retry=True)
+
+
+# Pauses of a sound server. They exceed the timeouts after which a call is retried at
+# another server and end well before the deadline of the call.
+STREAM_PAUSE_S = attempt_timeouts(STREAM_ROUTE).idle_s + 0.3
+PLAIN_PAUSE_S = attempt_timeouts(SAFE_ROUTE).initial_s + 0.2
+
+
+def paused_stream():
+    """Return a stream with three events and a pause after the first one."""
+    rest = test_relay.make_stream(2, 3).partition(b"\r\n\r\n")[2]
+    return [test_relay.make_stream(1, ends=False), STREAM_PAUSE_S, rest]
+
+
+def request_stream(address):
+    return test_relay.send_request(address, b"stream", wait_s=STREAM_PAUSE_S + 1.0)[0]
+
+
+def request_plain(address):
+    return test_relay.send_request(address, b"safe", wait_s=PLAIN_PAUSE_S + 1.0)[0]
+
+
+def assert_stream_is_complete(data):
+    counts = [data.count(test_relay.make_event(number)) for number in (1, 2, 3)]
+    assert counts == [1, 1, 1] and data.endswith(b"0\r\n\r\n")
+
+
+# Requests
+
+
+def test_head_request_that_no_route_matches_gets_a_response():
+    """Guards against an error body, which a response to HEAD must not have.
+
+    h11 refuses to send it, and the connection closes without a response.
+    """
+    with test_relay.running_relay([]) as (address, _, _):
+        data, _ = rawservers.exchange_bytes(
+            address, b"HEAD /none/x HTTP/1.1\r\nHost: a\r\n\r\n"
+        )
+    assert data.startswith(b"HTTP/1.1 404") and data.endswith(b"\r\n\r\n")
+
+
+def test_call_whose_host_header_is_a_connection_option_gets_a_response():
+    """Guards against an exception in h11 for a forwarded request without Host."""
+    with test_relay.running_relay([test_relay.make_response()]) as (address, _, host):
+        host.dialect = callformat.PlatformDialect()
+        data, _ = test_relay.send_request(address, b"once", b"Connection: host\r\n")
+    assert data.startswith(b"HTTP/1.1 ")
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        b"Kumquatproxy-Deadline-Ms: \xb2",
+        b"Kumquatproxy-Deadline-Ms: " + b"9" * 400,
+        b"Kumquatproxy-Deadline-Ms: " + b"9" * 5000,
+        b"Kumquatproxy-Model: m\r\nKumquatproxy-Token-Usage: \xb2,\xb3",
+        b"Kumquatproxy-Model: m\r\nKumquatproxy-Length-Hint: \xb2",
+        b"Kumquatproxy-Model: m\r\nKumquatproxy-Prompt-Prefix: a:\xb2",
+    ],
+    ids=["digit", "overflow", "long", "token counts", "length hint", "prompt parts"],
+)
+def test_call_with_a_number_that_int_rejects_gets_a_response(header):
+    """Guards against ValueError and OverflowError for superscripts and long numbers.
+
+    str.isdigit accepts the superscript digits of Latin-1, and int does not.
+    """
+    with test_relay.running_relay([]) as (address, _, host):
+        host.dialect = callformat.PlatformDialect()
+        data, _ = test_relay.send_request(address, b"once", header + b"\r\n", 0.5)
+    assert data.startswith(b"HTTP/1.1 ")
+
+
+def test_call_gets_a_response_after_an_unexpected_exception(monkeypatch):
+    """Guards against closing the connection for an exception that nobody handles."""
+
+    def fail(self, call):
+        raise KeyError(call.service)
+
+    monkeypatch.setattr(test_relay.FakeHost, "record_arrival", fail)
+    with test_relay.running_relay([test_relay.make_response()]) as (address, _, _):
+        data, _ = test_relay.send_request(address, b"once")
+    assert data.startswith(b"HTTP/1.1 5")
+
+
+# Announcements of servers
+
+
+def test_call_gets_a_response_if_a_server_announced_an_id_with_a_line_break():
+    """Guards against an exception in h11 for a header value with a line break.
+
+    The id comes from the decoded path of a heartbeat, which accepts any character.
+    """
+    with test_relay.running_relay([test_relay.make_response()]) as (
+        address,
+        (backend,),
+        host,
+    ):
+        host.table.known_by_id.clear()
+        odd = servers.Announcement("i-\n9", "s", backend.address, "a", 1, 1, 4)
+        host.table.apply_announcement(odd, 0.0)
+        data, _ = test_relay.send_request(address, b"once")
+    assert data.startswith(b"HTTP/1.1 ")
+
+
+# Answers of servers
+
+
+@pytest.mark.parametrize(
+    "rest",
+    [
+        b"\n",
+        b": end\n",
+        b"data: [DONE]\n",
+        b"data: [DONE]",
+    ],
+    ids=["empty line", "comment", "one line break", "no line break"],
+)
+def test_stream_with_an_unusual_last_event_is_relayed_completely(rest):
+    """Guards against breaking off a stream whose framing says that it is complete."""
+    answer = test_relay.make_stream(1, ends=False) + test_relay.make_chunk(rest)
+    with test_relay.running_relay([answer + b"0\r\n\r\n"]) as (address, _, _):
+        data, _ = test_relay.send_request(address, b"whole")
+    assert test_relay.make_event(1) in data and data.endswith(b"0\r\n\r\n")
+    assert data.count(b"x") >= rest.count(b"x")
+
+
+# Silence of a sound server, and a replacement that does not serve the call
+
+
+@contextlib.contextmanager
+def running_relay_with_closed_port(first_answer):
+    """Run a relay with one server and with a second one that refuses connections."""
+    closed = rawservers.RawServer([])
+    closed_address = closed.address
+    closed.close()
+    with running_relay([first_answer]) as (address, _, host):
+        unreachable = servers.Announcement("i-9", "s", closed_address, "a", 1, 1, 4)
+        host.table.apply_announcement(unreachable, 0.0)
+        yield address
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [test_relay.NOT_RUN, WRONG_SERVER, SERVER_ERROR, None, ...],
+    ids=["not run", "wrong server", "server error", "closed", "silent"],
+)
+def test_silent_stream_is_not_lost_if_its_replacement_does_not_serve_it(answer):
+    """Guards against leaving a server that goes on after a second of silence."""
+    with running_relay([paused_stream()], [answer] * 20) as (address, _, _):
+        data = request_stream(address)
+    assert_stream_is_complete(data)
+
+
+def test_silent_stream_is_not_lost_if_its_replacement_cannot_be_connected():
+    with running_relay_with_closed_port(paused_stream()) as address:
+        data = request_stream(address)
+    assert_stream_is_complete(data)
+
+
+def test_silent_stream_is_not_lost_if_the_retry_budget_ends_at_a_refusal():
+    """Guards against using the last retry for a server that refuses the call.
+
+    The server would accept it the next time.
+    """
+    accepted = test_relay.make_stream(2, 3, seal=b"2")
+    with running_relay([paused_stream()], [test_relay.NOT_RUN, accepted]) as (
+        address,
+        _,
+        host,
+    ):
+        host.budget = retrybudget.RetryBudget(1.0, 2.0, 10.0)  # allows one retry
+        data = request_stream(address)
+    assert_stream_is_complete(data)
+
+
+def test_silent_stream_is_not_lost_while_the_host_stops():
+    """Guards against leaving a server when there is no time to wait for another.
+
+    The replacement refuses the call once. The time until the stop allows no wait for
+    its second answer, but is longer than the pause of the first server.
+    """
+    accepted = test_relay.make_stream(2, 3, seal=b"2")
+    with running_relay([paused_stream()], [test_relay.NOT_RUN, accepted]) as (
+        address,
+        _,
+        host,
+    ):
+        idle_s = attempt_timeouts(STREAM_ROUTE).idle_s
+        host.stops_at = clock.now() + idle_s + waiting.STOP_MARGIN_S + 0.3
+        data = request_stream(address)
+    assert_stream_is_complete(data)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [test_relay.NOT_RUN, WRONG_SERVER, None, ...],
+    ids=["not run", "wrong server", "closed", "silent"],
+)
+def test_silent_plain_call_is_not_failed_if_its_replacement_does_not_serve_it(answer):
+    """Guards against 502 for a call whose answer arrives well before the deadline."""
+    late = [PLAIN_PAUSE_S, test_relay.make_response()]
+    with running_relay([late], [answer] * 20) as (address, _, _):
+        data = request_plain(address)
+    assert data.startswith(b"HTTP/1.1 200") and data.endswith(b"\r\n\r\nok")
+
+
+def test_silent_plain_call_is_not_failed_if_its_replacement_cannot_be_connected():
+    late = [PLAIN_PAUSE_S, test_relay.make_response()]
+    with running_relay_with_closed_port(late) as address:
+        data = request_plain(address)
+    assert data.startswith(b"HTTP/1.1 200") and data.endswith(b"\r\n\r\nok")
+
+
+# Connections of callers
+
+
+def test_response_to_a_slow_caller_is_sent_completely(monkeypatch):
+    """Guards against a write timeout for the whole response despite progress."""
+    monkeypatch.setattr(callers, "WRITE_TIMEOUT_S", 0.3)
+    body = b"x" * 24_000_000
+    size = 0
+    with running_relay([test_relay.make_response(body)]) as (address, _, _):
+        sock = connect(address)
+        sock.sendall(
+            b"POST /big/x HTTP/1.1\r\nHost: a\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n"
+        )
+        # The whole body takes about 1 s, with progress every 20 ms.
+        with gevent.Timeout(6.0, False):
+            while size < len(body) and (part := sock.recv(500_000)):
+                size += len(part)
+                gevent.sleep(0.02 * len(part) / 500_000)
+        sock.close()
+    assert size > len(body)
+
+
+def test_request_received_behind_a_call_in_flight_is_answered_during_the_close():
+    """Guards against discarding a request that was read as a whole before the close.
+
+    The first response does not announce that the connection closes.
+    """
+    recorder = test_callers.Recorder()
+    recorder.delay_s = 0.3
+    server = callers.CallerServer(
+        "127.0.0.1:0", recorder.serve, lambda: test_callers.LIMITS
+    )
+    server.start()
+    request = test_callers.HEAD + b"Content-Length: 2\r\n\r\n"
+    sock = connect(server.address)
+    sock.sendall(request + b"ab" + request + b"cd")
+    gevent.sleep(0.1)
+    server.stop_accepting()
+    data = receive_all(sock, 1.0)
+    server.abort()
+    assert data.count(b"HTTP/1.1 200") == 2 or b"connection: close" in data.lower()
+
+
+def test_call_in_flight_at_the_end_of_a_stop_gets_an_error_response():
+    """Guards against closing the connection where 502 can still be sent."""
+    with test_relay.running_relay([[0.6, test_relay.make_response()]]) as (
+        _,
+        (backend,),
+        host,
+    ):
+        server = callers.CallerServer(
+            "127.0.0.1:0", relay.Relay(host).serve, serviceconfig.Limits
+        )
+        server.start()
+        sock = connect(server.address)
+        sock.sendall(
+            b"POST /once/x HTTP/1.1\r\nHost: a\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n"
+        )
+        gevent.sleep(0.2)
+        server.abort()
+        data = receive_all(sock, 1.0)
+    assert backend.heads and data.startswith(b"HTTP/1.1 5")
+
+
+# End of the process
+
+
+def test_report_of_long_model_names_does_not_end_the_process():
+    """Guards against an exception in the host's task, which ends all its calls.
+
+    The names come from headers of callers, and 17 of 15 KB exceed the frame limit.
+    """
+    host = entryhost.EntryHost(fleetsettings.parse(ENTRY_SETTINGS), seed=1)
+    host._leader = "127.0.0.2"
+    for number in range(20):
+        call = calls.Call(b"POST", b"/", "a", [], b"", 0.0)
+        call.need = calls.ModelNeed(f"{number}" + "m" * 15_000)
+        host.record_arrival(call)
+    host._report(clock.now())
--- a/tests/gateway/test_tracing.py
+++ b/tests/gateway/test_tracing.py
@@ -68,6 +68,17 @@
     assert events[-1].startswith("answered after")
 
 
+def test_trace_shows_that_a_response_was_cut_off(collected):
+    """Guards against taking a cut response for a complete error response."""
+    broken = test_relay.make_stream(1, ends=False)
+    with test_relay.running_relay([broken, None]) as (address, backends, _):
+        backends[0].closes = True
+        test_relay.send_request(address, b"stream")
+    assert event_texts(collected)[-1].endswith("; the response was cut off")
+    (problem,) = tracing.problems(tracing.read(collected.text, "entry-1"))
+    assert problem["problem"].endswith(", response cut off")
+
+
 def test_trace_command_lists_problems_and_the_events_of_a_request(
     collected, tmp_path, capsys
 ):
