Keep a silent attempt until another server accepts the call

Cause: after a stall the relay closed the connection to the silent server first and looked for a replacement then. That one may refuse the call (full, or without the model), be unreachable, break off or send an error, and the retry budget may end between the two; nothing was left then, and a begun response could only be cut. The class: a resource that works is given up on suspicion before its replacement is certain. In the same way a complete 5xx response of a server was dropped for a retry that could not be made.

Change: a silent attempt stays open while the next one may still be refused, for 0.3 s after that was sent. It goes on if the next one is refused, fails or sends an error, and also if its own server speaks first. The connection closes once the other server has accepted the call or the 0.3 s are over, so that no two servers work on one call. The latest error response of a server reaches the caller if nothing better comes. The state of an attempt moves to gateway/attempts, so that it can be continued.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,6 @@
 PYTHON ?= python3
 VENV ?= .venv
 SEED ?= 1
-TEST_ARGUMENTS ?=
 BIN = $(VENV)/bin
 READY = $(VENV)/.kumquatproxy-installed
 
@@ -16,7 +15,7 @@
 	$(BIN)/python -m kumquatproxy demo
 
 test: $(READY)
-	$(BIN)/python -m pytest $(TEST_ARGUMENTS)
+	$(BIN)/python -m pytest
 
 measure: $(READY)
 	$(BIN)/python -m kumquatproxy bench all
--- /dev/null
+++ b/kumquatproxy/gateway/attempts.py
@@ -0,0 +1,117 @@
+"""State of a call: its attempts, and what it can fall back to.
+
+A server that falls silent for a moment may be sound. Its attempt is kept until another
+server has accepted the call, because that one may refuse it or break off.
+"""
+
+from kumquatproxy.fleet import servers
+from kumquatproxy.gateway import (
+    backendconnections,
+    calls,
+    eventstream,
+    serverselection,
+)
+
+
+class Attempt:
+    """Hold one attempt at a server: its connection, the response so far, the outcome.
+
+    An attempt that was left because of silence can be continued from this state.
+    """
+
+    __slots__ = (
+        "announcement",
+        "body_parts",
+        "candidate_count",
+        "detail",
+        "head",
+        "in_flight_call",
+        "is_response_read",
+        "link",
+        "lowest_delay_s",
+        "outcome",
+        "splitter",
+        "started_at",
+    )
+
+    def __init__(self, announcement, candidate_count, lowest_delay_s, now):
+        self.announcement: servers.Announcement = announcement
+        self.candidate_count: int = candidate_count  # servers that can serve the call
+        # Predicted, among all candidates; not of the selected server.
+        self.lowest_delay_s: float = lowest_delay_s
+        self.outcome: calls.Outcome | None = None
+        self.detail = ""
+        self.started_at: float = now
+        # None before the attempt is sent and after it has ended.
+        self.link: backendconnections.BackendConnection | None = None
+        self.in_flight_call: serverselection.InFlightCall | None = None
+        self.head: calls.ResponseHead | None = None  # of a response to be relayed
+        self.body_parts: list[bytes] = []
+        self.splitter = eventstream.EventSplitter()
+        self.is_response_read = False  # to its end
+
+
+class ErrorResponse:
+    """Hold a complete error response of a server that another server may replace."""
+
+    __slots__ = ("body", "head")
+
+    def __init__(self, head, body):
+        self.head: calls.ResponseHead = head
+        self.body: bytes = body
+
+
+class Progress:
+    """Hold the state of a call across its attempts."""
+
+    __slots__ = (
+        "attempts",
+        "error_response",
+        "excluded_lifetimes",
+        "fallback",
+        "has_response_begun",
+        "last_event_id",
+        "possible_executions",
+        "unexecuted_attempts",
+        "waited_s",
+    )
+
+    def __init__(self):
+        self.attempts: list[Attempt] = []
+        # A silent attempt, kept while the next one has not been accepted.
+        self.fallback: Attempt | None = None
+        # The newest one, for the caller if no other server sends a response.
+        self.error_response: ErrorResponse | None = None
+        self.has_response_begun = False  # the caller has received a head
+        self.last_event_id = ""  # of the last event the caller has received
+        self.unexecuted_attempts = 0
+        # Attempts that have ended or were left, and may have executed the call.
+        self.possible_executions = 0
+        self.excluded_lifetimes: set[tuple] = set()  # server runs not to be tried
+        self.waited_s = 0.0
+
+    def may_have_executed(self) -> bool:
+        """Return whether a server may have executed the call or may still do so."""
+        return any(
+            attempt.outcome is not None and attempt.outcome not in calls.NOT_EXECUTED
+            for attempt in self.attempts
+        )
+
+    def accepts(self, head: calls.ResponseHead) -> bool:
+        """Return whether a response replaces the fallback."""
+        if self.has_response_begun:
+            return head.status == calls.STREAM_STATUS
+        return head.status < calls.MIN_SERVER_ERROR_STATUS
+
+    def keep_silent(self, attempt: Attempt) -> None:
+        """Keep a silent attempt as the fallback; it counts as left."""
+        self.fallback = attempt
+        self.possible_executions += 1
+
+    def return_to_fallback(self) -> Attempt:
+        """Return the silent attempt, which is in progress again."""
+        attempt, self.fallback = self.fallback, None
+        assert attempt is not None
+        attempt.outcome = calls.Outcome.LOST
+        self.possible_executions -= 1
+        return attempt
--- a/kumquatproxy/gateway/backendconnections.py
+++ b/kumquatproxy/gateway/backendconnections.py
@@ -213,9 +213,23 @@
         idle_s = now - self.idle_since
         if idle_s > min(max_idle_s, self._keep_alive_s * KEEP_ALIVE_USABLE_FRACTION):
             return False
+        return not self._is_readable()
+
+    def receive_available(self) -> bool:
+        """Buffer data that has arrived; return whether there was any."""
+        if not self._is_readable():
+            return False
+        try:
+            data = self._sock.recv(framing.READ_BYTES)
+        except OSError:
+            return False
+        self._buffer += data
+        return bool(data)
+
+    def _is_readable(self):
         poller = select.poll()
         poller.register(self._sock.fileno(), select.POLLIN)
-        return not poller.poll(0)
+        return bool(poller.poll(0))
 
     def close(self) -> None:
         """Close the connection, so that the server cancels a call in flight."""
--- a/kumquatproxy/gateway/calls.py
+++ b/kumquatproxy/gateway/calls.py
@@ -5,6 +5,9 @@
 
 from kumquatproxy import records
 
+STREAM_STATUS = 200  # of a response that is a stream
+MIN_SERVER_ERROR_STATUS = 500
+
 
 class Mode(enum.Enum):
     """State whether a call may be repeated, and whether it is a stream."""
@@ -109,6 +112,7 @@
     # have executed the call.
     LOST = "lost"
     SILENT = "silent"  # sent, no data within the timeout
+    SUPERSEDED = "superseded"  # an earlier silent attempt went on before a response
     BROKEN = "broken"  # not used; a stream that ends early has the outcome LOST
 
 
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -7,13 +7,12 @@
 
 from kumquatproxy import clock, errors, logs
 from kumquatproxy.gateway import (
+    attempts,
     backendconnections,
     callers,
     calls,
     enginepriority,
-    eventstream,
     framing,
-    serverselection,
     shedding,
     stalltimeouts,
     waiting,
@@ -31,7 +30,6 @@
 MAX_UNEXECUTED_ATTEMPTS = 6
 NOT_READY_RETRY_AFTER_S = 0.5
 OVERLOADED_RETRY_AFTER_S = 0.5
-MIN_SERVER_ERROR_STATUS = 500
 # Statuses that tell a caller that the call was not executed.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
@@ -40,73 +38,8 @@
     """Report that the deadline of a call has passed."""
 
 
-class Attempt:
-    """Hold one attempt at a server and its outcome."""
-
-    __slots__ = (
-        "announcement",
-        "candidate_count",
-        "detail",
-        "lowest_delay_s",
-        "outcome",
-        "started_at",
-    )
-
-    def __init__(self, announcement, candidate_count, lowest_delay_s, now):
-        self.announcement = announcement
-        self.candidate_count: int = candidate_count  # servers that can serve the call
-        # Predicted, among all candidates; not of the selected server.
-        self.lowest_delay_s: float = lowest_delay_s
-        self.outcome: calls.Outcome | None = None
-        self.detail = ""
-        self.started_at: float = now
-
-
-class Progress:
-    """Hold the state of a call across its attempts."""
-
-    __slots__ = (
-        "attempts",
-        "excluded_lifetimes",
-        "has_response_begun",
-        "last_event_id",
-        "possible_executions",
-        "unexecuted_attempts",
-        "waited_s",
-    )
-
-    def __init__(self):
-        self.attempts: list[Attempt] = []
-        self.has_response_begun = False  # the caller has received a head
-        self.last_event_id = ""  # of the last event the caller has received
-        self.unexecuted_attempts = 0
-        self.possible_executions = 0  # attempts that may have executed the call
-        self.excluded_lifetimes: set[tuple] = set()  # server runs not to be tried
-        self.waited_s = 0.0
-
-    def may_have_executed(self) -> bool:
-        """Return whether a server may have executed the call or may still do so."""
-        return any(
-            attempt.outcome is not None and attempt.outcome not in calls.NOT_EXECUTED
-            for attempt in self.attempts
-        )
-
-
-class Stream:
-    """Hold one stream that is being relayed to the caller."""
-
-    __slots__ = ("_timeouts", "head", "in_flight_call")
-
-    def __init__(self, head, in_flight_call, timeouts):
-        self.head: calls.ResponseHead = head
-        self.in_flight_call: serverselection.InFlightCall = in_flight_call
-        self._timeouts: stalltimeouts.StallTimeouts = timeouts
-
-    def read_timeout_s(self) -> float | None:
-        """Return the timeout for the next bytes, or None without one."""
-        if self.in_flight_call.has_first_event:
-            return self._timeouts.idle_s
-        return self._timeouts.initial_s
+class FallbackResumedError(Exception):
+    """Report that a silent server went on before another one accepted the call."""
 
 
 class Relay:
@@ -119,7 +52,7 @@
 
     def serve(self, call: calls.Call, connection: callers.CallerConnection) -> None:
         """Serve one call on the connection of its caller."""
-        progress = Progress()
+        progress = attempts.Progress()
         current = gevent.getcurrent()
         connection.watch_for_disconnect(
             lambda: current.kill(calls.ResponseAbortedError, block=False)
@@ -139,6 +72,8 @@
             self._record_outcome(call, progress, "the caller has gone")
             connection.is_closing = True
             raise
+        finally:
+            self._end_fallback(progress)
 
     def _prepare(self, call):
         self._host.dialect.read_call(call)
@@ -166,20 +101,19 @@
         self._host.record_arrival(call)
 
     def _run(self, call, progress, connection):
+        attempt = self._start_attempt(call, progress)
         while True:
-            attempt = self._start_attempt(call, progress)
-            self._count_in_budget(call, progress)
-            progress.attempts.append(attempt)
             self._run_attempt(call, attempt, progress, connection)
             if attempt.outcome is calls.Outcome.ANSWERED:
                 self._record_outcome(call, progress, "answered")
                 return
-            self._handle_failed_attempt(call, attempt, progress)
+            attempt = self._next_attempt(call, attempt, progress)
 
     def _start_attempt(self, call, progress):
         """Select a server, waiting if none is available, and return an attempt at it.
 
-        Raise ProxyError if the call is shed or no server is expected in time.
+        Raise ProxyError if the call is shed or no server is expected in time. With a
+        fallback, return None instead of waiting.
         """
         wait_policy = waiting.WaitPolicy(call, clock.now())
         has_waited = False
@@ -201,9 +135,14 @@
                         raise error
                 if announcement is not None:
                     progress.waited_s += now - wait_policy.since
-                    return Attempt(
+                    self._count_in_budget(call, progress)
+                    attempt = attempts.Attempt(
                         announcement, len(candidates), candidates[0].delay_s, now
                     )
+                    progress.attempts.append(attempt)
+                    return attempt
+                if progress.fallback is not None:
+                    return None
                 expected_availability = self._host.expected_availability(call)
                 decision = wait_policy.decide(
                     service, expected_availability, now, self._host.stops_at
@@ -222,36 +161,61 @@
             budget.record_request(call.service, now)
 
     def _run_attempt(self, call, attempt, progress, connection):
-        """Send a call to a server and relay the response."""
-        announcement = attempt.announcement
+        """Send a call to a server, or continue an attempt, and relay the response."""
         server_selector = self._host.server_selector
-        in_flight_call = server_selector.start_call(call, announcement)
-        link = None
-        is_reusable = False  # True once the response was read to its end
+        is_silent = False
         try:
-            link = self._connect(call, announcement)
-            self._send(call, attempt, progress, link)
-            self._receive(call, attempt, progress, connection, link, in_flight_call)
-            is_reusable = True
+            if attempt.link is None:
+                attempt.in_flight_call = server_selector.start_call(
+                    call, attempt.announcement
+                )
+                attempt.link = self._connect(call, attempt.announcement)
+                self._send(call, attempt, progress)
+            self._receive(call, attempt, progress, connection)
         except (OSError, backendconnections.BackendError, ValueError) as error:
             attempt.detail = str(error) or type(error).__name__
             if attempt.outcome is None:
                 attempt.outcome = calls.Outcome.NOT_CONNECTED
         except backendconnections.StallError:
-            attempt.detail = "no data within the timeout"
-            attempt.outcome = calls.Outcome.SILENT
+            # The body of a refusal may stall too; the call has not run then.
+            is_silent = attempt.outcome not in calls.NOT_EXECUTED
+            if is_silent:
+                attempt.detail = "no data within the timeout"
+                attempt.outcome = calls.Outcome.SILENT
+        except FallbackResumedError:
+            attempt.detail = "the server of an earlier attempt went on"
+            attempt.outcome = calls.Outcome.SUPERSEDED
         except DeadlineExceededError:
-            server_selector.view(announcement).health.record_failure(clock.now(), False)
+            view = server_selector.view(attempt.announcement)
+            view.health.record_failure(clock.now(), False)
             raise
         finally:
-            server_selector.end_call(announcement, in_flight_call)
-            if link is not None and is_reusable:
-                self.links.release(link)
-            elif link is not None:
-                link.close()
+            if not is_silent:
+                self._end_attempt(attempt)
         self._update_health(attempt, server_selector)
         self._host.meter.attempt(call.service, attempt.outcome.value)
 
+    def _end_attempt(self, attempt):
+        """Stop counting an attempt as in flight, and release or close its connection.
+
+        Closing the connection cancels an unfinished call at the server.
+        """
+        if attempt.in_flight_call is not None:
+            self._host.server_selector.end_call(
+                attempt.announcement, attempt.in_flight_call
+            )
+            attempt.in_flight_call = None
+        link, attempt.link = attempt.link, None
+        if link is not None and attempt.is_response_read:
+            self.links.release(link)
+        elif link is not None:
+            link.close()
+
+    def _end_fallback(self, progress):
+        fallback, progress.fallback = progress.fallback, None
+        if fallback is not None:
+            self._end_attempt(fallback)
+
     def _connect(self, call, announcement):
         left_s = call.deadline - clock.now()
         max_idle_s = MAX_IDLE_S if call.is_repeatable else UNREPEATABLE_MAX_IDLE_S
@@ -260,7 +224,7 @@
             announcement.instance_id, announcement.address, max_idle_s, timeout_s
         )
 
-    def _send(self, call, attempt, progress, link):
+    def _send(self, call, attempt, progress):
         left_s = call.deadline - clock.now()
         if left_s < MIN_REMAINING_S:
             raise DeadlineExceededError
@@ -273,44 +237,61 @@
         )
         # From here on the server may execute the call, even if sending fails.
         attempt.outcome = calls.Outcome.LOST
-        link.send(call.method, call.target, headers, call.body)
+        attempt.link.send(call.method, call.target, headers, call.body)
 
-    def _receive(self, call, attempt, progress, connection, link, in_flight_call):
+    def _receive(self, call, attempt, progress, connection):
         timeouts = stalltimeouts.for_attempt(call, self._may_retry(call, progress))
-        read = functools.partial(self._read, call, attempt, progress, link)
-        head = self._read_matching_head(call, link, read, timeouts)
-        if head.load is not None:
-            view = self._host.server_selector.view(attempt.announcement)
-            view.load = head.load
-        if head.is_wrong_server or head.is_not_executed:
-            wrong = calls.Outcome.WRONG_SERVER
-            attempt.outcome = wrong if head.is_wrong_server else calls.Outcome.NOT_RUN
-            attempt.detail = f"refused with {head.status}"
-            self._read_body(link, read, timeouts)
-            return
-        if not head.is_sealed or not _is_unencoded(head):
-            raise backendconnections.BackendError(
-                f"response {head.status} has no checksum or is encoded"
-            )
-        is_stream = call.route.mode is calls.Mode.STREAM and head.status == 200
-        if is_stream:
-            stream = Stream(head, in_flight_call, timeouts)
-            self._relay_stream(attempt, progress, connection, link, stream, read)
+        read = functools.partial(self._read, call, attempt, progress)
+        if attempt.head is None:
+            head = self._read_matching_head(call, attempt.link, read, timeouts)
+            if head.load is not None:
+                view = self._host.server_selector.view(attempt.announcement)
+                view.load = head.load
+            if head.is_wrong_server or head.is_not_executed:
+                wrong = calls.Outcome.WRONG_SERVER
+                attempt.outcome = (
+                    wrong if head.is_wrong_server else calls.Outcome.NOT_RUN
+                )
+                attempt.detail = f"refused with {head.status}"
+                self._read_body(attempt, read, timeouts)
+                return
+            if not head.is_sealed or not _is_unencoded(head):
+                raise backendconnections.BackendError(
+                    f"response {head.status} has no checksum or is encoded"
+                )
+            attempt.head = head
+            if progress.accepts(head):
+                self._end_fallback(progress)
+        is_stream = call.route.mode is calls.Mode.STREAM
+        if is_stream and attempt.head.status == calls.STREAM_STATUS:
+            self._relay_stream(attempt, progress, connection, timeouts, read)
         else:
-            body = self._read_body(link, read, timeouts)
-            self._relay_or_reject_response(
-                call, attempt, progress, connection, head, body
-            )
+            body = self._read_body(attempt, read, timeouts)
+            self._relay_or_reject_response(call, attempt, progress, connection, body)
 
-    def _read(self, call, attempt, progress, link, limit_s, receive):
+    def _read(self, call, attempt, progress, limit_s, receive):
         """Return the result of ``receive``; time out only with an alternative."""
+        first_limit_s = limit_s
+        if progress.fallback is not None:
+            first_limit_s = min(stalltimeouts.ACCEPTANCE_S, limit_s or call.deadline)
 
         def get_extension_s():
+            if progress.fallback is not None:
+                self._check_fallback(progress)
+                left_s = call.deadline - clock.now()
+                left_s = left_s if limit_s is None else limit_s - first_limit_s
+                return max(stalltimeouts.RECHECK_INTERVAL_S, left_s)
             if self._has_alternative(call, attempt, progress):
                 return 0.0
-            return min(limit_s, stalltimeouts.RECHECK_INTERVAL_S)
+            return min(limit_s or call.deadline, stalltimeouts.RECHECK_INTERVAL_S)
 
-        return link.read_with_timeout(limit_s, receive, get_extension_s)
+        return attempt.link.read_with_timeout(first_limit_s, receive, get_extension_s)
+
+    def _check_fallback(self, progress):
+        """End the fallback, or raise FallbackResumedError if its server went on."""
+        if progress.fallback.link.receive_available():
+            raise FallbackResumedError
+        self._end_fallback(progress)
 
     def _has_alternative(self, call, attempt, progress):
         if not self._may_retry(call, progress):
@@ -339,40 +320,49 @@
             # This is a late response to an earlier call; the expected one follows it.
             read(timeouts.initial_s, link.discard_response)
 
-    def _read_body(self, link, read, timeouts):
-        return backendconnections.join_parts(
-            lambda: read(timeouts.initial_s, link.read_part)
-        )
+    def _read_body(self, attempt, read, timeouts):
+        while True:
+            part = read(timeouts.initial_s, attempt.link.read_part)
+            if part is None:
+                attempt.is_response_read = True
+                return b"".join(attempt.body_parts)
+            attempt.body_parts.append(part)
 
-    def _relay_or_reject_response(
-        self, call, attempt, progress, connection, head, body
-    ):
+    def _relay_or_reject_response(self, call, attempt, progress, connection, body):
         # On an early return the outcome stays LOST; the call is then retried or fails.
-        if head.status >= MIN_SERVER_ERROR_STATUS and self._may_retry(call, progress):
-            attempt.detail = f"the server responded with {head.status}"
-            return
+        head = attempt.head
         if progress.has_response_begun:
             attempt.detail = f"response {head.status} to a resumed stream"
             return
+        has_alternative = progress.fallback is not None or self._may_retry(
+            call, progress
+        )
+        if head.status >= calls.MIN_SERVER_ERROR_STATUS and has_alternative:
+            attempt.detail = f"the server responded with {head.status}"
+            progress.error_response = attempts.ErrorResponse(head, body)
+            return
         attempt.outcome = calls.Outcome.ANSWERED
         progress.has_response_begun = True
         connection.send_response(head.status, _response_headers(head), body)
 
-    def _relay_stream(self, attempt, progress, connection, link, stream, read):
-        splitter = eventstream.EventSplitter()
+    def _relay_stream(self, attempt, progress, connection, timeouts, read):
+        in_flight_call = attempt.in_flight_call
         while True:
-            part = read(stream.read_timeout_s(), link.read_part)
+            has_first_event = in_flight_call.has_first_event
+            limit_s = timeouts.idle_s if has_first_event else timeouts.initial_s
+            part = read(limit_s, attempt.link.read_part)
             if part is None:
                 break
-            events = splitter.add(part)
+            events = attempt.splitter.add(part)
             if events:
-                stream.in_flight_call.has_first_event = True
-                self._relay_events(progress, connection, stream.head, events)
-        if splitter.has_partial_event:
+                in_flight_call.has_first_event = True
+                self._relay_events(progress, connection, attempt.head, events)
+        attempt.is_response_read = True
+        if attempt.splitter.has_partial_event:
             raise backendconnections.BackendError(
                 "the stream ended with an incomplete event"
             )
-        self._start_response(progress, connection, stream.head)
+        self._start_response(progress, connection, attempt.head)
         attempt.outcome = calls.Outcome.ANSWERED
         connection.end_response()
 
@@ -401,7 +391,10 @@
             health.record_not_executed(now)
         elif attempt.outcome is calls.Outcome.NOT_CONNECTED:
             health.record_failure(now, is_unreachable=True)
-        elif attempt.outcome is not calls.Outcome.WRONG_SERVER:
+        elif attempt.outcome not in (
+            calls.Outcome.WRONG_SERVER,
+            calls.Outcome.SUPERSEDED,
+        ):
             health.record_failure(now, is_unreachable=False)
 
     def _may_retry(self, call, progress):
@@ -409,22 +402,41 @@
         if (
             not call.is_repeatable
             or progress.possible_executions + 1 >= call.route.attempts
+            or progress.unexecuted_attempts > MAX_UNEXECUTED_ATTEMPTS
         ):
             return False
         host_count = self._host.entry_count
         return self._host.budget.allows(call.service, host_count, clock.now())
 
-    def _handle_failed_attempt(self, call, attempt, progress):
-        """Prepare the next attempt, or raise ProxyError if there is none."""
+    def _next_attempt(self, call, attempt, progress):
+        """Return the attempt after a failed one; raise ProxyError if there is none.
+
+        It is a new one, or a silent one that no other server has replaced.
+        """
         outcome = attempt.outcome
         progress.excluded_lifetimes.add(attempt.announcement.lifetime)
         self._log_attempt(call, attempt)
+        if outcome is calls.Outcome.WRONG_SERVER:
+            self._host.server_selector.remove_adapter(attempt.announcement, call.need)
+        if outcome is calls.Outcome.SILENT:
+            progress.keep_silent(attempt)
+            next_attempt = self._start_attempt(call, progress)
+            return next_attempt or progress.return_to_fallback()
         if outcome in calls.NOT_EXECUTED:
             progress.unexecuted_attempts += 1
         else:
             progress.possible_executions += 1
-        if outcome is calls.Outcome.WRONG_SERVER:
-            self._host.server_selector.remove_adapter(attempt.announcement, call.need)
+        if progress.fallback is None:
+            self._check_retry(call, progress)
+        if outcome in (calls.Outcome.NOT_RUN, calls.Outcome.NOT_CONNECTED):
+            # The same server may accept the call later.
+            progress.excluded_lifetimes.discard(attempt.announcement.lifetime)
+        if progress.fallback is not None:
+            return progress.return_to_fallback()
+        return self._start_attempt(call, progress)
+
+    def _check_retry(self, call, progress):
+        """Raise ProxyError if a call must not be sent again."""
         if progress.may_have_executed() and not call.is_repeatable:
             raise errors.ProxyError(
                 errors.ErrorKind.BACKEND_FAILED,
@@ -434,16 +446,12 @@
         is_within_budget = self._host.budget.allows(
             call.service, host_count, clock.now()
         )
-        has_too_many_unexecuted = progress.unexecuted_attempts > MAX_UNEXECUTED_ATTEMPTS
         if (
             progress.possible_executions >= call.route.attempts
-            or has_too_many_unexecuted
+            or progress.unexecuted_attempts > MAX_UNEXECUTED_ATTEMPTS
             or not is_within_budget
         ):
             raise _retries_exhausted_error(progress)
-        if outcome in (calls.Outcome.NOT_RUN, calls.Outcome.NOT_CONNECTED):
-            # The same server may accept the call later.
-            progress.excluded_lifetimes.discard(attempt.announcement.lifetime)
 
     def _log_attempt(self, call, attempt):
         self._log.write_limited(
@@ -458,9 +466,16 @@
     def _end_with_error(self, call, progress, connection, error):
         """Record the outcome of a failed call and send an error response.
 
-        If a response has begun, raise ResponseAbortedError instead, so that the
-        connection closes and the response stays incomplete.
+        An error response that a server has sent takes precedence. If a response has
+        begun, raise ResponseAbortedError instead, so that the connection closes and the
+        response stays incomplete.
         """
+        kept = progress.error_response
+        if kept is not None and not progress.has_response_begun:
+            self._record_outcome(call, progress, "answered")
+            headers = _response_headers(kept.head)
+            connection.send_response(kept.head.status, headers, kept.body)
+            return
         if progress.may_have_executed() and error.status in NOT_EXECUTED_STATUSES:
             error = errors.ProxyError(errors.ErrorKind.BACKEND_FAILED, error.detail)
         self._record_outcome(call, progress, str(error))
--- a/kumquatproxy/gateway/stalltimeouts.py
+++ b/kumquatproxy/gateway/stalltimeouts.py
@@ -14,6 +14,10 @@
 # Idle timeout of a stream, in multiples of the route's maximum pause between events.
 MAX_PAUSE_FACTOR = 2.5
 MIN_IDLE_S = 0.5
+# Time within which a server is expected to refuse a call that it does not run. A silent
+# attempt at another server is kept for so long; two servers must not work on one call
+# for 0.4 s.
+ACCEPTANCE_S = 0.3
 # Interval at which a call at a stalled server checks whether another can serve it.
 RECHECK_INTERVAL_S = 0.25
 
--- a/tests/gateway/test_silentservers.py
+++ b/tests/gateway/test_silentservers.py
@@ -37,10 +37,15 @@
     return test_relay.make_stream(*numbers).partition(b"\r\n\r\n")[2]
 
 
-def make_silent_stream(silence_s=SILENCE_S):
+def make_silent_stream(silence_s):
     return [test_relay.make_stream(1, ends=False), silence_s, make_rest(2, 3)]
 
 
+def send_request(address, path, wait_s=1.5):
+    """Send the last request of a connection and return the data received."""
+    return test_relay.send_request(address, path, b"Connection: close\r\n", wait_s)[0]
+
+
 def assert_complete(data, *numbers):
     counts = [data.count(test_relay.make_event(number)) for number in numbers]
     assert counts == [1] * len(numbers)
@@ -63,21 +68,21 @@
         test_relay.make_chunk(event[7:]) + b"0\r\n\r\n",
     ]
     with test_relay.running_relay([paused], list(REFUSALS)) as running:
-        data, _ = test_relay.send_request(running[0], b"stream")
+        data = send_request(running[0], b"stream")
     assert_complete(data, 1, 2)
 
 
 def test_error_response_is_relayed_when_no_other_server_accepts_the_call():
     """Guards against a 502 in place of the response that the server had sent."""
     with test_relay.running_relay([SERVER_ERROR], list(REFUSALS)) as running:
-        data, _ = test_relay.send_request(running[0], b"safe")
+        data = send_request(running[0], b"safe")
     assert data.startswith(b"HTTP/1.1 500") and data.endswith(b"\r\n\r\nno")
 
 
 def test_error_response_is_relayed_at_the_deadline():
     """Guards against a 504 in place of the response that the server had sent."""
     with test_relay.running_relay([SERVER_ERROR], [...]) as running:
-        data, _ = test_relay.send_request(running[0], b"safe")
+        data = send_request(running[0], b"safe")
     assert data.startswith(b"HTTP/1.1 500") and data.endswith(b"\r\n\r\nno")
 
 
@@ -86,7 +91,7 @@
     paused = make_silent_stream(test_relay.ROUTES[2].max_pause_s + 0.6)
     slow = [0.8, test_relay.make_stream(2, 3, seal=b"2")]
     with test_relay.running_relay([paused], [slow]) as (address, backends, _):
-        data, _ = test_relay.send_request(address, b"stream")
+        data = send_request(address, b"stream")
     assert_complete(data, 1, 2, 3)
     assert backends[0].connections == 1
 
@@ -158,11 +163,11 @@
 
 
 def request_stream(address):
-    return test_relay.send_request(address, b"stream", wait_s=STREAM_PAUSE_S + 1.0)[0]
+    return send_request(address, b"stream", STREAM_PAUSE_S + 1.0)
 
 
 def request_plain(address):
-    return test_relay.send_request(address, b"safe", wait_s=PLAIN_PAUSE_S + 1.0)[0]
+    return send_request(address, b"safe", PLAIN_PAUSE_S + 1.0)
 
 
 def assert_stream_is_complete(data):
