Answer a call after an unexpected exception

Callers saw a connection that closed without a response to a request that had been read as a whole.

Cause: Relay.serve handled the exceptions of calls, deadlines and disconnects only. Any other exception ended the greenlet of the connection.

Ruled out: a change of what ends a greenlet. GreenletExit and timeouts are not subclasses of Exception and pass as before.

Change: serve logs such an exception with the request id and the traceback, and sends 500 internal-error, with executed "no" if no attempt may have executed the call. A response that has begun stays incomplete. The tests of other faults that would pass with this 500 expect the proper response now: 502 and the Host header, 502 for a number that is ignored, 429 or 503 for a request that was never sent.

--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -1,6 +1,7 @@
 """Processing of one call: server selection, attempts, response to the caller."""
 
 import functools
+import traceback
 
 import gevent
 import gevent.event
@@ -72,6 +73,10 @@
             self._record_outcome(call, progress, "the caller has gone")
             connection.is_closing = True
             raise
+        except Exception as error:
+            self._log_exception(call, error)
+            internal_error = _internal_error(progress)
+            self._end_with_error(call, progress, connection, internal_error)
         finally:
             self._end_fallback(progress)
 
@@ -463,6 +468,15 @@
             route=call.route.name,
         )
 
+    def _log_exception(self, call, error):
+        self._log.write_limited(
+            clock.now(),
+            type(error).__name__,
+            f"unexpected exception {error!r:.200}",
+            request_id=call.request_id,
+            traceback="".join(traceback.format_exception(error)),
+        )
+
     def _end_with_error(self, call, progress, connection, error):
         """Record the outcome of a failed call and send an error response.
 
@@ -553,6 +567,14 @@
     )
 
 
+def _internal_error(progress):
+    return errors.ProxyError(
+        errors.ErrorKind.INTERNAL,
+        "the host failed to process the call",
+        executed=None if progress.may_have_executed() else "no",
+    )
+
+
 def _retries_exhausted_error(progress):
     if progress.may_have_executed():
         return errors.ProxyError(
--- a/tests/gateway/test_lostanswers.py
+++ b/tests/gateway/test_lostanswers.py
@@ -80,10 +80,16 @@
 
 def test_call_whose_host_header_is_a_connection_option_gets_a_response():
     """Guards against an exception in h11 for a forwarded request without Host."""
-    with test_relay.running_relay([test_relay.make_response()]) as (address, _, host):
+    with test_relay.running_relay([test_relay.make_response()]) as (
+        address,
+        (backend,),
+        host,
+    ):
         host.dialect = callformat.PlatformDialect()
         data, _ = test_relay.send_request(address, b"once", b"Connection: host\r\n")
-    assert data.startswith(b"HTTP/1.1 ")
+    # The response of the server lacks the id that this dialect expects.
+    assert data.startswith(b"HTTP/1.1 502")
+    assert b"\r\nhost: a\r\n" in backend.heads[0].lower()
 
 
 @pytest.mark.parametrize(
@@ -106,7 +112,8 @@
     with test_relay.running_relay([]) as (address, _, host):
         host.dialect = callformat.PlatformDialect()
         data, _ = test_relay.send_request(address, b"once", header + b"\r\n", 0.5)
-    assert data.startswith(b"HTTP/1.1 ")
+    # The header is ignored; the server closes the connection without a response.
+    assert data.startswith(b"HTTP/1.1 502")
 
 
 def test_call_gets_a_response_after_an_unexpected_exception(monkeypatch):
@@ -118,7 +125,20 @@
     monkeypatch.setattr(test_relay.FakeHost, "record_arrival", fail)
     with test_relay.running_relay([test_relay.make_response()]) as (address, _, _):
         data, _ = test_relay.send_request(address, b"once")
-    assert data.startswith(b"HTTP/1.1 5")
+    assert data.startswith(b"HTTP/1.1 500") and b'"executed":"no"' in data
+
+
+def test_begun_stream_stays_incomplete_after_an_unexpected_exception(monkeypatch):
+    """Guards against an error response or a last chunk after a part of a stream."""
+
+    def fail(self):
+        raise KeyError("end")
+
+    monkeypatch.setattr(callers.CallerConnection, "end_response", fail)
+    with test_relay.running_relay([test_relay.make_stream(1)]) as (address, _, _):
+        data, is_closed = test_relay.send_request(address, b"whole")
+    assert test_relay.make_event(1) in data and data.count(b"HTTP/1.1") == 1
+    assert is_closed and not data.endswith(b"0\r\n\r\n")
 
 
 # Announcements of servers
@@ -138,7 +158,8 @@
         odd = servers.Announcement("i-\n9", "s", backend.address, "a", 1, 1, 4)
         host.table.apply_announcement(odd, 0.0)
         data, _ = test_relay.send_request(address, b"once")
-    assert data.startswith(b"HTTP/1.1 ")
+    assert data.startswith((b"HTTP/1.1 429", b"HTTP/1.1 503"))
+    assert b'"executed":"no"' in data
 
 
 # Answers of servers
