Relay a complete stream to its end if its last event is unusual

Callers saw a stream that broke off without its last chunk, although the server had sent all of it.

Cause: the relay took any bytes after the last complete event for a cut stream: a comment, an empty line, or a last event with one line break or none.

Ruled out: a loss in the splitter. It holds the bytes; the relay raised an error for them.

Change: if chunks or Content-Length show that the response is complete, the bytes left in the splitter are relayed as the last event. An id at or below the last one sent is dropped as before. A response that ends with its connection and in an incomplete event is still taken for a lost one.

--- a/kumquatproxy/gateway/eventstream.py
+++ b/kumquatproxy/gateway/eventstream.py
@@ -35,6 +35,14 @@
         """Return whether the buffer holds an incomplete event."""
         return bool(self._buffer)
 
+    def take_partial_event(self) -> list[tuple[bytes, str]]:
+        """Remove and return the incomplete event with its id or '', if there is one."""
+        if not self.has_partial_event:
+            return []
+        event = bytes(self._buffer)
+        self._buffer.clear()
+        return [(event, event_id(event))]
+
 
 def event_id(event: bytes) -> str:
     """Return the value of an event's ``id`` field, or ''."""
--- a/kumquatproxy/gateway/framing.py
+++ b/kumquatproxy/gateway/framing.py
@@ -84,6 +84,13 @@
     return b""
 
 
+def has_explicit_end(headers) -> bool:
+    """Return whether the end of a response body differs from a lost connection."""
+    return bool(
+        header(headers, b"transfer-encoding") or header(headers, b"content-length")
+    )
+
+
 def end_to_end(headers) -> list[tuple[bytes, bytes]]:
     """Return the headers that are not hop-by-hop."""
     connection_options = {
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -363,11 +363,13 @@
                 in_flight_call.has_first_event = True
                 self._relay_events(progress, connection, attempt.head, events)
         attempt.is_response_read = True
-        if attempt.splitter.has_partial_event:
+        has_explicit_end = framing.has_explicit_end(attempt.head.headers)
+        if attempt.splitter.has_partial_event and not has_explicit_end:
             raise backendconnections.BackendError(
                 "the stream ended with an incomplete event"
             )
-        self._start_response(progress, connection, attempt.head)
+        rest = attempt.splitter.take_partial_event()
+        self._relay_events(progress, connection, attempt.head, rest)
         attempt.outcome = calls.Outcome.ANSWERED
         connection.end_response()
 
--- a/tests/gateway/test_lostanswers.py
+++ b/tests/gateway/test_lostanswers.py
@@ -184,6 +184,30 @@
     assert data.count(b"x") >= rest.count(b"x")
 
 
+def test_last_event_that_was_sent_before_is_not_relayed_again():
+    """Guards against a repeated event at the end of a stream that was resumed."""
+    rest = test_relay.make_chunk(b"id: 2\ndata: x\n")
+    answer = test_relay.make_stream(3, ends=False) + rest + b"0\r\n\r\n"
+    with test_relay.running_relay([answer]) as (address, _, _):
+        data, _ = test_relay.send_request(address, b"whole")
+    assert test_relay.make_event(3) in data and data.endswith(b"0\r\n\r\n")
+    assert b"id: 2" not in data
+
+
+def test_partial_event_before_the_end_of_the_connection_is_not_relayed():
+    """Guards against a lost connection that looks like the end of a response.
+
+    Without a length or chunks, the end of the connection is the only sign of the end.
+    """
+    head = b"HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Seal: 1\r\n\r\n"
+    answer = head + test_relay.make_event(1) + b"id: 2\nda"
+    with test_relay.running_relay([answer]) as (address, (backend,), _):
+        backend.closes = True
+        data, is_closed = test_relay.send_request(address, b"whole")
+    assert test_relay.make_event(1) in data and b"id: 2" not in data
+    assert is_closed and not data.endswith(b"0\r\n\r\n")
+
+
 # Connections of callers
 
 
