Answer the calls in flight at the end of a stop

Callers whose call was still in flight at the end of a stop saw the connection close without a response.

Cause: CallerServer.abort killed the greenlets of all connections at once.

Ruled out: the drain before it. It waits for calls in flight up to the deadline of the stop; these calls had taken longer.

Change: abort raises HostStoppingError in the greenlets that serve a call and waits up to 0.2 s. The relay sends 502 if a server may have executed the call, otherwise 503 with executed "no" and Retry-After. A response that has begun is cut as before.

--- a/kumquatproxy/gateway/callers.py
+++ b/kumquatproxy/gateway/callers.py
@@ -21,6 +21,8 @@
 # response.
 LINGER_S = 0.5
 LINGER_BYTES = 256 * 1024
+# Time to write the error responses of the calls in flight when the server aborts.
+ABORT_TIMEOUT_S = 0.2
 BACKLOG = 512
 
 _PROBLEM_CONTENT_TYPE = b"application/problem+json"
@@ -132,6 +134,11 @@
         if self._is_idle:
             self._greenlet.throw(ConnectionClosed)
 
+    def interrupt_call(self) -> gevent.Greenlet:
+        """Raise HostStoppingError in the greenlet of the call in flight; return it."""
+        self._greenlet.kill(calls.HostStoppingError, block=False)
+        return self._greenlet
+
     def _read_body(self, limit_bytes):
         if self._parser.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
@@ -348,7 +355,16 @@
             loop.run_callback(connection.close_if_idle)
 
     def abort(self) -> None:
-        """Close all connections without waiting for their requests."""
+        """End the calls in flight with an error response and close all connections."""
+        self._is_keep_alive_disabled = True
+        self._is_closed = True
+        self._server.close()
+        interrupted = [
+            connection.interrupt_call()
+            for connection, is_serving in self._is_serving_by_connection.items()
+            if is_serving
+        ]
+        gevent.joinall(interrupted, timeout=ABORT_TIMEOUT_S)
         self._server.stop(timeout=0)
 
     def _handle(self, sock, address):
@@ -356,7 +372,11 @@
         self._is_serving_by_connection[connection] = False
         try:
             self._serve_requests(connection)
-        except (ConnectionClosed, calls.ResponseAbortedError):
+        except (
+            ConnectionClosed,
+            calls.HostStoppingError,
+            calls.ResponseAbortedError,
+        ):
             return
         finally:
             del self._is_serving_by_connection[connection]
--- a/kumquatproxy/gateway/calls.py
+++ b/kumquatproxy/gateway/calls.py
@@ -156,3 +156,7 @@
 
 class ResponseAbortedError(Exception):
     """Report that no further data of the response can or may be sent to the caller."""
+
+
+class HostStoppingError(Exception):
+    """Report that the host stops before a call in flight has ended."""
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -68,6 +68,9 @@
             self._end_with_error(call, progress, connection, error)
         except DeadlineExceededError:
             self._end_with_error(call, progress, connection, _deadline_error(progress))
+        except calls.HostStoppingError:
+            connection.is_closing = True
+            self._end_with_error(call, progress, connection, _stopping_error())
         except calls.ResponseAbortedError:
             # This text is also a value of the outcome label in metrics.
             self._record_outcome(call, progress, "the caller has gone")
@@ -569,6 +572,12 @@
     )
 
 
+def _stopping_error():
+    return errors.ProxyError(
+        errors.ErrorKind.STOPPING, "the host stops before the call has ended"
+    )
+
+
 def _internal_error(progress):
     return errors.ProxyError(
         errors.ErrorKind.INTERNAL,
--- a/tests/gateway/test_lostanswers.py
+++ b/tests/gateway/test_lostanswers.py
@@ -19,6 +19,7 @@
     callers,
     calls,
     relay,
+    waiting,
 )
 from kumquatproxy.platform import callformat
 
@@ -251,6 +252,23 @@
     assert data.count(b"HTTP/1.1 200") == 2 or b"connection: close" in data.lower()
 
 
+@contextlib.contextmanager
+def call_in_flight(host, path):
+    """Send a call to a relay of its own and yield its server and the connection."""
+    server = callers.CallerServer(
+        "127.0.0.1:0", relay.Relay(host).serve, serviceconfig.Limits
+    )
+    server.start()
+    sock = connect(server.address)
+    sock.sendall(
+        b"POST /%s/x HTTP/1.1\r\nHost: a\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n" % path
+    )
+    gevent.sleep(0.2)
+    yield server, sock
+    sock.close()
+    server.abort()
+
+
 def test_call_in_flight_at_the_end_of_a_stop_gets_an_error_response():
     """Guards against closing the connection where 502 can still be sent."""
     with test_relay.running_relay([[0.6, test_relay.make_response()]]) as (
@@ -258,18 +276,34 @@
         (backend,),
         host,
     ):
-        server = callers.CallerServer(
-            "127.0.0.1:0", relay.Relay(host).serve, serviceconfig.Limits
-        )
-        server.start()
-        sock = connect(server.address)
-        sock.sendall(
-            b"POST /once/x HTTP/1.1\r\nHost: a\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n"
-        )
-        gevent.sleep(0.2)
-        server.abort()
-        data = receive_all(sock, 1.0)
-    assert backend.heads and data.startswith(b"HTTP/1.1 5")
+        with call_in_flight(host, b"once") as (server, sock):
+            server.abort()
+            data = receive_all(sock, 1.0)
+    assert backend.heads and data.startswith(b"HTTP/1.1 502")
+    assert b"connection: close" in data.lower()
+
+
+def test_waiting_call_at_the_end_of_a_stop_gets_503_with_retry_after():
+    """Guards against 502 for a call that no server can have executed."""
+    with test_relay.running_relay([]) as (_, _, host):
+        host.table.known_by_id.clear()
+        host.expected_availability = lambda call: waiting.ExpectedAvailability(0.3)
+        with call_in_flight(host, b"once") as (server, sock):
+            server.abort()
+            data = receive_all(sock, 1.0)
+    assert data.startswith(b"HTTP/1.1 503") and b"retry-after: " in data.lower()
+    assert b'"executed":"no"' in data
+
+
+def test_begun_stream_at_the_end_of_a_stop_stays_incomplete():
+    """Guards against an error response or a last chunk after a part of a stream."""
+    paused = [test_relay.make_stream(1, ends=False), 5.0]
+    with test_relay.running_relay([paused]) as (_, _, host):
+        with call_in_flight(host, b"stream") as (server, sock):
+            server.abort()
+            data = receive_all(sock, 1.0)
+    assert test_relay.make_event(1) in data and data.count(b"HTTP/1.1") == 1
+    assert not data.endswith(b"0\r\n\r\n")
 
 
 # End of the process
