Keep the entry host running if its report cannot be sent

Callers lost all calls of an entry host at once: its process ended.

Cause: names of models and adapters in headers of callers went into the report without a limit. Above the frame limit its encoding raised ProxyError in the tick, and an error in a tick ends the task and with it the process.

Ruled out: catching errors of ticks in tasks.Task. Tasks that store state must end if the store fails.

Change: calls for a model that their service does not offer are not counted. The needs of a report take at most half a frame, those of most calls first. EntryHost.tick logs an error with its traceback and continues.

Conclusion: fixed for entry hosts. Errors in messages other than ProxyError still end the task.

--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -8,7 +8,7 @@
 import gevent
 import gevent.event
 
-from kumquatproxy import clock, httpapi, logs
+from kumquatproxy import clock, httpapi, logs, wire
 from kumquatproxy.fleet import (
     fleethost,
     fleetmessages,
@@ -45,6 +45,8 @@
 # Engine time of one generated token, as its share of a decoding step of a batch.
 OUTPUT_TOKEN_S = 0.0006
 EXPIRE_INTERVAL_S = 5.0
+# Maximum size of the needs in a report. The rest of the frame is for the loads.
+MAX_NEEDS_BYTES = wire.MAX_FRAME_BYTES // 2
 
 
 class Readiness(httpapi.Application):
@@ -189,13 +191,17 @@
             return waiting.ExpectedAvailability(max(0.0, expected_at - now))
         return waiting.ExpectedAvailability(self._unplanned_load_s(call))
 
+    def _offered_model(self, call):
+        """Return the model a call needs as its service offers it, or None."""
+        if call.need is None or self.configuration is None:
+            return None
+        engine = self.service(call.service).engine
+        return engine.models_by_name.get(call.need.model) if engine else None
+
     def _unplanned_load_s(self, call):
         """Return the time of a load that is not in progress yet, None if unknown."""
-        engine = self.service(call.service).engine
-        if engine is None or call.need.model not in engine.models_by_name:
-            return None
-        model = engine.models_by_name[call.need.model]
-        return model.disk_load_s + SWAP_OVERHEAD_S
+        model = self._offered_model(call)
+        return model.disk_load_s + SWAP_OVERHEAD_S if model is not None else None
 
     def _request_adapter(self, call, now):
         key = (call.service, call.need.key())
@@ -214,7 +220,7 @@
 
     def record_arrival(self, call: calls.Call) -> None:
         """Count a call in the demand that is reported to the owner of orders."""
-        if call.need is None:
+        if call.need is None or self._offered_model(call) is None:
             return
         key = (call.service, call.need.model, call.need.adapter)
         count, work_s = self._arrivals_by_key.get(key, (0, 0.0))
@@ -295,7 +301,7 @@
         arrivals, self._arrivals_by_key = self._arrivals_by_key, {}
         waiting_by_key: dict[tuple, int] = {}
         for call in self._waiting_calls:
-            if call.need is not None:
+            if call.need is not None and self._offered_model(call) is not None:
                 key = (call.service, call.need.model, call.need.adapter)
                 waiting_by_key[key] = waiting_by_key.get(key, 0) + 1
         needs = [
@@ -305,9 +311,30 @@
         if not self._leader or not (loads or needs or self._reported_loads):
             return
         self._reported_loads = loads
+        needs = self._needs_that_fit(needs, now)
         report = fleetmessages.EntryReport(loads_by_id=loads, needs=needs)
         self.send_message(self._leader, report)
 
+    def _needs_that_fit(self, needs, now):
+        """Return the needs up to MAX_NEEDS_BYTES, those of most calls first.
+
+        The names of adapters come from headers of callers, so their length and number
+        are not limited otherwise.
+        """
+        kept_needs: list[list] = []
+        size = 0
+        for need in sorted(needs, key=lambda need: need[3] + need[5], reverse=True):
+            size += wire.encoded_size(need)
+            if size > MAX_NEEDS_BYTES:
+                self._host_log.write_limited(
+                    now,
+                    "report",
+                    f"reported the demand for {len(kept_needs)} of {len(needs)} names",
+                )
+                break
+            kept_needs.append(need)
+        return kept_needs
+
     def _schedule_wakeup(self):
         """Wake the waiting calls at the next tick.
 
@@ -317,6 +344,17 @@
         self._has_changes = True
 
     def tick(self, now: float) -> None:
+        """Do the periodic work; log an error, which must not end the calls in flight.
+
+        Each part sets its next time first, so the others go on in the next tick.
+        """
+        try:
+            self._do_periodic_work(now)
+        except Exception as error:
+            self._host_log.write_exception(now, error, "periodic work failed")
+        logs.flush()
+
+    def _do_periodic_work(self, now):
         """Wake waiting calls after changes, subscribe, report, and expire servers."""
         if self._has_changes:
             self._has_changes = False
@@ -331,7 +369,6 @@
             self._next_expiry_at = now + EXPIRE_INTERVAL_S
             self.table.expire(now)
             self.server_selector.prune()
-        logs.flush()
 
     def _subscribe(self, now):
         version = self.version()
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -1,7 +1,6 @@
 """Processing of one call: server selection, attempts, response to the caller."""
 
 import functools
-import traceback
 
 import gevent
 import gevent.event
@@ -77,7 +76,9 @@
             connection.is_closing = True
             raise
         except Exception as error:
-            self._log_exception(call, error)
+            self._log.write_exception(
+                clock.now(), error, "unexpected exception", request_id=call.request_id
+            )
             internal_error = _internal_error(progress)
             self._end_with_error(call, progress, connection, internal_error)
         finally:
@@ -473,15 +474,6 @@
             route=call.route.name,
         )
 
-    def _log_exception(self, call, error):
-        self._log.write_limited(
-            clock.now(),
-            type(error).__name__,
-            f"unexpected exception {error!r:.200}",
-            request_id=call.request_id,
-            traceback="".join(traceback.format_exception(error)),
-        )
-
     def _end_with_error(self, call, progress, connection, error):
         """Record the outcome of a failed call and send an error response.
 
--- a/kumquatproxy/logs.py
+++ b/kumquatproxy/logs.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+import traceback
 
 import eliot
 import orjson
@@ -54,6 +55,15 @@
         if _task is not None and self._limiter.passes(kind, now):
             self.write(now, sentence, kind=kind, **fields)
 
+    def write_exception(
+        self, now: float, error: Exception, sentence: str, **fields
+    ) -> None:
+        """Write a line with a traceback at most once per second for each type."""
+        stack = "".join(traceback.format_exception(error))
+        text = f"{sentence}: {error!r:.200}"
+        kind = type(error).__name__
+        self.write_limited(now, kind, text, traceback=stack, **fields)
+
 
 class BoundedStream:
     """Write to a file descriptor without ever blocking on its reader.
--- a/kumquatproxy/wire.py
+++ b/kumquatproxy/wire.py
@@ -70,6 +70,11 @@
     return data
 
 
+def encoded_size(value) -> int:
+    """Return the number of bytes that a field or a part of one takes in a frame."""
+    return len(cbor2.dumps(value))
+
+
 def decode(data: bytes) -> Message:
     """Return the decoded message; raise ProxyError if the data is malformed."""
     if len(data) > MAX_FRAME_BYTES:
--- a/tests/fleet/test_entryhost.py
+++ b/tests/fleet/test_entryhost.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from kumquatproxy import wire
 from kumquatproxy.fleet import (
     entryhost,
     fleethost,
@@ -9,6 +10,7 @@
     fleetsettings,
     fleetstate,
     servers,
+    serviceconfig,
 )
 from kumquatproxy.gateway import calls
 
@@ -86,3 +88,62 @@
     assert host._expected_at_by_model == {"m": 12.0}
     call = calls.Call(b"GET", b"/", "a", [], b"", 0.0)
     assert host.expected_availability(call).ready_in_s is None
+
+
+def offer_model(host, name):
+    engine = serviceconfig.Engine([serviceconfig.Model(name, 1.0, 1.0)], 1.0, 1, 1)
+    services = [serviceconfig.Service("s", engine=engine)]
+    host.configuration = serviceconfig.Configuration(1, [], services)
+
+
+def make_call(model, adapter=""):
+    call = calls.Call(b"POST", b"/", "a", [], b"", 0.0)
+    call.service = "s"
+    call.need = calls.ModelNeed(model, adapter)
+    return call
+
+
+def reported_needs(host, monkeypatch):
+    """Return the needs of the next report, whose frame is encoded as for a link."""
+    reports = []
+    monkeypatch.setattr(host, "send_message", lambda _, report: reports.append(report))
+    host._leader = "127.0.0.2"
+    host._report(1.0)
+    assert all(wire.encode(report) for report in reports)
+    return [need for report in reports for need in report.needs]
+
+
+def test_call_for_a_model_that_is_not_offered_is_not_reported(host, monkeypatch):
+    """Guards against demand that callers make up by names in their headers."""
+    offer_model(host, "m")
+    for name in ("m", "other"):
+        host.record_arrival(make_call(name))
+    with host.count_while_waiting(make_call("other")):
+        needs = reported_needs(host, monkeypatch)
+    assert [need[:4] for need in needs] == [["s", "m", "", 1]]
+
+
+def test_report_of_long_adapter_names_fits_in_a_frame(host, monkeypatch):
+    """Guards against a report that cannot be sent, and against losing most calls."""
+    offer_model(host, "m")
+    for number in range(20):
+        host.record_arrival(make_call("m", f"{number}" + "a" * 15_000))
+    for _ in range(3):
+        host.record_arrival(make_call("m"))
+    needs = reported_needs(host, monkeypatch)
+    assert needs[0][:4] == ["s", "m", "", 3] and 1 < len(needs) < 20
+
+
+def test_error_of_periodic_work_does_not_end_the_host(host, monkeypatch):
+    """Guards against the end of all calls, and of the work that is due later."""
+    expired = []
+    monkeypatch.setattr(host, "_report", lambda now: {}["missing"])
+    monkeypatch.setattr(
+        servers.ServerTable, "expire", lambda _, now: expired.append(now)
+    )
+    host._next_subscribe_at = 1e18
+    host.tick(1e9)
+    assert not expired
+    host._next_report_at = 1e18
+    host.tick(1e9)
+    assert expired
