Break off a stream whose last event is unfinished

Its rest was relayed as the end of the stream, so that callers would have taken a stream without its last pieces for complete.

Cause: the framing alone says nothing about the pieces. Only empty lines, comments and the [DONE] marker after the last event are relayed as the end now; any other rest counts as a break, after which the stream is resumed or cut. The test that expected a complete end after a rest with an id is replaced by a stricter one, with four kinds of rests.

--- a/kumquatproxy/gateway/eventstream.py
+++ b/kumquatproxy/gateway/eventstream.py
@@ -4,6 +4,7 @@
 
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _ID_FIELD = re.compile(rb"^id:[ ]?(.*?)\r?$", re.MULTILINE)
+_END_MARKERS = (b"data: [DONE]", b"data:[DONE]")
 MAX_EVENT_BYTES = 1024 * 1024
 
 
@@ -35,13 +36,22 @@
         """Return whether the buffer holds an incomplete event."""
         return bool(self._buffer)
 
-    def take_partial_event(self) -> list[tuple[bytes, str]]:
-        """Remove and return the incomplete event with its id or '', if there is one."""
-        if not self.has_partial_event:
-            return []
-        event = bytes(self._buffer)
+    def take_end_marker(self) -> bytes:
+        """Remove and return a rest that belongs to no event, or b'' if there is none.
+
+        It has empty lines, comments and the marker that ends some streams. Any other
+        rest is part of an event that the server did not finish.
+        """
+        lines = self._buffer.splitlines()
+        if not all(_is_ignorable(line) for line in lines):
+            return b""
+        rest = bytes(self._buffer)
         self._buffer.clear()
-        return [(event, event_id(event))]
+        return rest
+
+
+def _is_ignorable(line):
+    return not line or line.startswith(b":") or bytes(line) in _END_MARKERS
 
 
 def event_id(event: bytes) -> str:
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -367,13 +367,15 @@
                 in_flight_call.has_first_event = True
                 self._relay_events(progress, connection, attempt.head, events)
         attempt.is_response_read = True
-        has_explicit_end = framing.has_explicit_end(attempt.head.headers)
-        if attempt.splitter.has_partial_event and not has_explicit_end:
+        rest = b""
+        if framing.has_explicit_end(attempt.head.headers):
+            rest = attempt.splitter.take_end_marker()
+        if attempt.splitter.has_partial_event:
             raise backendconnections.BackendError(
                 "the stream ended with an incomplete event"
             )
-        rest = attempt.splitter.take_partial_event()
-        self._relay_events(progress, connection, attempt.head, rest)
+        self._start_response(progress, connection, attempt.head)
+        connection.write_body(rest)
         attempt.outcome = calls.Outcome.ANSWERED
         connection.end_response()
 
--- a/tests/gateway/test_lostanswers.py
+++ b/tests/gateway/test_lostanswers.py
@@ -185,14 +185,18 @@
     assert data.count(b"x") >= rest.count(b"x")
 
 
-def test_last_event_that_was_sent_before_is_not_relayed_again():
-    """Guards against a repeated event at the end of a stream that was resumed."""
-    rest = test_relay.make_chunk(b"id: 2\ndata: x\n")
-    answer = test_relay.make_stream(3, ends=False) + rest + b"0\r\n\r\n"
+@pytest.mark.parametrize("rest", [b"id: 4\ndata: x\n", b"data: x\n", b"i", b"data: ["])
+def test_stream_with_an_unfinished_event_does_not_look_complete(rest):
+    """Guards against a stream that lacks pieces and ends as if it were complete.
+
+    A server may stop in the middle of an event and still end its response.
+    """
+    chunk = test_relay.make_chunk(rest)
+    answer = test_relay.make_stream(3, ends=False) + chunk + b"0\r\n\r\n"
     with test_relay.running_relay([answer]) as (address, _, _):
-        data, _ = test_relay.send_request(address, b"whole")
-    assert test_relay.make_event(3) in data and data.endswith(b"0\r\n\r\n")
-    assert b"id: 2" not in data
+        data, is_closed = test_relay.send_request(address, b"whole")
+    assert test_relay.make_event(3) in data and rest not in data.split(b"piece 3")[1]
+    assert is_closed and not data.endswith(b"0\r\n\r\n")
 
 
 def test_partial_event_before_the_end_of_the_connection_is_not_relayed():
