Keep a silent attempt beside a replacement that refuses late

Causes, all of the same class: the body of a refusal was read while the time ran; a queued call may be refused after 0.3 s; a body that the other server does not read blocked the call; the time began anew with each read, which kept two servers at work for 0.55 s (limit: 0.4 s); and a response to an earlier call that was being discarded was read as a response head after the return.

Change: a head that shows a refusal or an error ends the other attempt at once. Calls that are no streams keep the silent attempt until the other one is accepted. Streams keep it for 0.3 s after the send, as before, and ask its server again if the other one refuses later. Sending beside a kept attempt is bounded. The two tests of late refusals of streams give the first server a second answer, as a stream may not run at two servers; they still demand the whole stream.

--- a/kumquatproxy/gateway/attempts.py
+++ b/kumquatproxy/gateway/attempts.py
@@ -26,10 +26,12 @@
         "detail",
         "head",
         "in_flight_call",
+        "is_discarding",
         "is_response_read",
         "link",
         "lowest_delay_s",
         "outcome",
+        "sent_at",
         "splitter",
         "started_at",
     )
@@ -48,7 +50,9 @@
         self.head: calls.ResponseHead | None = None  # of a response to be relayed
         self.body_parts: list[bytes] = []
         self.splitter = eventstream.EventSplitter()
+        self.is_discarding = False  # reads the rest of a response to an earlier call
         self.is_response_read = False  # to its end
+        self.sent_at = 0.0
 
 
 class ErrorResponse:
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -1,6 +1,7 @@
 """Processing of one call: server selection, attempts, response to the caller."""
 
 import functools
+import math
 
 import gevent
 import gevent.event
@@ -186,8 +187,12 @@
             if attempt.outcome is None:
                 attempt.outcome = calls.Outcome.NOT_CONNECTED
         except backendconnections.StallError:
-            # The body of a refusal may stall too; the call has not run then.
-            is_silent = attempt.outcome not in calls.NOT_EXECUTED
+            # The body of a refusal may stall too; the call has not run then. A server
+            # that does not read the call cannot replace the fallback.
+            is_refused = attempt.outcome in calls.NOT_EXECUTED
+            is_silent = not is_refused and progress.fallback is None
+            if not is_refused:
+                attempt.detail = "the call was not read within the timeout"
             if is_silent:
                 attempt.detail = "no data within the timeout"
                 attempt.outcome = calls.Outcome.SILENT
@@ -246,13 +251,16 @@
         )
         # From here on the server may execute the call, even if sending fails.
         attempt.outcome = calls.Outcome.LOST
-        attempt.link.send(call.method, call.target, headers, call.body)
+        attempt.sent_at = clock.now()
+        limit_s = None if progress.fallback is None else stalltimeouts.ACCEPTANCE_S
+        with gevent.Timeout(limit_s, backendconnections.StallError):
+            attempt.link.send(call.method, call.target, headers, call.body)
 
     def _receive(self, call, attempt, progress, connection):
         timeouts = stalltimeouts.for_attempt(call, self._may_retry(call, progress))
         read = functools.partial(self._read, call, attempt, progress)
         if attempt.head is None:
-            head = self._read_matching_head(call, attempt.link, read, timeouts)
+            head = self._read_matching_head(call, attempt, read, timeouts)
             if head.load is not None:
                 view = self._host.server_selector.view(attempt.announcement)
                 view.load = head.load
@@ -262,15 +270,18 @@
                     wrong if head.is_wrong_server else calls.Outcome.NOT_RUN
                 )
                 attempt.detail = f"refused with {head.status}"
-                self._read_body(attempt, read, timeouts)
+                if progress.fallback is None:
+                    self._read_body(attempt, read, timeouts)
                 return
             if not head.is_sealed or not _is_unencoded(head):
                 raise backendconnections.BackendError(
                     f"response {head.status} has no checksum or is encoded"
                 )
+            if progress.fallback is not None and not progress.accepts(head):
+                attempt.detail = f"the server responded with {head.status}"
+                return
             attempt.head = head
-            if progress.accepts(head):
-                self._end_fallback(progress)
+            self._end_fallback(progress)
         is_stream = call.route.mode is calls.Mode.STREAM
         if is_stream and attempt.head.status == calls.STREAM_STATUS:
             self._relay_stream(attempt, progress, connection, timeouts, read)
@@ -280,27 +291,39 @@
 
     def _read(self, call, attempt, progress, limit_s, receive):
         """Return the result of ``receive``; time out only with an alternative."""
-        first_limit_s = limit_s
-        if progress.fallback is not None:
-            first_limit_s = min(stalltimeouts.ACCEPTANCE_S, limit_s or call.deadline)
 
         def get_extension_s():
             if progress.fallback is not None:
-                self._check_fallback(progress)
-                left_s = call.deadline - clock.now()
-                left_s = left_s if limit_s is None else limit_s - first_limit_s
-                return max(stalltimeouts.RECHECK_INTERVAL_S, left_s)
+                kept_s = self._check_fallback(call, attempt, progress)
+                return kept_s or limit_s or call.deadline - clock.now()
             if self._has_alternative(call, attempt, progress):
                 return 0.0
-            return min(limit_s or call.deadline, stalltimeouts.RECHECK_INTERVAL_S)
+            return min(limit_s or math.inf, stalltimeouts.RECHECK_INTERVAL_S)
 
+        first_limit_s = limit_s
+        if progress.fallback is not None:
+            kept_s = self._check_fallback(call, attempt, progress)
+            first_limit_s = kept_s or limit_s
         return attempt.link.read_with_timeout(first_limit_s, receive, get_extension_s)
 
-    def _check_fallback(self, progress):
-        """End the fallback, or raise FallbackResumedError if its server went on."""
-        if progress.fallback.link.receive_available():
+    def _check_fallback(self, call, attempt, progress):
+        """Return how long to keep the fallback until the next check, 0.0 if it ended.
+
+        Raise FallbackResumedError if its server went on.
+        """
+        fallback = progress.fallback
+        if fallback.link.receive_available():
             raise FallbackResumedError
+        if call.route.mode is not calls.Mode.STREAM:
+            # Calls that are no streams may run at two servers at the same time.
+            return stalltimeouts.RECHECK_INTERVAL_S
+        left_s = attempt.sent_at + stalltimeouts.ACCEPTANCE_S - clock.now()
+        if left_s > 0.0:
+            return left_s
+        # Its server is tried again if the other one refuses the call after all.
+        progress.excluded_lifetimes.discard(fallback.announcement.lifetime)
         self._end_fallback(progress)
+        return 0.0
 
     def _has_alternative(self, call, attempt, progress):
         if not self._may_retry(call, progress):
@@ -315,8 +338,12 @@
             )
         )
 
-    def _read_matching_head(self, call, link, read, timeouts):
+    def _read_matching_head(self, call, attempt, read, timeouts):
+        link = attempt.link
         while True:
+            if attempt.is_discarding:
+                read(timeouts.initial_s, link.discard_response)
+                attempt.is_discarding = False
             head = read(
                 timeouts.initial_s,
                 lambda: link.read_head(self._host.dialect.parse_response_head),
@@ -327,7 +354,7 @@
             if not head.echoed_id:
                 raise backendconnections.BackendError("the response has no request id")
             # This is a late response to an earlier call; the expected one follows it.
-            read(timeouts.initial_s, link.discard_response)
+            attempt.is_discarding = True
 
     def _read_body(self, attempt, read, timeouts):
         while True:
@@ -343,10 +370,8 @@
         if progress.has_response_begun:
             attempt.detail = f"response {head.status} to a resumed stream"
             return
-        has_alternative = progress.fallback is not None or self._may_retry(
-            call, progress
-        )
-        if head.status >= calls.MIN_SERVER_ERROR_STATUS and has_alternative:
+        is_error = head.status >= calls.MIN_SERVER_ERROR_STATUS
+        if is_error and self._may_retry(call, progress):
             attempt.detail = f"the server responded with {head.status}"
             progress.error_response = attempts.ErrorResponse(head, body)
             return
@@ -483,6 +508,7 @@
         begun, raise ResponseAbortedError instead, so that the connection closes and the
         response stays incomplete.
         """
+        self._end_fallback(progress)
         kept = progress.error_response
         if kept is not None and not progress.has_response_begun:
             self._record_outcome(call, progress, "answered")
