Log the software version of the server of each attempt

What callers saw: streams with events of two software versions of one service. No log line told at which version an attempt ran or which call a caller resumed.

Change: the software version in a heartbeat is read and published with the server. It follows the state in the list form on the wire, so hosts of the previous build read the list as before, and their shorter lists are read with an empty version. The line of a call has the version of each attempt's server, the call that it resumes (Resumes) and the version of the server that sent the first event; the trace command shows them.

Ruled out: Resumes is not among the headers that the system sets, so it is forwarded to the server like any other header of the caller.

Servers are chosen as before.

--- a/kumquatproxy/fleet/servers.py
+++ b/kumquatproxy/fleet/servers.py
@@ -43,6 +43,7 @@
         "sequence",
         "service",
         "slots",
+        "software_version",
         "state",
     )
 
@@ -61,6 +62,7 @@
         on_disk=(),
         remaining_s=None,
         is_busy=False,
+        software_version="",
     ):
         self.instance_id: str = instance_id
         self.service: str = service
@@ -76,6 +78,8 @@
         self.on_disk: list[str] = list(on_disk)  # models cached on its disk
         self.remaining_s: float | None = remaining_s  # until it is shut down
         self.is_busy: bool = is_busy  # an order is being carried out
+        # Of the server's program, not of a model's weights; empty if it names none.
+        self.software_version: str = software_version
 
     @property
     def sequence_key(self) -> tuple[int, int]:
@@ -94,9 +98,11 @@
     def to_wire(self) -> list:
         """Return the list form used in messages."""
         values = [getattr(self, name) for name in _WIRE_FIELDS]
-        return [*values, self.state.value]
+        return [*values, self.state.value, self.software_version]
 
 
+# The state and the software version follow these. Hosts of a build without the software
+# version read the items before it only, and send lists that end with the state.
 _WIRE_FIELDS = (
     "instance_id",
     "service",
@@ -116,7 +122,11 @@
 def from_wire(fields: list) -> Announcement:
     """Return the announcement for a list made by ``to_wire``."""
     values = dict(zip(_WIRE_FIELDS, fields))
-    return Announcement(state=ServerState(fields[len(_WIRE_FIELDS)]), **values)
+    state, *rest = fields[len(_WIRE_FIELDS) :]
+    software_version = rest[0] if rest else ""
+    return Announcement(
+        state=ServerState(state), software_version=software_version, **values
+    )
 
 
 class KnownServer:
@@ -244,4 +254,4 @@
         value
         for name, value in zip(_WIRE_FIELDS, announcement.to_wire())
         if name != "sequence"
-    ] + [announcement.state]
+    ] + [announcement.state, announcement.software_version]
--- a/kumquatproxy/gateway/calls.py
+++ b/kumquatproxy/gateway/calls.py
@@ -73,8 +73,10 @@
         "method",
         "need",
         "request_id",
+        "resumed_id",
         "route",
         "service",
+        "software_version",
         "target",
     )
 
@@ -88,6 +90,9 @@
         self.deadline: float = arrived_at  # set when the call is routed
         self.request_id = ""
         self.last_event_id = ""
+        self.resumed_id = ""  # request id of the call that began the caller's stream
+        # Of the server that sent the first event of the stream; None before it.
+        self.software_version: str | None = None
         self.need: ModelNeed | None = None
         self.route: typing.Any = None  # serviceconfig.Route, set by routing
         self.service = ""  # selected from the route's targets by weight
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -284,7 +284,7 @@
             self._end_fallback(progress)
         is_stream = call.route.mode is calls.Mode.STREAM
         if is_stream and attempt.head.status == calls.STREAM_STATUS:
-            self._relay_stream(attempt, progress, connection, timeouts, read)
+            self._relay_stream(call, attempt, progress, connection, timeouts, read)
         else:
             body = self._read_body(attempt, read, timeouts)
             self._relay_or_reject_response(call, attempt, progress, connection, body)
@@ -379,7 +379,7 @@
         progress.has_response_begun = True
         connection.send_response(head.status, _response_headers(head), body)
 
-    def _relay_stream(self, attempt, progress, connection, timeouts, read):
+    def _relay_stream(self, call, attempt, progress, connection, timeouts, read):
         in_flight_call = attempt.in_flight_call
         while True:
             has_first_event = in_flight_call.has_first_event
@@ -390,6 +390,8 @@
             events = attempt.splitter.add(part)
             if events:
                 in_flight_call.has_first_event = True
+                if call.software_version is None:
+                    call.software_version = attempt.announcement.software_version
                 self._relay_events(progress, connection, attempt.head, events)
         attempt.is_response_read = True
         rest = b""
@@ -542,6 +544,8 @@
             route=call.route.name if call.route else "",
             need=call.need.key() if call.need else "",
             version=self._host.version(),
+            resumes=call.resumed_id,
+            software_version=call.software_version,
             attempts=[_attempt_fields(attempt, call) for attempt in progress.attempts],
             response_begun=progress.has_response_begun,
             waited_ms=round(progress.waited_s * 1000),
@@ -554,6 +558,7 @@
     return {
         "server": attempt.announcement.instance_id,
         "born_ms": attempt.announcement.born_ms,
+        "software_version": attempt.announcement.software_version,
         "at_ms": round((attempt.started_at - call.arrived_at) * 1000),
         "candidates": attempt.candidate_count,
         "predicted_ms": round(attempt.lowest_delay_s * 1000),
--- a/kumquatproxy/platform/callformat.py
+++ b/kumquatproxy/platform/callformat.py
@@ -16,6 +16,7 @@
 NOT_EXECUTED = b"kumquatproxy-not-executed"
 LOAD = b"kumquatproxy-server-load"
 LAST_EVENT_ID = b"last-event-id"
+RESUMES = b"resumes"
 
 # Headers of a caller that are not forwarded; the entry host sets some of them itself.
 NOT_FORWARDED_HEADERS = frozenset(
@@ -46,6 +47,7 @@
         """Set the fields of a call from its headers."""
         call.request_id = _header_text(call.headers, REQUEST_ID)
         call.last_event_id = _header_text(call.headers, LAST_EVENT_ID)
+        call.resumed_id = _header_text(call.headers, RESUMES)
         model = _header_text(call.headers, MODEL)
         if not model:
             return
--- a/kumquatproxy/platform/heartbeatformat.py
+++ b/kumquatproxy/platform/heartbeatformat.py
@@ -34,6 +34,7 @@
         at_hand.get("on_disk", list, []),
         remaining_ms / 1000 if remaining_ms is not None else None,
         reader.boolean("busy"),
+        reader.text("version", ""),
     )
 
 
--- a/kumquatproxy/tracing.py
+++ b/kumquatproxy/tracing.py
@@ -65,8 +65,11 @@
         events.append(_event(line, arrived_at, f"arrives for {_describe_route(line)}"))
         for attempt in attempts:
             at = arrived_at + attempt["at_ms"] / 1000
+            software_version = attempt.get("software_version")
+            at_version = f" at version {software_version}" if software_version else ""
             sentence = (
-                f"goes to {attempt['server']}, one of {attempt['candidates']}, "
+                f"goes to {attempt['server']}{at_version}, "
+                f"one of {attempt['candidates']}, "
                 f"predicted {attempt['predicted_ms']} ms: {attempt['outcome']}"
             )
             if attempt["detail"]:
@@ -91,7 +94,9 @@
     route = line.fields.get("route") or "an unknown route"
     version = line.fields.get("version", 0)
     model = f", model {need}" if need else ""
-    return f"route {route} of version {version}{model}"
+    resumed_id = line.fields.get("resumes")
+    resumed = f", resumes {resumed_id}" if resumed_id else ""
+    return f"route {route} of version {version}{model}{resumed}"
 
 
 def _event(line, at, sentence):
--- a/tests/fleet/test_fleet_core.py
+++ b/tests/fleet/test_fleet_core.py
@@ -83,9 +83,26 @@
         assert sorted(ready_ids(table, 30.0)) == ["i-1", "i-2"]
 
     def test_announcement_round_trips_through_its_wire_form(self):
-        sent = announcement(models=[["m", 1, ["a1"]]], in_memory=["m"], state=LEAVING)
+        sent = announcement(
+            models=[["m", 1, ["a1"]]],
+            in_memory=["m"],
+            state=LEAVING,
+            software_version="v1.1",
+        )
         assert servers.from_wire(sent.to_wire()) == sent
 
+    def test_announcement_is_readable_by_and_from_a_build_without_software_versions(
+        self,
+    ):
+        """Guards against links that break while hosts are upgraded in turn.
+
+        The list of that build holds twelve fields and the state.
+        """
+        fields = announcement(state=LEAVING, software_version="v1.1").to_wire()
+        assert fields[12] == "leaving" and fields[0] == "i-1"
+        read = servers.from_wire(fields[:13])
+        assert read.state is LEAVING and read.software_version == ""
+
 
 def subscription(version=0, session="x", has_details=True):
     return fleetmessages.Subscribe(
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -39,6 +39,7 @@
     def read_call(self, call):
         call.request_id = framing.header(call.headers, b"x-id").decode()
         call.last_event_id = framing.header(call.headers, b"last-event-id").decode()
+        call.resumed_id = framing.header(call.headers, b"resumes").decode()
 
     def caller_timeout_s(self, call):
         return None
--- a/tests/gateway/test_tracing.py
+++ b/tests/gateway/test_tracing.py
@@ -91,3 +91,20 @@
     assert cli.main(["trace", "7", str(path), "--json"]) == cli.EXIT_OK
     assert json.loads(capsys.readouterr().out)[0]["host"] == "entry-1"
     assert cli.main(["trace", "unknown", str(path)]) == cli.EXIT_REFUSED
+
+
+def test_trace_shows_software_versions_and_the_resumed_call(collected):
+    """Guards against a log that does not tell at which version a stream went on."""
+    broken = test_relay.make_stream(1, ends=False)
+    with test_relay.running_relay(
+        [broken, None], [test_relay.make_stream(2)]
+    ) as running:
+        running[1][0].closes = True
+        for instance_id in ("i-0", "i-1"):
+            running[2].table.get(instance_id).software_version = "v3"
+        test_relay.send_request(running[0], b"stream", b"Resumes: 5\r\n")
+    events = event_texts(collected)
+    assert events[0].endswith(", resumes 5")
+    assert "goes to i-0 at version v3" in events[1]
+    line = tracing.read(collected.text, "entry-1")[-1]
+    assert line.fields["software_version"] == "v3"
--- a/tests/platform/test_platform.py
+++ b/tests/platform/test_platform.py
@@ -214,6 +214,7 @@
         ["m", 1, ["a1"]]
     ]
     assert parsed.on_disk == ["m", "n"] and parsed.state is servers.ServerState.READY
+    assert parsed.software_version == "v1"
     leaving = {**HEARTBEAT, "state": "draining", "remaining_ms": 1500}
     parsed = heartbeatformat.parse("i-1", orjson.dumps(leaving))
     assert parsed.state is servers.ServerState.LEAVING and parsed.remaining_s == 1.5
@@ -277,12 +278,15 @@
         (b"kumquatproxy-token-usage", b"1460,80"),
         (b"kumquatproxy-prompt-prefix", b"5c1e:800,91bd:410"),
         (b"kumquatproxy-deadline-ms", b"4000"),
+        (b"resumes", b"77aa"),
+        (b"last-event-id", b"12"),
         (b"kumquatproxy-hold", b"x"),
         (b"kumquatproxy-pin-ms", b"5"),
         (b"kumquatproxy-kv-backup", b"x"),
         (b"kv-from", b"x"),
         (b"connection", b"keep-alive"),
     )
+    assert (call.resumed_id, call.last_event_id) == ("77aa", "12")
     need = call.need
     assert (need.model, need.adapter, need.prompt_tokens) == ("m", "a3", 1460)
     assert [part.tokens for part in need.parts] == [800, 410]
@@ -292,6 +296,7 @@
     assert sent[b"kumquatproxy-deadline-ms"] == b"1500"
     assert sent[b"kumquatproxy-expect-instance"] == b"i-1"
     assert sent[b"kumquatproxy-prompt-prefix"] == b"5c1e:800,91bd:410"
+    assert sent[b"resumes"] == b"77aa"
     for name in (b"hold", b"pin-ms", b"kv-backup"):
         assert b"kumquatproxy-" + name not in sent
     assert b"kv-from" not in sent and b"connection" not in sent
