--- a/tests/soak/fakeservers.py
+++ b/tests/soak/fakeservers.py
@@ -27,8 +27,18 @@
 class FakeServer:
     """Run one backend server of a service and send its heartbeats."""
 
-    def __init__(self, name, service, listen, announced, executions, controls):
+    def __init__(
+        self,
+        name,
+        service,
+        listen,
+        announced,
+        executions,
+        controls,
+        software_version="v1",
+    ):
         self.name = name
+        self.software_version = software_version
         self.service = service
         self.address = announced
         self.executions = executions
@@ -52,6 +62,7 @@
             "backend": self.service,
             "address": self.address,
             "zone": "z",
+            "version": self.software_version,
             "slots": 8,
             "state": self.state,
             "sequence": next(self._sequence),
@@ -83,12 +94,13 @@
             headers.append(("Content-Type", "text/event-stream"))
             start_response("200 OK", headers)
             first = int(environ.get("HTTP_LAST_EVENT_ID") or 0) + 1
-            return self._events(request_id, first)
+            return self.events(request_id, first)
         gevent.sleep(SERVICE_TIME_S)
         start_response("200 OK", headers)
         return [f"{request_id} done".encode()]
 
-    def _events(self, request_id, first):
+    def events(self, request_id, first):
+        """Yield the events of a stream from number ``first`` on."""
         for number in range(first, EVENT_COUNT + 1):
             gevent.sleep(EVENT_INTERVAL_S)
             yield f"id: {number}\ndata: {request_id} {number}\n\n".encode()
