Resume an interrupted stream only at its software version

Cause: the next attempt chose among all servers that have the model.

Ruled out: waiting for the server that broke off (it is excluded for the call anyway).

Change: once the first event has gone to the caller, servers of other versions are no candidates. A server that pauses is no longer given up for one of another version. Without another ready server of the version the connection closes at once, so that the caller resumes elsewhere; an ejected one is awaited for up to a second.

Conclusion: within one answer no stream changes its version. Streams that callers resume by a new call still do.

--- a/kumquatproxy/gateway/calls.py
+++ b/kumquatproxy/gateway/calls.py
@@ -91,7 +91,8 @@
         self.request_id = ""
         self.last_event_id = ""
         self.resumed_id = ""  # request id of the call that began the caller's stream
-        # Of the server that sent the first event of the stream; None before it.
+        # Of the server that sent the first event of the stream; None before it. The
+        # events of two versions do not fit together.
         self.software_version: str | None = None
         self.need: ModelNeed | None = None
         self.route: typing.Any = None  # serviceconfig.Route, set by routing
--- a/kumquatproxy/gateway/health.py
+++ b/kumquatproxy/gateway/health.py
@@ -49,3 +49,7 @@
     def is_usable(self, now: float) -> bool:
         """Return whether the server is neither ejected nor in backoff."""
         return now >= self.ejected_until and now >= self.backoff_until
+
+    def usable_in_s(self, now: float) -> float:
+        """Return the time until the server is neither ejected nor in backoff."""
+        return max(0.0, self.ejected_until - now, self.backoff_until - now)
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -153,7 +153,7 @@
                     return attempt
                 if progress.fallback is not None:
                     return None
-                expected_availability = self._host.expected_availability(call)
+                expected_availability = self._expected_availability(call, progress, now)
                 decision = wait_policy.decide(
                     service, expected_availability, now, self._host.stops_at
                 )
@@ -162,6 +162,16 @@
                 has_waited = True
                 self._host.wait_for_change(decision.wait_s)
 
+    def _expected_availability(self, call, progress, now):
+        expected_availability = None
+        if call.software_version is not None:
+            expected_availability = (
+                self._host.server_selector.expected_for_begun_stream(
+                    call, progress.excluded_lifetimes, now
+                )
+            )
+        return expected_availability or self._host.expected_availability(call)
+
     def _count_in_budget(self, call, progress):
         now = clock.now()
         budget = self._host.budget
--- a/kumquatproxy/gateway/serverselection.py
+++ b/kumquatproxy/gateway/serverselection.py
@@ -8,7 +8,7 @@
 import random
 
 from kumquatproxy.fleet import servers, serviceconfig
-from kumquatproxy.gateway import calls, health, prefixcache
+from kumquatproxy.gateway import calls, health, prefixcache, waiting
 
 # Assumed prefill rate of an engine.
 DEFAULT_PREFILL_TOKENS_PER_S = 20_000.0
@@ -27,6 +27,9 @@
 FAILURE_PENALTY_S = 2.0
 # Assumed duration of a call that uses no model engine.
 ENGINELESS_CALL_DURATION_S = 0.08
+# Longest wait of a begun stream for an ejected server. Ejections double, so this covers
+# the first two; a server that has failed more often is likely gone for longer.
+MAX_EJECTION_WAIT_S = 1.0
 
 
 def prefill_delay_s(prefill_tokens: float, running: int) -> float:
@@ -132,6 +135,8 @@
         return candidates
 
     def _can_serve(self, call, announcement):
+        if not _has_version(call, announcement):
+            return False
         need = call.need
         if need is None:
             return True
@@ -142,6 +147,32 @@
         adapters = self.adapters_by_id.get(announcement.instance_id, ())
         return not need.adapter or need.key() in adapters
 
+    def expected_for_begun_stream(
+        self, call: calls.Call, excluded, now: float
+    ) -> waiting.ExpectedAvailability | None:
+        """Return when a server of a stream's software version is usable again.
+
+        It is None if that depends on loads of models or adapters.
+        """
+        ready = [
+            announcement
+            for announcement in self.table.ready(call.service, now)
+            if _has_version(call, announcement)
+            and announcement.lifetime not in excluded
+        ]
+        if not ready:
+            return waiting.ExpectedAvailability(None, is_excluded=True)
+        waits_s = [
+            self.view(announcement).health.usable_in_s(now)
+            for announcement in ready
+            if self._can_serve(call, announcement)
+        ]
+        if not waits_s:
+            return None
+        return waiting.ExpectedAvailability(
+            min(waits_s), is_excluded=min(waits_s) > MAX_EJECTION_WAIT_S
+        )
+
     def remove_adapter(self, announcement: servers.Announcement, need) -> None:
         """Record that a server does not have the adapter that a call requires."""
         if need is None or not need.adapter:
@@ -236,3 +267,8 @@
             if not self.views_by_lifetime[lifetime].in_flight_calls:
                 del self.views_by_lifetime[lifetime]
                 self.prefix_cache.remove_server(lifetime[0])
+
+
+def _has_version(call, announcement):
+    """Return whether a stream that may have begun can go on at a server."""
+    return call.software_version in (None, announcement.software_version)
--- a/kumquatproxy/gateway/waiting.py
+++ b/kumquatproxy/gateway/waiting.py
@@ -19,10 +19,11 @@
 class ExpectedAvailability:
     """Hold the expected time until a server can serve a call."""
 
-    __slots__ = ("ready_in_s",)
+    __slots__ = ("is_excluded", "ready_in_s")
 
-    def __init__(self, ready_in_s):
+    def __init__(self, ready_in_s, is_excluded=False):
         self.ready_in_s: float | None = ready_in_s  # None if no server is expected
+        self.is_excluded: bool = is_excluded  # waiting is known to be useless
 
 
 class WaitDecision:
@@ -60,6 +61,10 @@
         if stops_at is not None:
             end = min(end, stops_at - STOP_MARGIN_S)
         left_s = end - now
+        if expected_availability.is_excluded:
+            return WaitDecision(
+                error=_no_server(self._call, service, expected_availability)
+            )
         if (
             expected_availability.ready_in_s is not None
             and expected_availability.ready_in_s < left_s
@@ -70,11 +75,15 @@
             and now - self.since < MAX_UNPLANNED_WAIT_S < left_s
         ):
             return WaitDecision(wait_s=min(RECHECK_INTERVAL_S, left_s))
-        return WaitDecision(error=_no_server(service, expected_availability))
+        return WaitDecision(
+            error=_no_server(self._call, service, expected_availability)
+        )
 
 
-def _no_server(service, expected_availability):
+def _no_server(call, service, expected_availability):
     name = service.name if service is not None else "?"
+    if call.software_version is not None:
+        name = f"{name} at software version {call.software_version}"
     retry_after_s = max(MIN_RETRY_AFTER_S, expected_availability.ready_in_s or 0.0)
     return errors.ProxyError(
         errors.ErrorKind.NO_BACKEND_SERVER,
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -222,3 +222,61 @@
             for _ in range(50)
         }
         assert len(selected_ids) == 4
+
+
+class TestBegunStream:
+    """A stream that has events goes on at servers of its software version only."""
+
+    @pytest.fixture
+    def selector(self):
+        selector = make_chooser(*(make_server(str(number)) for number in range(3)))
+        for number, version in enumerate(("v1", "v2", "v1")):
+            selector.table.get(str(number)).software_version = version
+        return selector
+
+    def stream(self, version):
+        call = make_call(calls.Mode.STREAM, make_need())
+        call.software_version = version
+        return call
+
+    def test_servers_of_other_versions_are_excluded(self, selector):
+        for version, expected in (
+            ("v1", ["0", "2"]),
+            ("v2", ["1"]),
+            ("", []),
+            (None, ["0", "1", "2"]),
+        ):
+            found = selector.candidates(self.stream(version), SERVICE, set(), 0.0)
+            assert sorted(instance_ids(found)) == expected
+
+    def test_wait_is_useless_without_a_ready_server_of_the_version(self, selector):
+        """Guards against holding a call for a version that no longer serves."""
+        assert selector.expected_for_begun_stream(
+            self.stream("v3"), set(), 0.0
+        ).is_excluded
+        tried = {selector.table.get("1").lifetime}
+        assert selector.expected_for_begun_stream(
+            self.stream("v2"), tried, 0.0
+        ).is_excluded
+
+    def test_wait_lasts_until_an_ejected_server_of_the_version_is_usable(
+        self, selector
+    ):
+        """Guards against a rejection just before the server takes calls again.
+
+        A server that failed several times is not awaited.
+        """
+        server_health = selector.view(selector.table.get("1")).health
+        server_health.record_failure(0.0, is_unreachable=True)
+        expected = selector.expected_for_begun_stream(self.stream("v2"), set(), 0.1)
+        assert expected.ready_in_s == pytest.approx(0.4) and not expected.is_excluded
+        for _ in range(2):
+            server_health.record_failure(0.1, is_unreachable=True)
+        assert selector.expected_for_begun_stream(
+            self.stream("v2"), set(), 0.2
+        ).is_excluded
+
+    def test_load_of_the_model_is_awaited_as_for_other_calls(self, selector):
+        selector.table.get("1").models = []
+        call = self.stream("v2")
+        assert selector.expected_for_begun_stream(call, set(), 0.0) is None
