Resume a stream at another host at the version that began it

Cause: the host that resumes does not know where the stream began, and Resumes was not read.

Ruled out: asking only the first host. It is often the one that was killed, as in a test here. A commit in the control group: a round trip and an fsync for each stream.

Change: an entry host sends the service and software version of a stream to three control hosts before it sends the first event to the caller. They keep it in memory for twice the route's timeout and 5 s. The host that resumes uses its own record, or asks all control hosts and takes the first known origin, for 200 ms at most. If nobody knows the stream, or the caller names none, it goes on only if one version was seen throughout the time in which it may have begun; a host vouches for that only after contact with a majority of the control hosts all that time. Otherwise the call gets 503 at once. A service that is no target of the route any more is not used. Hosts of the previous build close a link on an unknown message; an entry host knows from the servers that a control host pushes whether it is of this build, and sends the others none.

--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -22,9 +22,18 @@
     publishing,
     servers,
     serviceconfig,
+    streamrecords,
 )
+from kumquatproxy.gateway import streamorigins
 
 GROUP = "control"
+# Streams whose origin is kept, 1,800 begun a second for a minute; about 25 MB.
+MAX_STREAMS = 108_000
+EXPIRE_INTERVAL_S = 5.0
+VERSION_INTERVAL_S = 0.5
+# Time since the last message of another control host after which it is out of contact.
+# Each one sends a message a second.
+CONTACT_TIMEOUT_S = 1.6
 INITIAL_DISK_ID = "first"  # of the voters that form the group
 ELECTION_TIMEOUT_S = 0.8
 HEARTBEAT_INTERVAL_S = 0.15
@@ -95,6 +104,13 @@
         super().__init__(host_settings, seed)
         now = clock.now()
         self._next_subscribe_at = now
+        self._next_expiry_at = now
+        self._next_versions_at = now
+        self._heard_at_by_id: dict[str, float] = {}  # of the other control hosts
+        # Origins of streams that began at entry hosts. They are kept in memory only: a
+        # stream lasts seconds, and other control hosts have its origin too.
+        self._streams = streamorigins.OriginTable(MAX_STREAMS)
+        self._version_history = streamorigins.VersionHistory()
         self._server_log = logs.Log("member")
         self._link_address_by_id: dict[
             str, str
@@ -153,6 +169,7 @@
             "control.term": member.term,
             "control.leads": float(member.leader_state is not None),
             "orders.fence": self.order_issuer.fence,
+            "streams.known": len(self._streams),
         }
 
     def add_seeds(self, host_ids: list[str]) -> None:
@@ -277,9 +294,31 @@
         self.publisher.merge(received.message, now)
 
     def _on_hosts(self, received, now):
+        self._heard_at_by_id[received.sender] = now
         for host_id, address in received.message.hosts:
             self._link_address_by_id.setdefault(host_id, address)
 
+    def _on_stream_begun(self, received, now):
+        message = received.message
+        origin = streamorigins.Origin(message.service, message.software_version)
+        self._streams.record(message.stream_id, origin, message.kept_s, now)
+
+    def _on_stream_query(self, received, now):
+        query = received.message
+        self._record_versions(now)
+        origin = self._streams.find(query.stream_id, now)
+        report = self._version_history.report(query.services, query.window_s, now)
+        answer = fleetmessages.StreamQueryAnswer(
+            is_complete=report.is_complete,
+            is_known=origin is not None,
+            service=origin.service if origin else "",
+            services=query.services,
+            software_version=origin.software_version if origin else "",
+            stream_id=query.stream_id,
+            versions=report.versions,
+        )
+        self.send_message(received.sender, answer)
+
     def _send_all(self, sends):
         """Send messages, each encoded once even if it goes to several hosts."""
         hosts_by_message: dict[int, list[str]] = {}
@@ -302,6 +341,13 @@
             )
         self._publish_marks(machine, now)
         self._subscribe(now)
+        if now >= self._next_expiry_at:
+            self._next_expiry_at = now + EXPIRE_INTERVAL_S
+            self._streams.expire(now)
+            self._version_history.expire(now)
+        if now >= self._next_versions_at:
+            self._next_versions_at = now + VERSION_INTERVAL_S
+            self._record_versions(now)
         member = self.replication.member
         leader = voterset.host_of(member.leader_id) if member.leader_id else ""
         voters = [voterset.host_of(identity) for identity in member.voter_set.voters]
@@ -313,6 +359,19 @@
         self._send_all(self.publisher.tick(hosts, voters, leader, now))
         logs.flush()
 
+    def _record_versions(self, now):
+        """Record the known software versions, and whether new ones can be missing."""
+        streamrecords.record_versions(self._version_history, self.table.all(), now)
+        voters = self.replication.member.voter_set.voters
+        voter_ids = {voterset.host_of(identity) for identity in voters}
+        heard_ids = {
+            host_id
+            for host_id, heard_at in self._heard_at_by_id.items()
+            if now - heard_at < CONTACT_TIMEOUT_S
+        }
+        if 2 * len(voter_ids & (heard_ids | {self.host_id})) > len(voter_ids):
+            self._version_history.record_contact(now)
+
     def _publish_marks(self, machine, now):
         if machine.marks == self._published_marks:
             return
@@ -354,4 +413,6 @@
     fleetmessages.Subscribe: ControlHost._on_subscribe,
     fleetmessages.ServersPush: ControlHost._on_servers,
     fleetmessages.ControlHosts: ControlHost._on_hosts,
+    fleetmessages.StreamBegun: ControlHost._on_stream_begun,
+    fleetmessages.StreamQuery: ControlHost._on_stream_query,
 }
--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -8,7 +8,7 @@
 import gevent
 import gevent.event
 
-from kumquatproxy import clock, httpapi, logs, wire
+from kumquatproxy import clock, errors, httpapi, logs, wire
 from kumquatproxy.fleet import (
     fleethost,
     fleetmessages,
@@ -17,6 +17,7 @@
     publishing,
     servers,
     serviceconfig,
+    streamrecords,
 )
 from kumquatproxy.gateway import (
     callers,
@@ -47,6 +48,8 @@
 EXPIRE_INTERVAL_S = 5.0
 # Maximum size of the needs in a report. The rest of the frame is for the loads.
 MAX_NEEDS_BYTES = wire.MAX_FRAME_BYTES // 2
+# Interval at which the software versions of the known servers are recorded.
+VERSION_INTERVAL_S = 1.0
 
 
 class Readiness(httpapi.Application):
@@ -83,6 +86,8 @@
         self._next_subscribe_at = now
         self._next_report_at = now
         self._next_expiry_at = now
+        self._next_versions_at = now
+        self._streams = streamrecords.StreamRecords(self._broadcast)
         self._heard_at_by_id: dict[str, float] = {}
         self._change_event = gevent.event.Event()
         self._has_changes = False
@@ -228,11 +233,52 @@
         work_s += call.need.expected_output_tokens * OUTPUT_TOKEN_S
         self._arrivals_by_key[key] = (count + 1, work_s)
 
+    def record_origin(self, call: calls.Call) -> None:
+        """Send the origin of a stream to control hosts, before its first event."""
+        if not call.is_repeatable:
+            return
+        now = clock.now()
+        host_ids = self._streams.host_ids
+        ranked_ids = sorted(
+            self._live_control_ids(now) & host_ids or host_ids,
+            key=lambda host_id: _rendezvous_hash(self.host_id, host_id),
+        )
+        self._streams.record(call, ranked_ids, now)
+
+    def restore_origin(self, call: calls.Call) -> None:
+        """Set the service and version of a resumed stream to those that it began at.
+
+        Raise ProxyError if they are unknown and could differ.
+        """
+        now = clock.now()
+        required = self._streams.required_origin(call, self._live_control_ids(now), now)
+        if required is None:
+            raise errors.ProxyError(
+                errors.ErrorKind.NO_BACKEND_SERVER,
+                "the software version that the resumed stream began at is unknown, or "
+                "its service is no longer a target of the route",
+                retry_after_s=waiting.MIN_RETRY_AFTER_S,
+            )
+        call.service = required.service
+        call.software_version = required.software_version
+
     # Messages
 
+    def _broadcast(self, host_ids, message):
+        """Send a message to several hosts, encoded once."""
+        data = wire.encode(message)
+        for host_id in host_ids:
+            self.transport.set_address(host_id, self.settings.link_address(host_id))
+            self.transport.send_encoded(host_id, data)
+
     def handle(self, message, now: float, reply=None):
         """Handle one message of a control host."""
         self._heard_at_by_id[message.sender] = now
+        if isinstance(message.message, fleetmessages.StreamQueryAnswer):
+            self._streams.receive(message.sender, message.message)
+            return
+        if isinstance(message.message, fleetmessages.ServersPush):
+            self._streams.learn_build(message.sender, message.message)
         handler = _HANDLERS.get(type(message.message))
         if handler is not None:
             handler(self, message.message, now)
@@ -252,8 +298,10 @@
         self._schedule_wakeup()
 
     def _on_servers(self, message, now):
-        for fields in message.servers:
-            self.table.apply_announcement(servers.from_wire(fields), now)
+        announcements = [servers.from_wire(fields) for fields in message.servers]
+        for announcement in announcements:
+            self.table.apply_announcement(announcement, now)
+        streamrecords.record_versions(self._streams.history, announcements, now)
         for instance_id, born_ms, state in message.marks:
             if self.table.mark(instance_id, born_ms, servers.ServerState(state)):
                 self.relay.links.close_server(instance_id)
@@ -369,10 +417,19 @@
             self._next_expiry_at = now + EXPIRE_INTERVAL_S
             self.table.expire(now)
             self.server_selector.prune()
+            self._streams.expire(now)
+        if now >= self._next_versions_at:
+            self._next_versions_at = now + VERSION_INTERVAL_S
+            streamrecords.record_versions(self._streams.history, self.table.all(), now)
+        if 2 * len(self._live_control_ids(now)) > len(self._control_ids):
+            self._streams.history.record_contact(now)
 
     def _subscribe(self, now):
         version = self.version()
-        detail_host_ids = self._detail_host_ids(now)
+        detail_host_ids = set(self._detail_host_ids(now))
+        if self.table.known_by_id:
+            # A push of servers tells the build of a control host.
+            detail_host_ids |= self._control_ids - self._streams.host_ids
         for host_id in self._control_ids:
             message = fleetmessages.Subscribe(
                 address=self.settings.host.links,
@@ -389,11 +446,7 @@
         Two are enough; marks and configurations come from all of them. Rendezvous
         hashing distributes the entry hosts over the control hosts.
         """
-        live = [
-            host_id
-            for host_id in self._control_ids
-            if now - self._heard_at_by_id.get(host_id, -1e9) < CONTROL_HOST_TIMEOUT_S
-        ]
+        live = self._live_control_ids(now)
         if len(live) <= DETAIL_HOST_COUNT:
             return self._control_ids
         ranked = sorted(
@@ -401,6 +454,14 @@
         )
         return set(ranked[:DETAIL_HOST_COUNT])
 
+    def _live_control_ids(self, now):
+        """Return the control hosts that have sent a message lately."""
+        return {
+            host_id
+            for host_id in self._control_ids
+            if now - self._heard_at_by_id.get(host_id, -1e9) < CONTROL_HOST_TIMEOUT_S
+        }
+
     def is_ready(self) -> bool:
         """Return whether the load balancer may send callers here."""
         return self.configuration is not None and not self.is_stopping
--- a/kumquatproxy/fleet/fleetmessages.py
+++ b/kumquatproxy/fleet/fleetmessages.py
@@ -99,6 +99,52 @@
     key: str  # MODEL/ADAPTER
 
 
+@wire.register("stream-begun")
+class StreamBegun(wire.Message):
+    """Report the origin of a stream to a control host, before its first event."""
+
+    __slots__ = ("kept_s", "service", "software_version", "stream_id")
+    kept_s: float  # how long the stream may be resumed
+    service: str
+    software_version: str
+    stream_id: str  # request id of the call that began it
+
+
+@wire.register("stream-query")
+class StreamQuery(wire.Message):
+    """Ask a control host for the origin of a stream, and for the versions it has seen.
+
+    The versions decide if nobody knows the stream.
+    """
+
+    __slots__ = ("services", "stream_id", "window_s")
+    services: list  # of the route
+    stream_id: str  # empty if the caller names none
+    window_s: float  # time in which the stream may have begun
+
+
+@wire.register("stream-query-answer")
+class StreamQueryAnswer(wire.Message):
+    """Answer a StreamQuery."""
+
+    __slots__ = (
+        "is_complete",
+        "is_known",
+        "service",
+        "services",
+        "software_version",
+        "stream_id",
+        "versions",
+    )
+    is_complete: bool  # whether ``versions`` covers the window
+    is_known: bool
+    service: str  # empty if unknown, as is the version
+    services: list  # as in the query
+    software_version: str
+    stream_id: str
+    versions: list  # of the services, seen in the window
+
+
 @wire.register("fleet-command")
 class FleetCommand(wire.Message):
     """Ask the leader to commit a command of the control group."""
--- a/kumquatproxy/fleet/meters.py
+++ b/kumquatproxy/fleet/meters.py
@@ -17,6 +17,7 @@
     "calls.in_flight": ("{call}", "Calls of callers that are being served"),
     "calls.waiting": ("{call}", "Calls that wait for a backend server"),
     "servers.known": ("{server}", "Backend servers that this host knows"),
+    "streams.known": ("{stream}", "Streams whose software version is kept"),
     "configuration.version": ("{version}", "Configuration in force; 0 without one"),
     "configuration.held": ("{version}", "Newest configuration in the log"),
     "control.term": ("{term}", "Term of the control group"),
--- a/kumquatproxy/fleet/servers.py
+++ b/kumquatproxy/fleet/servers.py
@@ -119,6 +119,11 @@
 )
 
 
+def has_software_version(fields: list) -> bool:
+    """Return whether a list was made by a build that knows software versions."""
+    return len(fields) > len(_WIRE_FIELDS) + 1
+
+
 def from_wire(fields: list) -> Announcement:
     """Return the announcement for a list made by ``to_wire``."""
     values = dict(zip(_WIRE_FIELDS, fields))
--- a/kumquatproxy/gateway/calls.py
+++ b/kumquatproxy/gateway/calls.py
@@ -105,6 +105,17 @@
             return self.route.is_resumable
         return self.route.mode is Mode.SAFE
 
+    @property
+    def is_resumed_stream(self) -> bool:
+        """Return whether the caller resumes a stream of an earlier call."""
+        is_stream = self.route.mode is Mode.STREAM
+        return is_stream and bool(self.resumed_id or self.last_event_id)
+
+    @property
+    def stream_id(self) -> str:
+        """Return the request id of the call that began the stream."""
+        return self.resumed_id or self.request_id
+
 
 class Outcome(enum.Enum):
     """State how an attempt at a backend server ended."""
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -108,6 +108,8 @@
         )
         call.deadline = call.arrived_at + call_timeout_s
         call.service = self._host.pick_service(call.route)
+        if call.is_resumed_stream:
+            self._host.restore_origin(call)
         self._host.record_arrival(call)
 
     def _run(self, call, progress, connection):
@@ -400,8 +402,10 @@
             events = attempt.splitter.add(part)
             if events:
                 in_flight_call.has_first_event = True
-                if call.software_version is None:
+                if not progress.has_response_begun:
                     call.software_version = attempt.announcement.software_version
+                    # Before the event, because the host may be killed after it.
+                    self._host.record_origin(call)
                 self._relay_events(progress, connection, attempt.head, events)
         attempt.is_response_read = True
         rest = b""
--- a/tests/fleet/test_entryhost.py
+++ b/tests/fleet/test_entryhost.py
@@ -1,8 +1,9 @@
 """Handling of the messages of control hosts at an entry host."""
 
+import gevent
 import pytest
 
-from kumquatproxy import wire
+from kumquatproxy import clock, errors, wire
 from kumquatproxy.fleet import (
     entryhost,
     fleethost,
@@ -11,6 +12,7 @@
     fleetstate,
     servers,
     serviceconfig,
+    streamrecords,
 )
 from kumquatproxy.gateway import calls
 
@@ -147,3 +149,138 @@
     host._next_report_at = 1e18
     host.tick(1e9)
     assert expired
+
+
+def make_stream_call(resumed_id="", last_event_id="", request_id="r1"):
+    targets = [serviceconfig.Target("s")]
+    call = calls.Call(b"POST", b"/", "a", [], b"", 0.0)
+    call.route = serviceconfig.Route("r", "a", "/", calls.Mode.STREAM, targets, 4.0)
+    call.route.is_resumable = True
+    call.service = "s"
+    call.request_id = request_id
+    call.resumed_id = resumed_id
+    call.last_event_id = last_event_id
+    return call
+
+
+class TestStreamOrigins:
+    """Origins of streams go to control hosts, and resumptions ask for them."""
+
+    @pytest.fixture
+    def sent(self, host, monkeypatch):
+        """Collect messages instead of sending them, as (host id, message)."""
+        messages = []
+        monkeypatch.setattr(
+            host.transport,
+            "send_encoded",
+            lambda host_id, data: messages.append((host_id, wire.decode(data))),
+        )
+        return messages
+
+    def receive_server(self, host, sender, version="v1", length=None, now=None):
+        announcement = servers.Announcement("i-1", "s", "10.0.0.1:80", "a", 5, 1, 4)
+        announcement.software_version = version
+        push = fleetmessages.ServersPush([], [], [announcement.to_wire()[:length]])
+        receive(host, push, sender, clock.now() if now is None else now)
+
+    def answer(self, host, sender, origin=None, versions=("v1", "v2")):
+        service, version = origin or ("", "")
+        message = fleetmessages.StreamQueryAnswer(
+            is_complete=True,
+            is_known=origin is not None,
+            service=service,
+            services=["s"],
+            software_version=version,
+            stream_id="r1",
+            versions=list(versions),
+        )
+        receive(host, message, sender, clock.now())
+
+    def test_origin_is_sent_to_three_control_hosts_at_the_first_event(self, host, sent):
+        for number in range(2, 7):
+            self.receive_server(host, f"127.0.0.{number}")
+            host._control_ids.add(f"127.0.0.{number}")
+        call = make_stream_call()
+        call.software_version = "v1"
+        host.record_origin(call)
+        assert len({host_id for host_id, _ in sent}) == 3
+        expected = fleetmessages.StreamBegun(13.0, "s", "v1", "r1")
+        assert [message for _, message in sent] == [expected] * 3
+
+    def test_control_hosts_of_the_previous_build_get_no_new_messages(self, host, sent):
+        """Guards against links that close, as that build refuses unknown messages."""
+        self.receive_server(host, "127.0.0.2")
+        self.receive_server(host, "127.0.0.3", length=13)
+        call = make_stream_call("r1")
+        call.software_version = "v1"
+        host.record_origin(call)
+        with pytest.raises(errors.ProxyError):
+            host.restore_origin(make_stream_call("other"))
+        assert {host_id for host_id, _ in sent} == {"127.0.0.2"}
+
+    def test_stream_of_this_host_is_resumed_without_a_lookup(self, host, sent):
+        self.receive_server(host, "127.0.0.2")
+        call = make_stream_call()
+        call.software_version = "v1"
+        host.record_origin(call)
+        sent.clear()
+        resumed = make_stream_call("r1", "3", "r2")
+        host.restore_origin(resumed)
+        assert resumed.software_version == "v1" and sent == []
+
+    def test_first_known_answer_decides(self, host, sent):
+        for number in (2, 3, 4):
+            self.receive_server(host, f"127.0.0.{number}")
+        resumed = make_stream_call("r1", "3", "r2")
+        gevent.spawn(self.answer, host, "127.0.0.2")
+        gevent.spawn(self.answer, host, "127.0.0.3", ("s", "v2"))
+        started_at = clock.now()
+        host.restore_origin(resumed)
+        assert clock.now() - started_at < streamrecords.LOOKUP_TIMEOUT_S / 2
+        assert resumed.software_version == "v2"
+        assert {host_id for host_id, _ in sent} == {f"127.0.0.{n}" for n in (2, 3, 4)}
+
+    def test_unknown_stream_is_rejected_once_all_live_hosts_have_answered(
+        self, host, sent
+    ):
+        """Guards against a wait for control hosts that are down."""
+        self.receive_server(host, "127.0.0.2")
+        self.receive_server(host, "127.0.0.3", now=0.0)
+        gevent.spawn(self.answer, host, "127.0.0.2")
+        started_at = clock.now()
+        with pytest.raises(errors.ProxyError) as caught:
+            host.restore_origin(make_stream_call("r1", "3", "r2"))
+        assert clock.now() - started_at < streamrecords.LOOKUP_TIMEOUT_S / 2
+        assert caught.value.status == 503 and caught.value.executed == "no"
+
+    def test_unknown_stream_goes_on_if_only_one_version_serves(self, host, sent):
+        self.receive_server(host, "127.0.0.2")
+        gevent.spawn(self.answer, host, "127.0.0.2", None, ["v1"])
+        resumed = make_stream_call("r1", "3", "r2")
+        host.restore_origin(resumed)
+        assert resumed.software_version == "v1"
+
+    def test_lookup_ends_without_any_answer(self, host, sent):
+        self.receive_server(host, "127.0.0.2")
+        with pytest.raises(errors.ProxyError):
+            host.restore_origin(make_stream_call("r1", "3", "r2"))
+
+    def test_details_are_requested_from_hosts_of_unknown_build(self, host, monkeypatch):
+        """Guards against a control host whose build is never learnt, so never asked."""
+        subscriptions = {}
+        monkeypatch.setattr(
+            host,
+            "send_message",
+            lambda host_id, message: subscriptions.update({host_id: message}),
+        )
+        now = clock.now()
+        for number in (2, 3, 4):
+            receive(host, configuration_push(5), f"127.0.0.{number}", now)
+        detailed = sorted(host._detail_host_ids(now))
+        self.receive_server(host, detailed[0])
+        host._subscribe(now)
+        assert all(message.has_details for message in subscriptions.values())
+        for number in (2, 3, 4):
+            self.receive_server(host, f"127.0.0.{number}")
+        host._subscribe(now)
+        assert sum(message.has_details for message in subscriptions.values()) == 2
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -100,6 +100,12 @@
     def record_arrival(self, call):
         return None
 
+    def record_origin(self, call):
+        return None
+
+    def restore_origin(self, call):
+        return None
+
     def wait_for_change(self, timeout_s):
         gevent.sleep(timeout_s)
 
--- a/tests/gateway/test_streamversions.py
+++ b/tests/gateway/test_streamversions.py
@@ -80,3 +80,44 @@
         set_versions(host, "v1", "v2")
         data, _ = test_relay.send_request(address, b"stream")
     assert data.endswith(b"0\r\n\r\n") and backends[1].heads == []
+
+
+def test_origin_is_recorded_before_the_first_event_of_each_answer(monkeypatch):
+    """Guards against a killed host whose callers have events that no host knows of."""
+    steps = []
+    write_body = test_relay.callers.CallerConnection.write_body
+
+    def write(connection, data):
+        steps.append(data)
+        write_body(connection, data)
+
+    def record(call):
+        steps.append((call.stream_id, call.service, call.software_version))
+
+    monkeypatch.setattr(test_relay.callers.CallerConnection, "write_body", write)
+    streams = [broken_stream(1), None], [test_relay.make_stream(2)]
+    with test_relay.running_relay(*streams) as (address, backends, host):
+        set_versions(host, "v1", "v1")
+        monkeypatch.setattr(host, "record_origin", record)
+        backends[0].closes = True
+        test_relay.send_request(address, b"stream", b"Resumes: 5\r\n")
+    events = [test_relay.make_event(number) for number in (1, 2)]
+    assert steps == [("5", "s", "v1"), *events]
+
+
+def test_resumed_stream_goes_to_the_service_and_version_that_are_restored(monkeypatch):
+    """Guards against a choice of the server before the origin is known."""
+
+    def restore(call):
+        call.software_version = "v2"
+
+    with test_relay.running_relay(
+        [test_relay.make_stream(4)], [test_relay.make_stream(4)]
+    ) as (address, backends, host):
+        set_versions(host, "v1", "v2")
+        monkeypatch.setattr(host, "restore_origin", restore)
+        test_relay.send_request(address, b"stream", b"Resumes: 5\r\n")
+        test_relay.send_request(address, b"stream", b"Last-Event-Id: 3\r\n")
+        assert [len(backend.heads) for backend in backends] == [0, 2]
+        test_relay.send_request(address, b"safe", b"Resumes: 5\r\n")
+        assert len(backends[0].heads) == 1
