--- a/kumquatproxy/laboratory/measure_fleet.py
+++ b/kumquatproxy/laboratory/measure_fleet.py
@@ -3,15 +3,20 @@
 import random
 import statistics
 import time
+import tracemalloc
+import typing
 
+from kumquatproxy import wire
 from kumquatproxy.fleet import (
+    controlhost,
     engineviews,
     fleetdemand,
+    fleetmessages,
     modelplan,
     servers,
     serviceconfig,
 )
-from kumquatproxy.gateway import calls, serverselection
+from kumquatproxy.gateway import calls, serverselection, streamorigins
 from kumquatproxy.laboratory import fleetmodel, fleetscenarios, measure
 
 SEEDS = 10
@@ -72,6 +77,49 @@
     return figures
 
 
+@measure.MEASUREMENTS.register("fleet-streams")
+def measure_fleet_streams(seed: int) -> list[measure.Figure]:
+    """Measure what a control host spends on the origins of streams, full of them.
+
+    The links' own work is not included.
+    """
+    rng = random.Random(seed)
+    count = controlhost.MAX_STREAMS
+    frames = [
+        wire.encode(
+            fleetmessages.StreamBegun(
+                45.0, "service-a", "v1.1", f"{rng.getrandbits(64):016x}"
+            )
+        )
+        for _ in range(count)
+    ]
+    table = streamorigins.OriginTable(count)
+    tracemalloc.start()
+    for frame in frames:
+        _record_stream(table, frame)
+    memory_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    started_at = time.process_time()
+    for frame in frames:
+        _record_stream(table, frame)
+    record_s = time.process_time() - started_at
+    started_at = time.process_time()
+    table.expire(1.0)
+    expire_s = time.process_time() - started_at
+    return [
+        measure.Figure("stream_record_bytes", len(frames[0])),
+        measure.Figure("stream_record_us", record_s / count * 1e6),
+        measure.Figure("stream_memory_bytes_each", memory_bytes / count),
+        measure.Figure("stream_expire_ms", expire_s * 1e3),
+    ]
+
+
+def _record_stream(table, frame):
+    message: typing.Any = wire.decode(frame)
+    origin = streamorigins.Origin(message.service, message.software_version)
+    table.record(message.stream_id, origin, message.kept_s, 0.0)
+
+
 def _service(engine_count):
     models = [
         serviceconfig.Model(f"m{index}", 70_000.0, 6.0, 1.2, 0.6)
