Hold a begun stream only briefly for a load

Cause, found by reading: a stream that must go on at one software version was held until its deadline for a load of its model or adapter, which may take place at a server of another version.

--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -165,14 +165,13 @@
                 self._host.wait_for_change(decision.wait_s)
 
     def _expected_availability(self, call, progress, now):
-        expected_availability = None
-        if call.software_version is not None:
-            expected_availability = (
-                self._host.server_selector.expected_for_begun_stream(
-                    call, progress.excluded_lifetimes, now
-                )
-            )
-        return expected_availability or self._host.expected_availability(call)
+        # This also requests an adapter that is missing.
+        expected_availability = self._host.expected_availability(call)
+        if call.software_version is None:
+            return expected_availability
+        return self._host.server_selector.expected_for_begun_stream(
+            call, progress.excluded_lifetimes, now
+        )
 
     def _count_in_budget(self, call, progress):
         now = clock.now()
--- a/kumquatproxy/gateway/serverselection.py
+++ b/kumquatproxy/gateway/serverselection.py
@@ -149,10 +149,11 @@
 
     def expected_for_begun_stream(
         self, call: calls.Call, excluded, now: float
-    ) -> waiting.ExpectedAvailability | None:
+    ) -> waiting.ExpectedAvailability:
         """Return when a server of a stream's software version is usable again.
 
-        It is None if that depends on loads of models or adapters.
+        It is unknown if that depends on a load of a model or adapter, because loads are
+        planned without regard to software versions.
         """
         ready = [
             announcement
@@ -168,7 +169,7 @@
             if self._can_serve(call, announcement)
         ]
         if not waits_s:
-            return None
+            return waiting.ExpectedAvailability(None)
         return waiting.ExpectedAvailability(
             min(waits_s), is_excluded=min(waits_s) > MAX_EJECTION_WAIT_S
         )
