--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -407,6 +407,12 @@
                     self._host.record_origin(call)
                 self._relay_events(progress, connection, attempt.head, events)
         attempt.is_response_read = True
+        self._relay_stream_end(progress, connection, attempt)
+        attempt.outcome = calls.Outcome.ANSWERED
+        connection.end_response()
+
+    def _relay_stream_end(self, progress, connection, attempt):
+        """Relay what follows the last event; raise BackendError if that is partial."""
         rest = b""
         if framing.has_explicit_end(attempt.head.headers):
             rest = attempt.splitter.take_end_marker()
@@ -415,9 +421,8 @@
                 "the stream ended with an incomplete event"
             )
         self._start_response(progress, connection, attempt.head)
-        connection.write_body(rest)
-        attempt.outcome = calls.Outcome.ANSWERED
-        connection.end_response()
+        if rest:
+            connection.write_body(rest)
 
     def _start_response(self, progress, connection, head):
         if not progress.has_response_begun:
