Serve a request received behind a call in flight during a close

Callers that pipeline saw no response to a request that the host had received before it stopped accepting.

Cause: after the call in flight the connection was shut down and its buffer discarded, while the response had not announced the close.

Ruled out: announcing the close in the response to the call in flight. A begun response has sent its head, and test_callers.py expects a response without the announcement.

Change: data that arrives after the close is discarded.

The two new tests guard the other direction.

--- a/kumquatproxy/gateway/callers.py
+++ b/kumquatproxy/gateway/callers.py
@@ -43,6 +43,7 @@
         "_parser",
         "_sock",
         "_watcher",
+        "ignores_new_data",
         "is_closing",
     )
 
@@ -55,6 +56,7 @@
         self._watcher: gevent.Greenlet | None = None
         self._greenlet = gevent.getcurrent()
         self._is_idle = False  # waits for the first bytes of a request
+        self.ignores_new_data = False  # serve only what was received before
         self.is_closing = False  # close after the current response
 
     def read_call(self, limits) -> calls.Call:
@@ -114,7 +116,7 @@
 
     def _receive(self, timeout_s):
         """Read into the buffer; raise ConnectionClosed if closed or timed out."""
-        if self._is_peer_closed:
+        if self._is_peer_closed or self.ignores_new_data:
             raise ConnectionClosed
         try:
             with gevent.Timeout(timeout_s, ConnectionClosed):
@@ -134,6 +136,14 @@
         if self._is_idle:
             self._greenlet.throw(ConnectionClosed)
 
+    def ignore_new_data(self) -> None:
+        """Keep what has been received, and discard all data from now on."""
+        self.ignores_new_data = True
+
+    def has_received_data(self) -> bool:
+        """Return whether data of a further request has been received."""
+        return bool(self._buffer)
+
     def interrupt_call(self) -> gevent.Greenlet:
         """Raise HostStoppingError in the greenlet of the call in flight; return it."""
         self._greenlet.kill(calls.HostStoppingError, block=False)
@@ -180,7 +190,8 @@
                 self._is_peer_closed = True
                 on_disconnect()
                 return
-            self._buffer += data
+            if not self.ignores_new_data:
+                self._buffer += data
 
     def stop_watching(self) -> None:
         """Stop watching for a disconnect and keep the data received meanwhile."""
@@ -346,13 +357,23 @@
         self._is_keep_alive_disabled = True
 
     def stop_accepting(self) -> None:
-        """Stop accepting connections and close the idle ones."""
+        """Stop accepting connections and close the idle ones.
+
+        A request that was received behind a call in flight is still served, since the
+        response to that call does not announce that the connection closes.
+        """
         self._is_keep_alive_disabled = True
         self._is_closed = True
         self._server.close()
         loop = gevent.get_hub().loop
         for connection in list(self._is_serving_by_connection):
-            loop.run_callback(connection.close_if_idle)
+            loop.run_callback(self._end_after_received_requests, connection)
+
+    def _end_after_received_requests(self, connection):
+        if self._is_serving_by_connection.get(connection):
+            connection.ignore_new_data()
+        else:
+            connection.close_if_idle()
 
     def abort(self) -> None:
         """End the calls in flight with an error response and close all connections."""
@@ -390,6 +411,10 @@
                 self._log.write_limited(clock.now(), error.kind.value, str(error))
                 connection.reject_request(error)
                 return
+            except ConnectionClosed:
+                if connection.ignores_new_data:
+                    connection.shut_down_and_drain()
+                return
             self._is_serving_by_connection[connection] = True
             connection.is_closing = self._is_keep_alive_disabled
             try:
@@ -399,6 +424,6 @@
                 connection.stop_watching()
             if not connection.is_reusable():
                 return
-            if self._is_closed:
+            if self._is_closed and not connection.has_received_data():
                 connection.shut_down_and_drain()
                 return
--- a/tests/gateway/test_lostanswers.py
+++ b/tests/gateway/test_lostanswers.py
@@ -256,6 +256,27 @@
     assert data.count(b"HTTP/1.1 200") == 2 or b"connection: close" in data.lower()
 
 
+@pytest.mark.parametrize("cut", [5, -1], ids=["head", "body"])
+def test_request_completed_after_the_close_is_not_served(cut):
+    """Guards against starting a call after the close, which the stop interrupts."""
+    recorder = test_callers.Recorder()
+    recorder.delay_s = 0.3
+    server = callers.CallerServer(
+        "127.0.0.1:0", recorder.serve, lambda: test_callers.LIMITS
+    )
+    server.start()
+    request = test_callers.HEAD + b"Content-Length: 2\r\n\r\nab"
+    sock = connect(server.address)
+    sock.sendall(request + request[:cut])
+    gevent.sleep(0.1)
+    server.stop_accepting()
+    gevent.sleep(0.05)
+    sock.sendall(request[cut:] + request)
+    data = receive_all(sock, 1.0)
+    server.abort()
+    assert data.count(b"HTTP/1.1 200") == 1 and len(recorder.calls) == 1
+
+
 @contextlib.contextmanager
 def call_in_flight(host, path):
     """Send a call to a relay of its own and yield its server and the connection."""
