Limit the time of each write without progress to a caller

Callers that read a long response slowly saw it break off after 5 s.

Cause: the write timeout applied to the whole response.

Ruled out: a longer timeout. Any fixed time for the whole is too short for some size.

Change: the timeout applies to each send. The deadline of the call still limits the whole response.

--- a/kumquatproxy/gateway/callers.py
+++ b/kumquatproxy/gateway/callers.py
@@ -15,6 +15,7 @@
 MAX_CONNECTIONS = 2000
 # Timeout for the next bytes of a request body.
 BODY_IDLE_S = 5.0
+# Timeout of a write without progress; the deadline of the call limits the whole one.
 WRITE_TIMEOUT_S = 5.0
 # Limits on data that is read and discarded after the last response on a connection.
 # Closing a socket with unread data resets the connection, and the caller may lose the
@@ -272,9 +273,12 @@
         )
 
     def _write(self, data):
+        view = memoryview(data)
         try:
-            with gevent.Timeout(WRITE_TIMEOUT_S, calls.ResponseAbortedError):
-                self._sock.sendall(data)
+            while view:
+                with gevent.Timeout(WRITE_TIMEOUT_S, calls.ResponseAbortedError):
+                    count = self._sock.send(view)
+                view = view[count:]
         except OSError:
             raise calls.ResponseAbortedError from None
 
