Send no body in responses to HEAD

Callers saw a connection that closed without a response to a HEAD request that got an error, for example one that no route matches.

Cause: the error response had a body, which h11 refuses for HEAD.

Ruled out: the response of a server. It has no body; its Content-Length was replaced by 0.

Change: a response to HEAD is sent without its body and with its Content-Length. That of a server's response to HEAD is passed on.

--- a/kumquatproxy/gateway/callers.py
+++ b/kumquatproxy/gateway/callers.py
@@ -39,6 +39,7 @@
     __slots__ = (
         "_buffer",
         "_greenlet",
+        "_is_head_request",
         "_is_idle",
         "_is_peer_closed",
         "_parser",
@@ -56,12 +57,14 @@
         self._is_peer_closed = False  # the caller has closed its side
         self._watcher: gevent.Greenlet | None = None
         self._greenlet = gevent.getcurrent()
+        self._is_head_request = False
         self._is_idle = False  # waits for the first bytes of a request
         self.ignores_new_data = False  # serve only what was received before
         self.is_closing = False  # close after the current response
 
     def read_call(self, limits) -> calls.Call:
         """Return the next request; raise ConnectionClosed, or ProxyError if invalid."""
+        self._is_head_request = False
         head = self._read_head(limits)
         arrived_at = clock.now()
         framing.check_head(head, is_request=True)
@@ -69,6 +72,7 @@
         request = self._feed(head)
         if not isinstance(request, h11.Request):
             raise _invalid_request("the request is malformed")
+        self._is_head_request = request.method == b"HEAD"
         host = framing.header(request.headers, b"host")
         length = framing.header(request.headers, b"content-length")
         if length and int(length) > limits.body_bytes:
@@ -222,13 +226,15 @@
             self._write(data)
 
     def send_response(self, status: int, headers, body: bytes) -> None:
-        """Write a complete response with one send."""
-        headers = [*headers, (b"content-length", str(len(body)).encode())]
+        """Write a complete response with one send; a response to HEAD has no body."""
+        headers = list(headers)
+        if not framing.header(headers, b"content-length"):
+            headers.append((b"content-length", str(len(body)).encode()))
         if self.is_closing:
             headers.append((b"connection", b"close"))
         response = h11.Response(status_code=status, headers=headers, reason=b"")
         data = self._parser.send(response)
-        if body:
+        if body and not self._is_head_request:
             data += self._parser.send(h11.Data(data=body))
         self._write(data + self._parser.send(h11.EndOfMessage()))
 
@@ -242,7 +248,8 @@
         head.append((b"connection", b"close"))
         lines = [f"HTTP/1.1 {status} \r\n".encode()]
         lines.extend(name + b": " + value + b"\r\n" for name, value in head)
-        self._write(b"".join(lines) + b"\r\n" + body)
+        data = b"".join(lines) + b"\r\n"
+        self._write(data if self._is_head_request else data + body)
         self.is_closing = True
         self.shut_down_and_drain()
 
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -388,7 +388,11 @@
             return
         attempt.outcome = calls.Outcome.ANSWERED
         progress.has_response_begun = True
-        connection.send_response(head.status, _response_headers(head), body)
+        headers = _response_headers(head)
+        length = framing.header(head.headers, b"content-length")
+        if call.method == b"HEAD" and length:
+            headers.append((b"content-length", length))
+        connection.send_response(head.status, headers, body)
 
     def _relay_stream(self, call, attempt, progress, connection, timeouts, read):
         in_flight_call = attempt.in_flight_call
--- a/tests/gateway/test_lostanswers.py
+++ b/tests/gateway/test_lostanswers.py
@@ -79,6 +79,17 @@
     assert data.startswith(b"HTTP/1.1 404") and data.endswith(b"\r\n\r\n")
 
 
+def test_response_of_a_server_to_a_head_request_keeps_its_length():
+    """Guards against a length of 0, which a response to GET does not have."""
+    answer = test_relay.make_response(b"ok")[:-2]
+    with test_relay.running_relay([answer]) as (address, _, _):
+        data, _ = rawservers.exchange_bytes(
+            address, b"HEAD /safe/x HTTP/1.1\r\nHost: a\r\nX-Id: 7\r\n\r\n"
+        )
+    assert data.startswith(b"HTTP/1.1 200") and data.endswith(b"\r\n\r\n")
+    assert data.lower().count(b"content-length: 2\r\n") == 1
+
+
 def test_call_whose_host_header_is_a_connection_option_gets_a_response():
     """Guards against an exception in h11 for a forwarded request without Host."""
     with test_relay.running_relay([test_relay.make_response()]) as (
