Ignore header numbers that int rejects

Cause: str.isdigit accepts digits that int rejects, and numbers that are too long for int or for a float.

Ruled out: numbers in framing headers. They were limited to 18 ASCII digits before.

Change: header numbers have 1 to 18 ASCII digits, others are ignored like any text. Event ids are compared as texts of ASCII digits, so that longer ids keep their order.

--- a/kumquatproxy/gateway/framing.py
+++ b/kumquatproxy/gateway/framing.py
@@ -31,6 +31,8 @@
 
 _TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 _DIGITS = re.compile(rb"[0-9]{1,18}")
+# Not str.isdigit: it accepts digits that int rejects, and any length.
+_NUMBER = re.compile(r"[0-9]{1,18}")
 _REQUEST_LINE = re.compile(
     rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]{1,32} [\x21-\x7e\x80-\xff]+ HTTP/1\.[01]"
 )
@@ -84,6 +86,11 @@
     return b""
 
 
+def number(text: str) -> int | None:
+    """Return a decimal number of at most 18 ASCII digits, or None."""
+    return int(text) if _NUMBER.fullmatch(text) else None
+
+
 def has_explicit_end(headers) -> bool:
     """Return whether the end of a response body differs from a lost connection."""
     return bool(
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -602,9 +602,12 @@
 
 
 def _is_already_sent(event_id, last_event_id):
-    if not (event_id.isdigit() and last_event_id.isdigit()):
+    ids = (event_id, last_event_id)
+    if not all(text.isascii() and text.isdigit() for text in ids):
         return False
-    return int(event_id) <= int(last_event_id)
+    # Compared as texts: ids may be longer than the numbers that int accepts.
+    event_digits, last_digits = (text.lstrip("0") for text in ids)
+    return (len(event_digits), event_digits) <= (len(last_digits), last_digits)
 
 
 def _deadline_error(progress):
--- a/kumquatproxy/platform/callformat.py
+++ b/kumquatproxy/platform/callformat.py
@@ -55,20 +55,20 @@
         prompt_tokens, max_output_tokens = _token_counts(
             _header_text(call.headers, TOKENS)
         )
-        hint = _header_text(call.headers, LENGTH_HINT)
+        hint = framing.number(_header_text(call.headers, LENGTH_HINT))
         call.need = calls.ModelNeed(
             name,
             adapter,
             prompt_tokens,
             max_output_tokens,
-            int(hint) if hint.isdigit() else max_output_tokens,
+            max_output_tokens if hint is None else hint,
             _prompt_parts(_header_text(call.headers, PREFIX)),
         )
 
     def caller_timeout_s(self, call: calls.Call) -> float | None:
         """Return the caller's time limit in seconds, or None without one."""
-        text = _header_text(call.headers, DEADLINE)
-        return int(text) / 1000 if text.isdigit() else None
+        timeout_ms = framing.number(_header_text(call.headers, DEADLINE))
+        return None if timeout_ms is None else timeout_ms / 1000
 
     def forwarded_headers(
         self, call, instance_id: str, left_s: float, last_event_id: str, priority=None
@@ -138,27 +138,27 @@
 
 def _token_counts(text):
     first, _, second = text.partition(",")
-    if not (first.strip().isdigit() and second.strip().isdigit()):
-        return 0, 0
-    return int(first), int(second)
+    counts = framing.number(first.strip()), framing.number(second.strip())
+    return (0, 0) if None in counts else counts
 
 
 def _prompt_parts(text):
     """Return the prompt parts in a header, up to the first malformed one."""
     parts: list[calls.PromptPart] = []
     for pair in filter(None, text.split(",")):
-        part_id, _, tokens = pair.strip().partition(":")
-        if not tokens.isdigit():
+        part_id, _, tokens_text = pair.strip().partition(":")
+        tokens = framing.number(tokens_text)
+        if tokens is None:
             return parts
-        parts.append(calls.PromptPart(part_id, int(tokens)))
+        parts.append(calls.PromptPart(part_id, tokens))
     return parts
 
 
 def _server_load(text):
-    numbers = text.split(",")
-    if len(numbers) != 3 or not all(number.strip().isdigit() for number in numbers):
+    numbers = [framing.number(part.strip()) for part in text.split(",")]
+    if len(numbers) != 3 or None in numbers:
         return None
-    running, waiting, slots = (int(number) for number in numbers)
+    running, waiting, slots = numbers
     return calls.ServerLoad(running, waiting, slots)
 
 
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -376,6 +376,25 @@
     assert data.count(make_event(5)) == 0 and data.count(make_event(6)) == 1
 
 
+@pytest.mark.parametrize(
+    ("event_id", "last_id", "is_sent"),
+    [
+        ("9", "10", True),
+        ("10", "10", True),
+        ("010", "10", True),
+        ("11", "10", False),
+        ("1764839299000000001", "1764839299000000002", True),
+        ("1" * 5000, "1" * 5000, True),
+        ("2" * 5000, "1" * 5000, False),
+        ("\xb2", "9", False),
+        ("", "9", False),
+    ],
+)
+def test_event_id_at_or_below_the_last_one_is_already_sent(event_id, last_id, is_sent):
+    """Guards against repeated events, and against ValueError for digits of any kind."""
+    assert relay._is_already_sent(event_id, last_id) is is_sent
+
+
 def test_call_without_any_server_gets_503_with_retry_after():
     with running_relay() as (address, _, _):
         data, _ = send_request(address, b"once")
