Refuse instance ids that no header can hold

Cause: the id comes from the decoded path of a heartbeat and goes into a header. h11 refuses the request, which no code expected.

Ruled out: sending the request. h11 encodes all of it before the first byte is sent.

Change: the control API answers 400 to ids with control characters or spaces. A request that h11 refuses counts as not connected, so the call can go to another server.

--- a/kumquatproxy/gateway/backendconnections.py
+++ b/kumquatproxy/gateway/backendconnections.py
@@ -28,6 +28,10 @@
     """Report a response that is malformed, incomplete or for another call."""
 
 
+class InvalidRequestError(BackendError):
+    """Report a request that cannot be encoded, so that none of it was sent."""
+
+
 class StallError(Exception):
     """Report that a server sent no data within the timeout."""
 
@@ -72,11 +76,14 @@
     def send(self, method: bytes, target: bytes, headers, body: bytes) -> None:
         """Write a request; stop if the server responds before it has read the body."""
         self._parser = framing.new_connection(h11.CLIENT)
-        request = h11.Request(method=method, target=target, headers=headers)
-        data = self._parser.send(request)
-        if body:
-            data += self._parser.send(h11.Data(data=body))
-        data += self._parser.send(h11.EndOfMessage())
+        try:
+            request = h11.Request(method=method, target=target, headers=headers)
+            data = self._parser.send(request)
+            if body:
+                data += self._parser.send(h11.Data(data=body))
+            data += self._parser.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as error:
+            raise InvalidRequestError(str(error)) from None
         self.is_fully_sent = False
         view = memoryview(data)
         while view:
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -264,8 +264,12 @@
         attempt.outcome = calls.Outcome.LOST
         attempt.sent_at = clock.now()
         limit_s = None if progress.fallback is None else stalltimeouts.ACCEPTANCE_S
-        with gevent.Timeout(limit_s, backendconnections.StallError):
-            attempt.link.send(call.method, call.target, headers, call.body)
+        try:
+            with gevent.Timeout(limit_s, backendconnections.StallError):
+                attempt.link.send(call.method, call.target, headers, call.body)
+        except backendconnections.InvalidRequestError:
+            attempt.outcome = calls.Outcome.NOT_CONNECTED
+            raise
 
     def _receive(self, call, attempt, progress, connection):
         timeouts = stalltimeouts.for_attempt(call, self._may_retry(call, progress))
--- a/kumquatproxy/platform/controlapi.py
+++ b/kumquatproxy/platform/controlapi.py
@@ -9,6 +9,8 @@
 PUT_CONFIGURATION = "/-/config/replace"
 READ_CONFIGURATION = "/-/config/get"
 INSTANCE_CALL = re.compile(r"/-/instances/([^/]+)/(heartbeat|deregister)")
+# The id becomes the value of a header, which must not contain these characters.
+CONTROL_CHARACTER_OR_SPACE = re.compile(r"[\x00-\x20\x7f]")
 # A configuration may have hundreds of routes.
 MAX_BODY_BYTES = 8 * 1024 * 1024
 
@@ -32,6 +34,11 @@
         if match is None or request.method != "POST":
             raise errors.ProxyError(errors.ErrorKind.NOT_FOUND, "no such call")
         instance_id, action = match.groups()
+        if CONTROL_CHARACTER_OR_SPACE.search(instance_id):
+            raise errors.ProxyError(
+                errors.ErrorKind.INVALID_REQUEST,
+                "the instance id contains a control character or a space",
+            )
         if action == "heartbeat":
             self._host.heartbeat(heartbeatformat.parse(instance_id, request.body()))
         else:
--- a/tests/platform/test_platform.py
+++ b/tests/platform/test_platform.py
@@ -6,17 +6,19 @@
 """
 
 import ast
+import io
 import pathlib
 
 import orjson
 import pytest
 
-from kumquatproxy import errors
+from kumquatproxy import errors, httpapi
 from kumquatproxy.fleet import engineorders, servers
 from kumquatproxy.gateway import calls
 from kumquatproxy.platform import (
     callformat,
     configformat,
+    controlapi,
     engineformat,
     heartbeatformat,
 )
@@ -300,3 +302,20 @@
     for name in (b"hold", b"pin-ms", b"kv-backup"):
         assert b"kumquatproxy-" + name not in sent
     assert b"kv-from" not in sent and b"connection" not in sent
+
+
+@pytest.mark.parametrize("action", ["heartbeat", "deregister"])
+@pytest.mark.parametrize("instance_id", ["i-\n9", "i 9", "\t", "i-\x7f", "i-\x00"])
+def test_instance_id_that_no_header_can_hold_is_refused(instance_id, action):
+    """Guards against a server that no call can be sent to."""
+    request = httpapi.Request(
+        {
+            "REQUEST_METHOD": "POST",
+            "PATH_INFO": f"/-/instances/{instance_id}/{action}",
+            "CONTENT_LENGTH": "2",
+            "wsgi.input": io.BytesIO(b"{}"),
+        }
+    )
+    with pytest.raises(errors.ProxyError) as caught:
+        controlapi.ControlApplication(None).answer(request, 0.0)
+    assert "instance id" in caught.value.detail and caught.value.status == 400
