Keep Host if a caller names it as a connection option

Cause: the option dropped Host, and h11 refuses a request without it.

Ruled out: other connection options. None of them is required in a request.

Change: end_to_end keeps Host.

--- a/kumquatproxy/gateway/framing.py
+++ b/kumquatproxy/gateway/framing.py
@@ -99,14 +99,17 @@
 
 
 def end_to_end(headers) -> list[tuple[bytes, bytes]]:
-    """Return the headers that are not hop-by-hop."""
+    """Return the headers that are not hop-by-hop.
+
+    Host is kept even if it is a connection option, since a request must have it.
+    """
     connection_options = {
         token.strip().lower()
         for key, value in headers
         if key == b"connection"
         for token in value.split(b",")
     }
-    dropped = HOP_BY_HOP | connection_options
+    dropped = HOP_BY_HOP | (connection_options - {b"host"})
     return [(key, value) for key, value in headers if key not in dropped]
 
 
