Keep a resumed copy of a hedged request in the simulation

The copy was interrupted when its server stopped at 15 s, was resumed at another server, and failed there before its next token (an error answer in ten cases, the silent server in three). HedgedSimulation took `first_at is None` for a copy that has not replaced its original, and ended it without an outcome. `first_at` belongs to the current attempt and is None again after a resumption, so neither of the two calls remained to end the request; the timer of the deadline skips calls that are done.

Ruled out: admission queues, retry rules and routing. The proxy does not hedge: only kumquatproxy.laboratory.experiments uses this class.

Change: the simulation records which copies have replaced their original, and drops a failed copy only if it has not. A unit test plays one such request.

Conclusion: a fault of the simulation, not of the proxy.

--- a/kumquatproxy/requests/hedging.py
+++ b/kumquatproxy/requests/hedging.py
@@ -17,6 +17,8 @@
         super().__init__(scenario, system, trace, seed, faults)
         self._delays = {id(host): retries.HedgeDelay() for host in self.hosts}
         self._paired_calls_by_id: dict[str, simulation.Call] = {}
+        # Copies that delivered the first token, for which the original is cancelled.
+        self._chosen_copy_ids: set[str] = set()
         self.hedges: int = 0
 
     def _send(self, call, backend_id, priority):
@@ -61,6 +63,7 @@
             return
         self._paired_calls_by_id.pop(paired_call.job.request.request_id, None)
         if request.request_id.endswith(COPY_SUFFIX):
+            self._chosen_copy_ids.add(request.request_id)
             original = paired_call.job.request
             self.result.first_token_s.setdefault(
                 original.request_id, at - original.arrived_at
@@ -82,8 +85,13 @@
             self._finish_attempt(call, estimates.Outcome("abandoned"))
 
     def _handle_failure(self, call, failure):
-        is_copy = call.job.request.request_id.endswith(COPY_SUFFIX)
-        if is_copy and call.first_at is None and not call.done and call.backend_id:
+        request_id = call.job.request.request_id
+        # ``first_at`` belongs to the current attempt, so it is None again for a chosen
+        # copy that was resumed.
+        is_unchosen_copy = (
+            request_id.endswith(COPY_SUFFIX) and request_id not in self._chosen_copy_ids
+        )
+        if is_unchosen_copy and not call.done and call.backend_id:
             # The original attempt continues; only it is retried.
             self._finish_attempt(call, estimates.Outcome("failed"))
             call.done = True
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -16,7 +16,7 @@
     systems,
 )
 from kumquatproxy.placement import fixedplacement
-from kumquatproxy.requests import breaker
+from kumquatproxy.requests import breaker, hedging, retries
 
 FIRST_FUZZ_SEED = 100 * int(os.environ.get("FUZZ_SEED", "0"))
 SHORT = {"duration_s": 30.0, "shift_s": 10.0, "utilisation": 1.3}
@@ -136,6 +136,44 @@
         check_history(result, faults)
 
 
+def run_hedged_request(faults=()):
+    """Run one request for a model that three servers hold."""
+    scenario = arrivals.scenario(
+        "port-louis", servers=3, models=1, hosts=1, data_centres=1
+    )
+    model = arrivals.model_name(0)
+    request = records.CallRequest(
+        "r1", "o", "s", model=model, version="1", prompt_tokens=2560, deadline=30.0
+    )
+    job = loadmodel.Job(request, (arrivals.model_item(0),), 200)
+    trace = arrivals.Trace([job], {model: 1.0})
+    return hedging.HedgedSimulation(
+        scenario, systems.SYSTEMS["designed"], trace, 1, faults
+    ).run()
+
+
+def test_request_ends_if_the_resumed_copy_of_a_hedged_request_fails(monkeypatch):
+    """Guards against a hedged request without an end.
+
+    The original is cancelled when its copy delivers the first token. The copy is
+    interrupted, resumed at the third server, and fails there before its next token.
+    """
+    monkeypatch.setattr(retries.HedgeDelay, "delay_s", lambda *_: 0.05)
+    normal_run = run_hedged_request()
+    original_server, copy_server = (
+        int(backend_id.removeprefix("b")) for _, backend_id, _ in normal_run.sends
+    )
+    faults = [
+        systems.Fault(0.0, "slow", [original_server]),
+        systems.Fault(1.0, "errors", range(3)),
+        systems.Fault(1.0, "stop", [copy_server]),
+    ]
+    result = run_hedged_request(faults)
+    assert "r1~2" in result.first_token_s, "the copy was not the first to answer"
+    assert len(result.sends) > 2, "the copy was not resumed"
+    check_history(result, faults[2:])
+
+
 @pytest.mark.parametrize("system", systems.SYSTEMS)
 def test_no_system_exceeds_the_bound(system):
     """Guards against a bound that is too low, which would inflate the ratio."""
