Let the soak's servers fall silent and check that requests get answers

Callers on kept connections tell apart refusals, failures, cut answers and connections that end without an answer. Faults come in two concurrent series; half of a run has none, but planned restarts and changes of the configuration.

--- /dev/null
+++ b/tests/soak/callerclient.py
@@ -0,0 +1,126 @@
+"""HTTP client of the soak's callers, which tells apart how requests end."""
+
+import enum
+import select
+import time
+
+import gevent
+import gevent.socket
+import h11
+
+# Statuses that promise that the request was not executed.
+NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
+CONNECT_TIMEOUT_S = 1.0
+READ_BYTES = 65536
+REUSABLE_STATES = {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
+
+
+class End(enum.Enum):
+    """How a request ended."""
+
+    UNSENT = "not sent"
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    FAILED = "failed with an answer"
+    UNANSWERED = "connection ended without an answer"
+    CUT = "cut in mid-answer"
+    ABANDONED = "given up by the caller"
+
+
+class Exchange:
+    """Hold one request and its end."""
+
+    __slots__ = (
+        "body",
+        "end",
+        "ended_at",
+        "ip",
+        "patience_s",
+        "request_id",
+        "sent_at",
+        "status",
+    )
+
+    def __init__(self, ip, request_id, patience_s):
+        self.ip: str = ip
+        self.request_id: str = request_id
+        self.patience_s: float = patience_s
+        self.sent_at = self.ended_at = time.monotonic()
+        self.end = End.UNSENT
+        self.status = 0
+        self.body = b""
+
+    def set_complete(self):
+        """Set the end to that of a complete answer with the present status."""
+        if self.status == 200:
+            self.end = End.ANSWERED
+        else:
+            is_refused = self.status in NOT_EXECUTED_STATUSES
+            self.end = End.REFUSED if is_refused else End.FAILED
+
+
+class Impatience(Exception):
+    """Report that the caller's patience has ended."""
+
+
+class Connection:
+    """Send requests to one address on a connection that is kept if possible."""
+
+    def __init__(self, address):
+        self._address = address
+        self._sock = None
+        self._parser = None
+
+    def run(self, exchange, path, headers):
+        """Send a request, read its answer and set the end of the exchange."""
+        try:
+            with gevent.Timeout(exchange.patience_s, Impatience):
+                self._send(path, headers)
+                exchange.sent_at = time.monotonic()
+                exchange.end = End.UNANSWERED
+                self._receive(exchange)
+        except Impatience:
+            if exchange.end is not End.UNSENT:
+                exchange.end = End.ABANDONED
+        except (OSError, h11.RemoteProtocolError):
+            pass  # the end tells how far the exchange came
+        exchange.ended_at = time.monotonic()
+        if self._parser is not None and self._parser.states == REUSABLE_STATES:
+            self._parser.start_next_cycle()
+        else:
+            self.close()
+
+    def _send(self, path, headers):
+        if self._sock is not None and select.select([self._sock], [], [], 0)[0]:
+            self.close()  # the host has closed the idle connection
+        if self._sock is None:
+            self._sock = gevent.socket.create_connection(
+                self._address, CONNECT_TIMEOUT_S
+            )
+            self._sock.settimeout(None)
+            self._parser = h11.Connection(h11.CLIENT)
+        headers = [*headers.items(), ("Content-Length", "0")]
+        request = h11.Request(method="POST", target=path, headers=headers)
+        data = self._parser.send(request) + self._parser.send(h11.EndOfMessage())
+        self._sock.sendall(data)
+
+    def _receive(self, exchange):
+        while True:
+            event = self._parser.next_event()
+            if event is h11.NEED_DATA:
+                self._parser.receive_data(self._sock.recv(READ_BYTES))
+            elif isinstance(event, h11.Response):
+                exchange.status = event.status_code
+                exchange.end = End.CUT
+            elif isinstance(event, h11.Data):
+                exchange.body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                exchange.set_complete()
+                return
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+
+    def close(self):
+        if self._sock is not None:
+            self._sock.close()
+        self._sock = self._parser = None
--- a/tests/soak/fakeservers.py
+++ b/tests/soak/fakeservers.py
@@ -1,10 +1,14 @@
-"""Fake backend servers that announce themselves and count executed requests."""
+"""Fake backend servers that announce themselves and count executed requests.
+
+They fall silent for a while and go on, and refuse requests when their slots are taken.
+"""
 
 import collections
 import itertools
 import json
 
 import gevent
+import gevent.event
 import gevent.pywsgi
 import geventhttpclient
 
@@ -12,6 +16,9 @@
 EVENT_INTERVAL_S = 0.03
 SERVICE_TIME_S = 0.05
 HEARTBEAT_INTERVAL_S = 0.5
+# Bounds of the time between two silences of a server, and of a silence.
+ACTIVITY_BOUNDS_S = (0.5, 5.0)
+SILENCE_BOUNDS_S = (0.3, 1.6)
 
 
 class ExecutionCounter:
@@ -19,6 +26,7 @@
 
     def __init__(self):
         self.count_by_id = collections.Counter()
+        self.received_ids = set()  # also of requests that were refused
 
     def record(self, request_id):
         self.count_by_id[request_id] += 1
@@ -27,22 +35,38 @@
 class FakeServer:
     """Run one backend server of a service and send its heartbeats."""
 
-    def __init__(self, name, service, listen, announced, executions, controls):
+    def __init__(
+        self, name, service, listen, announced, executions, controls, slots, rng
+    ):
         self.name = name
         self.service = service
         self.address = announced
         self.executions = executions
         self.controls = controls
+        self.slots = slots
         self.state = "ready"
+        self._rng = rng
+        self._running = 0
+        self._is_active = gevent.event.Event()
+        self._is_active.set()
         self._sequence = itertools.count(1)
         self._server = gevent.pywsgi.WSGIServer(
             listen, self._answer, log=None, error_log=None
         )
         self._server.start()
         self._announcer = gevent.spawn(self._announce)
+        self._silencer = gevent.spawn(self._fall_silent_at_times)
+
+    def _fall_silent_at_times(self):
+        while True:
+            gevent.sleep(self._rng.uniform(*ACTIVITY_BOUNDS_S))
+            self._is_active.clear()
+            gevent.sleep(self._rng.uniform(*SILENCE_BOUNDS_S))
+            self._is_active.set()
 
     def _announce(self):
         for number in itertools.count():
+            self._is_active.wait()
             self.send_heartbeat(number)
             gevent.sleep(HEARTBEAT_INTERVAL_S)
 
@@ -52,7 +76,7 @@
             "backend": self.service,
             "address": self.address,
             "zone": "z",
-            "slots": 8,
+            "slots": self.slots,
             "state": self.state,
             "sequence": next(self._sequence),
             "born": 1,
@@ -71,28 +95,41 @@
             client.close()
 
     def _answer(self, environ, start_response):
+        self._is_active.wait()
         request_id = environ.get("HTTP_KUMQUATPROXY_REQUEST_ID", "")
         headers = [("Kumquatproxy-Request-Id", request_id)]
+        environ["wsgi.input"].read()
+        self.executions.received_ids.add(request_id)
         if environ.get("HTTP_KUMQUATPROXY_EXPECT_INSTANCE") != self.name:
             start_response("421 Misdirected", headers)
-            return [b""]
-        environ["wsgi.input"].read()
+            return
+        if self._running >= self.slots:
+            headers.append(("Kumquatproxy-Not-Executed", "1"))
+            start_response("503 Full", headers)
+            return
         self.executions.record(request_id)
         headers.append(("Kumquatproxy-Response-Seal", self.name))
-        if "/stream/" in environ["PATH_INFO"]:
-            headers.append(("Content-Type", "text/event-stream"))
+        self._running += 1
+        try:
+            if "/stream/" in environ["PATH_INFO"]:
+                headers.append(("Content-Type", "text/event-stream"))
+                parts = self._events(request_id, environ.get("HTTP_LAST_EVENT_ID"))
+            else:
+                parts = [f"{request_id} ".encode(), b"done"]
+                headers.append(("Content-Length", str(len(b"".join(parts)))))
+                gevent.sleep(SERVICE_TIME_S)
             start_response("200 OK", headers)
-            first = int(environ.get("HTTP_LAST_EVENT_ID") or 0) + 1
-            return self._events(request_id, first)
-        gevent.sleep(SERVICE_TIME_S)
-        start_response("200 OK", headers)
-        return [f"{request_id} done".encode()]
-
-    def _events(self, request_id, first):
-        for number in range(first, EVENT_COUNT + 1):
+            for part in parts:
+                self._is_active.wait()
+                yield part
+        finally:
+            self._running -= 1
+
+    def _events(self, request_id, last_event_id):
+        for number in range(int(last_event_id or 0) + 1, EVENT_COUNT + 1):
             gevent.sleep(EVENT_INTERVAL_S)
             yield f"id: {number}\ndata: {request_id} {number}\n\n".encode()
 
     def close(self):
-        self._announcer.kill()
+        gevent.killall([self._announcer, self._silencer])
         self._server.stop(timeout=0)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,7 +5,10 @@
 """
 
 import argparse
+import collections
+import contextlib
 import json
+import math
 import os
 import pathlib
 import random
@@ -21,6 +24,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 
+import callerclient
 import fakeservers
 import faultproxy
 
@@ -31,8 +35,18 @@
 LINK_PROXY_PORT, LINK_PORT = 7380, 7381
 API_PORT, CALLER_PORT, READY_PORT = 7382, 7383, 7384
 SERVER_PORT, SERVER_PROXY_PORT = 7385, 7386
-NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 READY_TIMEOUT_S = 30.0
+DEADLINE_S = 2.5
+DEADLINE_MARGIN_S = 0.1
+# Time of a caller for one request; the impatient ones leave before the deadline.
+PATIENCE_S = (0.8, 4.0, 4.0)
+# The rules hold for a host this long after its last disturbance.
+STABILITY_WINDOW_S = 3.0
+# A request that crosses the closing of its connection ends within this time.
+MAX_CROSSING_S = 0.2
+STOP_GRACE_S = 4.0
+# Requests sent this long after SIGTERM may be cut in the last sixth of the grace time.
+STOP_SETTLE_S = 3.0
 TEMPLATE = """[host]
 id = {ip}
 data_centre = z
@@ -50,7 +64,7 @@
 name = platform
 module = kumquatproxy.platform.adapter
 [bounds]
-stop_grace = 4s
+stop_grace = {stop_grace:g}s
 """
 
 
@@ -66,9 +80,18 @@
         self.disk = self.folder / "disk"
         self.handle = None
         self.has_started = False
+        self.started_at = 0.0
+        self.sigterm_times = []
         self.proxy = faultproxy.FaultProxy((ip, LINK_PROXY_PORT), (ip, LINK_PORT))
 
+    def is_running(self):
+        return self.handle is not None and self.handle.poll() is None
+
     def start(self):
+        """Start the process unless an overlapping fault has started it."""
+        if self.is_running():
+            return
+        self.started_at = time.monotonic()
         is_control = self.role == "control"
         text = TEMPLATE.format(
             ip=self.ip,
@@ -79,6 +102,7 @@
             forms="no" if self.has_started else "yes",
             control=f"api = {self.ip}:{API_PORT}" if is_control else "",
             entry="" if is_control else self.entry_lines(),
+            stop_grace=STOP_GRACE_S,
         )
         path = self.folder / "settings.ini"
         path.write_text(text)
@@ -95,19 +119,30 @@
         return f"{callers}\n{readiness}"
 
     def signal(self, number):
-        if self.handle is not None and self.handle.poll() is None:
+        if self.is_running():
             os.kill(self.handle.pid, number)
+            if number == signal.SIGTERM:
+                self.sigterm_times.append(time.monotonic())
 
     def terminate(self, number, timeout_s=6.0):
         """Send a terminating signal and wait; kill the process after the timeout."""
+        handle = self.handle
         self.signal(signal.SIGCONT)
         self.signal(number)
         end = time.monotonic() + timeout_s
-        while self.handle.poll() is None and time.monotonic() < end:
+        while handle.poll() is None and time.monotonic() < end:
             gevent.sleep(0.05)
-        if self.handle.poll() is None:
-            self.handle.kill()
-            self.handle.wait()
+        if handle.poll() is None:
+            handle.kill()
+            handle.wait()
+
+    def may_cut(self, exchange):
+        """Return whether a cut lies in the last sixth of a grace period."""
+        return any(
+            exchange.sent_at <= sigterm_at + STOP_SETTLE_S
+            and exchange.ended_at >= sigterm_at + STOP_GRACE_S * 5 / 6
+            for sigterm_at in self.sigterm_times
+        )
 
     def delete_data_folder(self):
         shutil.rmtree(self.disk, ignore_errors=True)
@@ -118,6 +153,26 @@
         self.proxy.close()
 
 
+class Disturbance:
+    """Hold the time of an injected fault at one host, or everywhere for None."""
+
+    __slots__ = ("begins_at", "ends_at", "host")
+
+    def __init__(self, host):
+        self.host: HostProcess | None = host
+        self.begins_at = time.monotonic()
+        self.ends_at = math.inf
+
+    def affects(self, exchange):
+        """Return whether the rules do not hold for an exchange."""
+        # A fault at a control host affects the group, and thus all hosts.
+        is_local = self.host is not None and self.host.role == "entry"
+        if is_local and self.host.ip != exchange.ip:
+            return False
+        settled_at = self.ends_at + STABILITY_WINDOW_S
+        return exchange.ended_at >= self.begins_at and exchange.sent_at <= settled_at
+
+
 class Soak:
     """Run the system, its callers and its faults for one seed."""
 
@@ -128,7 +183,9 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         block = 10 + seed % 200
         controls = [f"127.{block}.0.{number}" for number in (1, 2, 3)]
-        entries = [f"127.{block}.1.{number}" for number in (1, 2)]
+        entry_count = self.rng.choice((2, 2, 3, 4))
+        entries = [f"127.{block}.1.{number + 1}" for number in range(entry_count)]
+        self.caller_count = self.rng.choice((6, 12, 24))
         api_addresses = [f"{ip}:{API_PORT}" for ip in controls]
         self.api_addresses = api_addresses
         self.controls = [
@@ -140,7 +197,9 @@
         self.executions = fakeservers.ExecutionCounter()
         self.servers = []
         self.server_proxies = []
-        for number, service in enumerate(("desk", "desk", "talk", "talk"), start=1):
+        slots = self.rng.choice((2, 3, 8))
+        services = ["desk"] * self.rng.randint(2, 3) + ["talk"] * self.rng.randint(3, 5)
+        for number, service in enumerate(services, start=1):
             ip = f"127.{block}.2.{number}"
             proxy = faultproxy.FaultProxy((ip, SERVER_PROXY_PORT), (ip, SERVER_PORT))
             self.server_proxies.append(proxy)
@@ -152,15 +211,22 @@
                     f"{ip}:{SERVER_PROXY_PORT}",
                     self.executions,
                     api_addresses,
+                    slots,
+                    self.rng,
                 )
             )
         self.version = 0
         self.acknowledged_version = 0
         self.mode_by_id = {}
         self.refused_ids = set()
+        self.exchanges = []
+        self.disturbances = []
+        self.is_restoring_disk = False
         self.served = 0
+        self.checked_by_end = collections.Counter()
         self.violations = []
         self.ends_at = 0.0
+        self.faults_begin_at = self.faults_end_at = 0.0
 
     def record_violation(self, text):
         self.violations.append(text)
@@ -175,8 +241,19 @@
         ]
         routes[2]["resumable"] = True
         routes.append(route(f"extra-{version}", f"/extra-{version}/", "safe", "desk"))
+        for changed in routes[:3]:
+            changed["timeout_ms"] = self.rng.choice((2500, 4000))
+            changed["gap_target_ms"] = self.rng.choice((100, 400))
+            if self.rng.random() < 0.3:
+                changed["backend"] = self.rng.choice(("desk", "talk"))
         services = [{"name": name} for name in ("desk", "talk")]
-        return {"version": version, "routes": routes, "services": services}
+        limits = {"idle_timeout_ms": self.rng.choice((1000, 15000))}
+        return {
+            "version": version,
+            "routes": routes,
+            "services": services,
+            "limits": limits,
+        }
 
     def submit(self):
         self.version += self.rng.randint(1, 3)
@@ -216,109 +293,194 @@
     # Callers
 
     def run_caller(self, number):
+        """Send requests, on kept connections if the number of the caller is even."""
+        connection_by_ip = {}
         while time.monotonic() < self.ends_at:
             mode = self.rng.choice(("once", "safe", "stream"))
             request_id = f"{self.seed}-{number}-{self.rng.getrandbits(48):012x}"
             self.mode_by_id[request_id] = mode
-            entry = self.rng.choice(self.entries)
-            self.send_request(f"{entry.ip}:{CALLER_PORT}", mode, request_id)
+            ip = self.rng.choice(self.entries).ip
+            connection = connection_by_ip.setdefault(ip, caller_connection(ip))
+            self.send_request(connection, ip, mode, request_id)
+            if number % 2:
+                connection.close()
             gevent.sleep(self.rng.uniform(0.0, 0.1))
+        for connection in connection_by_ip.values():
+            connection.close()
 
-    def send_request(self, address, mode, request_id):
+    def send_request(self, connection, ip, mode, request_id):
         headers = {"Kumquatproxy-Request-Id": request_id, "Host": "soak.example"}
-        headers["Kumquatproxy-Deadline-Ms"] = "2500"
-        status, body = call(address, "POST", f"/{mode}/x", b"", headers, 4.0)
-        if status in NOT_EXECUTED_STATUSES:
+        headers["Kumquatproxy-Deadline-Ms"] = f"{DEADLINE_S * 1000:.0f}"
+        patience_s = self.rng.choice(PATIENCE_S)
+        exchange = callerclient.Exchange(ip, request_id, patience_s)
+        connection.run(exchange, f"/{mode}/x", headers)
+        self.exchanges.append(exchange)
+        if exchange.end is callerclient.End.REFUSED:
             self.refused_ids.add(request_id)
-        if status != 200:
-            return False
-        self.served += 1
         expected = f"{request_id} done".encode()
         if mode == "stream":
             expected = b"".join(
                 f"id: {number}\ndata: {request_id} {number}\n\n".encode()
                 for number in range(1, fakeservers.EVENT_COUNT + 1)
             )
-        if body != expected:
-            self.record_violation(f"{mode} {request_id} got {body[:200]!r}")
-        return True
+        is_answered = exchange.end is callerclient.End.ANSWERED
+        is_expected = (
+            exchange.body == expected
+            if is_answered
+            else exchange.status != 200 or expected.startswith(exchange.body)
+        )
+        if not is_expected:
+            self.record_violation(f"{mode} {request_id} got {exchange.body[:200]!r}")
+        self.served += is_answered
+        return is_answered
 
-    # Faults. They run in sequence; blocked and delayed traffic lasts into the next ones
+    # Planned work, beside which every request gets an answer
 
-    def inject_faults(self):
+    def plan_work(self):
         while time.monotonic() < self.ends_at:
-            gevent.sleep(self.rng.uniform(0.3, 1.2))
-            self.rng.choice(FAULTS)(self)
+            gevent.sleep(self.rng.uniform(0.2, 2.0))
+            host = self.rng.choice(self.entries)
+            if time.monotonic() - host.started_at < STABILITY_WINDOW_S:
+                continue  # the handlers of its signals may not be set yet
+            if self.rng.random() < 0.7:
+                host.signal(signal.SIGHUP)
+            else:
+                self.stop_gracefully(host)
+
+    # Faults. Two series run concurrently, so that faults overlap
+
+    def inject_faults(self):
+        gevent.sleep(self.faults_begin_at - time.monotonic())
+        while time.monotonic() < self.faults_end_at:
+            fault = self.rng.choice(HOST_FAULTS + FAULTS)
+            if fault in FAULTS:
+                fault(self)
+            else:
+                victim = self.pick_host()
+                with self.disturb(victim):
+                    fault(self, victim)
+            gevent.sleep(self.rng.uniform(0.1, 1.2))
+
+    @contextlib.contextmanager
+    def disturb(self, host=None):
+        """Record a disturbance of a host, or of all, while the context is open."""
+        disturbance = Disturbance(host)
+        self.disturbances.append(disturbance)
+        try:
+            yield
+        finally:
+            disturbance.ends_at = time.monotonic()
 
-    def pause(self):
-        victim = self.rng.choice([*self.controls, *self.entries])
+    def pick_host(self):
+        controls = [] if self.is_restoring_disk else self.controls
+        return self.rng.choice([*controls, *self.entries])
+
+    def pause(self, victim):
         victim.signal(signal.SIGSTOP)
         gevent.sleep(self.rng.uniform(0.3, 2.0))
         victim.signal(signal.SIGCONT)
 
-    def kill(self):
-        victim = self.rng.choice([*self.controls, *self.entries])
+    def kill(self, victim):
         victim.terminate(signal.SIGKILL)
         gevent.sleep(self.rng.uniform(0.0, 1.0))
         victim.start()
 
-    def stop_gracefully(self):
-        victim = self.rng.choice([*self.controls, *self.entries])
+    def stop_gracefully(self, victim):
         victim.terminate(signal.SIGTERM)
         victim.start()
 
+    def send_signals(self, victim):
+        for _ in range(self.rng.randint(2, 6)):
+            victim.signal(self.rng.choice(SERIES_SIGNALS))
+            gevent.sleep(self.rng.uniform(0.0, 0.4))
+        self.stop_gracefully(victim)
+
     def lose_disk(self):
+        """Let a control host lose its disk while no other control host is faulty.
+
+        Otherwise the last copy of a change could be lost.
+        """
+        if self.is_restoring_disk:
+            return
+        self.is_restoring_disk = True
+        while any(
+            disturbance.host in self.controls and disturbance.ends_at == math.inf
+            for disturbance in self.disturbances
+        ):
+            gevent.sleep(0.1)
         victim = self.rng.choice(self.controls)
-        victim.terminate(signal.SIGKILL)
-        victim.delete_data_folder()
-        victim.start()
-        gevent.sleep(4.0)  # should suffice for the restarted host to fetch the log
-
-    def kill_all_control_hosts(self):
-        for victim in self.controls:
-            victim.signal(signal.SIGKILL)
-        for victim in self.controls:
+        with self.disturb(victim):
             victim.terminate(signal.SIGKILL)
+            victim.delete_data_folder()
             victim.start()
+            gevent.sleep(4.0)  # should suffice for the restarted host to fetch the log
+        self.is_restoring_disk = False
+
+    def kill_all_control_hosts(self):
+        if self.is_restoring_disk:
+            return
+        with self.disturb(self.controls[0]):
+            for victim in self.controls:
+                victim.signal(signal.SIGKILL)
+            for victim in self.controls:
+                victim.terminate(signal.SIGKILL)
+                victim.start()
 
     def proxies(self):
-        hosts = [*self.controls, *self.entries]
-        return [*self.server_proxies, *(host.proxy for host in hosts)]
+        """Return the proxies that may be disturbed now, each with its host or None."""
+        hosts = [*([] if self.is_restoring_disk else self.controls), *self.entries]
+        host_proxies = [(host, host.proxy) for host in hosts]
+        return [*((None, proxy) for proxy in self.server_proxies), *host_proxies]
 
     def reset_connections(self):
-        for proxy in self.proxies():
+        for host, proxy in self.proxies():
             if self.rng.random() < 0.4:
-                proxy.reset()
+                with self.disturb(host):
+                    proxy.reset()
 
     def block_traffic(self):
-        proxy = self.rng.choice(self.proxies())
-        proxy.blocked_directions = set(
-            self.rng.choice((("up",), ("down",), ("up", "down")))
-        )
-        gevent.spawn_later(self.rng.uniform(0.5, 3.0), proxy.clear_faults)
+        directions = self.rng.choice((("up",), ("down",), ("up", "down")))
+        self.disturb_traffic(blocked_directions=set(directions))
 
     def delay_traffic(self):
-        proxy = self.rng.choice(self.proxies())
-        proxy.delay_s = self.rng.uniform(0.01, 0.2)
-        gevent.spawn_later(self.rng.uniform(0.5, 3.0), proxy.clear_faults)
+        self.disturb_traffic(delay_s=self.rng.uniform(0.01, 0.2))
+
+    def disturb_traffic(self, **faults):
+        host, proxy = self.rng.choice(self.proxies())
+        with self.disturb(host):
+            for name, value in faults.items():
+                setattr(proxy, name, value)
+            gevent.sleep(self.rng.uniform(0.5, 3.0))
+            proxy.clear_faults()
 
     # The run
 
     def run(self):
         """Run to the end and return the violations."""
         try:
-            for process in [*self.controls, *self.entries]:
-                process.start()
-            self.ends_at = time.monotonic() + READY_TIMEOUT_S
-            self.submit()
-            if not self.wait_for(self.is_serving):
+            with self.disturb():
+                for process in [*self.controls, *self.entries]:
+                    process.start()
+                self.ends_at = time.monotonic() + READY_TIMEOUT_S
+                self.submit()
+                is_ready = self.wait_for(self.is_serving)
+            if not is_ready:
                 self.record_violation(
                     "not every entry host served a request at the start"
                 )
                 return self.violations
-            self.ends_at = time.monotonic() + self.seconds
-            tasks = [gevent.spawn(self.run_caller, number) for number in range(6)]
-            tasks += [gevent.spawn(self.run_operator), gevent.spawn(self.inject_faults)]
+            # Half of the run is calm: faults are injected in the other half only.
+            self.faults_begin_at = time.monotonic()
+            self.ends_at = self.faults_begin_at + self.seconds
+            if self.seed % 2:
+                self.faults_begin_at += self.seconds / 2
+            self.faults_end_at = self.faults_begin_at + self.seconds / 2
+            tasks = [
+                gevent.spawn(self.run_caller, number)
+                for number in range(self.caller_count)
+            ]
+            tasks += [gevent.spawn(self.run_operator), gevent.spawn(self.plan_work)]
+            tasks += [gevent.spawn(self.inject_faults) for _ in range(2)]
             gevent.joinall(tasks, raise_error=True)
             self.recover()
             self.check()
@@ -330,8 +492,8 @@
         request_id = f"{self.seed}-probe-{self.rng.getrandbits(48):012x}"
         self.mode_by_id[request_id] = "safe"
         return all(
-            self.send_request(f"{entry.ip}:{CALLER_PORT}", "safe", request_id)
-            for entry in self.entries
+            self.send_request(caller_connection(ip), ip, "safe", request_id)
+            for ip in [entry.ip for entry in self.entries]
         )
 
     def wait_for(self, condition):
@@ -343,8 +505,6 @@
         return False
 
     def recover(self):
-        for proxy in self.proxies():
-            proxy.clear_faults()
         for process in [*self.controls, *self.entries]:
             process.signal(signal.SIGCONT)
         if not self.wait_for(
@@ -366,6 +526,30 @@
         unknown = set(self.executions.count_by_id) - set(self.mode_by_id)
         if unknown:
             self.record_violation(f"executed but never sent: {sorted(unknown)[:3]}")
+        for exchange in self.exchanges:
+            if not any(fault.affects(exchange) for fault in self.disturbances):
+                self.check_end(exchange)
+
+    def check_end(self, exchange):
+        """Check that an undisturbed request got a complete answer, if it had time."""
+        self.checked_by_end[exchange.end.value] += 1
+        took_s = exchange.ended_at - exchange.sent_at
+        if exchange.end is callerclient.End.ABANDONED:
+            is_allowed = exchange.patience_s < DEADLINE_S
+        elif exchange.end in (callerclient.End.UNANSWERED, callerclient.End.CUT):
+            # A request may cross the closing of its connection.
+            is_unread = exchange.request_id not in self.executions.received_ids
+            has_crossed = is_unread and took_s <= MAX_CROSSING_S
+            entry = next(entry for entry in self.entries if entry.ip == exchange.ip)
+            is_late = took_s >= DEADLINE_S - DEADLINE_MARGIN_S
+            is_allowed = has_crossed or is_late or entry.may_cut(exchange)
+        else:
+            return
+        if not is_allowed:
+            self.record_violation(
+                f"{exchange.request_id} at {exchange.ip}: {exchange.end.value} "
+                f"after {took_s:.2f} s"
+            )
 
     def close(self):
         for process in [*self.controls, *self.entries]:
@@ -380,12 +564,16 @@
             shutil.rmtree(self.folder)
 
 
-FAULTS = (
+HOST_FAULTS = (
     Soak.pause,
     Soak.pause,
     Soak.kill,
     Soak.kill,
     Soak.stop_gracefully,
+    Soak.send_signals,
+    Soak.send_signals,
+)
+FAULTS = (
     Soak.lose_disk,
     Soak.kill_all_control_hosts,
     Soak.reset_connections,
@@ -393,6 +581,7 @@
     Soak.block_traffic,
     Soak.delay_traffic,
 )
+SERIES_SIGNALS = (signal.SIGHUP, signal.SIGSTOP, signal.SIGCONT, signal.SIGTERM)
 
 
 def route(name, prefix, mode, service, attempts=1):
@@ -410,6 +599,11 @@
     }
 
 
+def caller_connection(ip):
+    """Return a connection of a caller to an entry host."""
+    return callerclient.Connection((ip, CALLER_PORT))
+
+
 def call(address, method, path, body, headers, timeout_s):
     """Return status and body of one call; status 0 without a complete answer."""
     host, _, port = address.rpartition(":")
@@ -438,7 +632,8 @@
         soak = Soak(seed, arguments.seconds)
         violations = soak.run()
         print(
-            f"seed {seed}: {soak.served} served, {violations or 'no violations'}",
+            f"seed {seed}: {soak.served} served, undisturbed "
+            f"{dict(soak.checked_by_end)}, {violations or 'no violations'}",
             flush=True,
         )
         failed += [seed] if violations else []
