Use one HTTP client for all calls of the soak

Callers and fake servers of the soak used two HTTP clients; the second one does not tell apart how a request ended. Ruled out: keeping both, as the operator's calls need the same distinction. No logic of the product changed.

--- a/tests/soak/callerclient.py
+++ b/tests/soak/callerclient.py
@@ -1,4 +1,4 @@
-"""HTTP client of the soak's callers, which tells apart how requests end."""
+"""HTTP client of the soak, which tells apart how requests end."""
 
 import enum
 import select
@@ -43,10 +43,6 @@
         self.body = b""
 
 
-class Impatience(Exception):
-    """Report that the caller's patience has ended."""
-
-
 class Connection:
     """Send requests to one address on a connection that is kept if possible."""
 
@@ -55,15 +51,15 @@
         self._sock = None
         self._parser = None
 
-    def run(self, exchange, path, headers):
+    def run(self, exchange, method, path, headers, body=b""):
         """Send a request, read its answer and set the end of the exchange."""
         try:
-            with gevent.Timeout(exchange.patience_s, Impatience):
-                self._send(path, headers)
+            with gevent.Timeout(exchange.patience_s):
+                self._send(method, path, headers, body)
                 exchange.sent_at = time.monotonic()
                 exchange.end = End.UNANSWERED
                 self._receive(exchange)
-        except Impatience:
+        except gevent.Timeout:
             if exchange.end is not End.UNSENT:
                 exchange.end = End.ABANDONED
         except (OSError, h11.RemoteProtocolError):
@@ -74,7 +70,7 @@
         else:
             self.close()
 
-    def _send(self, path, headers):
+    def _send(self, method, path, headers, body):
         if self._sock is not None and select.select([self._sock], [], [], 0)[0]:
             self.close()  # the host has closed the idle connection
         if self._sock is None:
@@ -83,10 +79,10 @@
             )
             self._sock.settimeout(None)
             self._parser = h11.Connection(h11.CLIENT)
-        headers = [*headers.items(), ("Content-Length", "0")]
-        request = h11.Request(method="POST", target=path, headers=headers)
-        data = self._parser.send(request) + self._parser.send(h11.EndOfMessage())
-        self._sock.sendall(data)
+        headers = [*headers.items(), ("Content-Length", str(len(body)))]
+        request = h11.Request(method=method, target=path, headers=headers)
+        events = (request, h11.Data(data=body), h11.EndOfMessage())
+        self._sock.sendall(b"".join(self._parser.send(event) for event in events))
 
     def _receive(self, exchange):
         while True:
@@ -108,3 +104,14 @@
         if self._sock is not None:
             self._sock.close()
         self._sock = self._parser = None
+
+
+def call(address, method, path, body, timeout_s):
+    """Return status and body of one call; status 0 without a complete answer."""
+    host, _, port = address.rpartition(":")
+    exchange = Exchange(host, "", timeout_s)
+    connection = Connection((host, int(port)))
+    connection.run(exchange, method, path, {"Host": address}, body)
+    connection.close()
+    is_complete = exchange.end in (End.ANSWERED, End.REFUSED, End.FAILED)
+    return (exchange.status, exchange.body) if is_complete else (0, b"")
--- a/tests/soak/fakeservers.py
+++ b/tests/soak/fakeservers.py
@@ -7,10 +7,10 @@
 import itertools
 import json
 
+import callerclient
 import gevent
 import gevent.event
 import gevent.pywsgi
-import geventhttpclient
 
 EVENT_COUNT = 12
 EVENT_INTERVAL_S = 0.03
@@ -81,18 +81,10 @@
             "sequence": next(self._sequence),
             "born": 1,
         }
-        host, _, port = self.controls[number % len(self.controls)].rpartition(":")
-        client = geventhttpclient.HTTPClient(
-            host, int(port), connection_timeout=0.5, network_timeout=1.0
-        )
-        try:
-            path = f"/-/instances/{self.name}/heartbeat"
-            response = client.post(path, body=json.dumps(heartbeat).encode())
-            return response.status_code == 200
-        except (OSError, geventhttpclient.response.HTTPParseError):
-            return False
-        finally:
-            client.close()
+        control = self.controls[number % len(self.controls)]
+        path = f"/-/instances/{self.name}/heartbeat"
+        body = json.dumps(heartbeat).encode()
+        return callerclient.call(control, "POST", path, body, 1.0)[0] == 200
 
     def _answer(self, environ, start_response):
         self._is_active.wait()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -20,7 +20,6 @@
 import time
 
 import gevent
-import geventhttpclient
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 
@@ -235,7 +234,7 @@
         body = json.dumps(self.configuration(self.version)).encode()
         for _ in range(30):
             api = self.rng.choice(self.api_addresses)
-            status, _ = call(api, "POST", "/-/config/replace", body, {}, 3.0)
+            status, _ = callerclient.call(api, "POST", "/-/config/replace", body, 3.0)
             if status == 200:
                 self.acknowledged_version = max(self.acknowledged_version, self.version)
                 return
@@ -249,7 +248,7 @@
     def check_read(self, api):
         """Check that a read misses no acknowledged version; return if it succeeded."""
         before = self.acknowledged_version
-        status, body = call(api, "GET", "/-/config/get", b"", {}, 3.0)
+        status, body = callerclient.call(api, "GET", "/-/config/get", b"", 3.0)
         if status != 200:
             return False
         version = json.loads(body)["version"]
@@ -288,7 +287,7 @@
         headers["Kumquatproxy-Deadline-Ms"] = f"{DEADLINE_S * 1000:.0f}"
         patience_s = self.rng.choice(PATIENCE_S)
         exchange = callerclient.Exchange(ip, request_id, patience_s)
-        connection.run(exchange, f"/{mode}/x", headers)
+        connection.run(exchange, "POST", f"/{mode}/x", headers)
         self.exchanges.append(exchange)
         if exchange.end is callerclient.End.REFUSED:
             self.refused_ids.add(request_id)
@@ -565,22 +564,6 @@
     return callerclient.Connection((ip, CALLER_PORT))
 
 
-def call(address, method, path, body, headers, timeout_s):
-    """Return status and body of one call; status 0 without a complete answer."""
-    host, _, port = address.rpartition(":")
-    client = geventhttpclient.HTTPClient(
-        host, int(port), connection_timeout=1.0, network_timeout=timeout_s
-    )
-    try:
-        with gevent.Timeout(timeout_s, OSError):
-            response = client.request(method, path, body=body, headers=headers)
-            return response.status_code, bytes(response.read())
-    except (OSError, geventhttpclient.response.HTTPParseError):
-        return 0, b""
-    finally:
-        client.close()
-
-
 def main():
     """Run seeds in sequence; return exit code 1 if any has a violation."""
     parser = argparse.ArgumentParser(description=__doc__)
