--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -67,11 +67,20 @@
             self._end_with_error(call, progress, connection, error)
         except DeadlineExceededError:
             self._end_with_error(call, progress, connection, _deadline_error(progress))
+        except calls.HostStoppingError:
+            connection.is_closing = True
+            self._end_with_error(call, progress, connection, _stopping_error())
         except calls.ResponseAbortedError:
             # This text is also a value of the outcome label in metrics.
             self._record_outcome(call, progress, "the caller has gone")
             connection.is_closing = True
             raise
+        except Exception as error:
+            self._log.write_exception(
+                clock.now(), error, "unexpected exception", request_id=call.request_id
+            )
+            internal_error = _internal_error(progress)
+            self._end_with_error(call, progress, connection, internal_error)
         finally:
             self._end_fallback(progress)
 
@@ -358,11 +367,15 @@
                 in_flight_call.has_first_event = True
                 self._relay_events(progress, connection, attempt.head, events)
         attempt.is_response_read = True
+        rest = b""
+        if framing.has_explicit_end(attempt.head.headers):
+            rest = attempt.splitter.take_end_marker()
         if attempt.splitter.has_partial_event:
             raise backendconnections.BackendError(
                 "the stream ended with an incomplete event"
             )
         self._start_response(progress, connection, attempt.head)
+        connection.write_body(rest)
         attempt.outcome = calls.Outcome.ANSWERED
         connection.end_response()
 
@@ -553,6 +566,20 @@
     )
 
 
+def _stopping_error():
+    return errors.ProxyError(
+        errors.ErrorKind.STOPPING, "the host stops before the call has ended"
+    )
+
+
+def _internal_error(progress):
+    return errors.ProxyError(
+        errors.ErrorKind.INTERNAL,
+        "the host failed to process the call",
+        executed=None if progress.may_have_executed() else "no",
+    )
+
+
 def _retries_exhausted_error(progress):
     if progress.may_have_executed():
         return errors.ProxyError(
--- a/tests/gateway/test_lostanswers.py
+++ b/tests/gateway/test_lostanswers.py
@@ -19,6 +19,7 @@
     callers,
     calls,
     relay,
+    waiting,
 )
 from kumquatproxy.platform import callformat
 
@@ -80,10 +81,16 @@
 
 def test_call_whose_host_header_is_a_connection_option_gets_a_response():
     """Guards against an exception in h11 for a forwarded request without Host."""
-    with test_relay.running_relay([test_relay.make_response()]) as (address, _, host):
+    with test_relay.running_relay([test_relay.make_response()]) as (
+        address,
+        (backend,),
+        host,
+    ):
         host.dialect = callformat.PlatformDialect()
         data, _ = test_relay.send_request(address, b"once", b"Connection: host\r\n")
-    assert data.startswith(b"HTTP/1.1 ")
+    # The response of the server lacks the id that this dialect expects.
+    assert data.startswith(b"HTTP/1.1 502")
+    assert b"\r\nhost: a\r\n" in backend.heads[0].lower()
 
 
 @pytest.mark.parametrize(
@@ -106,7 +113,8 @@
     with test_relay.running_relay([]) as (address, _, host):
         host.dialect = callformat.PlatformDialect()
         data, _ = test_relay.send_request(address, b"once", header + b"\r\n", 0.5)
-    assert data.startswith(b"HTTP/1.1 ")
+    # The header is ignored; the server closes the connection without a response.
+    assert data.startswith(b"HTTP/1.1 502")
 
 
 def test_call_gets_a_response_after_an_unexpected_exception(monkeypatch):
@@ -118,7 +126,20 @@
     monkeypatch.setattr(test_relay.FakeHost, "record_arrival", fail)
     with test_relay.running_relay([test_relay.make_response()]) as (address, _, _):
         data, _ = test_relay.send_request(address, b"once")
-    assert data.startswith(b"HTTP/1.1 5")
+    assert data.startswith(b"HTTP/1.1 500") and b'"executed":"no"' in data
+
+
+def test_begun_stream_stays_incomplete_after_an_unexpected_exception(monkeypatch):
+    """Guards against an error response or a last chunk after a part of a stream."""
+
+    def fail(self):
+        raise KeyError("end")
+
+    monkeypatch.setattr(callers.CallerConnection, "end_response", fail)
+    with test_relay.running_relay([test_relay.make_stream(1)]) as (address, _, _):
+        data, is_closed = test_relay.send_request(address, b"whole")
+    assert test_relay.make_event(1) in data and data.count(b"HTTP/1.1") == 1
+    assert is_closed and not data.endswith(b"0\r\n\r\n")
 
 
 # Announcements of servers
@@ -138,7 +159,8 @@
         odd = servers.Announcement("i-\n9", "s", backend.address, "a", 1, 1, 4)
         host.table.apply_announcement(odd, 0.0)
         data, _ = test_relay.send_request(address, b"once")
-    assert data.startswith(b"HTTP/1.1 ")
+    assert data.startswith((b"HTTP/1.1 429", b"HTTP/1.1 503"))
+    assert b'"executed":"no"' in data
 
 
 # Answers of servers
@@ -163,6 +185,34 @@
     assert data.count(b"x") >= rest.count(b"x")
 
 
+@pytest.mark.parametrize("rest", [b"id: 4\ndata: x\n", b"data: x\n", b"i", b"data: ["])
+def test_stream_with_an_unfinished_event_does_not_look_complete(rest):
+    """Guards against a stream that lacks pieces and ends as if it were complete.
+
+    A server may stop in the middle of an event and still end its response.
+    """
+    chunk = test_relay.make_chunk(rest)
+    answer = test_relay.make_stream(3, ends=False) + chunk + b"0\r\n\r\n"
+    with test_relay.running_relay([answer]) as (address, _, _):
+        data, is_closed = test_relay.send_request(address, b"whole")
+    assert test_relay.make_event(3) in data and rest not in data.split(b"piece 3")[1]
+    assert is_closed and not data.endswith(b"0\r\n\r\n")
+
+
+def test_partial_event_before_the_end_of_the_connection_is_not_relayed():
+    """Guards against a lost connection that looks like the end of a response.
+
+    Without a length or chunks, the end of the connection is the only sign of the end.
+    """
+    head = b"HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Seal: 1\r\n\r\n"
+    answer = head + test_relay.make_event(1) + b"id: 2\nda"
+    with test_relay.running_relay([answer]) as (address, (backend,), _):
+        backend.closes = True
+        data, is_closed = test_relay.send_request(address, b"whole")
+    assert test_relay.make_event(1) in data and b"id: 2" not in data
+    assert is_closed and not data.endswith(b"0\r\n\r\n")
+
+
 # Connections of callers
 
 
@@ -206,6 +256,23 @@
     assert data.count(b"HTTP/1.1 200") == 2 or b"connection: close" in data.lower()
 
 
+@contextlib.contextmanager
+def call_in_flight(host, path):
+    """Send a call to a relay of its own and yield its server and the connection."""
+    server = callers.CallerServer(
+        "127.0.0.1:0", relay.Relay(host).serve, serviceconfig.Limits
+    )
+    server.start()
+    sock = connect(server.address)
+    sock.sendall(
+        b"POST /%s/x HTTP/1.1\r\nHost: a\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n" % path
+    )
+    gevent.sleep(0.2)
+    yield server, sock
+    sock.close()
+    server.abort()
+
+
 def test_call_in_flight_at_the_end_of_a_stop_gets_an_error_response():
     """Guards against closing the connection where 502 can still be sent."""
     with test_relay.running_relay([[0.6, test_relay.make_response()]]) as (
@@ -213,18 +280,34 @@
         (backend,),
         host,
     ):
-        server = callers.CallerServer(
-            "127.0.0.1:0", relay.Relay(host).serve, serviceconfig.Limits
-        )
-        server.start()
-        sock = connect(server.address)
-        sock.sendall(
-            b"POST /once/x HTTP/1.1\r\nHost: a\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n"
-        )
-        gevent.sleep(0.2)
-        server.abort()
-        data = receive_all(sock, 1.0)
-    assert backend.heads and data.startswith(b"HTTP/1.1 5")
+        with call_in_flight(host, b"once") as (server, sock):
+            server.abort()
+            data = receive_all(sock, 1.0)
+    assert backend.heads and data.startswith(b"HTTP/1.1 502")
+    assert b"connection: close" in data.lower()
+
+
+def test_waiting_call_at_the_end_of_a_stop_gets_503_with_retry_after():
+    """Guards against 502 for a call that no server can have executed."""
+    with test_relay.running_relay([]) as (_, _, host):
+        host.table.known_by_id.clear()
+        host.expected_availability = lambda call: waiting.ExpectedAvailability(0.3)
+        with call_in_flight(host, b"once") as (server, sock):
+            server.abort()
+            data = receive_all(sock, 1.0)
+    assert data.startswith(b"HTTP/1.1 503") and b"retry-after: " in data.lower()
+    assert b'"executed":"no"' in data
+
+
+def test_begun_stream_at_the_end_of_a_stop_stays_incomplete():
+    """Guards against an error response or a last chunk after a part of a stream."""
+    paused = [test_relay.make_stream(1, ends=False), 5.0]
+    with test_relay.running_relay([paused]) as (_, _, host):
+        with call_in_flight(host, b"stream") as (server, sock):
+            server.abort()
+            data = receive_all(sock, 1.0)
+    assert test_relay.make_event(1) in data and data.count(b"HTTP/1.1") == 1
+    assert not data.endswith(b"0\r\n\r\n")
 
 
 # End of the process
