--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,7 +10,8 @@
 import soak
 
 SECONDS = 14.0
-CI_SEED = 7
+# Has many callers and entry hosts, and faults in the second half.
+CI_SEED = 11
 
 
 @pytest.mark.parametrize("seed", [CI_SEED, *soak.REGRESSION_SEEDS])
