--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,13 +2,16 @@
 
 Guards against guarantees that break under faults: processes are killed, paused
 and stopped, control hosts lose their disks, and connections are reset and blocked.
+Guards against requests without a complete answer beside silent and full servers,
+planned restarts and changes of the configuration.
 """
 
 import pytest
 import soak
 
-SECONDS = 6.0
-CI_SEED = 7
+SECONDS = 14.0
+# Has many callers and entry hosts, and faults in the second half.
+CI_SEED = 11
 
 
 @pytest.mark.parametrize("seed", [CI_SEED, *soak.REGRESSION_SEEDS])
@@ -20,3 +23,4 @@
     run = soak.Soak(seed, SECONDS)
     assert run.run() == []
     assert run.served > 0
+    assert run.checked_by_end["answered"] > 0
--- a/tests/soak/test_streamresumption.py
+++ b/tests/soak/test_streamresumption.py
@@ -8,6 +8,7 @@
 import signal
 import time
 
+import callerclient
 import fakeservers
 import gevent
 import gevent.socket
@@ -22,6 +23,16 @@
 SETTLE_S = 1.0
 
 
+class DirectAddress:
+    """Announce the address that a server listens on, without a proxy."""
+
+    def __init__(self, listen):
+        self.address = f"{listen[0]}:{listen[1]}"
+
+    def close(self):
+        return None
+
+
 class VersionedServer(fakeservers.FakeServer):
     """Send its software version with each event."""
 
@@ -75,7 +86,8 @@
         path = "/-/config/replace"
         self.wait_for(
             lambda: (
-                soak.call(self.api_addresses[0], "POST", path, body, {}, 3.0)[0] == 200
+                callerclient.call(self.api_addresses[0], "POST", path, body, 3.0)[0]
+                == 200
             )
         )
         self.wait_for_entries()
@@ -87,10 +99,11 @@
             f"i-{len(self.servers)}",
             "talk",
             listen,
-            f"{ip}:{soak.SERVER_PORT}",
+            DirectAddress(listen),
             fakeservers.ExecutionCounter(),
             self.api_addresses,
-            version,
+            slots=8,
+            software_version=version,
         )
         server.listen = listen
         self.servers.append(server)
