Leave a silent stream only with two retries in the budget

Cause: two servers were silent one after the other. The silent attempt was ended after 0.3 s, the second server refused late, and the retry budget allowed no further attempt.

Change: a stream leaves its server only while the budget allows the attempt at the other server and one more after a refusal. Ruled out: staying with the first server for longer than 0.3 s, as two servers must not work on one stream for 0.4 s. Other calls of the host can still spend the second retry in between; that is open.

Before: test_silent_stream_is_not_left_with_a_single_retry_in_the_budget fails; after: it passes, as does tests/gateway.

--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -341,7 +341,9 @@
         return 0.0
 
     def _has_alternative(self, call, attempt, progress):
-        if not self._may_retry(call, progress):
+        # A stream that is refused after its silent attempt was ended is sent once more.
+        further_retries = 2 if call.route.mode is calls.Mode.STREAM else 1
+        if not self._may_retry(call, progress, further_retries):
             return False
         excluded_lifetimes = progress.excluded_lifetimes | {
             attempt.announcement.lifetime
@@ -463,7 +465,7 @@
         ):
             health.record_failure(now, is_unreachable=False)
 
-    def _may_retry(self, call, progress):
+    def _may_retry(self, call, progress, further_retries=1):
         """Return whether a call can be retried if a server may have executed it."""
         if (
             not call.is_repeatable
@@ -472,7 +474,9 @@
         ):
             return False
         host_count = self._host.entry_count
-        return self._host.budget.allows(call.service, host_count, clock.now())
+        return self._host.budget.allows(
+            call.service, host_count, clock.now(), further_retries
+        )
 
     def _next_attempt(self, call, attempt, progress):
         """Return the attempt after a failed one; raise ProxyError if there is none.
--- a/kumquatproxy/gateway/retrybudget.py
+++ b/kumquatproxy/gateway/retrybudget.py
@@ -46,15 +46,17 @@
     def _record(self, times_by_service, service, now):
         times_by_service.setdefault(service, collections.deque()).append(now)
 
-    def allows(self, service: str, host_count: int, now: float) -> bool:
-        """Return whether one more retry stays within this host's part of the limit."""
+    def allows(
+        self, service: str, host_count: int, now: float, further_retries: int = 1
+    ) -> bool:
+        """Return whether further retries stay within this host's part of the limit."""
         requests = self._count(self._requests, service, now)
         retries = self._count(self._retries, service, now)
         hosts = max(1, host_count) + UNCOUNTED_HOSTS
         allowed_retries = (
             self.retries_per_request * requests + self.extra_retries / hosts
         )
-        return retries + 1 <= SAFETY_FACTOR * allowed_retries
+        return retries + further_retries <= SAFETY_FACTOR * allowed_retries
 
     def _count(self, times_by_service, service, now):
         times = times_by_service.get(service)
--- a/tests/gateway/test_laterefusals.py
+++ b/tests/gateway/test_laterefusals.py
@@ -15,7 +15,7 @@
 
 from kumquatproxy import clock
 from kumquatproxy.fleet import serviceconfig
-from kumquatproxy.gateway import calls, stalltimeouts
+from kumquatproxy.gateway import calls, retrybudget, stalltimeouts
 
 # Time until a replacement refuses, longer than the silent attempt is kept.
 LATE_S = 2 * stalltimeouts.ACCEPTANCE_S
@@ -84,6 +84,20 @@
     test_silentservers.assert_stream_is_complete(data)
 
 
+def test_silent_stream_is_not_left_with_a_single_retry_in_the_budget():
+    """Guards against a late refusal that spends the last retry of a begun stream.
+
+    Seed 216 of the soak: the stream was cut, and its first server was sound.
+    """
+    answers = [[LATE_S, test_relay.NOT_RUN] for _ in range(20)]
+    running = test_silentservers.running_relay
+    paused = [make_paused_stream(STREAM_PAUSE_S)]
+    with running(paused, answers) as (address, _, host):
+        host.budget = retrybudget.RetryBudget(1.0, 2.0, 10.0)  # allows one retry
+        data = request_stream(address)
+    test_silentservers.assert_stream_is_complete(data)
+
+
 @pytest.mark.parametrize(
     "answer",
     [test_relay.NOT_RUN, test_silentservers.WRONG_SERVER],
