--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -198,15 +198,15 @@
             if attempt.outcome is None:
                 attempt.outcome = calls.Outcome.NOT_CONNECTED
         except backendconnections.StallError:
-            # The body of a refusal may stall too; the call has not run then. A server
-            # that does not read the call cannot replace the fallback.
+            # The body of a refusal may stall too; the call has not run then.
             is_refused = attempt.outcome in calls.NOT_EXECUTED
             is_silent = not is_refused and progress.fallback is None
-            if not is_refused:
-                attempt.detail = "the call was not read within the timeout"
             if is_silent:
                 attempt.detail = "no data within the timeout"
                 attempt.outcome = calls.Outcome.SILENT
+            elif not is_refused:
+                # Only sending has a timeout beside a fallback.
+                attempt.detail = "the call was not read within the timeout"
         except FallbackResumedError:
             attempt.detail = "the server of an earlier attempt went on"
             attempt.outcome = calls.Outcome.SUPERSEDED
