Correct the memory of stream origins in a comment

Found at the last reading: the comment said about 25 MB, docs/CAPACITY.md has the measured 182 bytes each, 20 MB for 108,000 streams. Cause: the comment was written before the measurement. Only the comment changed; formatter, linter and 40 tests passed after it.

--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -27,7 +27,7 @@
 from kumquatproxy.gateway import streamorigins
 
 GROUP = "control"
-# Streams whose origin is kept, 1,800 begun a second for a minute; about 25 MB.
+# Streams whose origin is kept, 1,800 begun a second for a minute; about 20 MB.
 MAX_STREAMS = 108_000
 EXPIRE_INTERVAL_S = 5.0
 VERSION_INTERVAL_S = 0.5
