Log the prompt parts of calls whose server ended the response

Cause for the change: the log line of a call named neither the parts of its prompt nor how far the response had come, so a request that ends servers looked like the calls that broke with it, and no hypothesis of docs/incidents/budget.md could be told from another.

Change: `parts` in the line of a call with a lost attempt (all but the last part, which belongs to the call alone), `has_head` and `has_first_event` in each attempt. No change of logic.

--- a/kumquatproxy/gateway/attempts.py
+++ b/kumquatproxy/gateway/attempts.py
@@ -24,6 +24,7 @@
         "body_parts",
         "candidate_count",
         "detail",
+        "has_first_event",
         "head",
         "in_flight_call",
         "is_discarding",
@@ -48,6 +49,7 @@
         self.link: backendconnections.BackendConnection | None = None
         self.in_flight_call: serverselection.InFlightCall | None = None
         self.head: calls.ResponseHead | None = None  # of a response to be relayed
+        self.has_first_event = False  # of a stream
         self.body_parts: list[bytes] = []
         self.splitter = eventstream.EventSplitter()
         self.is_discarding = False  # reads the rest of a response to an earlier call
@@ -101,6 +103,10 @@
             for attempt in self.attempts
         )
 
+    def has_broken_attempt(self) -> bool:
+        """Return whether a server ended an attempt without a complete response."""
+        return any(attempt.outcome is calls.Outcome.LOST for attempt in self.attempts)
+
     def accepts(self, head: calls.ResponseHead) -> bool:
         """Return whether a response replaces the fallback."""
         if self.has_response_begun:
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -411,6 +411,7 @@
             events = attempt.splitter.add(part)
             if events:
                 in_flight_call.has_first_event = True
+                attempt.has_first_event = True
                 if not progress.has_response_begun:
                     call.software_version = attempt.announcement.software_version
                     # Before the event, because the host may be killed after it.
@@ -576,6 +577,7 @@
             version=self._host.version(),
             resumes=call.resumed_id,
             software_version=call.software_version,
+            parts=_shared_parts(call) if progress.has_broken_attempt() else [],
             attempts=[_attempt_fields(attempt, call) for attempt in progress.attempts],
             response_begun=progress.has_response_begun,
             waited_ms=round(progress.waited_s * 1000),
@@ -593,10 +595,17 @@
         "candidates": attempt.candidate_count,
         "predicted_ms": round(attempt.lowest_delay_s * 1000),
         "outcome": attempt.outcome.value if attempt.outcome else "not-sent",
+        "has_head": attempt.head is not None,
+        "has_first_event": attempt.has_first_event,
         "detail": attempt.detail[:200],
     }
 
 
+def _shared_parts(call):
+    """Return the ids of the prompt parts that other calls may have too."""
+    return [part.part_id for part in call.need.parts[:-1]] if call.need else []
+
+
 def _is_unencoded(head):
     return not framing.header(head.headers, b"content-encoding")
 
