--- a/tests/soak/fakeservers.py
+++ b/tests/soak/fakeservers.py
@@ -1,15 +1,19 @@
 """Fake backend servers that announce themselves and count executed requests.
 
 They fall silent for a while and go on, and refuse requests when their slots are taken.
+They crash when they begin to answer a request with a deadly prompt part.
 """
 
 import collections
 import itertools
 import json
+import random
+import time
 
 import callerclient
 import gevent
 import gevent.event
+import gevent.pool
 import gevent.pywsgi
 
 EVENT_COUNT = 12
@@ -19,6 +23,22 @@
 # Bounds of the time between two silences of a server, and of a silence.
 ACTIVITY_BOUNDS_S = (0.5, 5.0)
 SILENCE_BOUNDS_S = (0.3, 1.6)
+CRASH_BOUNDS_S = (1.5, 3.0)  # time until a crashed server is back
+MODEL = "m"
+
+
+class CrashRecord:
+    """Record requests with deadly prompt parts and the crashes that they cause."""
+
+    def __init__(self):
+        self.deadly_parts = set()
+        self.arrivals = []  # (time, request id) of requests with a deadly part
+        self.crashed_at = []
+
+    def find_deadly_part(self, prefix):
+        """Return the first deadly part of a prompt, or None."""
+        part_ids = [pair.partition(":")[0] for pair in prefix.split(",")]
+        return next((name for name in part_ids if name in self.deadly_parts), None)
 
 
 class ExecutionCounter:
@@ -27,6 +47,7 @@
     def __init__(self):
         self.count_by_id = collections.Counter()
         self.received_ids = set()  # also of requests that were refused
+        self.crashes = CrashRecord()
 
     def record(self, request_id):
         self.count_by_id[request_id] += 1
@@ -50,6 +71,8 @@
         software_version="v1",
     ):
         self.name = name
+        self.listen = listen
+        self.born_ms = 1
         self.software_version = software_version
         self.service = service
         self.proxy = proxy  # forwards its announced address
@@ -58,16 +81,48 @@
         self.slots = slots
         self.state = "ready"
         self._rng = rng  # None for a server that never falls silent
+        self._crash_rng = rng or random.Random(name)
         self._running = 0
         self._is_active = gevent.event.Event()
         self._is_active.set()
         self._sequence = itertools.count(1)
+        self._is_down = False
+        self.open_listener()
+        self._announcer = gevent.spawn(self._announce)
+        self._silencer = gevent.spawn(self._fall_silent_at_times)
+
+    def open_listener(self):
+        """Accept connections."""
         self._server = gevent.pywsgi.WSGIServer(
-            listen, self._answer, log=None, error_log=None
+            self.listen,
+            self._answer,
+            log=None,
+            error_log=None,
+            spawn=gevent.pool.Pool(),
         )
         self._server.start()
-        self._announcer = gevent.spawn(self._announce)
-        self._silencer = gevent.spawn(self._fall_silent_at_times)
+        self.proxy.open_listener()
+
+    def close_listener(self):
+        """Refuse connections until ``open_listener``; heartbeats go on."""
+        self.proxy.close_listener()
+        self._server.stop(timeout=0)
+
+    def crash(self, down_s):
+        """Break off all requests, and start again at the same address later."""
+        if self._is_down:
+            return
+        self._is_down = True
+        self.executions.crashes.crashed_at.append(time.monotonic())
+        self.close_listener()
+        gevent.spawn_later(down_s, self._start_again)
+
+    def _start_again(self):
+        self.born_ms += 1
+        self._running = 0
+        self._sequence = itertools.count(1)
+        self.open_listener()
+        self._is_down = False
 
     def _fall_silent_at_times(self):
         while self._rng is not None:
@@ -79,7 +134,8 @@
     def _announce(self):
         for number in itertools.count():
             self._is_active.wait()
-            self.send_heartbeat(number)
+            if not self._is_down:
+                self.send_heartbeat(number)
             gevent.sleep(HEARTBEAT_INTERVAL_S)
 
     def send_heartbeat(self, number):
@@ -92,7 +148,8 @@
             "slots": self.slots,
             "state": self.state,
             "sequence": next(self._sequence),
-            "born": 1,
+            "born": self.born_ms,
+            "models": [{"name": MODEL, "version": 1, "adapters": []}],
         }
         control = self.controls[number % len(self.controls)]
         path = f"/-/instances/{self.name}/heartbeat"
@@ -105,6 +162,11 @@
         headers = [("Kumquatproxy-Request-Id", request_id)]
         environ["wsgi.input"].read()
         self.executions.received_ids.add(request_id)
+        crashes = self.executions.crashes
+        prefix = environ.get("HTTP_KUMQUATPROXY_PROMPT_PREFIX", "")
+        deadly_part = crashes.find_deadly_part(prefix)
+        if deadly_part is not None:
+            crashes.arrivals.append((time.monotonic(), request_id))
         if environ.get("HTTP_KUMQUATPROXY_EXPECT_INSTANCE") != self.name:
             start_response("421 Misdirected", headers)
             return
@@ -120,6 +182,10 @@
                 headers.append(("Content-Type", "text/event-stream"))
                 first = int(environ.get("HTTP_LAST_EVENT_ID") or 0) + 1
                 parts = self.events(request_id, first)
+                if deadly_part is not None:
+                    gevent.sleep(EVENT_INTERVAL_S)
+                    self._crash_on_answer(start_response, headers)
+                    return
             else:
                 parts = [f"{request_id} ".encode(), b"done"]
                 headers.append(("Content-Length", str(len(b"".join(parts)))))
@@ -131,6 +197,15 @@
         finally:
             self._running -= 1
 
+    def _crash_on_answer(self, start_response, headers):
+        """Crash before the head, after it or inside the first event."""
+        beginnings = (None, b"", b"id: 1\ndata: ")
+        beginning = self._crash_rng.choice(beginnings)
+        if beginning is not None:
+            start_response("200 OK", headers)(beginning)
+        down_s = self._crash_rng.uniform(*CRASH_BOUNDS_S)
+        gevent.spawn(self.crash, down_s).join()
+
     def events(self, request_id, first):
         """Yield the events of a stream from number ``first`` on."""
         for number in range(first, EVENT_COUNT + 1):
--- a/tests/soak/faultproxy.py
+++ b/tests/soak/faultproxy.py
@@ -11,11 +11,24 @@
     def __init__(self, listen, target):
         self.address = f"{listen[0]}:{listen[1]}"
         self.target = target
+        self._listen = listen
         self.delay_s = 0.0
         self.blocked_directions = set()  # "up" (to the target), "down" or both
         self._pairs = []
-        self._server = gevent.server.StreamServer(listen, self._handle)
-        self._server.start()
+        self._server = None
+        self.open_listener()
+
+    def open_listener(self):
+        """Accept connections, unless that is so already."""
+        if self._server is None:
+            self._server = gevent.server.StreamServer(self._listen, self._handle)
+            self._server.start()
+
+    def close_listener(self):
+        """Refuse connections; open ones go on."""
+        server, self._server = self._server, None
+        if server is not None:
+            server.stop(timeout=0)
 
     def _handle(self, sock, address):
         try:
@@ -67,5 +80,5 @@
             self.reset()
 
     def close(self):
-        self._server.stop(timeout=0)
+        self.close_listener()
         self.reset()
--- a/tests/soak/test_streamresumption.py
+++ b/tests/soak/test_streamresumption.py
@@ -8,11 +8,11 @@
 import signal
 import time
 
-import callerclient
 import fakeservers
 import gevent
 import gevent.socket
 import pytest
+import smallfleet
 import soak
 
 BLOCK = 240  # of the loopback addresses, outside those of the soak's seeds
@@ -23,16 +23,6 @@
 SETTLE_S = 1.0
 
 
-class DirectAddress:
-    """Announce the address that a server listens on, without a proxy."""
-
-    def __init__(self, listen):
-        self.address = f"{listen[0]}:{listen[1]}"
-
-    def close(self):
-        return None
-
-
 class VersionedServer(fakeservers.FakeServer):
     """Send its software version with each event."""
 
@@ -42,79 +32,18 @@
             gevent.sleep(fakeservers.EVENT_INTERVAL_S)
             yield f"id: {number}\ndata: {self.software_version}\n\n".encode()
 
-    def close_listener(self):
-        """Refuse connections until ``open_listener``; heartbeats go on."""
-        self._server.stop(timeout=0)
-
-    def open_listener(self):
-        """Accept connections again."""
-        self._server = type(self._server)(
-            self.listen, self._answer, log=None, error_log=None
-        )
-        self._server.start()
 
+class VersionedFleet(smallfleet.Fleet):
+    """Run two entry hosts and servers of two software versions."""
 
-class Fleet:
-    """Run control hosts, two entry hosts and servers of two software versions."""
-
-    def __init__(self, folder):
-        controls = [f"127.{BLOCK}.0.{number}" for number in (1, 2, 3)]
-        entries = [f"127.{BLOCK}.1.{number}" for number in (1, 2)]
-        self.api_addresses = [f"{ip}:{soak.API_PORT}" for ip in controls]
-        self.controls = [
-            soak.HostProcess("control", ip, self.api_addresses, folder)
-            for ip in controls
-        ]
-        self.entries = [
-            soak.HostProcess("entry", ip, self.api_addresses, folder) for ip in entries
-        ]
-        self.servers = []
-        self.next_id = 0
+    server_class = VersionedServer
 
     def start(self):
-        for process in [*self.controls, *self.entries]:
-            process.start()
         for version in ("v1", "v2", "v1", "v2"):
             self.add_server(version)
-        route = soak.route("stream", "/stream/", "streaming", "talk", attempts=2)
-        configuration = {
-            "version": 1,
-            "routes": [{**route, "resumable": True}],
-            "services": [{"name": "talk"}],
-        }
-        body = soak.json.dumps(configuration).encode()
-        path = "/-/config/replace"
-        self.wait_for(
-            lambda: (
-                callerclient.call(self.api_addresses[0], "POST", path, body, 3.0)[0]
-                == 200
-            )
-        )
+        self.start_hosts()
         self.wait_for_entries()
 
-    def add_server(self, version):
-        ip = f"127.{BLOCK}.2.{len(self.servers) + 1}"
-        listen = (ip, soak.SERVER_PORT)
-        server = VersionedServer(
-            f"i-{len(self.servers)}",
-            "talk",
-            listen,
-            DirectAddress(listen),
-            fakeservers.ExecutionCounter(),
-            self.api_addresses,
-            slots=8,
-            software_version=version,
-        )
-        server.listen = listen
-        self.servers.append(server)
-        return server
-
-    def wait_for(self, condition):
-        end = time.monotonic() + soak.READY_TIMEOUT_S
-        while not condition():
-            assert time.monotonic() < end, "the fleet does not serve in time"
-            gevent.sleep(0.1)
-
     def wait_for_entries(self):
         """Wait until both entry hosts serve streams of both versions."""
         for entry in self.entries:
@@ -126,12 +55,6 @@
             )
         gevent.sleep(SETTLE_S)
 
-    def close(self):
-        for process in [*self.controls, *self.entries]:
-            process.close()
-        for server in self.servers:
-            server.close()
-
 
 class Stream:
     """Read a stream, as its caller, over attempts at several entry hosts."""
@@ -198,7 +121,8 @@
 
 @pytest.fixture(scope="module")
 def fleet(tmp_path_factory):
-    running = Fleet(pathlib.Path(tmp_path_factory.mktemp("fleet")))
+    folder = pathlib.Path(tmp_path_factory.mktemp("fleet"))
+    running = VersionedFleet(folder, BLOCK)
     try:
         running.start()
         yield running
