Reject requests whose prompt parts crash each server that answers them

Cause: a host treats a call whose server ended as a lost call. Nothing compares such calls by what they ask for, over all hosts, so the next server gets the cause of the crash as well: by the host's retry, by the caller's, and by the next request of the kind. Class: work that fails is sent on without a question whether the work is the cause.

Change: a call that breaks off before its first event is a suspect if connections to its server are refused or the next lifetime announces itself. Hosts share suspects and answers as short-lived facts (gateway/sharedfacts, fleet/factexchange: age, bounds, end; control hosts pass them on and repeat them each second). A part that was at two crashes after the response head, or three before it, and in no answer is blamed (gateway/crashingparts); parts that always came together are blamed together until an answer clears one. Calls with blamed parts are rejected with 503 and the time until the next trial, also while they wait and before each further attempt. After 60 s one host sends one call as a trial: an answer ends the blame everywhere, a crash makes the hold four times as long. A call that crashed its server is not sent to another one. A crashed server is ejected at once.

--- a/kumquatproxy/errors.py
+++ b/kumquatproxy/errors.py
@@ -29,6 +29,7 @@
     QUEUE_FULL = "queue-full"
     DEADLINE_UNREACHABLE = "deadline-unreachable"
     NO_BACKEND_SERVER = "no-backend-server"
+    PROMPT_CRASHES_SERVERS = "prompt-crashes-servers"
     NOT_READY = "not-ready"
     NO_QUORUM = "no-quorum"
     NOT_LEADER = "not-leader"
@@ -90,6 +91,9 @@
     ErrorKind.NO_BACKEND_SERVER: Answer(
         503, "No backend server can take the request", "no", 2
     ),
+    ErrorKind.PROMPT_CRASHES_SERVERS: Answer(
+        503, "Requests with this prompt crash backend servers", "no", 60
+    ),
     ErrorKind.NOT_READY: Answer(503, "The host has no configuration yet", "no", 2),
     ErrorKind.NO_QUORUM: Answer(503, "Too few voters can be reached", "no", 5),
     # Sent by a host that is not the leader, also if another one is.
--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -13,6 +13,7 @@
 )
 from kumquatproxy.fleet import (
     controlapis,
+    factexchange,
     fleethost,
     fleetmessages,
     fleetsettings,
@@ -111,6 +112,7 @@
         # stream lasts seconds, and other control hosts have its origin too.
         self._streams = streamorigins.OriginTable(MAX_STREAMS)
         self._version_history = streamorigins.VersionHistory()
+        self._facts = factexchange.ControlFacts()
         self._server_log = logs.Log("member")
         self._link_address_by_id: dict[
             str, str
@@ -170,6 +172,7 @@
             "control.leads": float(member.leader_state is not None),
             "orders.fence": self.order_issuer.fence,
             "streams.known": len(self._streams),
+            "facts.known": len(self._facts.table),
         }
 
     def add_seeds(self, host_ids: list[str]) -> None:
@@ -286,13 +289,19 @@
             handler(self, message, now)
 
     def _on_subscribe(self, received, now):
+        is_new = self.publisher.is_new(received.sender, received.message)
         self._send_all(self.publisher.subscribe(received.sender, received.message, now))
+        if is_new and self.publisher.subscribers_by_id[received.sender].knows_facts:
+            self._send_all([self._facts.greet(received.sender, now)])
         if received.message.kind == fleetmessages.CONTROL:
             self._link_address_by_id[received.sender] = received.message.address
 
     def _on_servers(self, received, now):
         self.publisher.merge(received.message, now)
 
+    def _on_facts(self, received, now):
+        self._facts.receive(received.message, now)
+
     def _on_hosts(self, received, now):
         self._heard_at_by_id[received.sender] = now
         for host_id, address in received.message.hosts:
@@ -357,6 +366,7 @@
         ]
         hosts.append([self.host_id, self.settings.host.links])
         self._send_all(self.publisher.tick(hosts, voters, leader, now))
+        self._send_all(self._facts.tick(self.publisher.fact_host_ids(now), now))
         logs.flush()
 
     def _record_versions(self, now):
@@ -413,6 +423,7 @@
     fleetmessages.Subscribe: ControlHost._on_subscribe,
     fleetmessages.ServersPush: ControlHost._on_servers,
     fleetmessages.ControlHosts: ControlHost._on_hosts,
+    fleetmessages.SharedFacts: ControlHost._on_facts,
     fleetmessages.StreamBegun: ControlHost._on_stream_begun,
     fleetmessages.StreamQuery: ControlHost._on_stream_query,
 }
--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -10,6 +10,7 @@
 
 from kumquatproxy import clock, errors, httpapi, logs, wire
 from kumquatproxy.fleet import (
+    factexchange,
     fleethost,
     fleetmessages,
     fleetsettings,
@@ -22,6 +23,7 @@
 from kumquatproxy.gateway import (
     callers,
     calls,
+    crashingparts,
     relay,
     retrybudget,
     serverselection,
@@ -88,6 +90,10 @@
         self._next_expiry_at = now
         self._next_versions_at = now
         self._streams = streamrecords.StreamRecords(self._broadcast)
+        self._facts = factexchange.EntryFacts(self._broadcast)
+        self.crashes = crashingparts.CrashTracker(
+            self.host_id, self._facts.table, self._facts.publish
+        )
         self._heard_at_by_id: dict[str, float] = {}
         self._change_event = gevent.event.Event()
         self._has_changes = False
@@ -148,6 +154,8 @@
             "calls.waiting": len(self._waiting_calls),
             "servers.known": len(self.table.all()),
             "configuration.version": self.version(),
+            "facts.known": len(self._facts.table),
+            "prompts.rejected": self.crashes.blamed_count(clock.now()),
         }
 
     # Used by the relay
@@ -277,6 +285,9 @@
         if isinstance(message.message, fleetmessages.StreamQueryAnswer):
             self._streams.receive(message.sender, message.message)
             return
+        if isinstance(message.message, fleetmessages.SharedFacts):
+            self._on_facts(message.sender, message.message, now)
+            return
         if isinstance(message.message, fleetmessages.ServersPush):
             self._streams.learn_build(message.sender, message.message)
         handler = _HANDLERS.get(type(message.message))
@@ -301,6 +312,7 @@
         announcements = [servers.from_wire(fields) for fields in message.servers]
         for announcement in announcements:
             self.table.apply_announcement(announcement, now)
+            self.crashes.confirm_ended(announcement, now)
         streamrecords.record_versions(self._streams.history, announcements, now)
         for instance_id, born_ms, state in message.marks:
             if self.table.mark(instance_id, born_ms, servers.ServerState(state)):
@@ -308,6 +320,11 @@
         publishing.refresh_heartbeats(self.table, message.alive, now)
         self._schedule_wakeup()
 
+    def _on_facts(self, sender, message, now):
+        for fact in self._facts.receive(sender, message, now):
+            self.crashes.handle_fact(fact, now)
+            self._schedule_wakeup()
+
     def _on_hosts(self, message, now):
         self.entry_count = max(1, message.entry_count)
         self._control_ids.update(host_id for host_id, _ in message.hosts)
@@ -413,6 +430,7 @@
             self._subscribe(now)
         if now >= self._next_report_at:
             self._report(now)
+        self._facts.tick(now)
         if now >= self._next_expiry_at:
             self._next_expiry_at = now + EXPIRE_INTERVAL_S
             self.table.expire(now)
--- /dev/null
+++ b/kumquatproxy/fleet/factexchange.py
@@ -0,0 +1,107 @@
+"""Exchange of short-lived facts between entry hosts and control hosts.
+
+Entry hosts send what they observe to all control hosts, which pass on what is new to
+them. Both sides repeat what is in force each second, because messages are lost while a
+link is cut and a restarted host has forgotten all.
+"""
+
+from kumquatproxy import wire
+from kumquatproxy.fleet import fleetmessages
+from kumquatproxy.gateway import crashingparts, sharedfacts
+
+REPEAT_INTERVAL_S = 1.0
+
+# Importing these modules registers the kinds of facts.
+FACT_MODULES = (crashingparts,)
+
+
+class EntryFacts:
+    """Keep the facts at an entry host.
+
+    ``broadcast(host_ids, message)`` sends a message to control hosts.
+    """
+
+    def __init__(self, broadcast):
+        self.table = sharedfacts.FactTable()
+        # Control hosts of a build that knows facts. Others would close the link.
+        self._host_ids: set[str] = set()
+        self._broadcast = broadcast
+        self._own_keys: set[tuple[str, str]] = set()
+        self._next_repeat_at = 0.0
+
+    def publish(self, fact: sharedfacts.Fact, now: float) -> None:
+        """Add a fact that this host has observed, and send it if it is new."""
+        merged = self.table.merge(fact, now)
+        if merged is None:
+            return
+        self._own_keys.add((merged.kind, merged.key))
+        self._send([merged], now)
+
+    def receive(
+        self, sender: str, message: fleetmessages.SharedFacts, now: float
+    ) -> list[sharedfacts.Fact]:
+        """Merge the facts of a control host; return those that are new."""
+        self._host_ids.add(sender)
+        return merge_all(self.table, message, now)
+
+    def tick(self, now: float) -> None:
+        """Repeat the facts that this host has observed."""
+        if now < self._next_repeat_at:
+            return
+        self._next_repeat_at = now + REPEAT_INTERVAL_S
+        self.table.expire(now)
+        own = {key: self.table.get(*key, now) for key in self._own_keys}
+        self._own_keys = {key for key, fact in own.items() if fact is not None}
+        facts = [fact for fact in own.values() if fact is not None]
+        if facts:
+            self._send(facts, now)
+
+    def _send(self, facts, now):
+        if self._host_ids:
+            self._broadcast(sorted(self._host_ids), to_message(facts, now))
+
+
+class ControlFacts:
+    """Keep the facts at a control host and pass them on."""
+
+    def __init__(self):
+        self.table = sharedfacts.FactTable()
+        self._changed: dict[tuple[str, str], sharedfacts.Fact] = {}
+        self._next_repeat_at = 0.0
+
+    def receive(self, message: fleetmessages.SharedFacts, now: float) -> None:
+        """Merge the facts of another host."""
+        for fact in merge_all(self.table, message, now):
+            self._changed[fact.kind, fact.key] = fact
+
+    def greet(self, host_id: str, now: float) -> wire.Send:
+        """Return the message for a new subscriber, which may hold no facts."""
+        return wire.Send(host_id, to_message(self.table.all(now), now))
+
+    def tick(self, host_ids: list[str], now: float) -> list[wire.Send]:
+        """Return the messages that are due, for subscribers that know facts."""
+        facts = list(self._changed.values())
+        self._changed.clear()
+        if now >= self._next_repeat_at:
+            self._next_repeat_at = now + REPEAT_INTERVAL_S
+            self.table.expire(now)
+            facts = self.table.all(now)
+        if not facts:
+            return []
+        message = to_message(facts, now)
+        return [wire.Send(host_id, message) for host_id in host_ids]
+
+
+def merge_all(
+    table: sharedfacts.FactTable, message: fleetmessages.SharedFacts, now: float
+) -> list[sharedfacts.Fact]:
+    """Merge the facts of a message and return those that changed the table."""
+    merged = [
+        table.merge(sharedfacts.from_wire(fields, now), now) for fields in message.facts
+    ]
+    return [fact for fact in merged if fact is not None]
+
+
+def to_message(facts, now: float) -> fleetmessages.SharedFacts:
+    """Return the message with these facts."""
+    return fleetmessages.SharedFacts([fact.to_wire(now) for fact in facts])
--- a/kumquatproxy/fleet/fleethost.py
+++ b/kumquatproxy/fleet/fleethost.py
@@ -6,7 +6,7 @@
 import typing
 
 from kumquatproxy import clock, httpapi, logs, tasks
-from kumquatproxy.fleet import fleetsettings
+from kumquatproxy.fleet import fleetmessages, fleetsettings
 from kumquatproxy.gateway import dialects
 from kumquatproxy.membership import hello, link, transport
 
@@ -56,7 +56,8 @@
             host_settings.dialect.name, host_settings.dialect.module
         )
         self._rng = random.Random(seed or secrets.randbits(64))
-        self._session = secrets.token_hex(8)  # changes at each start of the host
+        # Changes at each start of the host.
+        self._session = secrets.token_hex(8) + fleetmessages.FACTS_SUFFIX
         self._host_log = logs.Log("host")
         self._config_log = logs.Log("config")
         centres = set(host.data_centres) | {host.data_centre}
--- a/kumquatproxy/fleet/fleetmessages.py
+++ b/kumquatproxy/fleet/fleetmessages.py
@@ -4,6 +4,9 @@
 
 ENTRY = "entry"
 CONTROL = "control"
+# Ends the session of a subscriber that knows SharedFacts. Hosts of earlier builds only
+# compare sessions, and would close the link on the message.
+FACTS_SUFFIX = "+facts"
 
 
 @wire.register("subscribe")
@@ -17,7 +20,7 @@
     address: str
     has_details: bool  # whether to push all changes of backend servers
     kind: str  # ENTRY or CONTROL
-    session: str  # random, changes at each start of the sender
+    session: str  # random, changes at each start of the sender; see FACTS_SUFFIX
     version: int  # configuration in force at the sender
 
 
@@ -145,6 +148,17 @@
     versions: list  # of the services, seen in the window
 
 
+@wire.register("shared-facts")
+class SharedFacts(wire.Message):
+    """Tell another host of short-lived facts; the first message may have none.
+
+    It tells the receiver that the sender knows this message.
+    """
+
+    __slots__ = ("facts",)
+    facts: list  # sharedfacts.Fact in their list form
+
+
 @wire.register("fleet-command")
 class FleetCommand(wire.Message):
     """Ask the leader to commit a command of the control group."""
--- a/kumquatproxy/fleet/meters.py
+++ b/kumquatproxy/fleet/meters.py
@@ -18,6 +18,8 @@
     "calls.waiting": ("{call}", "Calls that wait for a backend server"),
     "servers.known": ("{server}", "Backend servers that this host knows"),
     "streams.known": ("{stream}", "Streams whose software version is kept"),
+    "facts.known": ("{fact}", "Short-lived facts shared by hosts, such as crashes"),
+    "prompts.rejected": ("{set}", "Sets of prompt parts that crash servers"),
     "configuration.version": ("{version}", "Configuration in force; 0 without one"),
     "configuration.held": ("{version}", "Newest configuration in the log"),
     "control.term": ("{term}", "Term of the control group"),
--- a/kumquatproxy/fleet/publishing.py
+++ b/kumquatproxy/fleet/publishing.py
@@ -15,13 +15,24 @@
 class Subscriber:
     """Hold the last subscription of another host."""
 
-    __slots__ = ("address", "has_details", "heard_at", "kind", "session", "version")
+    __slots__ = (
+        "address",
+        "has_details",
+        "heard_at",
+        "kind",
+        "knows_facts",
+        "session",
+        "version",
+    )
 
     def __init__(self, subscription, now):
         self.address: str = subscription.address
         self.kind: str = subscription.kind
         self.has_details: bool = subscription.has_details
         self.session: str = subscription.session
+        self.knows_facts: bool = subscription.session.endswith(
+            fleetmessages.FACTS_SUFFIX
+        )
         self.version: int = subscription.version
         self.heard_at: float = now
 
@@ -57,15 +68,28 @@
     def subscribe(self, sender: str, message, now: float) -> list[wire.Send]:
         """Record a subscription; a new one gets the full state."""
         known = self.subscribers_by_id.get(sender)
+        is_new = self.is_new(sender, message)
         self.subscribers_by_id[sender] = Subscriber(message, now)
         sends = []
-        is_new = known is None or known.session != message.session
         if known is None or is_new or message.has_details > known.has_details:
             sends.append(wire.Send(sender, self._full_push()))
         if message.version < self.version:
             sends.append(wire.Send(sender, self._configuration_push()))
         return sends
 
+    def is_new(self, sender: str, message) -> bool:
+        """Return whether a subscription is the first one of a host since its start."""
+        known = self.subscribers_by_id.get(sender)
+        return known is None or known.session != message.session
+
+    def fact_host_ids(self, now: float) -> list[str]:
+        """Return the ids of the subscribers that know shared facts."""
+        return [
+            name
+            for name in self._live_subscriber_ids(now)
+            if self.subscribers_by_id[name].knows_facts
+        ]
+
     def _full_push(self):
         return fleetmessages.ServersPush(
             alive=[],
--- a/kumquatproxy/gateway/attempts.py
+++ b/kumquatproxy/gateway/attempts.py
@@ -24,7 +24,7 @@
         "body_parts",
         "candidate_count",
         "detail",
-        "has_first_event",
+        "first_event_at",
         "head",
         "in_flight_call",
         "is_discarding",
@@ -49,7 +49,7 @@
         self.link: backendconnections.BackendConnection | None = None
         self.in_flight_call: serverselection.InFlightCall | None = None
         self.head: calls.ResponseHead | None = None  # of a response to be relayed
-        self.has_first_event = False  # of a stream
+        self.first_event_at: float | None = None  # of a stream
         self.body_parts: list[bytes] = []
         self.splitter = eventstream.EventSplitter()
         self.is_discarding = False  # reads the rest of a response to an earlier call
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -12,6 +12,8 @@
     backendconnections,
     callers,
     calls,
+    crashingparts,
+    crashprobe,
     enginepriority,
     framing,
     shedding,
@@ -50,6 +52,7 @@
         self._host = host
         self._log = logs.Log("call")
         self.links = backendconnections.ConnectionPool()
+        self._crash_probe = crashprobe.CrashProbe(self.links)
 
     def serve(self, call: calls.Call, connection: callers.CallerConnection) -> None:
         """Serve one call on the connection of its caller."""
@@ -84,6 +87,7 @@
             self._end_with_error(call, progress, connection, internal_error)
         finally:
             self._end_fallback(progress)
+            self._host.crashes.end_call(call, clock.now())
 
     def _prepare(self, call):
         self._host.dialect.read_call(call)
@@ -110,8 +114,20 @@
         call.service = self._host.pick_service(call.route)
         if call.is_resumed_stream:
             self._host.restore_origin(call)
+        self._check_prompt(call)
         self._host.record_arrival(call)
 
+    def _check_prompt(self, call):
+        """Raise ProxyError if parts of the prompt crash servers."""
+        now = clock.now()
+        blame = self._host.crashes.find_blame(call, now)
+        if blame is not None:
+            raise errors.ProxyError(
+                errors.ErrorKind.PROMPT_CRASHES_SERVERS,
+                "servers crashed when they answered requests with the same parts",
+                retry_after_s=self._host.crashes.retry_after_s(blame, now),
+            )
+
     def _run(self, call, progress, connection):
         attempt = self._start_attempt(call, progress)
         while True:
@@ -131,6 +147,7 @@
         has_waited = False
         with self._host.count_while_waiting(call):
             while True:
+                self._check_prompt(call)
                 now = clock.now()
                 service = self._host.service(call.service)
                 candidates = self._host.server_selector.candidates(
@@ -217,9 +234,19 @@
         finally:
             if not is_silent:
                 self._end_attempt(attempt)
+        self._record_soundness(call, attempt)
         self._update_health(attempt, server_selector)
         self._host.meter.attempt(call.service, attempt.outcome.value)
 
+    def _record_soundness(self, call, attempt):
+        now = clock.now()
+        is_up_since_event = (
+            attempt.first_event_at is not None
+            and now - attempt.first_event_at >= crashingparts.SOUND_AFTER_S
+        )
+        if attempt.outcome is calls.Outcome.ANSWERED or is_up_since_event:
+            self._host.crashes.record_answer(call, now)
+
     def _end_attempt(self, attempt):
         """Stop counting an attempt as in flight, and release or close its connection.
 
@@ -411,7 +438,7 @@
             events = attempt.splitter.add(part)
             if events:
                 in_flight_call.has_first_event = True
-                attempt.has_first_event = True
+                attempt.first_event_at = attempt.first_event_at or clock.now()
                 if not progress.has_response_begun:
                     call.software_version = attempt.announcement.software_version
                     # Before the event, because the host may be killed after it.
@@ -497,6 +524,11 @@
             progress.unexecuted_attempts += 1
         else:
             progress.possible_executions += 1
+        if outcome is calls.Outcome.LOST and self._has_crashed_server(call, attempt):
+            raise errors.ProxyError(
+                errors.ErrorKind.BACKEND_FAILED,
+                "the server crashed when it began the response",
+            )
         if progress.fallback is None:
             self._check_retry(call, progress)
         if outcome in (calls.Outcome.NOT_RUN, calls.Outcome.NOT_CONNECTED):
@@ -506,6 +538,23 @@
             return progress.return_to_fallback()
         return self._start_attempt(call, progress)
 
+    def _has_crashed_server(self, call, attempt):
+        """Return whether a call has probably crashed a server, and record a crash."""
+        if attempt.first_event_at is not None:
+            return False
+        crashes = self._host.crashes
+        announcement = attempt.announcement
+        has_begun = attempt.head is not None
+        if not crashes.record_break(call, announcement, has_begun, clock.now()):
+            return False
+        if not self._crash_probe.has_crashed(announcement):
+            return False
+        now = clock.now()
+        crashes.confirm_crash(announcement.lifetime, now)
+        view = self._host.server_selector.view(announcement)
+        view.health.record_failure(now, is_unreachable=True)
+        return has_begun
+
     def _check_retry(self, call, progress):
         """Raise ProxyError if a call must not be sent again."""
         if progress.may_have_executed() and not call.is_repeatable:
@@ -596,7 +645,7 @@
         "predicted_ms": round(attempt.lowest_delay_s * 1000),
         "outcome": attempt.outcome.value if attempt.outcome else "not-sent",
         "has_head": attempt.head is not None,
-        "has_first_event": attempt.has_first_event,
+        "has_first_event": attempt.first_event_at is not None,
         "detail": attempt.detail[:200],
     }
 
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -11,11 +11,13 @@
 from kumquatproxy.gateway import (
     callers,
     calls,
+    crashingparts,
     dialects,
     framing,
     relay,
     retrybudget,
     serverselection,
+    sharedfacts,
     waiting,
 )
 
@@ -81,6 +83,8 @@
         self.entry_count = 1
         self.meter = fleethost.NullMeter()
         self.stops_at = None
+        self.facts = sharedfacts.FactTable()
+        self.crashes = crashingparts.CrashTracker("h", self.facts, self.facts.merge)
 
     def version(self):
         return 1
--- /dev/null
+++ b/tests/gateway/test_sharedfacts.py
@@ -0,0 +1,83 @@
+"""Facts that hosts share: their age, their bounds, their end, and merges."""
+
+import itertools
+
+from kumquatproxy.gateway import crashingparts, sharedfacts
+
+CRASH = crashingparts.SERVER_CRASH
+SOUND = crashingparts.SOUND_PART
+CRASHING = crashingparts.CRASHING_PARTS
+
+
+def make_fact(kind=SOUND, key="k", value=(), observed_at=10.0, kept_s=20.0):
+    return sharedfacts.Fact(kind, key, list(value), observed_at, observed_at + kept_s)
+
+
+def test_age_and_time_left_travel_between_hosts_with_other_clocks():
+    fact = sharedfacts.from_wire(make_fact().to_wire(12.0), 512.0)
+    assert (fact.observed_at, fact.expires_at) == (510.0, 530.0)
+
+
+def test_fact_ends():
+    table = sharedfacts.FactTable()
+    assert table.merge(make_fact(), 10.0)
+    assert table.get(SOUND, "k", 29.9) and table.all(29.9)
+    assert not table.get(SOUND, "k", 30.0) and not table.all(30.0)
+    table.expire(30.0)
+    assert len(table) == 0
+
+
+def test_fact_that_has_ended_on_its_way_is_ignored():
+    assert sharedfacts.FactTable().merge(make_fact(), 30.0) is None
+
+
+def test_fact_ends_at_the_limit_of_its_kind_whatever_its_sender_says():
+    """Guards against facts that a faulty host keeps in force for ever."""
+    table = sharedfacts.FactTable()
+    table.merge(make_fact(kept_s=1e9), 10.0)
+    limit_s = crashingparts.SoundParts.max_kept_s
+    assert table.get(SOUND, "k", 10.0 + limit_s - 1.0)
+    assert not table.get(SOUND, "k", 10.0 + limit_s)
+
+
+def test_unknown_kinds_and_long_keys_are_ignored():
+    table = sharedfacts.FactTable()
+    long_key = "k" * (sharedfacts.MAX_KEY_LENGTH + 1)
+    assert table.merge(make_fact(kind="of a newer build"), 10.0) is None
+    assert table.merge(make_fact(key=long_key), 10.0) is None
+    assert table.merge(make_fact(key=""), 10.0) is None
+    assert len(table) == 0
+
+
+def test_oldest_facts_make_room_for_new_ones():
+    table = sharedfacts.FactTable()
+    limit = crashingparts.SoundParts.max_count
+    for number in range(limit + 10):
+        table.merge(make_fact(key=str(number), observed_at=10.0 + number / 1e3), 11.0)
+    assert len(table) == limit
+    assert not table.get(SOUND, "9", 11.0) and table.get(SOUND, "10", 11.0)
+
+
+def test_repeated_fact_is_not_new():
+    """Guards against hosts that pass the same fact on for ever."""
+    table = sharedfacts.FactTable()
+    assert table.merge(make_fact(), 10.0)
+    assert table.merge(make_fact(observed_at=10.1), 10.1) is None
+    assert table.merge(make_fact(observed_at=12.0), 12.0)
+
+
+def test_facts_merge_to_the_same_in_any_order():
+    """Guards against hosts that disagree because messages overtook each other."""
+    facts_by_kind = {
+        CRASH: [[[True, ["a"]]], [[False, ["b"]]], [[True, ["a"]], [False, ["c"]]]],
+        CRASHING: [[1, "h2", ["a"]], [2, "h3", ["a"]], [1, "h1", ["a"]]],
+    }
+    for kind, values in facts_by_kind.items():
+        results = set()
+        for order in itertools.permutations(values):
+            table = sharedfacts.FactTable()
+            for value in order:
+                table.merge(make_fact(kind, value=value), 11.0)
+            suspects = table.get(kind, "k", 11.0).value
+            results.add(repr(sorted(suspects, key=repr) if kind == CRASH else suspects))
+        assert len(results) == 1
