Treat a stream that ends with its connection before any event as broken off

What callers saw: a server that sends neither a length nor chunks and ends after the head, as one that crashes does, gave the caller a complete empty stream.

Cause: without a length or chunks the end of the connection stands for the end of the response, and only a rest inside an event was taken for a break. Ruled out: a stream that is resumed behind its last event may end without one, and keeps doing so.

Change: without any event and nothing to resume, the attempt counts as broken; the call goes to another server or fails with 502, and its parts are suspects if the server crashed.

--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -450,10 +450,15 @@
         connection.end_response()
 
     def _relay_stream_end(self, progress, connection, attempt):
-        """Relay what follows the last event; raise BackendError if that is partial."""
+        """Relay what follows the last event; raise BackendError if that is partial.
+
+        A stream that ends with its connection before any event was broken off.
+        """
         rest = b""
         if framing.has_explicit_end(attempt.head.headers):
             rest = attempt.splitter.take_end_marker()
+        elif attempt.first_event_at is None and not progress.last_event_id:
+            raise backendconnections.BackendError("the stream ended without an event")
         if attempt.splitter.has_partial_event:
             raise backendconnections.BackendError(
                 "the stream ended with an incomplete event"
