Bound the table of shared facts and the work on each message

Found by a measurement before the landing, no caller saw it: a table with 800 facts took 91 kB, and an entry host evaluated all crashes for each fact of a message, 85 ms each.

Cause: one fact for each host that saw a crash, and one evaluation for each fact. With 380 hosts, the hosts that report one crash could have displaced the first evidence.

Change: one fact for each crashed lifetime, with the eight suspects that are most likely (responses that had begun first); the hosts' suspects merge to the same in any order. The facts of a message are evaluated once. At most 32 crashes, 200 sound parts, 32 blames. Control hosts send changes to all entry hosts and repeat the whole table only to those that want details from them, two for each entry host.

--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -366,7 +366,7 @@
         ]
         hosts.append([self.host_id, self.settings.host.links])
         self._send_all(self.publisher.tick(hosts, voters, leader, now))
-        self._send_all(self._facts.tick(self.publisher.fact_host_ids(now), now))
+        self._send_all(self._facts.tick(self.publisher.fact_subscribers(now), now))
         logs.flush()
 
     def _record_versions(self, now):
--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -321,8 +321,9 @@
         self._schedule_wakeup()
 
     def _on_facts(self, sender, message, now):
-        for fact in self._facts.receive(sender, message, now):
-            self.crashes.handle_fact(fact, now)
+        facts = self._facts.receive(sender, message, now)
+        if facts:
+            self.crashes.handle_facts(facts, now)
             self._schedule_wakeup()
 
     def _on_hosts(self, message, now):
--- a/kumquatproxy/fleet/factexchange.py
+++ b/kumquatproxy/fleet/factexchange.py
@@ -78,18 +78,29 @@
         """Return the message for a new subscriber, which may hold no facts."""
         return wire.Send(host_id, to_message(self.table.all(now), now))
 
-    def tick(self, host_ids: list[str], now: float) -> list[wire.Send]:
-        """Return the messages that are due, for subscribers that know facts."""
-        facts = list(self._changed.values())
+    def tick(self, subscribers: list[tuple[str, bool]], now: float) -> list[wire.Send]:
+        """Return the messages that are due for (id, whether it wants details).
+
+        All get what has changed; those that want details get all facts repeated.
+        """
+        changed = list(self._changed.values())
         self._changed.clear()
+        sends = []
+        if changed:
+            message = to_message(changed, now)
+            sends = [wire.Send(host_id, message) for host_id, _ in subscribers]
         if now >= self._next_repeat_at:
             self._next_repeat_at = now + REPEAT_INTERVAL_S
             self.table.expire(now)
             facts = self.table.all(now)
-        if not facts:
-            return []
-        message = to_message(facts, now)
-        return [wire.Send(host_id, message) for host_id in host_ids]
+            if facts:
+                message = to_message(facts, now)
+                sends += [
+                    wire.Send(host_id, message)
+                    for host_id, has_details in subscribers
+                    if has_details
+                ]
+        return sends
 
 
 def merge_all(
--- a/kumquatproxy/fleet/publishing.py
+++ b/kumquatproxy/fleet/publishing.py
@@ -82,12 +82,16 @@
         known = self.subscribers_by_id.get(sender)
         return known is None or known.session != message.session
 
-    def fact_host_ids(self, now: float) -> list[str]:
-        """Return the ids of the subscribers that know shared facts."""
-        return [
-            name
+    def fact_subscribers(self, now: float) -> list[tuple[str, bool]]:
+        """Return (id, whether it wants details) of those that know shared facts."""
+        subscribers = {
+            name: self.subscribers_by_id[name]
             for name in self._live_subscriber_ids(now)
-            if self.subscribers_by_id[name].knows_facts
+        }
+        return [
+            (name, subscriber.has_details)
+            for name, subscriber in subscribers.items()
+            if subscriber.knows_facts
         ]
 
     def _full_push(self):
--- a/kumquatproxy/gateway/crashingparts.py
+++ b/kumquatproxy/gateway/crashingparts.py
@@ -49,25 +49,25 @@
 
 @sharedfacts.FACT_KINDS.register(SERVER_CRASH)
 class ServerCrashes(sharedfacts.FactKind):
-    """Facts about a crash as seen by one host.
+    """Facts about the crash of one lifetime of a server, ``ID/BORN_MS``.
 
-    The key is ``SERVER/BORN_MS@HOST``, the value a list of [whether the response had
-    begun, parts that are not known as sound] of each suspect.
+    The value is a list of [host, whether the response had begun, parts that are not
+    known as sound] of the suspects.
     """
 
-    max_count = 200
+    max_count = 32
     max_kept_s = 300.0
 
     def merge(self, known, new):
-        """Return the fact with the suspects of both."""
+        """Return the fact with the suspects of both, as far as they fit."""
         added = [suspect for suspect in new.value if suspect not in known.value]
-        if not added:
+        suspects = _most_suspect([*known.value, *added])
+        if suspects == known.value:
             return known
-        suspects = sorted([*known.value, *added], key=lambda item: not item[0])
         return sharedfacts.Fact(
             known.kind,
             known.key,
-            suspects[:MAX_SUSPECTS_PER_CRASH],
+            suspects,
             max(known.observed_at, new.observed_at),
             max(known.expires_at, new.expires_at),
         )
@@ -77,7 +77,7 @@
 class SoundParts(sharedfacts.FactKind):
     """Facts about a suspected part that was in an answer; the value is empty."""
 
-    max_count = 500
+    max_count = 200
     max_kept_s = 300.0
 
 
@@ -88,6 +88,7 @@
     The value is [number of rejections so far, host that sends the trial, parts].
     """
 
+    max_count = 32
     max_kept_s = MAX_HOLD_S + TRIAL_S
 
     def merge(self, known, new):
@@ -97,6 +98,12 @@
         return min(known, new, key=lambda fact: fact.value[1])
 
 
+def _most_suspect(suspects):
+    """Return the suspects that a fact has room for, in an order without ties."""
+    ordered = sorted(suspects, key=lambda suspect: (not suspect[1], suspect))
+    return ordered[:MAX_SUSPECTS_PER_CRASH]
+
+
 def hold_s(rejection_count: int) -> float:
     """Return how long calls with blamed parts are rejected before the next trial."""
     factor = HOLD_FACTOR ** min(10, rejection_count - 1)
@@ -236,7 +243,9 @@
         if pending is None:
             pending = PendingCrash(announcement, now)
             self._pending_by_lifetime[lifetime] = pending
-        pending.suspects.append([has_begun, parts])
+        suspect = [self._host_id, has_begun, parts]
+        if suspect not in pending.suspects:
+            pending.suspects = _most_suspect([*pending.suspects, suspect])
         return True
 
     def confirm_crash(self, lifetime: tuple, now: float) -> None:
@@ -247,10 +256,8 @@
         instance_id, born_ms = lifetime
         fact = sharedfacts.Fact(
             SERVER_CRASH,
-            f"{instance_id}/{born_ms}@{self._host_id}",
-            sorted(pending.suspects, key=lambda item: not item[0])[
-                :MAX_SUSPECTS_PER_CRASH
-            ],
+            f"{instance_id}/{born_ms}",
+            pending.suspects,
             now,
             now + ServerCrashes.max_kept_s,
         )
@@ -262,7 +269,7 @@
         )
         self._publish(fact, now)
         self._renew_blames(fact, now)
-        self.handle_fact(fact, now)
+        self.handle_facts([fact], now)
 
     def confirm_ended(self, announcement, now: float) -> None:
         """Confirm the crash of earlier lifetimes of a server that announces itself."""
@@ -327,19 +334,22 @@
         facts = self._table.of_kind(CRASHING_PARTS, now)
         return sum(bool(self._blamed_parts(fact, now)) for fact in facts)
 
-    def handle_fact(self, fact: sharedfacts.Fact, now: float) -> None:
-        """Take a new or changed fact into account."""
-        if fact.kind == SERVER_CRASH:
-            self._publish_sound_suspects(fact, now)
-        if fact.kind in (SERVER_CRASH, CRASHING_PARTS):
-            self._watch(now)
-            self._blame(now)
-
-    def _publish_sound_suspects(self, crash, now):
-        for part in {part for _, parts in crash.value for part in parts}:
+    def handle_facts(self, facts: list[sharedfacts.Fact], now: float) -> None:
+        """Take new or changed facts into account."""
+        crashes = [fact for fact in facts if fact.kind == SERVER_CRASH]
+        suspected_parts = {
+            (part, crash.observed_at)
+            for crash in crashes
+            for _, _, parts in crash.value
+            for part in parts
+        }
+        for part, crashed_at in suspected_parts:
             sound_at = self._sound_at_by_part.get(part)
-            if sound_at is not None and _clears(sound_at, crash.observed_at):
+            if sound_at is not None and _clears(sound_at, crashed_at):
                 self._publish_sound(part, sound_at, now)
+        self._watch(now)
+        if crashes:
+            self._blame(now)
 
     def _renew_blames(self, crash, now):
         """Reject calls for longer if a trial has ended with a crash."""
@@ -349,7 +359,7 @@
             is_later = crash.observed_at >= fact.observed_at + hold_s(count)
             if is_later and any(
                 blamed_parts and blamed_parts <= set(suspect_parts)
-                for _, suspect_parts in crash.value
+                for _, _, suspect_parts in crash.value
             ):
                 self._publish(
                     self._new_blame(parts, self._host_id, now, count + 1), now
@@ -358,7 +368,7 @@
     def _watch(self, now):
         facts = self._table.of_kind(SERVER_CRASH, now)
         self._watched_parts = {
-            part for fact in facts for _, parts in fact.value for part in parts
+            part for fact in facts for _, _, parts in fact.value for part in parts
         }
         for fact in self._table.of_kind(CRASHING_PARTS, now):
             self._watched_parts.update(fact.value[2])
@@ -413,13 +423,12 @@
             for fact in self._table.of_kind(CRASHING_PARTS, now)
             if (blamed_parts := self._blamed_parts(fact, now))
         ]
-        crashes_by_lifetime: dict[str, Crash] = {}
+        crashes = []
         for fact in self._table.of_kind(SERVER_CRASH, now):
-            lifetime, _, host_id = fact.key.rpartition("@")
-            crash = crashes_by_lifetime.setdefault(lifetime, Crash())
-            for has_begun, parts in fact.value:
+            crash = Crash()
+            for host_id, has_begun, parts in fact.value:
                 for blamed_parts in blames:
-                    if blamed_parts <= set(parts):
+                    if blamed_parts.issubset(parts):
                         crash.explaining_parts |= blamed_parts
                 left = [
                     part
@@ -427,7 +436,8 @@
                     if not _clears(self._sound_at(part, now), fact.observed_at)
                 ]
                 crash.suspects.append((host_id, has_begun, left))
-        return list(crashes_by_lifetime.values())
+            crashes.append(crash)
+        return crashes
 
     def _new_blame(self, parts, trial_host_id, now, rejection_count=1):
         key = hashlib.blake2b(" ".join(parts).encode(), digest_size=16).hexdigest()
--- a/tests/fleet/test_crashschedules.py
+++ b/tests/fleet/test_crashschedules.py
@@ -51,8 +51,7 @@
 
     def receive(self, sender, message):
         now = self.world.now
-        for fact in self.facts.receive(sender, message, now):
-            self.tracker.handle_fact(fact, now)
+        self.tracker.handle_facts(self.facts.receive(sender, message, now), now)
 
     @property
     def is_up(self):
@@ -130,7 +129,8 @@
             if not control.is_up:
                 continue
             names = [entry.name for entry in self.entries if entry.is_up]
-            for send in control.controls.tick(names, self.now):
+            subscribers = [(name, True) for name in names]
+            for send in control.controls.tick(subscribers, self.now):
                 self.push(control, send)
             if self.rng.random() < TICK_S:  # subscriptions are repeated each second
                 for name in names:
--- a/tests/gateway/test_crashingcalls.py
+++ b/tests/gateway/test_crashingcalls.py
@@ -57,7 +57,7 @@
     response, sent_on, host = run_crash(HEAD)
     assert response.startswith(b"HTTP/1.1 502") and sent_on == 0
     assert [fact.value for fact in host.facts.all(clock.now())] == [
-        [[True, ["s shared", "s dead"]]]
+        [["h", True, ["s shared", "s dead"]]]
     ]
 
 
--- a/tests/gateway/test_crashingparts.py
+++ b/tests/gateway/test_crashingparts.py
@@ -48,7 +48,7 @@
             if table is not own_table:
                 merged = table.merge(sharedfacts.from_wire(fields, now), now)
                 if merged is not None:
-                    tracker.handle_fact(merged, now)
+                    tracker.handle_facts([merged], now)
 
     def rejections(self, call, now):
         """Return at which hosts a call is rejected."""
--- a/tests/gateway/test_sharedfacts.py
+++ b/tests/gateway/test_sharedfacts.py
@@ -69,7 +69,11 @@
 def test_facts_merge_to_the_same_in_any_order():
     """Guards against hosts that disagree because messages overtook each other."""
     facts_by_kind = {
-        CRASH: [[[True, ["a"]]], [[False, ["b"]]], [[True, ["a"]], [False, ["c"]]]],
+        CRASH: [
+            [["h1", True, ["a"]]],
+            [["h2", False, ["b"]], ["h2", True, ["d"]]],
+            [["h3", False, [str(number)]] for number in range(20)],
+        ],
         CRASHING: [[1, "h2", ["a"]], [2, "h3", ["a"]], [1, "h1", ["a"]]],
     }
     for kind, values in facts_by_kind.items():
@@ -78,6 +82,5 @@
             table = sharedfacts.FactTable()
             for value in order:
                 table.merge(make_fact(kind, value=value), 11.0)
-            suspects = table.get(kind, "k", 11.0).value
-            results.add(repr(sorted(suspects, key=repr) if kind == CRASH else suspects))
+            results.add(repr(table.get(kind, "k", 11.0).value))
         assert len(results) == 1
