Log the limits that servers name, and count the reports of engines

Change: `Server-Limit` is read (a decimal number; others are logged and ignored). A line `limit: server ... names a limit` or `no limit` at each change, with the request id, at entry hosts and at the owner of orders. Reports count in the metric `orders` with the action `report`. No change of logic: nothing decides by the limit yet.

Tests: 11 values of the header.

--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -26,6 +26,7 @@
     crashingparts,
     relay,
     retrybudget,
+    serverlimits,
     serverselection,
     waiting,
 )
@@ -94,6 +95,7 @@
         self.crashes = crashingparts.CrashTracker(
             self.host_id, self._facts.table, self._facts.publish
         )
+        self.limits = serverlimits.ServerLimits()
         self._heard_at_by_id: dict[str, float] = {}
         self._change_event = gevent.event.Event()
         self._has_changes = False
--- a/kumquatproxy/fleet/orderissuer.py
+++ b/kumquatproxy/fleet/orderissuer.py
@@ -16,6 +16,7 @@
     prefetching,
     storelimiter,
 )
+from kumquatproxy.gateway import serverlimits
 
 TICK_INTERVAL_S = 0.1
 PUSH_INTERVAL_S = 0.25
@@ -48,7 +49,8 @@
         super().__init__(TICK_INTERVAL_S)
         self._host = host
         self._log = logs.Log("place")
-        self._client = engineclient.EngineClient(host.dialect)
+        self.limits = serverlimits.ServerLimits()
+        self._client = engineclient.EngineClient(host.dialect, self.limits)
         self._fence = 0  # of the ownership held, 0 if this host is not the owner
         self._may_order_from = 0.0
         self._last_owner = ""
@@ -269,6 +271,7 @@
 
     def _refresh(self, state):
         report = self._client.report(state.announcement)
+        self._host.meter.order("report", "failed" if report is None else "answered")
         if report is None:
             state.retry_at = clock.now() + ENGINE_RETRY_S
             return False
--- a/kumquatproxy/gateway/calls.py
+++ b/kumquatproxy/gateway/calls.py
@@ -147,6 +147,8 @@
         "is_sealed",
         "is_wrong_server",
         "load",
+        "names_limit",
+        "request_limit",
         "status",
     )
 
@@ -158,6 +160,10 @@
         self.is_sealed = False  # has the checksum of a complete response
         self.is_wrong_server = False
         self.load: ServerLoad | None = None
+        # Requests a second that the server takes from all hosts together at present;
+        # None if it names no limit, or one that cannot be read.
+        self.request_limit: float | None = None
+        self.names_limit = False
 
 
 class ServerLoad(records.Record):
--- a/kumquatproxy/gateway/framing.py
+++ b/kumquatproxy/gateway/framing.py
@@ -33,6 +33,7 @@
 _DIGITS = re.compile(rb"[0-9]{1,18}")
 # Not str.isdigit: it accepts digits that int rejects, and any length.
 _NUMBER = re.compile(r"[0-9]{1,18}")
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 _REQUEST_LINE = re.compile(
     rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]{1,32} [\x21-\x7e\x80-\xff]+ HTTP/1\.[01]"
 )
@@ -91,6 +92,11 @@
     return int(text) if _NUMBER.fullmatch(text) else None
 
 
+def decimal(text: str) -> float | None:
+    """Return a decimal number without sign or exponent, or None."""
+    return float(text) if _DECIMAL.fullmatch(text) else None
+
+
 def has_explicit_end(headers) -> bool:
     """Return whether the end of a response body differs from a lost connection."""
     return bool(
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -303,6 +303,8 @@
         read = functools.partial(self._read, call, attempt, progress)
         if attempt.head is None:
             head = self._read_matching_head(call, attempt, read, timeouts)
+            if not head.is_wrong_server:
+                self._host.limits.record_answer(attempt.announcement, head, clock.now())
             if head.load is not None:
                 view = self._host.server_selector.view(attempt.announcement)
                 view.load = head.load
--- a/kumquatproxy/platform/callformat.py
+++ b/kumquatproxy/platform/callformat.py
@@ -15,6 +15,7 @@
 SEAL = b"kumquatproxy-response-seal"  # marks a complete answer; its value is not read
 NOT_EXECUTED = b"kumquatproxy-not-executed"
 LOAD = b"kumquatproxy-server-load"
+LIMIT = b"server-limit"  # requests a second from all hosts together
 LAST_EVENT_ID = b"last-event-id"
 RESUMES = b"resumes"
 
@@ -98,6 +99,8 @@
         head.is_not_executed = bool(framing.header(headers, NOT_EXECUTED))
         head.is_sealed = bool(framing.header(headers, SEAL))
         head.load = _server_load(_header_text(headers, LOAD))
+        head.names_limit = bool(framing.header(headers, LIMIT))
+        head.request_limit = framing.decimal(_header_text(headers, LIMIT))
         return head
 
     def report_request(self, announcement):
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -16,6 +16,7 @@
     framing,
     relay,
     retrybudget,
+    serverlimits,
     serverselection,
     sharedfacts,
     waiting,
@@ -84,6 +85,7 @@
         self.meter = fleethost.NullMeter()
         self.stops_at = None
         self.facts = sharedfacts.FactTable()
+        self.limits = serverlimits.ServerLimits()
         self.crashes = crashingparts.CrashTracker("h", self.facts, self.facts.merge)
 
     def version(self):
--- a/tests/platform/test_platform.py
+++ b/tests/platform/test_platform.py
@@ -319,3 +319,25 @@
     with pytest.raises(errors.ProxyError) as caught:
         controlapi.ControlApplication(None).answer(request, 0.0)
     assert "instance id" in caught.value.detail and caught.value.status == 400
+
+
+@pytest.mark.parametrize(
+    ("text", "limit"),
+    [
+        (b"3", 3.0),
+        (b"1.6", 1.6),
+        (b"0", 0.0),
+        (b"0.25", 0.25),
+        (b"", None),
+        (b"-1", None),
+        (b"1e9", None),
+        (b"nan", None),
+        (b"1,5", None),
+        (b".5", None),
+        (b"9" * 40, None),
+    ],
+)
+def test_limit_that_a_server_names_is_read(text, limit):
+    headers = [(b"server-limit", text)] if text else []
+    head = callformat.PlatformDialect().parse_response_head(200, headers)
+    assert (head.request_limit, head.names_limit) == (limit, bool(text))
