--- a/tests/soak/fakeservers.py
+++ b/tests/soak/fakeservers.py
@@ -1,7 +1,8 @@
 """Fake backend servers that announce themselves and count executed requests.
 
 They fall silent for a while and go on, and refuse requests when their slots are taken.
-They crash when they begin to answer a request with a deadly prompt part.
+They crash when they begin to answer a request with a deadly prompt part. In need they
+name a limit of requests a second, and record what they get.
 """
 
 import collections
@@ -42,6 +43,42 @@
         return next((name for name in part_ids if name in self.deadly_parts), None)
 
 
+class LimitRecord:
+    """Record what one lifetime of a server gets while it names a limit."""
+
+    def __init__(self, rate):
+        self.rate = rate  # requests a second from all hosts together
+        self.begins_at = time.monotonic()
+        self.ends_at = math.inf
+        self.arrivals = []  # (time, request id)
+        self.told_by_id = {}  # by request id: when its answer named the limit
+
+    def find_excess(self, host_of, settle_s, span_s=4.0, factor=1.5, slack=5.0):
+        """Return the first span with too many requests from hosts that were told.
+
+        ``host_of(request_id, time)`` is None for requests that do not count. The span
+        is returned as (its end, number of requests, number allowed), None without one.
+        """
+        told_at_by_host = {}
+        for request_id, told_at in self.told_by_id.items():
+            host = host_of(request_id, told_at)
+            told_at_by_host[host] = min(told_at, told_at_by_host.get(host, math.inf))
+        allowed = factor * span_s * self.rate + slack
+        recent = collections.deque()
+        for at, request_id in self.arrivals:
+            host = host_of(request_id, at)
+            is_told = at - told_at_by_host.get(host, math.inf) >= 0.5
+            is_in_force = self.begins_at + settle_s <= at - span_s and at < self.ends_at
+            if host is None or not is_told:
+                continue
+            recent.append(at)
+            while recent[0] <= at - span_s:
+                recent.popleft()
+            if is_in_force and len(recent) > allowed:
+                return at, len(recent), allowed
+        return None
+
+
 def prompt_headers(parts):
     """Return the headers of a request for a model, whose prompt has these parts."""
     return {
@@ -91,6 +128,8 @@
         self.controls = controls
         self.slots = slots
         self.state = "ready"
+        self.limit = None  # LimitRecord while the server names a limit
+        self.limits = []  # all of them
         self._rng = rng  # None for a server that never falls silent
         self._on_crash = on_crash
         self._crash_rng = rng or random.Random(name)
@@ -120,6 +159,18 @@
         self.proxy.close_listener()
         self._server.stop(timeout=0)
 
+    def begin_limit(self, rate):
+        """Name a limit in all answers until ``end_limit``."""
+        self.end_limit()
+        self.limit = LimitRecord(rate)
+        self.limits.append(self.limit)
+
+    def end_limit(self):
+        """Name no limit any more."""
+        if self.limit is not None:
+            self.limit.ends_at = time.monotonic()
+        self.limit = None
+
     def crash(self, down_s):
         """Break off all requests, and start again at the same address later."""
         if self._is_down:
@@ -132,6 +183,7 @@
 
     def _start_again(self):
         self.born_ms += 1
+        self.end_limit()
         self._running = 0
         self._sequence = itertools.count(1)
         self.open_listener()
@@ -183,6 +235,10 @@
         if environ.get("HTTP_KUMQUATPROXY_EXPECT_INSTANCE") != self.name:
             start_response("421 Misdirected", headers)
             return
+        if self.limit is not None:
+            self.limit.arrivals.append((time.monotonic(), request_id))
+            self.limit.told_by_id[request_id] = time.monotonic()
+            headers.append(("Server-Limit", f"{self.limit.rate:g}"))
         if self._running >= self.slots:
             headers.append(("Kumquatproxy-Not-Executed", "1"))
             start_response("503 Full", headers)
