Keep to the limits that servers name, over all hosts together

Cause: hypothesis 1, no host read the limit. The class: what a server asks of all hosts is not known where each of them decides.

Change: a limit is a shared fact of the lifetime that named it, by the mechanism of the crashing parts, and ends with an answer to a later request that names none. Each request to such a server takes a turn, whoever sends it and for whatever reason: first attempt, retry, resumed stream, order, report. The leader of the control group gives the turns in order, up to 2.5 s ahead; a call that would wait longer goes elsewhere or is rejected at once with the time of the next turn. A new leader gives none that an earlier one may have given. A host that cannot ask sends nothing to such a server. Servers without a limit are preferred. Polls use a quarter of the limit at most.

Weighed: a share of the limit for each host (62 hosts and 1 a second: the host that has the call has no share when it is needed, and bursts add up); hosts picked by a hash (does not follow demand). See docs/decisions-fleet.md.

--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -24,8 +24,9 @@
     servers,
     serviceconfig,
     streamrecords,
+    turns,
 )
-from kumquatproxy.gateway import streamorigins
+from kumquatproxy.gateway import serverlimits, streamorigins
 
 GROUP = "control"
 # Streams whose origin is kept, 1,800 begun a second for a minute; about 20 MB.
@@ -113,6 +114,8 @@
         self._streams = streamorigins.OriginTable(MAX_STREAMS)
         self._version_history = streamorigins.VersionHistory()
         self._facts = factexchange.ControlFacts()
+        self._turn_giver = turns.TurnGiver(self._facts.table)
+        self.limits = serverlimits.ServerLimits(self._facts.table, self._facts.publish)
         self._server_log = logs.Log("member")
         self._link_address_by_id: dict[
             str, str
@@ -173,6 +176,9 @@
             "orders.fence": self.order_issuer.fence,
             "streams.known": len(self._streams),
             "facts.known": len(self._facts.table),
+            "servers.limited": serverlimits.limited_count(
+                self._facts.table, clock.now()
+            ),
         }
 
     def add_seeds(self, host_ids: list[str]) -> None:
@@ -302,6 +308,19 @@
     def _on_facts(self, received, now):
         self._facts.receive(received.message, now)
 
+    def _on_turn_wanted(self, received, now):
+        member = self.replication.member
+        answer = self._turn_giver.answer(member, received.message, now)
+        self.send_message(received.sender, answer)
+
+    def take_turn(
+        self, announcement: servers.Announcement, max_wait_s: float, now: float
+    ) -> serverlimits.Turn | None:
+        """Give this host a turn at a server, None if it is not certain to lead."""
+        key = serverlimits.lifetime_key(announcement)
+        member = self.replication.member
+        return self._turn_giver.take(member, key, None, max_wait_s, now)
+
     def _on_hosts(self, received, now):
         self._heard_at_by_id[received.sender] = now
         for host_id, address in received.message.hosts:
@@ -358,6 +377,7 @@
             self._next_versions_at = now + VERSION_INTERVAL_S
             self._record_versions(now)
         member = self.replication.member
+        self._turn_giver.track_term(member, now)
         leader = voterset.host_of(member.leader_id) if member.leader_id else ""
         voters = [voterset.host_of(identity) for identity in member.voter_set.voters]
         hosts = [
@@ -424,6 +444,7 @@
     fleetmessages.ServersPush: ControlHost._on_servers,
     fleetmessages.ControlHosts: ControlHost._on_hosts,
     fleetmessages.SharedFacts: ControlHost._on_facts,
+    fleetmessages.TurnWanted: ControlHost._on_turn_wanted,
     fleetmessages.StreamBegun: ControlHost._on_stream_begun,
     fleetmessages.StreamQuery: ControlHost._on_stream_query,
 }
--- a/kumquatproxy/fleet/engineclient.py
+++ b/kumquatproxy/fleet/engineclient.py
@@ -68,6 +68,7 @@
                     CONNECTION_IDLE_TIMEOUT_S,
                     CALL_TIMEOUT_S,
                 )
+                sent_at = clock.now()
                 link.send(method, target, headers, body)
                 head: calls.ResponseHead = link.read_head(
                     self._dialect.parse_response_head
@@ -75,7 +76,7 @@
                 body = link.read_body()
                 is_reusable = True
                 if not head.is_wrong_server:
-                    self._limits.record_answer(announcement, head, clock.now())
+                    self._limits.record_answer(announcement, head, sent_at, clock.now())
                 return head, body
         except (OSError, backendconnections.BackendError) as error:
             self._log.write_limited(
--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -19,6 +19,7 @@
     servers,
     serviceconfig,
     streamrecords,
+    turns,
 )
 from kumquatproxy.gateway import (
     callers,
@@ -74,8 +75,11 @@
         now = clock.now()
         self.configuration: typing.Any = None  # serviceconfig.Configuration
         self.table = servers.ServerTable()
+        self._facts = factexchange.EntryFacts(self._broadcast)
+        self.limits = serverlimits.ServerLimits(self._facts.table, self._facts.publish)
+        self._turn_client = turns.TurnClient(self.send_message)
         self.server_selector = serverselection.ServerSelector(
-            host_settings.host.data_centre, self.table, self._rng
+            host_settings.host.data_centre, self.table, self._rng, self.limits
         )
         bounds = host_settings.bounds
         self.budget = retrybudget.RetryBudget(
@@ -91,11 +95,9 @@
         self._next_expiry_at = now
         self._next_versions_at = now
         self._streams = streamrecords.StreamRecords(self._broadcast)
-        self._facts = factexchange.EntryFacts(self._broadcast)
         self.crashes = crashingparts.CrashTracker(
             self.host_id, self._facts.table, self._facts.publish
         )
-        self.limits = serverlimits.ServerLimits()
         self._heard_at_by_id: dict[str, float] = {}
         self._change_event = gevent.event.Event()
         self._has_changes = False
@@ -157,6 +159,9 @@
             "servers.known": len(self.table.all()),
             "configuration.version": self.version(),
             "facts.known": len(self._facts.table),
+            "servers.limited": serverlimits.limited_count(
+                self._facts.table, clock.now()
+            ),
             "prompts.rejected": self.crashes.blamed_count(clock.now()),
         }
 
@@ -194,16 +199,37 @@
         """Wait until servers, placement or adapters change, at most ``timeout_s``."""
         self._change_event.wait(timeout_s)
 
-    def expected_availability(self, call: calls.Call) -> waiting.ExpectedAvailability:
-        """Return when a server for a call is expected, None if that is unknown."""
+    def take_turn(
+        self, announcement: servers.Announcement, max_wait_s: float
+    ) -> serverlimits.Turn | None:
+        """Ask for a turn at a server; None if nobody can give one at present."""
+        rate = self.limits.rate(announcement, clock.now())
+        if rate is None:
+            return serverlimits.Turn(True, 0.0)
+        turn = None
+        if self._leader and self._facts.knows_facts(self._leader):
+            turn = self._turn_client.take(self._leader, announcement, rate, max_wait_s)
+        self.limits.record_turn(announcement, turn, clock.now())
+        return turn
+
+    def expected_availability(
+        self, call: calls.Call, turn_wait_s: float | None = None
+    ) -> waiting.ExpectedAvailability:
+        """Return when a server for a call is expected, None if that is unknown.
+
+        ``turn_wait_s`` is the wait for a turn, if servers with a limit have the model.
+        """
         if call.need is None:
-            return waiting.ExpectedAvailability(None)
+            is_limited = turn_wait_s is not None
+            return waiting.ExpectedAvailability(turn_wait_s, is_excluded=is_limited)
         now = clock.now()
         if call.need.adapter:
             self._request_adapter(call, now)
         expected_at = self._expected_at_by_model.get(call.need.model)
         if expected_at is not None:
             return waiting.ExpectedAvailability(max(0.0, expected_at - now))
+        if turn_wait_s is not None:
+            return waiting.ExpectedAvailability(turn_wait_s, is_excluded=True)
         return waiting.ExpectedAvailability(self._unplanned_load_s(call))
 
     def _offered_model(self, call):
@@ -284,6 +310,9 @@
     def handle(self, message, now: float, reply=None):
         """Handle one message of a control host."""
         self._heard_at_by_id[message.sender] = now
+        if isinstance(message.message, fleetmessages.TurnAnswer):
+            self._turn_client.receive(message.message)
+            return
         if isinstance(message.message, fleetmessages.StreamQueryAnswer):
             self._streams.receive(message.sender, message.message)
             return
@@ -439,6 +468,7 @@
             self.table.expire(now)
             self.server_selector.prune()
             self._streams.expire(now)
+            self.limits.expire(now)
         if now >= self._next_versions_at:
             self._next_versions_at = now + VERSION_INTERVAL_S
             streamrecords.record_versions(self._streams.history, self.table.all(), now)
--- a/kumquatproxy/fleet/factexchange.py
+++ b/kumquatproxy/fleet/factexchange.py
@@ -7,12 +7,12 @@
 
 from kumquatproxy import wire
 from kumquatproxy.fleet import fleetmessages
-from kumquatproxy.gateway import crashingparts, sharedfacts
+from kumquatproxy.gateway import crashingparts, serverlimits, sharedfacts
 
 REPEAT_INTERVAL_S = 1.0
 
 # Importing these modules registers the kinds of facts.
-FACT_MODULES = (crashingparts,)
+FACT_MODULES = (crashingparts, serverlimits)
 
 
 class EntryFacts:
@@ -37,6 +37,10 @@
         self._own_keys.add((merged.kind, merged.key))
         self._send([merged], now)
 
+    def knows_facts(self, host_id: str) -> bool:
+        """Return whether a control host is of a build that knows facts."""
+        return host_id in self._host_ids
+
     def receive(
         self, sender: str, message: fleetmessages.SharedFacts, now: float
     ) -> list[sharedfacts.Fact]:
@@ -69,6 +73,12 @@
         self._changed: dict[tuple[str, str], sharedfacts.Fact] = {}
         self._next_repeat_at = 0.0
 
+    def publish(self, fact: sharedfacts.Fact, now: float) -> None:
+        """Add a fact that this host has observed."""
+        merged = self.table.merge(fact, now)
+        if merged is not None:
+            self._changed[merged.kind, merged.key] = merged
+
     def receive(self, message: fleetmessages.SharedFacts, now: float) -> None:
         """Merge the facts of another host."""
         for fact in merge_all(self.table, message, now):
--- a/kumquatproxy/fleet/fleetmessages.py
+++ b/kumquatproxy/fleet/fleetmessages.py
@@ -159,6 +159,28 @@
     facts: list  # sharedfacts.Fact in their list form
 
 
+@wire.register("turn-wanted")
+class TurnWanted(wire.Message):
+    """Ask the leader of the control group for a turn at a server with a limit."""
+
+    __slots__ = ("key", "max_wait_s", "number", "rate")
+    key: str  # of the server's lifetime, as in facts
+    max_wait_s: float  # the turn may be that much later
+    number: int
+    rate: float  # requests a second, as the asking host knows
+
+
+@wire.register("turn-answer")
+class TurnAnswer(wire.Message):
+    """Answer a TurnWanted."""
+
+    __slots__ = ("is_given", "is_leader", "number", "wait_s")
+    is_given: bool
+    is_leader: bool  # False at a host that cannot give turns
+    number: int
+    wait_s: float  # until the turn, or until one is free
+
+
 @wire.register("fleet-command")
 class FleetCommand(wire.Message):
     """Ask the leader to commit a command of the control group."""
--- a/kumquatproxy/fleet/meters.py
+++ b/kumquatproxy/fleet/meters.py
@@ -19,6 +19,7 @@
     "servers.known": ("{server}", "Backend servers that this host knows"),
     "streams.known": ("{stream}", "Streams whose software version is kept"),
     "facts.known": ("{fact}", "Short-lived facts shared by hosts, such as crashes"),
+    "servers.limited": ("{server}", "Servers that have named a limit of requests"),
     "prompts.rejected": ("{set}", "Sets of prompt parts that crash servers"),
     "configuration.version": ("{version}", "Configuration in force; 0 without one"),
     "configuration.held": ("{version}", "Newest configuration in the log"),
--- a/kumquatproxy/fleet/orderissuer.py
+++ b/kumquatproxy/fleet/orderissuer.py
@@ -16,7 +16,6 @@
     prefetching,
     storelimiter,
 )
-from kumquatproxy.gateway import serverlimits
 
 TICK_INTERVAL_S = 0.1
 PUSH_INTERVAL_S = 0.25
@@ -26,6 +25,10 @@
 ROUTE_AWAY_S = 0.06
 # Interval at which an engine is polled for the completion of an order.
 POLL_INTERVAL_S = 0.2
+# Share of a server's limit that polls use. Orders and reports count like calls.
+POLL_SHARE = 0.25
+# Longest wait of an order or a report for its turn at a server with a limit.
+MAX_TURN_WAIT_S = 10.0
 # Timeout of an unload, which waits until the calls of its model have ended.
 UNLOAD_TIMEOUT_S = 20.0
 LOAD_MARGIN_S = 12.0  # added to three times the expected time of a load
@@ -49,8 +52,7 @@
         super().__init__(TICK_INTERVAL_S)
         self._host = host
         self._log = logs.Log("place")
-        self.limits = serverlimits.ServerLimits()
-        self._client = engineclient.EngineClient(host.dialect, self.limits)
+        self._client = engineclient.EngineClient(host.dialect, host.limits)
         self._fence = 0  # of the ownership held, 0 if this host is not the owner
         self._may_order_from = 0.0
         self._last_owner = ""
@@ -165,7 +167,7 @@
         self.table.synchronise(self._engine_announcements())
         for state in self.table.all():
             if state.needs_refresh(now):
-                state.retry_at = now + POLL_INTERVAL_S
+                state.retry_at = now + self._poll_interval_s(state, now)
                 self._spawn_task(state, self._refresh)
         if self.may_order(now) and now >= self._next_plan_at:
             self._plan(now)
@@ -269,7 +271,27 @@
 
     # Tasks at one engine, each in its own greenlet
 
+    def _poll_interval_s(self, state, now):
+        rate = self._host.limits.rate(state.announcement, now)
+        if not rate:
+            return POLL_INTERVAL_S
+        return max(POLL_INTERVAL_S, 1.0 / (POLL_SHARE * rate))
+
+    def _await_turn(self, state):
+        """Wait for a turn if the server has a limit; return whether it was given."""
+        now = clock.now()
+        if self._host.limits.rate(state.announcement, now) is None:
+            return True
+        turn = self._host.take_turn(state.announcement, MAX_TURN_WAIT_S, now)
+        if turn is None or not turn.is_given:
+            return False
+        gevent.sleep(turn.wait_s)
+        return True
+
     def _refresh(self, state):
+        if not self._await_turn(state):
+            state.retry_at = clock.now() + ENGINE_RETRY_S
+            return False
         report = self._client.report(state.announcement)
         self._host.meter.order("report", "failed" if report is None else "answered")
         if report is None:
@@ -313,7 +335,7 @@
             return False
         gevent.sleep(expected_s)
         while clock.now() < deadline:
-            gevent.sleep(POLL_INTERVAL_S)
+            gevent.sleep(self._poll_interval_s(state, clock.now()))
             if not self._refresh(state):
                 return False
             if state.report.order_count < state.order_count:
@@ -329,7 +351,9 @@
 
         Return whether the engine accepted it or already is in the requested state.
         """
-        if state.order_count is None or not self.may_order(clock.now()):
+        if state.order_count is None or not self._await_turn(state):
+            return False
+        if not self.may_order(clock.now()):
             return False
         order.expected_count = state.order_count
         outcome = self._client.order(
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -7,6 +7,7 @@
 import gevent.event
 
 from kumquatproxy import clock, errors, logs
+from kumquatproxy.fleet import servers
 from kumquatproxy.gateway import (
     attempts,
     backendconnections,
@@ -16,6 +17,7 @@
     crashprobe,
     enginepriority,
     framing,
+    serverlimits,
     shedding,
     stalltimeouts,
     waiting,
@@ -150,8 +152,9 @@
                 self._check_prompt(call)
                 now = clock.now()
                 service = self._host.service(call.service)
+                max_turn_wait_s = _max_turn_wait_s(call, progress, now)
                 candidates = self._host.server_selector.candidates(
-                    call, service, progress.excluded_lifetimes, now
+                    call, service, progress.excluded_lifetimes, now, max_turn_wait_s
                 )
                 announcement = self._host.server_selector.choose(candidates)
                 if (
@@ -163,7 +166,9 @@
                     if error is not None:
                         raise error
                 if announcement is not None:
-                    progress.waited_s += now - wait_policy.since
+                    if not self._take_turn(announcement, max_turn_wait_s):
+                        continue
+                    progress.waited_s += clock.now() - wait_policy.since
                     self._count_in_budget(call, progress)
                     attempt = attempts.Attempt(
                         announcement, len(candidates), candidates[0].delay_s, now
@@ -181,9 +186,24 @@
                 has_waited = True
                 self._host.wait_for_change(decision.wait_s)
 
+    def _take_turn(self, announcement, max_wait_s):
+        """Wait for a turn at a server with a limit; return whether it can be used."""
+        turn = self._host.take_turn(announcement, max_wait_s)
+        if turn is None or not turn.is_given:
+            gevent.sleep(0)  # the next choice may be made at once
+            return False
+        if turn.wait_s > 0.0:
+            gevent.sleep(turn.wait_s)
+        return announcement.state is servers.ServerState.READY
+
     def _expected_availability(self, call, progress, now):
+        turn_wait_s = self._host.server_selector.least_turn_wait_s(
+            call, progress.excluded_lifetimes, now
+        )
+        if turn_wait_s == math.inf:
+            turn_wait_s = None  # nobody gives turns at present
         # This also requests an adapter that is missing.
-        expected_availability = self._host.expected_availability(call)
+        expected_availability = self._host.expected_availability(call, turn_wait_s)
         if call.software_version is None:
             return expected_availability
         return self._host.server_selector.expected_for_begun_stream(
@@ -304,7 +324,9 @@
         if attempt.head is None:
             head = self._read_matching_head(call, attempt, read, timeouts)
             if not head.is_wrong_server:
-                self._host.limits.record_answer(attempt.announcement, head, clock.now())
+                self._host.limits.record_answer(
+                    attempt.announcement, head, attempt.sent_at, clock.now()
+                )
             if head.load is not None:
                 view = self._host.server_selector.view(attempt.announcement)
                 view.load = head.load
@@ -641,6 +663,14 @@
         )
 
 
+def _max_turn_wait_s(call, progress, now):
+    """Return how long a call may wait for its turn at a server with a limit."""
+    if progress.fallback is not None:
+        return 0.0
+    left_s = call.deadline - now - serverlimits.SERVING_MARGIN_S
+    return max(0.0, min(serverlimits.MAX_TURN_WAIT_S, left_s))
+
+
 def _attempt_fields(attempt, call):
     """Return the log fields of an attempt, with times since the call's arrival."""
     return {
--- a/kumquatproxy/gateway/serverselection.py
+++ b/kumquatproxy/gateway/serverselection.py
@@ -8,7 +8,7 @@
 import random
 
 from kumquatproxy.fleet import servers, serviceconfig
-from kumquatproxy.gateway import calls, health, prefixcache, waiting
+from kumquatproxy.gateway import calls, health, prefixcache, serverlimits, waiting
 
 # Assumed prefill rate of an engine.
 DEFAULT_PREFILL_TOKENS_PER_S = 20_000.0
@@ -99,8 +99,15 @@
 class ServerSelector:
     """Select servers by predicted delay."""
 
-    def __init__(self, data_centre: str, table: servers.ServerTable, rng):
+    def __init__(
+        self,
+        data_centre: str,
+        table: servers.ServerTable,
+        rng,
+        limits: serverlimits.ServerLimits,
+    ):
         self.table = table
+        self._limits = limits
         self.prefix_cache = prefixcache.PrefixCacheTracker()
         # A lifetime identifies one run of a server: (instance id, time of its start).
         self.views_by_lifetime: dict[tuple, ServerView] = {}
@@ -118,9 +125,17 @@
         return view
 
     def candidates(
-        self, call: calls.Call, service: serviceconfig.Service, excluded, now: float
+        self,
+        call: calls.Call,
+        service: serviceconfig.Service,
+        excluded,
+        now: float,
+        max_turn_wait_s: float = 0.0,
     ) -> list[Candidate]:
-        """Return the servers that can serve a call now, ordered by predicted delay."""
+        """Return the servers that can serve a call now, ordered by predicted delay.
+
+        Servers with a limit are included if a turn is expected in ``max_turn_wait_s``.
+        """
         candidates = []
         for announcement in self.table.ready(service.name, now):
             if announcement.lifetime in excluded or not self._can_serve(
@@ -129,7 +144,12 @@
                 continue
             if not self.view(announcement).health.is_usable(now):
                 continue
-            delay_s = self._delay_s(call, service, announcement)
+            turn_wait_s = self._limits.turn_wait_s(announcement, now)
+            if turn_wait_s > max_turn_wait_s:
+                continue
+            delay_s = self._delay_s(call, service, announcement) + turn_wait_s
+            if self._limits.rate(announcement, now) is not None:
+                delay_s += serverlimits.LIMITED_PENALTY_S
             candidates.append(Candidate(announcement, delay_s))
         candidates.sort(key=lambda candidate: candidate.delay_s)
         return candidates
@@ -147,6 +167,22 @@
         adapters = self.adapters_by_id.get(announcement.instance_id, ())
         return not need.adapter or need.key() in adapters
 
+    def least_turn_wait_s(self, call: calls.Call, excluded, now: float) -> float | None:
+        """Return the least wait for a turn at a server that can serve a call.
+
+        None if no such server has a limit.
+        """
+        return min(
+            (
+                self._limits.turn_wait_s(announcement, now)
+                for announcement in self.table.ready(call.service, now)
+                if announcement.lifetime not in excluded
+                and self._can_serve(call, announcement)
+                and self._limits.rate(announcement, now) is not None
+            ),
+            default=None,
+        )
+
     def expected_for_begun_stream(
         self, call: calls.Call, excluded, now: float
     ) -> waiting.ExpectedAvailability:
@@ -164,7 +200,10 @@
         if not ready:
             return waiting.ExpectedAvailability(None, is_excluded=True)
         waits_s = [
-            self.view(announcement).health.usable_in_s(now)
+            max(
+                self.view(announcement).health.usable_in_s(now),
+                self._limits.turn_wait_s(announcement, now),
+            )
             for announcement in ready
             if self._can_serve(call, announcement)
         ]
--- a/kumquatproxy/laboratory/measure_fleet.py
+++ b/kumquatproxy/laboratory/measure_fleet.py
@@ -16,7 +16,13 @@
     servers,
     serviceconfig,
 )
-from kumquatproxy.gateway import calls, serverselection, streamorigins
+from kumquatproxy.gateway import (
+    calls,
+    serverlimits,
+    serverselection,
+    sharedfacts,
+    streamorigins,
+)
 from kumquatproxy.laboratory import fleetmodel, fleetscenarios, measure
 
 SEEDS = 10
@@ -147,7 +153,9 @@
         )
         announcement.models = models
         table.apply_announcement(announcement, 0.0)
-    server_selector = serverselection.ServerSelector("a", table, rng)
+    facts = sharedfacts.FactTable()
+    limits = serverlimits.ServerLimits(facts, facts.merge)
+    server_selector = serverselection.ServerSelector("a", table, rng, limits)
     call = calls.Call(b"POST", b"/", "h", [], b"", 0.0)
     call.need = calls.ModelNeed("m0")
     service = _service(size)
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -9,7 +9,9 @@
     calls,
     health,
     retrybudget,
+    serverlimits,
     serverselection,
+    sharedfacts,
     stalltimeouts,
     waiting,
 )
@@ -52,7 +54,9 @@
     table = servers.ServerTable()
     for announcement in announcements:
         table.apply_announcement(announcement, 0.0)
-    return serverselection.ServerSelector("a", table, random.Random(1))
+    facts = sharedfacts.FactTable()
+    limits = serverlimits.ServerLimits(facts, facts.merge)
+    return serverselection.ServerSelector("a", table, random.Random(1), limits)
 
 
 def instance_ids(candidates):
--- a/tests/gateway/test_lostanswers.py
+++ b/tests/gateway/test_lostanswers.py
@@ -324,7 +324,7 @@
     """Guards against 502 for a call that no server can have executed."""
     with test_relay.running_relay([]) as (_, _, host):
         host.table.known_by_id.clear()
-        host.expected_availability = lambda call: waiting.ExpectedAvailability(0.3)
+        host.expected_availability = lambda *_: waiting.ExpectedAvailability(0.3)
         with call_in_flight(host, b"once") as (server, sock):
             server.abort()
             data = receive_all(sock, 1.0)
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -73,8 +73,10 @@
             self.table.apply_announcement(
                 servers.Announcement(f"i-{index}", "s", address, "a", 1, 1, 4), 0.0
             )
+        self.facts = sharedfacts.FactTable()
+        self.limits = serverlimits.ServerLimits(self.facts, self.facts.merge)
         self.server_selector = serverselection.ServerSelector(
-            "a", self.table, FirstItemRandom()
+            "a", self.table, FirstItemRandom(), self.limits
         )
         self.budget = retrybudget.RetryBudget(1.0, 100.0, 10.0)
         self.configuration = serviceconfig.Configuration(
@@ -84,8 +86,6 @@
         self.entry_count = 1
         self.meter = fleethost.NullMeter()
         self.stops_at = None
-        self.facts = sharedfacts.FactTable()
-        self.limits = serverlimits.ServerLimits()
         self.crashes = crashingparts.CrashTracker("h", self.facts, self.facts.merge)
 
     def version(self):
@@ -100,7 +100,10 @@
     def count_while_waiting(self, call):
         return contextlib.nullcontext()
 
-    def expected_availability(self, call):
+    def take_turn(self, announcement, max_wait_s):
+        return serverlimits.Turn(True, 0.0)
+
+    def expected_availability(self, call, turn_wait_s=None):
         return waiting.ExpectedAvailability(None)
 
     def record_arrival(self, call):
