Let servers of the soak name limits

Change: in two of four seeds two servers name limits of 0.3 to 1.5 requests a second, one of them until the end. The check is the users' rule, on what the servers got from hosts in touch that they had told.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -46,6 +46,8 @@
 DEADLY_SHARE = 0.1
 DEADLY_PART = "dead"
 COUNTED_CRASHES = 5
+# Requests a second that servers in need take, in half of the runs.
+LIMIT_BOUNDS = (0.3, 1.5)
 MAX_LATER_DEADLY = 3
 # Fewer sound streams than this are not compared with those at other times.
 MIN_COMPARED = 20
@@ -335,6 +337,39 @@
         self.served += is_answered
         return is_answered
 
+    # Servers in need
+
+    def name_limits(self):
+        """Let some servers name a limit for most of the run, and change it once."""
+        limited = self.rng.sample(self.servers, 2)
+        for server in limited:
+            server.begin_limit(self.rng.uniform(*LIMIT_BOUNDS))
+        gevent.sleep(0.8 * self.seconds)
+        limited[0].end_limit()
+
+    def check_limits(self):
+        """Check what servers got, from hosts in touch, while they named a limit."""
+        exchanges_by_id = {exchange.request_id: exchange for exchange in self.exchanges}
+
+        def host_of(request_id, at):
+            exchange = exchanges_by_id.get(request_id)
+            if exchange is None or any(
+                fault.affects(exchange)
+                for fault in self.disturbances
+                if not fault.is_crash
+            ):
+                return None
+            return exchange.ip
+
+        for server in self.servers:
+            for limit in server.limits:
+                excess = limit.find_excess(host_of, STABILITY_WINDOW_S)
+                if excess is not None:
+                    self.record_violation(
+                        f"{server.name} got {excess[1]} requests in 4 s for a limit of "
+                        f"{limit.rate:.1f} a second, allowed {excess[2]:.1f}"
+                    )
+
     # Planned work, beside which every request gets an answer
 
     def plan_work(self):
@@ -463,6 +498,8 @@
                 )
                 return self.violations
             # Half of the run is calm: faults are injected in the other half only.
+            # Limits are checked in calm spans, so more of a run with limits is calm.
+            faults_s = self.seconds / (5 if self.seed % 4 == 2 else 2)
             begins_at = time.monotonic() + self.seed % 2 * self.seconds / 2
             self.ends_at = time.monotonic() + self.seconds
             tasks = [
@@ -470,11 +507,11 @@
                 for number in range(self.caller_count)
             ]
             tasks += [gevent.spawn(self.run_operator), gevent.spawn(self.plan_work)]
+            if self.seed % 4 in (1, 2):
+                tasks.append(gevent.spawn(self.name_limits))
             for _ in range(2):
                 tasks.append(
-                    gevent.spawn(
-                        self.inject_faults, begins_at, begins_at + self.seconds / 2
-                    )
+                    gevent.spawn(self.inject_faults, begins_at, begins_at + faults_s)
                 )
             gevent.joinall(tasks, raise_error=True)
             self.recover()
@@ -525,6 +562,7 @@
             if not any(fault.affects(exchange) for fault in self.disturbances):
                 self.check_end(exchange)
         self.check_crashes()
+        self.check_limits()
 
     def check_crashes(self):
         """Check that hosts in touch stop sending what crashes servers, and no more."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,7 +4,8 @@
 and stopped, control hosts lose their disks, and connections are reset and blocked.
 Guards against requests without a complete answer beside silent and full servers,
 planned restarts and changes of the configuration. Guards against requests with a part
-that crashes servers, which are sent to one after the other.
+that crashes servers, which are sent to one after the other, and against more requests
+than servers in need take.
 """
 
 import pytest
@@ -12,8 +13,8 @@
 
 SECONDS = 14.0
 # The first has many callers and entry hosts, and faults in the second half. In the
-# second one some requests crash their servers.
-CI_SEEDS = [11, 8]
+# second some requests crash their servers, in the third some servers name limits.
+CI_SEEDS = [11, 8, 10]
 
 
 @pytest.mark.parametrize("seed", [*CI_SEEDS, *soak.REGRESSION_SEEDS])
