--- a/tests/fleet/test_crashschedules.py
+++ b/tests/fleet/test_crashschedules.py
@@ -5,60 +5,33 @@
 facts of the product; the network, the servers and the callers are simulated.
 """
 
-import heapq
-import itertools
-import random
-
 import pytest
+import simulatedhosts
 
 from kumquatproxy.fleet import factexchange, servers
 from kumquatproxy.gateway import calls, crashingparts
 
 SEEDS = 200
-DURATION_S = 30.0
 DEADLY_FROM_S = 6.0
-WINDOW_S = 3.0  # in which a host must not have been disturbed
 CRASHES = 5
 ALLOWED_LATER = 3
 COUNTED_REQUESTS = 20
 DEADLY_PART = "dead"
-TICK_S = 0.05
 LINK_TIMEOUT_S = 1.5  # until a link that was cut is replaced
 
 
-class Host:
-    """A control host or an entry host, with the state that a restart loses."""
-
-    def __init__(self, name, world):
-        self.name = name
-        self.world = world
-        self.cut_until = self.down_until = self.frozen_until = 0.0
-        self.disturbed_until = 0.0
-        self.forget()
+class Host(simulatedhosts.Host):
+    """A host that tracks crashes."""
 
     def forget(self):
-        self.lifetime = next(self.world.numbers)
-        self.controls = factexchange.ControlFacts()
-        self.facts = factexchange.EntryFacts(self.broadcast)
+        super().forget()
         self.tracker = crashingparts.CrashTracker(
             self.name, self.facts.table, self.facts.publish
         )
 
-    def broadcast(self, host_ids, message):
-        for control in self.world.controls:
-            if control.name in host_ids:
-                self.world.send(self, control, control.controls.receive, message)
-
-    def receive(self, sender, message):
-        now = self.world.now
-        self.tracker.handle_facts(self.facts.receive(sender, message, now), now)
-
-    @property
-    def is_up(self):
-        return self.world.now >= self.down_until
-
-    def is_in_touch(self, at):
-        return at >= self.disturbed_until
+    def receive_facts(self, sender, message, now):
+        facts = super().receive_facts(sender, message, now)
+        self.tracker.handle_facts(facts, now)
 
 
 class Server:
@@ -76,98 +49,38 @@
         )
 
 
-class World:
+class World(simulatedhosts.World):
     """Run one schedule. The rules are those that the users state for their bench."""
 
+    host_class = Host
+    faults_from_s = DEADLY_FROM_S
+    max_delay_s = 0.06
+
     def __init__(self, seed):
-        self.rng = random.Random(seed)
-        self.now = 0.0
-        self.numbers = itertools.count()
-        self._events = []
-        self.loss = self.rng.choice((0.0, 0.02, 0.1))
+        super().__init__(seed, entry_counts=(5,))
         self.share = self.rng.choice((0.02, 0.05, 0.2, 0.5))
         self.announces_head = self.rng.random() < 0.6
-        self.controls = [Host(f"c{number}", self) for number in range(3)]
-        self.entries = [Host(f"e{number}", self) for number in range(5)]
         self.servers = [Server(number) for number in range(self.rng.choice((5, 20)))]
         self.crashed_at = []
         self.deadly_sent = []  # (time, entry was in touch)
         self.sound = []  # (time, whether it was answered)
 
-    def at(self, delay_s, action, *arguments):
-        entry = (self.now + delay_s, next(self.numbers), action, arguments)
-        heapq.heappush(self._events, entry)
-
-    def send(self, sender, receiver, action, message):
-        """Deliver a message later, unless it is lost or a host is cut off or down."""
-        if self.now < max(sender.cut_until, receiver.cut_until):
-            return
-        if self.rng.random() < self.loss:
-            return
-        delay_s = self.rng.uniform(0.001, 0.06)
-        delay_s += max(0.0, receiver.frozen_until - self.now)
-        self.at(delay_s, self.deliver, receiver, receiver.lifetime, action, message)
-
-    def deliver(self, receiver, lifetime, action, message):
-        if receiver.lifetime == lifetime and self.now >= receiver.cut_until:
-            action(message, self.now)
-
-    def run(self):
-        self.every(TICK_S, self.tick)
-        self.at(DEADLY_FROM_S, self.inject_fault)
-        while self._events and self.now < DURATION_S:
-            self.now, _, action, arguments = heapq.heappop(self._events)
-            action(*arguments)
-        return self
-
-    def every(self, interval_s, action):
-        action()
-        self.at(interval_s, self.every, interval_s, action)
-
     def tick(self):
-        for control in self.controls:
-            if not control.is_up:
-                continue
-            names = [entry.name for entry in self.entries if entry.is_up]
-            subscribers = [(name, True) for name in names]
-            for send in control.controls.tick(subscribers, self.now):
-                self.push(control, send)
-            if self.rng.random() < TICK_S:  # subscriptions are repeated each second
-                for name in names:
-                    self.push(control, control.controls.greet(name, self.now))
-        for entry in self.entries:
-            if entry.is_up and self.now >= entry.frozen_until:
-                entry.facts.tick(self.now)
+        super().tick()
         for _ in range(2):
             self.request()
 
-    def push(self, control, send):
-        entry = next(entry for entry in self.entries if entry.name == send.to)
-        self.send(
-            control,
-            entry,
-            lambda message, now: entry.receive(control.name, message),
-            send.message,
-        )
-
     def inject_fault(self):
         kind = self.rng.choice(("restart", "cut", "freeze", "all controls"))
         seconds = self.rng.uniform(0.5, 4.0)
+        seconds += LINK_TIMEOUT_S if kind == "cut" else 0.0
         host = self.rng.choice([*self.controls, *self.entries])
         for victim in self.controls if kind == "all controls" else [host]:
-            if kind == "cut":
-                victim.cut_until = self.now + seconds + LINK_TIMEOUT_S
-            elif kind == "freeze":
-                victim.frozen_until = self.now + seconds
-            else:
-                victim.forget()
-                victim.down_until = self.now + min(1.5, seconds)
-            ends_at = max(victim.cut_until, victim.frozen_until, victim.down_until)
+            ends_at = self.disturb(victim, kind, seconds)
             # A faulty control host disturbs all entry hosts.
-            hosts = self.entries if victim in self.controls else [victim]
-            for disturbed in hosts:
-                disturbed.disturbed_until = max(
-                    disturbed.disturbed_until, ends_at + WINDOW_S
+            for entry in self.entries if victim in self.controls else []:
+                entry.disturbed_until = max(
+                    entry.disturbed_until, ends_at + simulatedhosts.WINDOW_S
                 )
         self.at(self.rng.uniform(1.0, 6.0), self.inject_fault)
 
@@ -175,7 +88,7 @@
 
     def request(self):
         entry = self.rng.choice(self.entries)
-        if not entry.is_up or self.now < entry.frozen_until:
+        if not entry.is_awake:
             return
         is_deadly = self.now > DEADLY_FROM_S and self.rng.random() < self.share
         parts = ["shared", f"subject-{self.rng.randrange(20)}"]
@@ -196,7 +109,7 @@
             return
         server = self.rng.choice(up)
         if is_deadly:
-            self.deadly_sent.append((self.now, entry.is_in_touch(self.now)))
+            self.deadly_sent.append((self.now, not entry.is_disturbed))
         run = [entry, entry.lifetime, call, is_deadly, attempts, False]
         server.running.append(run)
         self.at(self.rng.uniform(0.05, 0.8), self.answer, server, server.born_ms, run)
@@ -244,13 +157,13 @@
         """Return the deadly requests that hosts in touch sent after the window."""
         if len(self.crashed_at) < CRASHES:
             return 0
-        settled_at = self.crashed_at[CRASHES - 1] + WINDOW_S
+        settled_at = self.crashed_at[CRASHES - 1] + simulatedhosts.WINDOW_S
         return sum(at > settled_at and in_touch for at, in_touch in self.deadly_sent)
 
     @property
     def served_share(self):
         """Return the share of sound requests served after the crashes."""
-        settled_at = self.crashed_at[:CRASHES][-1] + 2 * WINDOW_S
+        settled_at = self.crashed_at[:CRASHES][-1] + 2 * simulatedhosts.WINDOW_S
         ends = [is_served for at, is_served in self.sound if at > settled_at]
         return sum(ends) / len(ends) if len(ends) >= COUNTED_REQUESTS else 1.0
 
--- a/tests/fleet/test_turnschedules.py
+++ b/tests/fleet/test_turnschedules.py
@@ -5,21 +5,16 @@
 """
 
 import collections
-import heapq
-import itertools
-import random
 
 import pytest
+import simulatedhosts
 
-from kumquatproxy.fleet import factexchange, fleetmessages, servers, turns
+from kumquatproxy.fleet import fleetmessages, servers, turns
 from kumquatproxy.gateway import calls, serverlimits
 
 SEEDS = 200
-DURATION_S = 30.0
-WINDOW_S = 3.0  # after the limit was first named, and after a disturbance of a host
 SPAN_S = 4.0
 TOLD_S = 0.5
-TICK_S = 0.05
 ELECTION_S = 1.0  # without a leader, longer than a lease
 
 
@@ -34,39 +29,16 @@
         return self.leader_state is not None
 
 
-class Host:
-    """A control host or an entry host, with the state that a restart loses."""
-
-    def __init__(self, name, world):
-        self.name = name
-        self.world = world
-        self.cut_until = self.down_until = self.frozen_until = 0.0
-        self.disturbed_until = 0.0
-        self.member = Member()
-        self.forget()
+class Host(simulatedhosts.Host):
+    """A host that gives or takes turns."""
 
     def forget(self):
-        self.lifetime = next(self.world.numbers)
-        self.controls = factexchange.ControlFacts()
+        super().forget()
+        self.member = Member()
         self.giver = turns.TurnGiver(self.controls.table)
-        self.member.leader_state = None
-        self.facts = factexchange.EntryFacts(self.broadcast)
         self.limits = serverlimits.ServerLimits(self.facts.table, self.facts.publish)
         self.told_at_by_server = {}
 
-    def broadcast(self, host_ids, message):
-        for control in self.world.controls:
-            if control.name in host_ids:
-                self.world.send(self, control, control.controls.receive, message)
-
-    @property
-    def is_awake(self):
-        return self.world.now >= max(self.down_until, self.frozen_until)
-
-    @property
-    def is_disturbed(self):
-        return self.world.now < self.disturbed_until
-
 
 class Server:
     """A server that names a limit from a time on, which may change or end."""
@@ -80,55 +52,19 @@
         self.arrivals = []  # (time, whether it counts)
 
 
-class World:
+class World(simulatedhosts.World):
     """Run one schedule."""
 
+    host_class = Host
+
     def __init__(self, seed):
-        self.rng = random.Random(seed)
-        self.now = 0.0
-        self.numbers = itertools.count()
-        self._events = []
-        self.loss = self.rng.choice((0.0, 0.02, 0.1))
+        super().__init__(seed, entry_counts=(3, 6, 20))
         self.calls_per_s = self.rng.choice((5, 30, 60))
-        self.controls = [Host(f"c{number}", self) for number in range(3)]
-        self.entries = [
-            Host(f"e{number}", self) for number in range(self.rng.choice((3, 6, 20)))
-        ]
         self.servers = [Server(number, self.rng) for number in range(2)]
         self.leader = None
         self.term = 0
         self.given = 0
-
-    def at(self, delay_s, action, *arguments):
-        entry = (self.now + delay_s, next(self.numbers), action, arguments)
-        heapq.heappush(self._events, entry)
-
-    def send(self, sender, receiver, action, message):
-        """Deliver a message later, unless it is lost or a host is cut off or down."""
-        if self.now < max(sender.cut_until, receiver.cut_until):
-            return
-        if self.rng.random() < self.loss:
-            return
-        delay_s = self.rng.uniform(0.001, 0.03)
-        delay_s += max(0.0, receiver.frozen_until - self.now)
-        self.at(delay_s, self.deliver, receiver, receiver.lifetime, action, message)
-
-    def deliver(self, receiver, lifetime, action, message):
-        if receiver.lifetime == lifetime and self.now >= receiver.cut_until:
-            action(message, self.now)
-
-    def run(self):
         self.elect()
-        self.every(TICK_S, self.tick)
-        self.at(4.0, self.inject_fault)
-        while self._events and self.now < DURATION_S:
-            self.now, _, action, arguments = heapq.heappop(self._events)
-            action(*arguments)
-        return self
-
-    def every(self, interval_s, action):
-        action()
-        self.at(interval_s, self.every, interval_s, action)
 
     def elect(self):
         up = [control for control in self.controls if control.is_awake]
@@ -139,45 +75,23 @@
             self.leader.member.leader_state = self
 
     def tick(self):
+        super().tick()
         for control in self.controls:
             if control.is_awake:
                 control.giver.track_term(control.member, self.now)
-                names = [(entry.name, True) for entry in self.entries]
-                for send in control.controls.tick(names, self.now):
-                    self.push(control, send)
-                if self.rng.random() < TICK_S:
-                    for name, _ in names:
-                        self.push(control, control.controls.greet(name, self.now))
-        for entry in self.entries:
-            if entry.is_awake:
-                entry.facts.tick(self.now)
-        for _ in range(round(self.calls_per_s * TICK_S + self.rng.random() - 0.5)):
+        for _ in range(
+            round(self.calls_per_s * simulatedhosts.TICK_S + self.rng.random() - 0.5)
+        ):
             self.request()
 
-    def push(self, control, send):
-        entry = next(entry for entry in self.entries if entry.name == send.to)
-        self.send(
-            control,
-            entry,
-            lambda message, now: entry.facts.receive(control.name, message, now),
-            send.message,
-        )
-
     def inject_fault(self):
         kind = self.rng.choice(("restart", "cut", "freeze", "new leader"))
         seconds = self.rng.uniform(0.5, 4.0)
         host = self.rng.choice([*self.controls, *self.entries])
         if kind == "new leader" or host is self.leader:
             self.depose()
-        if kind == "cut":
-            host.cut_until = self.now + seconds
-        elif kind == "freeze":
-            host.frozen_until = self.now + seconds
-        elif kind == "restart":
-            host.forget()
-            host.down_until = self.now + min(1.5, seconds)
-        ends_at = max(host.cut_until, host.frozen_until, host.down_until)
-        host.disturbed_until = max(host.disturbed_until, ends_at + WINDOW_S)
+        if kind != "new leader":
+            self.disturb(host, kind, seconds)
         self.at(self.rng.uniform(1.0, 6.0), self.inject_fault)
 
     def depose(self):
@@ -256,7 +170,7 @@
                 recent.append(at)
                 while recent[0] <= at - SPAN_S:
                     recent.popleft()
-                is_settled = at - SPAN_S >= server.begins_at + WINDOW_S
+                is_settled = at - SPAN_S >= server.begins_at + simulatedhosts.WINDOW_S
                 if is_settled and len(recent) > allowed:
                     found.append(
                         (server.announcement.instance_id, len(recent), allowed)
