Log the caller and a digest of calls whose server broke off

The log could not tell a repeated request from different ones, as each try has an id of its own.

Change: the address of the caller in each line of a call, and a digest of caller, host, path and body (gateway/repetitions) in those of calls that broke off. Test: two calls with the same digest, one with another.

No decision changes.

--- a/kumquatproxy/gateway/callers.py
+++ b/kumquatproxy/gateway/callers.py
@@ -38,6 +38,7 @@
 
     __slots__ = (
         "_buffer",
+        "_caller",
         "_greenlet",
         "_is_head_request",
         "_is_idle",
@@ -49,9 +50,10 @@
         "is_closing",
     )
 
-    def __init__(self, sock):
+    def __init__(self, sock, caller: str = ""):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock = sock
+        self._caller = caller  # IP address
         self._buffer = bytearray()
         self._parser = framing.new_connection(h11.SERVER)
         self._is_peer_closed = False  # the caller has closed its side
@@ -85,6 +87,7 @@
             list(request.headers),
             body,
             arrived_at,
+            self._caller,
         )
 
     def _feed(self, data):
@@ -400,7 +403,7 @@
         self._server.stop(timeout=0)
 
     def _handle(self, sock, address):
-        connection = CallerConnection(sock)
+        connection = CallerConnection(sock, address[0])
         self._is_serving_by_connection[connection] = False
         try:
             self._serve_requests(connection)
--- a/kumquatproxy/gateway/calls.py
+++ b/kumquatproxy/gateway/calls.py
@@ -66,6 +66,7 @@
     __slots__ = (
         "arrived_at",
         "body",
+        "caller",
         "deadline",
         "headers",
         "host",
@@ -80,7 +81,8 @@
         "target",
     )
 
-    def __init__(self, method, target, host, headers, body, arrived_at):
+    def __init__(self, method, target, host, headers, body, arrived_at, caller=""):
+        self.caller: str = caller  # IP address
         self.method: bytes = method
         self.target: bytes = target  # as received
         self.host: str = host
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -17,6 +17,7 @@
     crashprobe,
     enginepriority,
     framing,
+    repetitions,
     serverlimits,
     shedding,
     stalltimeouts,
@@ -672,7 +673,7 @@
             version=self._host.version(),
             resumes=call.resumed_id,
             software_version=call.software_version,
-            parts=_shared_parts(call) if progress.has_broken_attempt() else [],
+            **_crash_fields(call, progress),
             attempts=[_attempt_fields(attempt, call) for attempt in progress.attempts],
             response_begun=progress.has_response_begun,
             waited_ms=round(progress.waited_s * 1000),
@@ -704,9 +705,16 @@
     }
 
 
-def _shared_parts(call):
-    """Return the ids of the prompt parts that other calls may have too."""
-    return [part.part_id for part in call.need.parts[:-1]] if call.need else []
+def _crash_fields(call, progress):
+    """Return the log fields that tell what calls have in common at crashed servers."""
+    if not progress.has_broken_attempt():
+        return {"caller": call.caller, "repetition": "", "parts": []}
+    parts = call.need.parts[:-1] if call.need else ()
+    return {
+        "caller": call.caller,
+        "repetition": repetitions.key(call),
+        "parts": [part.part_id for part in parts],
+    }
 
 
 def _is_unencoded(head):
--- a/tests/gateway/test_tracing.py
+++ b/tests/gateway/test_tracing.py
@@ -109,3 +109,14 @@
     lines = tracing.read(collected.text, "entry-1")
     (line,) = [line for line in lines if "attempts" in line.fields]
     assert line.fields["software_version"] == "v3"
+
+
+def test_log_shows_that_calls_whose_server_broke_off_are_the_same(collected):
+    """Repetitions differ in the request id only, which tells nothing."""
+    with test_relay.running_relay([None, None, None]) as (address, _, _):
+        for path in (b"once", b"once", b"once/other"):
+            test_relay.send_request(address, path)
+    lines = [json.loads(line) for line in collected.text.splitlines()]
+    keys = [line["repetition"] for line in lines if "repetition" in line]
+    assert keys[0] and keys[0] == keys[1] != keys[2]
+    assert {line["caller"] for line in lines if "caller" in line} == {"127.0.0.1"}
