--- a/tests/fleet/test_crashschedules.py
+++ b/tests/fleet/test_crashschedules.py
@@ -1,7 +1,8 @@
 """Random schedules of requests that crash servers, with restarts, cuts and freezes.
 
 Guards against hosts that send such requests to one server after the other, and against
-sound requests that are rejected beside them. Hosts use the trackers and the exchange of
+sound requests that are rejected beside them. The requests have a prompt part in common,
+or are one request that its caller repeats. Hosts use the trackers and the exchange of
 facts of the product; the network, the servers and the callers are simulated.
 """
 
@@ -13,7 +14,7 @@
 
 SEEDS = 200
 DEADLY_FROM_S = 6.0
-CRASHES = 5
+PART_CRASHES, REQUEST_CRASHES = 5, 3  # after which few requests are sent
 ALLOWED_LATER = 3
 COUNTED_REQUESTS = 20
 DEADLY_PART = "dead"
@@ -56,8 +57,11 @@
     faults_from_s = DEADLY_FROM_S
     max_delay_s = 0.06
 
-    def __init__(self, seed):
+    def __init__(self, seed, repeats_request=False):
         super().__init__(seed, entry_counts=(5,))
+        self.repeats_request = repeats_request
+        self.has_prompts = not repeats_request or self.rng.random() < 0.5
+        self.counted_crashes = REQUEST_CRASHES if repeats_request else PART_CRASHES
         self.share = self.rng.choice((0.02, 0.05, 0.2, 0.5))
         self.announces_head = self.rng.random() < 0.6
         self.servers = [Server(number) for number in range(self.rng.choice((5, 20)))]
@@ -91,13 +95,19 @@
         if not entry.is_awake:
             return
         is_deadly = self.now > DEADLY_FROM_S and self.rng.random() < self.share
-        parts = ["shared", f"subject-{self.rng.randrange(20)}"]
-        parts += [DEADLY_PART] if is_deadly else []
-        call = calls.Call(b"POST", b"/", "a", [], b"", self.now)
+        target, caller = b"/%d" % next(self.numbers), f"c-{self.rng.randrange(5)}"
+        if is_deadly and self.repeats_request:
+            target, caller = b"/deadly", "c-0"
+        elif self.rng.random() < 0.2:
+            target = b"/polled"
+        call = calls.Call(b"POST", target, "a", [], b"", self.now, caller)
         call.service = "s"
-        call.need = calls.ModelNeed(
-            "m", parts=[calls.PromptPart(part, 10) for part in (*parts, "own")]
-        )
+        if self.has_prompts:
+            parts = ["shared", f"subject-{self.rng.randrange(20)}"]
+            parts += [DEADLY_PART] if is_deadly and not self.repeats_request else []
+            call.need = calls.ModelNeed(
+                "m", parts=[calls.PromptPart(part, 10) for part in (*parts, "own")]
+            )
         self.try_server(entry, call, is_deadly, attempts=2)
 
     def try_server(self, entry, call, is_deadly, attempts):
@@ -155,15 +165,16 @@
     @property
     def later(self):
         """Return the deadly requests that hosts in touch sent after the window."""
-        if len(self.crashed_at) < CRASHES:
+        if len(self.crashed_at) < self.counted_crashes:
             return 0
-        settled_at = self.crashed_at[CRASHES - 1] + simulatedhosts.WINDOW_S
+        settled_at = self.crashed_at[self.counted_crashes - 1] + simulatedhosts.WINDOW_S
         return sum(at > settled_at and in_touch for at, in_touch in self.deadly_sent)
 
     @property
     def served_share(self):
         """Return the share of sound requests served after the crashes."""
-        settled_at = self.crashed_at[:CRASHES][-1] + 2 * simulatedhosts.WINDOW_S
+        counted = self.crashed_at[: self.counted_crashes]
+        settled_at = counted[-1] + 2 * simulatedhosts.WINDOW_S
         ends = [is_served for at, is_served in self.sound if at > settled_at]
         return sum(ends) / len(ends) if len(ends) >= COUNTED_REQUESTS else 1.0
 
@@ -174,9 +185,20 @@
     return rules + (["LOST"] if world.served_share < 0.5 else [])
 
 
+def broken_rules_by_seed(repeats_request):
+    broken = {
+        seed: broken_rules(World(seed, repeats_request).run()) for seed in range(SEEDS)
+    }
+    return {seed: rules for seed, rules in broken.items() if rules}
+
+
 def test_deadly_requests_stop_and_sound_ones_are_served_in_random_schedules():
-    broken = {seed: broken_rules(World(seed).run()) for seed in range(SEEDS)}
-    assert {seed: rules for seed, rules in broken.items() if rules} == {}
+    assert broken_rules_by_seed(repeats_request=False) == {}
+
+
+def test_repeated_request_stops_crashing_servers_in_random_schedules():
+    """Guards against one request that crashes the servers it is sent to for ever."""
+    assert broken_rules_by_seed(repeats_request=True) == {}
 
 
 def share_nothing(self, fact, now):
--- a/tests/gateway/test_crashingcalls.py
+++ b/tests/gateway/test_crashingcalls.py
@@ -2,6 +2,7 @@
 
 import functools
 
+import pytest
 import test_relay
 
 from kumquatproxy import clock
@@ -27,7 +28,7 @@
         announcement.models = [["m", 1, []]]
 
 
-def close_listener(backend, data, _):
+def close_listener(backend, data, head):
     """Refuse connections from now on, as after a crash, and return the last bytes."""
     backend.close()
     return data
@@ -127,3 +128,27 @@
         host.wait_for_change = wait_for_change
         response, _ = test_relay.send_request(address, b"stream", wait_s=0.3)
     assert response.startswith(b"HTTP/1.1 503") and backend.heads == []
+
+
+@pytest.mark.parametrize("path", [b"safe", b"once", b"stream"])
+@pytest.mark.parametrize("has_prompt", [False, True])
+def test_repeated_call_is_not_sent_on_after_it_has_crashed_three_servers(
+    path, has_prompt
+):
+    """Guards against a request that its caller repeats until all servers are down."""
+    with test_relay.running_relay(*[[] for _ in range(6)]) as (address, backends, host):
+        for backend in backends:
+            backend.answers.append(functools.partial(close_listener, backend, b""))
+            backend.closes = True
+        if has_prompt:
+            add_need(host)
+            sound_call = calls.Call(b"POST", b"/", "a", [], b"", 0.0)
+            sound_call.service, sound_call.need = "s", NEED
+            host.crashes.record_answer(sound_call, clock.now())
+        for _ in range(6):
+            response, _ = test_relay.send_request(address, path, wait_s=0.4)
+        assert sum(len(backend.heads) for backend in backends) == 3
+        assert response.startswith(b"HTTP/1.1 503")
+        assert b'"executed":"no"' in response
+        test_relay.send_request(address, path + b"/other", wait_s=0.4)
+        assert sum(len(backend.heads) for backend in backends) > 3
