Reject repeated calls that crash their servers, at all hosts

Cause: calls were compared only by their prompt parts. A call without a prompt, or with parts that are sound in other calls, was no suspect at all (record_break returned before it looked at the server), so each repetition was as welcome as the first. The class: evidence is kept under an identity that the harmful work need not have.

Change: the search for a cause (gateway/suspicion) is the one of prompt parts, which has two judges now: prompt parts, and calls (gateway/crashingcalls) under the keys of repetitions: host, path and body, with the caller and without. Three crashes without a complete answer blame a call, for all hosts, with the same hold, trial and end. Each judge leaves out the crashes that the other one explains. Crashes after the first event count too. A sound call that was on a crashed server is still retried. A call is also checked after its wait for a turn. Blamed calls get 503 (request-crashes-servers), not executed.

One test that listed all facts of a crash now lists those of prompt parts and, by kind, the others.

--- a/kumquatproxy/errors.py
+++ b/kumquatproxy/errors.py
@@ -30,6 +30,7 @@
     DEADLINE_UNREACHABLE = "deadline-unreachable"
     NO_BACKEND_SERVER = "no-backend-server"
     PROMPT_CRASHES_SERVERS = "prompt-crashes-servers"
+    REQUEST_CRASHES_SERVERS = "request-crashes-servers"
     NOT_READY = "not-ready"
     NO_QUORUM = "no-quorum"
     NOT_LEADER = "not-leader"
@@ -94,6 +95,9 @@
     ErrorKind.PROMPT_CRASHES_SERVERS: Answer(
         503, "Requests with this prompt crash backend servers", "no", 60
     ),
+    ErrorKind.REQUEST_CRASHES_SERVERS: Answer(
+        503, "This request crashes backend servers", "no", 60
+    ),
     ErrorKind.NOT_READY: Answer(503, "The host has no configuration yet", "no", 2),
     ErrorKind.NO_QUORUM: Answer(503, "Too few voters can be reached", "no", 5),
     # Sent by a host that is not the leader, also if another one is.
--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -24,7 +24,7 @@
 from kumquatproxy.gateway import (
     callers,
     calls,
-    crashingparts,
+    crashes,
     relay,
     retrybudget,
     serverlimits,
@@ -95,7 +95,7 @@
         self._next_expiry_at = now
         self._next_versions_at = now
         self._streams = streamrecords.StreamRecords(self._broadcast)
-        self.crashes = crashingparts.CrashTracker(
+        self.crashes = crashes.CrashTracker(
             self.host_id, self._facts.table, self._facts.publish
         )
         self._heard_at_by_id: dict[str, float] = {}
@@ -162,7 +162,8 @@
             "servers.limited": serverlimits.limited_count(
                 self._facts.table, clock.now()
             ),
-            "prompts.rejected": self.crashes.blamed_count(clock.now()),
+            "prompts.rejected": self.crashes.parts.blamed_count(clock.now()),
+            "repetitions.rejected": self.crashes.calls.blamed_count(clock.now()),
         }
 
     # Used by the relay
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -13,6 +13,7 @@
     backendconnections,
     callers,
     calls,
+    crashingcalls,
     crashingparts,
     crashprobe,
     enginepriority,
@@ -117,19 +118,22 @@
         call.service = self._host.pick_service(call.route)
         if call.is_resumed_stream:
             self._host.restore_origin(call)
-        self._check_prompt(call)
+        self._check_blame(call)
         self._host.record_arrival(call)
 
-    def _check_prompt(self, call):
-        """Raise ProxyError if parts of the prompt crash servers."""
+    def _check_blame(self, call):
+        """Raise ProxyError if the call or parts of its prompt crash servers."""
         now = clock.now()
         blame = self._host.crashes.find_blame(call, now)
-        if blame is not None:
-            raise errors.ProxyError(
-                errors.ErrorKind.PROMPT_CRASHES_SERVERS,
-                "servers crashed when they answered requests with the same parts",
-                retry_after_s=self._host.crashes.retry_after_s(blame, now),
-            )
+        if blame is None:
+            return
+        kind = errors.ErrorKind.PROMPT_CRASHES_SERVERS
+        detail = "servers crashed when they answered requests with the same parts"
+        if blame.kind == crashingcalls.CRASHING_CALLS:
+            kind = errors.ErrorKind.REQUEST_CRASHES_SERVERS
+            detail = "servers crashed each time they got this request"
+        retry_after_s = self._host.crashes.retry_after_s(blame, now)
+        raise errors.ProxyError(kind, detail, retry_after_s=retry_after_s)
 
     def _run(self, call, progress, connection):
         attempt = self._start_attempt(call, progress)
@@ -150,7 +154,7 @@
         has_waited = False
         with self._host.count_while_waiting(call):
             while True:
-                self._check_prompt(call)
+                self._check_blame(call)
                 now = clock.now()
                 service = self._host.service(call.service)
                 max_turn_wait_s = _max_turn_wait_s(call, progress, now)
@@ -169,6 +173,7 @@
                 if announcement is not None:
                     if not self._take_turn(announcement, max_turn_wait_s):
                         continue
+                    self._check_blame(call)
                     progress.waited_s += clock.now() - wait_policy.since
                     self._count_in_budget(call, progress)
                     attempt = attempts.Attempt(
@@ -267,8 +272,9 @@
             attempt.first_event_at is not None
             and now - attempt.first_event_at >= crashingparts.SOUND_AFTER_S
         )
-        if attempt.outcome is calls.Outcome.ANSWERED or is_up_since_event:
-            self._host.crashes.record_answer(call, now)
+        is_answered = attempt.outcome is calls.Outcome.ANSWERED
+        if is_answered or is_up_since_event:
+            self._host.crashes.record_answer(call, now, is_complete=is_answered)
 
     def _end_attempt(self, attempt):
         """Stop counting an attempt as in flight, and release or close its connection.
@@ -586,21 +592,28 @@
             self._host.budget.record_retry(call.service, clock.now())
 
     def _has_crashed_server(self, call, attempt):
-        """Return whether a call has probably crashed a server, and record a crash."""
-        if attempt.first_event_at is not None:
+        """Return whether a call has probably crashed a server, and record a crash.
+
+        Only evidence against its prompt counts: it may repeat no call, and any call may
+        be beside one that crashes its server.
+        """
+        if attempt.is_response_read:
             return False
         crashes = self._host.crashes
         announcement = attempt.announcement
         has_begun = attempt.head is not None
-        if not crashes.record_break(call, announcement, has_begun, clock.now()):
-            return False
+        now = clock.now()
+        ran_s = None
+        if attempt.first_event_at is not None:
+            ran_s = now - attempt.first_event_at
+        has_bad_prompt = crashes.record_break(call, announcement, has_begun, now, ran_s)
         if not self._crash_probe.has_crashed(announcement):
             return False
         now = clock.now()
         crashes.confirm_crash(announcement.lifetime, now)
         view = self._host.server_selector.view(announcement)
         view.health.record_failure(now, is_unreachable=True)
-        return has_begun
+        return has_begun and has_bad_prompt
 
     def _check_retry(self, call, progress):
         """Raise ProxyError if a call must not be sent again."""
@@ -712,7 +725,7 @@
     parts = call.need.parts[:-1] if call.need else ()
     return {
         "caller": call.caller,
-        "repetition": repetitions.key(call),
+        "repetition": " ".join(repetitions.keys(call)),
         "parts": [part.part_id for part in parts],
     }
 
--- a/kumquatproxy/gateway/repetitions.py
+++ b/kumquatproxy/gateway/repetitions.py
@@ -1,21 +1,26 @@
-"""Identity of calls that a caller repeats, each time under another request id."""
+"""Identity of calls that are repeated, each time under another request id."""
 
 import hashlib
 
 from kumquatproxy.gateway import calls
 
-DIGEST_BYTES = 16
+DIGEST_BYTES = 8
 
 
-def key(call: calls.Call) -> str:
-    """Return the same text for calls with the same caller, path and body."""
+def keys(call: calls.Call) -> list[str]:
+    """Return what calls with the same path and body have in common.
+
+    The first key is the same for all callers, the second one for the same caller.
+    """
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
     for field in (
-        call.caller.encode(),
+        call.service.encode(),
         call.method,
         call.host.encode(),
         call.target,
         call.body,
     ):
         digest.update(len(field).to_bytes(8, "big") + field)
-    return digest.hexdigest()
+    any_caller_key = digest.hexdigest()
+    digest.update(call.caller.encode())
+    return [any_caller_key, digest.hexdigest()]
--- a/tests/fleet/test_crashschedules.py
+++ b/tests/fleet/test_crashschedules.py
@@ -10,7 +10,7 @@
 import simulatedhosts
 
 from kumquatproxy.fleet import factexchange, servers
-from kumquatproxy.gateway import calls, crashingparts
+from kumquatproxy.gateway import calls, crashes, crashingcalls, repetitions
 
 SEEDS = 200
 DEADLY_FROM_S = 6.0
@@ -26,7 +26,7 @@
 
     def forget(self):
         super().forget()
-        self.tracker = crashingparts.CrashTracker(
+        self.tracker = crashes.CrashTracker(
             self.name, self.facts.table, self.facts.publish
         )
 
@@ -206,20 +206,25 @@
 
 
 def reject_all_after_a_crash(self, call, now):
-    return self._watched_parts or None
+    return self.parts._watched_features or self.calls._watched_features or None
 
 
 @pytest.mark.parametrize(
-    ("owner", "name", "replacement", "rule"),
+    ("owner", "name", "replacement", "rule", "repeats_request"),
     [
-        (crashingparts.CrashTracker, "find_blame", lambda *_: None, "BUDGET"),
-        (factexchange.EntryFacts, "publish", share_nothing, "BUDGET"),
-        (crashingparts.CrashTracker, "find_blame", reject_all_after_a_crash, "LOST"),
+        (crashes.CrashTracker, "find_blame", lambda *_: None, "BUDGET", False),
+        (factexchange.EntryFacts, "publish", share_nothing, "BUDGET", False),
+        (crashes.CrashTracker, "find_blame", reject_all_after_a_crash, "LOST", False),
+        (crashingcalls.CallJudge, "find_blame", lambda *_: None, "BUDGET", True),
+        (factexchange.EntryFacts, "publish", share_nothing, "BUDGET", True),
+        (repetitions, "keys", lambda _: ["all"], "BUDGET", True),
+        (crashes.CrashTracker, "find_blame", reject_all_after_a_crash, "LOST", True),
     ],
 )
 def test_schedules_break_without_a_part_of_the_check(
-    owner, name, replacement, rule, monkeypatch
+    owner, name, replacement, rule, repeats_request, monkeypatch
 ):
     """Guards against schedules that would pass without any check."""
     monkeypatch.setattr(owner, name, replacement)
-    assert any(rule in broken_rules(World(seed).run()) for seed in range(SEEDS))
+    worlds = (World(seed, repeats_request).run() for seed in range(SEEDS))
+    assert any(rule in broken_rules(world) for world in worlds)
--- a/tests/gateway/test_crashingcalls.py
+++ b/tests/gateway/test_crashingcalls.py
@@ -6,7 +6,7 @@
 import test_relay
 
 from kumquatproxy import clock
-from kumquatproxy.gateway import calls, crashingparts
+from kumquatproxy.gateway import calls, suspicion
 
 HEAD = test_relay.make_stream(ends=False)
 BROKEN_OFF = b""
@@ -57,9 +57,9 @@
     """Guards against one request that crashes one server after the other."""
     response, sent_on, host = run_crash(HEAD)
     assert response.startswith(b"HTTP/1.1 502") and sent_on == 0
-    assert [fact.value for fact in host.facts.all(clock.now())] == [
-        [["h", True, ["s shared", "s dead"]]]
-    ]
+    facts = {fact.kind: fact.value for fact in host.facts.all(clock.now())}
+    assert facts.pop("server-crash") == [["h", True, ["s shared", "s dead"]]]
+    assert list(facts) == ["call-crash"]
 
 
 def test_call_is_sent_to_another_server_if_it_may_have_waited_at_the_crashed_one():
@@ -98,7 +98,7 @@
         host,
     ):
         add_need(host)
-        blame = host.crashes._new_blame(["s dead"], "h", clock.now())
+        blame = host.crashes.parts._new_blame(["s dead"], "h", clock.now())
         host.facts.merge(blame, clock.now())
         started_at = clock.now()
         response, _ = test_relay.send_request(address, b"stream", wait_s=0.3)
@@ -106,7 +106,7 @@
     assert response.startswith(b"HTTP/1.1 503") and backend.heads == []
     assert b'"executed":"no"' in response
     retry_after_s = float(response.lower().split(b"retry-after: ")[1].split()[0])
-    assert 0.0 < retry_after_s <= crashingparts.FIRST_HOLD_S + 1.0
+    assert 0.0 < retry_after_s <= suspicion.FIRST_HOLD_S + 1.0
 
 
 def test_waiting_call_is_rejected_when_its_parts_are_blamed():
@@ -122,7 +122,7 @@
 
         def wait_for_change(timeout_s):
             announcement.models = [["m", 1, []]]
-            blame = host.crashes._new_blame(["s dead"], "h", clock.now())
+            blame = host.crashes.parts._new_blame(["s dead"], "h", clock.now())
             host.facts.merge(blame, clock.now())
 
         host.wait_for_change = wait_for_change
--- a/tests/gateway/test_crashingparts.py
+++ b/tests/gateway/test_crashingparts.py
@@ -1,16 +1,27 @@
 """Blame of prompt parts that crash servers, and its end."""
 
+import itertools
+
 import pytest
 
 from kumquatproxy.fleet import servers
-from kumquatproxy.gateway import calls, crashingparts, sharedfacts
+from kumquatproxy.gateway import (
+    calls,
+    crashes,
+    crashingparts,
+    sharedfacts,
+    suspicion,
+)
+
+HOLD_S = suspicion.FIRST_HOLD_S
+
 
-HOLD_S = crashingparts.FIRST_HOLD_S
+NUMBERS = itertools.count()
 
 
 def make_call(*part_ids, service="s"):
     """Return a call with these prompt parts and one of its own."""
-    call = calls.Call(b"POST", b"/", "a", [], b"", 0.0)
+    call = calls.Call(b"POST", b"/%d" % next(NUMBERS), "a", [], b"", 0.0)
     call.service = service
     parts = [calls.PromptPart(part_id, 10) for part_id in (*part_ids, "own")]
     call.need = calls.ModelNeed("m", parts=parts)
@@ -35,7 +46,7 @@
                 if table.merge(fact, now) is not None:
                     self._spread(fact, now, table)
 
-            tracker = crashingparts.CrashTracker(host_id, table, publish)
+            tracker = crashes.CrashTracker(host_id, table, publish)
             self._members.append((tracker, table))
 
     @property
@@ -218,7 +229,7 @@
     assert hosts.trackers[1].find_blame(trial, HOLD_S) is None
     crash(hosts.trackers[1], 3, HOLD_S + 1.0, trial)
     hosts.trackers[1].end_call(trial, HOLD_S + 1.0)
-    for age_s in (1.1, 2 * HOLD_S, crashingparts.HOLD_FACTOR * HOLD_S):
+    for age_s in (1.1, 2 * HOLD_S, suspicion.HOLD_FACTOR * HOLD_S):
         assert hosts.rejections(make_call("dead"), HOLD_S + age_s) == [True] * 3
 
 
@@ -231,7 +242,7 @@
         call = make_call("dead")
         sent += tracker.find_blame(call, HOLD_S) is None
         tracker.end_call(call, HOLD_S)
-    assert sent == crashingparts.MAX_TRIAL_CALLS
+    assert sent == suspicion.MAX_TRIAL_CALLS
 
 
 def test_ids_that_callers_choose_take_limited_memory():
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -11,7 +11,7 @@
 from kumquatproxy.gateway import (
     callers,
     calls,
-    crashingparts,
+    crashes,
     dialects,
     framing,
     relay,
@@ -86,7 +86,7 @@
         self.entry_count = 1
         self.meter = fleethost.NullMeter()
         self.stops_at = None
-        self.crashes = crashingparts.CrashTracker("h", self.facts, self.facts.merge)
+        self.crashes = crashes.CrashTracker("h", self.facts, self.facts.merge)
 
     def version(self):
         return 1
