--- a/kumquatproxy/fleet/servers.py
+++ b/kumquatproxy/fleet/servers.py
@@ -241,6 +241,17 @@
         known = self.known_by_id.get(instance_id)
         return known.announcement if known is not None else None
 
+    def has_successor(self, announcement: Announcement) -> bool:
+        """Return whether a later lifetime has announced itself in a server's place."""
+        return any(
+            other.born_ms > announcement.born_ms
+            and (
+                other.instance_id == announcement.instance_id
+                or other.address == announcement.address
+            )
+            for other in self.all()
+        )
+
     def expire(self, now: float) -> list[str]:
         """Remove servers without a heartbeat for long; return their ids."""
         expired_ids = [
--- a/kumquatproxy/gateway/backendconnections.py
+++ b/kumquatproxy/gateway/backendconnections.py
@@ -50,6 +50,7 @@
         "_parser",
         "_sock",
         "had_earlier_call",
+        "has_ended",
         "idle_since",
         "instance_id",
         "is_fully_sent",
@@ -69,6 +70,7 @@
         self._keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self.instance_id: str = instance_id
         self.is_reusable = True  # whether another call may follow
+        self.has_ended = False  # the server has closed it, as far as is known
         self.idle_since = 0.0
         self.had_earlier_call = False  # whether an earlier call used the connection
         self.is_fully_sent = False
@@ -229,8 +231,9 @@
         try:
             data = self._sock.recv(framing.READ_BYTES)
         except OSError:
-            return False
+            data = b""
         self._buffer += data
+        self.has_ended = not data
         return bool(data)
 
     def _is_readable(self):
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -90,7 +90,7 @@
             internal_error = _internal_error(progress)
             self._end_with_error(call, progress, connection, internal_error)
         finally:
-            self._end_fallback(progress)
+            self._end_fallback(call, progress)
             self._host.crashes.end_call(call, clock.now())
 
     def _prepare(self, call):
@@ -292,10 +292,14 @@
         elif link is not None:
             link.close()
 
-    def _end_fallback(self, progress):
+    def _end_fallback(self, call, progress):
         fallback, progress.fallback = progress.fallback, None
-        if fallback is not None:
-            self._end_attempt(fallback)
+        if fallback is None:
+            return
+        fallback.link.receive_available()
+        if fallback.link.has_ended:
+            self._record_break(call, fallback)
+        self._end_attempt(fallback)
 
     def _connect(self, call, announcement):
         left_s = call.deadline - clock.now()
@@ -356,7 +360,7 @@
                 attempt.detail = f"the server responded with {head.status}"
                 return
             attempt.head = head
-            self._end_fallback(progress)
+            self._end_fallback(call, progress)
         is_stream = call.route.mode is calls.Mode.STREAM
         if is_stream and attempt.head.status == calls.STREAM_STATUS:
             self._relay_stream(call, attempt, progress, connection, timeouts, read)
@@ -389,6 +393,10 @@
         fallback = progress.fallback
         if fallback.link.receive_available():
             raise FallbackResumedError
+        if fallback.link.has_ended:
+            self._end_fallback(call, progress)
+            self._has_crashed_server(call, fallback)
+            return 0.0
         if call.route.mode is not calls.Mode.STREAM:
             # Calls that are no streams may run at two servers at the same time.
             return stalltimeouts.RECHECK_INTERVAL_S
@@ -397,7 +405,7 @@
             return left_s
         # Its server is tried again if the other one refuses the call after all.
         progress.excluded_lifetimes.discard(fallback.announcement.lifetime)
-        self._end_fallback(progress)
+        self._end_fallback(call, progress)
         return 0.0
 
     def _has_alternative(self, call, attempt, progress):
@@ -607,13 +615,26 @@
         if attempt.first_event_at is not None:
             ran_s = now - attempt.first_event_at
         has_bad_prompt = crashes.record_break(call, announcement, has_begun, now, ran_s)
-        if not self._crash_probe.has_crashed(announcement):
+        # A host that was paused reads the end of a connection late.
+        if not self._host.table.has_successor(
+            announcement
+        ) and not self._crash_probe.has_crashed(announcement):
             return False
         now = clock.now()
-        crashes.confirm_crash(announcement.lifetime, now)
+        self._host.crashes.confirm_crash(announcement.lifetime, now)
         view = self._host.server_selector.view(announcement)
         view.health.record_failure(now, is_unreachable=True)
-        return has_begun and has_bad_prompt
+        return attempt.head is not None and has_bad_prompt
+
+    def _record_break(self, call, attempt):
+        now = clock.now()
+        ran_s = None
+        if attempt.first_event_at is not None:
+            ran_s = now - attempt.first_event_at
+        has_begun = attempt.head is not None
+        return self._host.crashes.record_break(
+            call, attempt.announcement, has_begun, now, ran_s
+        )
 
     def _check_retry(self, call, progress):
         """Raise ProxyError if a call must not be sent again."""
@@ -650,7 +671,7 @@
         begun, raise ResponseAbortedError instead, so that the connection closes and the
         response stays incomplete.
         """
-        self._end_fallback(progress)
+        self._end_fallback(call, progress)
         kept = progress.error_response
         if kept is not None and not progress.has_response_begun:
             self._record_outcome(call, progress, "answered")
--- a/tests/gateway/test_crashingcalls.py
+++ b/tests/gateway/test_crashingcalls.py
@@ -6,6 +6,7 @@
 import test_relay
 
 from kumquatproxy import clock
+from kumquatproxy.fleet import servers
 from kumquatproxy.gateway import calls, suspicion
 
 HEAD = test_relay.make_stream(ends=False)
@@ -152,3 +153,33 @@
         assert b'"executed":"no"' in response
         test_relay.send_request(address, path + b"/other", wait_s=0.4)
         assert sum(len(backend.heads) for backend in backends) > 3
+
+
+def crash_facts(host):
+    """Return the keys of crashes at which a call was suspected."""
+    return [fact.key for fact in host.facts.of_kind("call-crash", clock.now())]
+
+
+def test_call_is_suspected_if_its_server_crashed_after_a_silence():
+    """Guards against a request whose servers are all left before they crash."""
+    with test_relay.running_relay([], [...]) as (address, (first, _), host):
+        first.answers.append([0.5, functools.partial(close_listener, first, b"")])
+        first.closes = True
+        test_relay.send_request(address, b"safe", wait_s=1.0)
+        assert crash_facts(host) == ["i-0/1"]
+
+
+def test_call_is_suspected_if_its_server_is_back_before_the_end_is_read():
+    """A host that was paused connects to the next lifetime of the server."""
+    with test_relay.running_relay([]) as (address, (backend,), host):
+
+        def start_again(head):
+            old = host.table.get("i-0")
+            later = servers.Announcement("i-9", "s", old.address, "a", 2, 1, 4)
+            host.table.apply_announcement(later, clock.now())
+            return b""
+
+        backend.answers.append(start_again)
+        backend.closes = True
+        test_relay.send_request(address, b"once", wait_s=0.4)
+        assert crash_facts(host) == ["i-0/1"]
--- a/tests/gateway/test_repetitions.py
+++ b/tests/gateway/test_repetitions.py
@@ -57,6 +57,23 @@
     assert is_rejected(hosts, make_call("f"))
 
 
+def test_call_that_crashes_servers_of_two_services_is_rejected_at_both():
+    """Guards against a route whose services each lose three servers."""
+    hosts = crashed_hosts(*[[make_call(service=service)] for service in "sst"])
+    for service in "st":
+        assert is_rejected(hosts, make_call(service=service))
+
+
+def test_call_that_crashes_servers_of_one_service_is_served_by_another():
+    """Guards against calls that nobody serves while a new version crashes."""
+    hosts = test_crashingparts.Hosts("a", "b")
+    for number in (1, 2, 3):
+        hosts.trackers[0].record_answer(make_call(service="t"), number)
+        crash(hosts.trackers[1], number, make_call(service="s"))
+    assert is_rejected(hosts, make_call(service="s"))
+    assert not is_rejected(hosts, make_call(service="t"))
+
+
 def test_call_that_is_sound_for_other_callers_is_rejected_for_one():
     """Guards against the rejection of a path that all callers poll."""
     hosts = test_crashingparts.Hosts("a", "b")
