--- a/tests/soak/fakeservers.py
+++ b/tests/soak/fakeservers.py
@@ -120,6 +120,7 @@
     """Run one backend server of a service and send its heartbeats."""
 
     role = "server"
+    close_share = 0.0  # of the answers after which the connection is closed
 
     def __init__(
         self,
@@ -241,6 +242,8 @@
         self._is_active.wait()
         request_id = environ.get("HTTP_KUMQUATPROXY_REQUEST_ID", "")
         headers = [("Kumquatproxy-Request-Id", request_id)]
+        if self._crash_rng.random() < self.close_share:
+            headers.append(("Connection", "close"))
         environ["wsgi.input"].read()
         self.executions.received_ids.add(request_id)
         crashes = self.executions.crashes
--- a/tests/soak/smallfleet.py
+++ b/tests/soak/smallfleet.py
@@ -47,13 +47,17 @@
         self._rng = rng
 
     def start_hosts(self):
-        """Start the hosts with a configuration of one stream route."""
+        """Start the hosts with a configuration of a route for each mode."""
         for process in [*self.controls, *self.entries]:
             process.start()
-        route = soak.route("stream", "/stream/", "streaming", "talk", attempts=2)
+        routes = [
+            soak.route("once", "/once/", "unsafe", "talk"),
+            soak.route("safe", "/safe/", "safe", "talk", attempts=2),
+            soak.route("stream", "/stream/", "streaming", "talk", attempts=2),
+        ]
         configuration = {
             "version": 1,
-            "routes": [{**route, "resumable": True}],
+            "routes": [*routes[:2], {**routes[2], "resumable": True}],
             "services": [{"name": "talk"}],
         }
         body = soak.json.dumps(configuration).encode()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -34,6 +34,7 @@
 LINK_PROXY_PORT, LINK_PORT = 7380, 7381
 API_PORT, CALLER_PORT, READY_PORT = 7382, 7383, 7384
 SERVER_PORT, SERVER_PROXY_PORT = 7385, 7386
+CUTTABLE_HOST = str(pathlib.Path(__file__).parent / "cuttablehost.py")
 READY_TIMEOUT_S = 30.0
 DEADLINE_S = 2.5
 DEADLINE_MARGIN_S = 0.1
@@ -86,6 +87,7 @@
         self.folder = folder / f"{role}-{ip}"
         self.folder.mkdir()
         self.disk = self.folder / "disk"
+        self.cut_file = self.folder / "cut"
         self.handle = None
         self.has_started = False
         self.started_at = 0.0
@@ -112,10 +114,19 @@
         )
         path = self.folder / "settings.ini"
         path.write_text(text)
-        command = [sys.executable, "-m", "kumquatproxy", "fleet", self.role]
+        program = ["-m", "kumquatproxy"] if is_control else [CUTTABLE_HOST]
+        command = [sys.executable, *program, "fleet", self.role]
         with open(self.folder / "log", "ab") as log:
             self.handle = subprocess.Popen(
-                [*command, "--config", str(path)], stdout=log, stderr=log
+                [*command, "--config", str(path)],
+                stdout=log,
+                stderr=log,
+                env={
+                    **os.environ,
+                    "PYTHONPATH": os.getcwd(),
+                    "SOAK_CUT_FILE": str(self.cut_file),
+                    "SOAK_SERVER_PORTS": f"{SERVER_PORT},{SERVER_PROXY_PORT}",
+                },
             )
         self.has_started = True
 
@@ -140,6 +151,13 @@
             handle.kill()
             handle.wait()
 
+    def cut(self, mode):
+        """Cut an entry host off from all backend servers, as ``cuttablehost`` says."""
+        self.cut_file.write_text(mode)
+
+    def heal(self):
+        self.cut_file.unlink(missing_ok=True)
+
     def delete_data_folder(self):
         shutil.rmtree(self.disk, ignore_errors=True)
 
