Forward the calls of hosts that reach no backend server

Cause: an entry host took "no server can be connected to" for the state of the servers. It rejected its calls and went on taking callers, though five hosts beside it reached the servers. The class: a host takes its own view for the state of the whole, and has no other way than its own.

Ruled out: late knowledge (refused connections ended most calls within 10 ms), servers that were full or down (the other hosts served on at the same time).

Change: gateway/reachability counts new connections per service; three servers that cannot be connected to, without a success since, mean that the host is cut off. Silence with calls in flight is tested by a new connection, and so is the way back. gateway/forwarding: the host says so in a shared fact, some hosts that reach the service offer to take its calls in another (4 s, renewed each second; 16 hosts a host on average). A forwarded call is one attempt at a listener of its own: one server, no further hop, what is left of the deadline, the attempts and the retry budget of the first host. A refusal is final unless the host itself is the cause; not executed stays true on both sides. Streams keep the origin that the second host recorded.

--- a/kumquatproxy/errors.py
+++ b/kumquatproxy/errors.py
@@ -2,6 +2,8 @@
 
 import enum
 
+import orjson
+
 
 class ErrorKind(enum.Enum):
     """Enumerate all errors that are reported to callers, operators and peers."""
@@ -31,6 +33,7 @@
     NO_BACKEND_SERVER = "no-backend-server"
     PROMPT_CRASHES_SERVERS = "prompt-crashes-servers"
     REQUEST_CRASHES_SERVERS = "request-crashes-servers"
+    HOST_CUT_OFF = "host-cut-off"
     NOT_READY = "not-ready"
     NO_QUORUM = "no-quorum"
     NOT_LEADER = "not-leader"
@@ -98,6 +101,9 @@
     ErrorKind.REQUEST_CRASHES_SERVERS: Answer(
         503, "This request crashes backend servers", "no", 60
     ),
+    ErrorKind.HOST_CUT_OFF: Answer(
+        503, "The host reaches no backend server of the service", "no", 1
+    ),
     ErrorKind.NOT_READY: Answer(503, "The host has no configuration yet", "no", 2),
     ErrorKind.NO_QUORUM: Answer(503, "Too few voters can be reached", "no", 5),
     # Sent by a host that is not the leader, also if another one is.
@@ -128,7 +134,9 @@
         self.kind: ErrorKind = kind
         self.detail: str = detail
         self.executed: str = executed or ANSWERS[kind].executed
-        self.retry_after_s: int | None = retry_after_s or ANSWERS[kind].retry_after_s
+        self.retry_after_s: float | None = (
+            retry_after_s or ANSWERS[kind].retry_after_s
+        )
 
     @property
     def status(self) -> int:
@@ -147,3 +155,16 @@
             "executed": self.executed,
             "error": {"message": self.detail, "type": code, "code": code},
         }
+
+
+def from_problem(body: bytes, default_kind: ErrorKind) -> ProxyError:
+    """Return the error that ``ProxyError.problem`` was called on, encoded as JSON.
+
+    Its retry time is not part of the body.
+    """
+    try:
+        fields = orjson.loads(body)
+        kind, detail = ErrorKind(fields["code"]), str(fields["detail"])
+    except (KeyError, TypeError, ValueError):
+        return ProxyError(default_kind, "another host refused the request")
+    return ProxyError(kind, detail)
--- a/kumquatproxy/fleet/factexchange.py
+++ b/kumquatproxy/fleet/factexchange.py
@@ -7,12 +7,18 @@
 
 from kumquatproxy import wire
 from kumquatproxy.fleet import fleetmessages
-from kumquatproxy.gateway import crashingcalls, crashingparts, serverlimits, sharedfacts
+from kumquatproxy.gateway import (
+    crashingcalls,
+    crashingparts,
+    forwarding,
+    serverlimits,
+    sharedfacts,
+)
 
 REPEAT_INTERVAL_S = 1.0
 
 # Importing these modules registers the kinds of facts.
-FACT_MODULES = (crashingcalls, crashingparts, serverlimits)
+FACT_MODULES = (crashingcalls, crashingparts, forwarding, serverlimits)
 
 
 class EntryFacts:
--- a/kumquatproxy/fleet/fleetsettings.py
+++ b/kumquatproxy/fleet/fleetsettings.py
@@ -36,6 +36,12 @@
         "",
         help="IP:port for readiness checks of the load balancer",
     ),
+    Option(
+        "peers",
+        "text",
+        "",
+        help="IP:port for calls of entry hosts that reach no server; empty for none",
+    ),
 ]
 CONTROL_OPTIONS = [
     Option("api", "text", "", help="IP:port for operators and backend servers"),
--- a/kumquatproxy/fleet/meters.py
+++ b/kumquatproxy/fleet/meters.py
@@ -21,6 +21,7 @@
     "facts.known": ("{fact}", "Short-lived facts shared by hosts, such as crashes"),
     "servers.limited": ("{server}", "Servers that have named a limit of requests"),
     "prompts.rejected": ("{set}", "Sets of prompt parts that crash servers"),
+    "services.cut_off": ("{service}", "Services without a server this host reaches"),
     "repetitions.rejected": ("{call}", "Repeated calls that crash servers"),
     "configuration.version": ("{version}", "Configuration in force; 0 without one"),
     "configuration.held": ("{version}", "Newest configuration in the log"),
--- a/kumquatproxy/gateway/attempts.py
+++ b/kumquatproxy/gateway/attempts.py
@@ -28,6 +28,7 @@
         "head",
         "in_flight_call",
         "is_discarding",
+        "is_forwarded",
         "is_response_read",
         "link",
         "lowest_delay_s",
@@ -37,8 +38,11 @@
         "started_at",
     )
 
-    def __init__(self, announcement, candidate_count, lowest_delay_s, now):
+    def __init__(
+        self, announcement, candidate_count, lowest_delay_s, now, is_forwarded=False
+    ):
         self.announcement: servers.Announcement = announcement
+        self.is_forwarded: bool = is_forwarded  # to another host, not to a server
         self.candidate_count: int = candidate_count  # servers that can serve the call
         # Predicted, among all candidates; not of the selected server.
         self.lowest_delay_s: float = lowest_delay_s
--- a/kumquatproxy/gateway/calls.py
+++ b/kumquatproxy/gateway/calls.py
@@ -68,6 +68,7 @@
         "body",
         "caller",
         "deadline",
+        "forwarded_service",
         "headers",
         "host",
         "last_event_id",
@@ -99,6 +100,8 @@
         self.need: ModelNeed | None = None
         self.route: typing.Any = None  # serviceconfig.Route, set by routing
         self.service = ""  # selected from the route's targets by weight
+        # The service that another host selected; None for a call of a caller.
+        self.forwarded_service: str | None = None
 
     @property
     def is_repeatable(self) -> bool:
@@ -107,6 +110,11 @@
             return self.route.is_resumable
         return self.route.mode is Mode.SAFE
 
+    @property
+    def max_attempts(self) -> int:
+        """Return the number of servers at which this host may run the call."""
+        return self.route.attempts if self.forwarded_service is None else 1
+
     @property
     def is_resumed_stream(self) -> bool:
         """Return whether the caller resumes a stream of an earlier call."""
--- a/kumquatproxy/gateway/dialects.py
+++ b/kumquatproxy/gateway/dialects.py
@@ -28,6 +28,14 @@
         """Return the headers of the request to a backend server."""
         raise NotImplementedError
 
+    def relayed_headers(self, call, left_s: float, last_event_id: str):
+        """Return the headers of the request to another host of the fleet."""
+        raise NotImplementedError
+
+    def refusal_headers(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers that mark a response as a refusal, not executed."""
+        raise NotImplementedError
+
     def parse_response_head(self, status: int, headers) -> calls.ResponseHead:
         """Return the parsed head of a backend server's response."""
         raise NotImplementedError
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -17,6 +17,7 @@
     crashingparts,
     crashprobe,
     enginepriority,
+    forwarding,
     framing,
     repetitions,
     serverlimits,
@@ -58,6 +59,13 @@
         self.links = backendconnections.ConnectionPool()
         self._crash_probe = crashprobe.CrashProbe(self.links)
 
+    def serve_forwarded(
+        self, call: calls.Call, connection: callers.CallerConnection
+    ) -> None:
+        """Serve one call that another host has forwarded."""
+        call.forwarded_service = ""  # until its headers are read
+        self.serve(call, connection)
+
     def serve(self, call: calls.Call, connection: callers.CallerConnection) -> None:
         """Serve one call on the connection of its caller."""
         progress = attempts.Progress()
@@ -95,6 +103,8 @@
 
     def _prepare(self, call):
         self._host.dialect.read_call(call)
+        if call.forwarded_service is not None:
+            forwarding.read_headers(call, self._host.peer_token)
         configuration = self._host.configuration
         if configuration is None:
             raise errors.ProxyError(
@@ -115,11 +125,12 @@
             timeout_s if call_timeout_s is None else min(call_timeout_s, timeout_s)
         )
         call.deadline = call.arrived_at + call_timeout_s
-        call.service = self._host.pick_service(call.route)
+        call.service = call.forwarded_service or self._host.pick_service(call.route)
         if call.is_resumed_stream:
             self._host.restore_origin(call)
         self._check_blame(call)
-        self._host.record_arrival(call)
+        if call.forwarded_service is None:
+            self._host.record_arrival(call)
 
     def _check_blame(self, call):
         """Raise ProxyError if the call or parts of its prompt crash servers."""
@@ -156,6 +167,16 @@
             while True:
                 self._check_blame(call)
                 now = clock.now()
+                if self._host.reach.is_cut(call.service):
+                    forwarded = self._forward(call, progress, now)
+                    if forwarded is not None or progress.fallback is not None:
+                        progress.waited_s += now - wait_policy.since
+                        return forwarded
+                    self._check_forwarding(call, wait_policy, now)
+                    has_waited = True
+                    self._host.wait_for_change(waiting.RECHECK_INTERVAL_S)
+                    continue
+                self._check_origin(call, progress)
                 service = self._host.service(call.service)
                 max_turn_wait_s = _max_turn_wait_s(call, progress, now)
                 candidates = self._host.server_selector.candidates(
@@ -192,6 +213,47 @@
                 has_waited = True
                 self._host.wait_for_change(decision.wait_s)
 
+    def _forward(self, call, progress, now):
+        """Return an attempt at a host that reaches the service, or None."""
+        if call.forwarded_service is not None:
+            return None
+        candidates = self._host.forwarder_candidates(
+            call.service, progress.excluded_lifetimes, now
+        )
+        if not candidates:
+            return None
+        self._count_in_budget(call, progress)
+        attempt = attempts.Attempt(
+            self._host.choose_forwarder(candidates),
+            len(candidates),
+            0.0,
+            now,
+            is_forwarded=True,
+        )
+        progress.attempts.append(attempt)
+        return attempt
+
+    def _check_forwarding(self, call, wait_policy, now):
+        """Raise ProxyError if a call must not wait for a host that takes it."""
+        is_forwarded = call.forwarded_service is not None
+        left_s = call.deadline - now - forwarding.MAX_WAIT_S
+        if (
+            is_forwarded
+            or left_s < 0.0
+            or (now - wait_policy.since >= forwarding.MAX_WAIT_S)
+        ):
+            raise errors.ProxyError(
+                errors.ErrorKind.HOST_CUT_OFF,
+                f"this host reaches no server of {call.service}, and no host that does",
+                retry_after_s=forwarding.RETRY_AFTER_S,
+            )
+
+    def _check_origin(self, call, progress):
+        """Restore the origin of a stream that another host began for this one."""
+        if progress.has_response_begun and call.software_version is None:
+            call.resumed_id = call.resumed_id or call.request_id
+            self._host.restore_origin(call)
+
     def _take_turn(self, announcement, max_wait_s):
         """Wait for a turn at a server with a limit; return whether it can be used."""
         turn = self._host.take_turn(announcement, max_wait_s)
@@ -223,7 +285,7 @@
             progress.has_reserved_retry = False  # recorded already
         elif progress.attempts:
             budget.record_retry(call.service, now)
-        else:
+        elif call.forwarded_service is None:
             budget.record_request(call.service, now)
 
     def _run_attempt(self, call, attempt, progress, connection):
@@ -235,7 +297,7 @@
                 attempt.in_flight_call = server_selector.start_call(
                     call, attempt.announcement
                 )
-                attempt.link = self._connect(call, attempt.announcement)
+                attempt.link = self._connect(call, attempt)
                 self._send(call, attempt, progress)
             self._receive(call, attempt, progress, connection)
         except (OSError, backendconnections.BackendError, ValueError) as error:
@@ -297,29 +359,32 @@
         if fallback is None:
             return
         fallback.link.receive_available()
-        if fallback.link.has_ended:
+        if fallback.link.has_ended and not fallback.is_forwarded:
             self._record_break(call, fallback)
         self._end_attempt(fallback)
 
-    def _connect(self, call, announcement):
+    def _connect(self, call, attempt):
+        announcement = attempt.announcement
         left_s = call.deadline - clock.now()
         max_idle_s = MAX_IDLE_S if call.is_repeatable else UNREPEATABLE_MAX_IDLE_S
         timeout_s = min(backendconnections.CONNECT_TIMEOUT_S, max(0.01, left_s))
-        return self.links.acquire(
-            announcement.instance_id, announcement.address, max_idle_s, timeout_s
-        )
+        try:
+            link = self.links.acquire(
+                announcement.instance_id, announcement.address, max_idle_s, timeout_s
+            )
+        except OSError:
+            if not attempt.is_forwarded:
+                self._host.record_unreachable(announcement)
+            raise
+        if not attempt.is_forwarded and not link.had_earlier_call:
+            self._host.record_connected(announcement)
+        return link
 
     def _send(self, call, attempt, progress):
         left_s = call.deadline - clock.now()
         if left_s < MIN_REMAINING_S:
             raise DeadlineExceededError
-        headers = self._host.dialect.forwarded_headers(
-            call,
-            attempt.announcement.instance_id,
-            left_s,
-            progress.last_event_id,
-            enginepriority.level(call),
-        )
+        headers = self._request_headers(call, attempt, progress, left_s)
         # From here on the server may execute the call, even if sending fails.
         attempt.outcome = calls.Outcome.LOST
         attempt.sent_at = clock.now()
@@ -331,16 +396,31 @@
             attempt.outcome = calls.Outcome.NOT_CONNECTED
             raise
 
+    def _request_headers(self, call, attempt, progress, left_s):
+        dialect = self._host.dialect
+        if attempt.is_forwarded:
+            return [
+                *dialect.relayed_headers(call, left_s, progress.last_event_id),
+                *forwarding.headers(call, self._host.peer_token),
+            ]
+        return dialect.forwarded_headers(
+            call,
+            attempt.announcement.instance_id,
+            left_s,
+            progress.last_event_id,
+            enginepriority.level(call),
+        )
+
     def _receive(self, call, attempt, progress, connection):
         timeouts = stalltimeouts.for_attempt(call, self._may_retry(call, progress))
         read = functools.partial(self._read, call, attempt, progress)
         if attempt.head is None:
             head = self._read_matching_head(call, attempt, read, timeouts)
-            if not head.is_wrong_server:
+            if not head.is_wrong_server and not attempt.is_forwarded:
                 self._host.limits.record_answer(
                     attempt.announcement, head, attempt.sent_at, clock.now()
                 )
-            if head.load is not None:
+            if head.load is not None and not attempt.is_forwarded:
                 view = self._host.server_selector.view(attempt.announcement)
                 view.load = head.load
             if head.is_wrong_server or head.is_not_executed:
@@ -350,7 +430,9 @@
                 )
                 attempt.detail = f"refused with {head.status}"
                 if progress.fallback is None:
-                    self._read_body(attempt, read, timeouts)
+                    body = self._read_body(attempt, read, timeouts)
+                    if attempt.is_forwarded:
+                        _check_refusal(attempt, head, body)
                 return
             if not head.is_sealed or not _is_unencoded(head):
                 raise backendconnections.BackendError(
@@ -383,7 +465,11 @@
         if progress.fallback is not None:
             kept_s = self._check_fallback(call, attempt, progress)
             first_limit_s = kept_s or limit_s
-        return attempt.link.read_with_timeout(first_limit_s, receive, get_extension_s)
+        link = attempt.link
+        result = link.read_with_timeout(first_limit_s, receive, get_extension_s)
+        if not attempt.is_forwarded:
+            self._host.reach.record_received(call.service, clock.now())
+        return result
 
     def _check_fallback(self, call, attempt, progress):
         """Return how long to keep the fallback until the next check, 0.0 if it ended.
@@ -416,10 +502,15 @@
         excluded_lifetimes = progress.excluded_lifetimes | {
             attempt.announcement.lifetime
         }
+        now = clock.now()
+        if self._host.reach.is_cut(call.service):
+            return call.forwarded_service is None and bool(
+                self._host.forwarder_candidates(call.service, excluded_lifetimes, now)
+            )
         service = self._host.service(call.service)
         return bool(
             self._host.server_selector.candidates(
-                call, service, excluded_lifetimes, clock.now()
+                call, service, excluded_lifetimes, now
             )
         )
 
@@ -480,7 +571,7 @@
             if events:
                 in_flight_call.has_first_event = True
                 attempt.first_event_at = attempt.first_event_at or clock.now()
-                if not progress.has_response_begun:
+                if not progress.has_response_begun and not attempt.is_forwarded:
                     call.software_version = attempt.announcement.software_version
                     # Before the event, because the host may be killed after it.
                     self._host.record_origin(call)
@@ -543,7 +634,7 @@
         """Return whether a call can be retried if a server may have executed it."""
         if (
             not call.is_repeatable
-            or progress.possible_executions + 1 >= call.route.attempts
+            or progress.possible_executions + 1 >= call.max_attempts
             or progress.unexecuted_attempts > MAX_UNEXECUTED_ATTEMPTS
         ):
             return False
@@ -583,7 +674,10 @@
                     "the server crashed when it began the response",
                 )
             self._check_retry(call, progress)
-        if outcome in (calls.Outcome.NOT_RUN, calls.Outcome.NOT_CONNECTED):
+        if not attempt.is_forwarded and outcome in (
+            calls.Outcome.NOT_RUN,
+            calls.Outcome.NOT_CONNECTED,
+        ):
             # The same server may accept the call later.
             progress.excluded_lifetimes.discard(attempt.announcement.lifetime)
         if progress.fallback is not None:
@@ -605,7 +699,7 @@
         Only evidence against its prompt counts: it may repeat no call, and any call may
         be beside one that crashes its server.
         """
-        if attempt.is_response_read:
+        if attempt.is_response_read or attempt.is_forwarded:
             return False
         crashes = self._host.crashes
         announcement = attempt.announcement
@@ -648,7 +742,7 @@
             call.service, host_count, clock.now()
         )
         if (
-            progress.possible_executions >= call.route.attempts
+            progress.possible_executions >= call.max_attempts
             or progress.unexecuted_attempts > MAX_UNEXECUTED_ATTEMPTS
             or not is_within_budget
         ):
@@ -686,6 +780,8 @@
             connection.is_closing = True
             raise calls.ResponseAbortedError
         status, headers, body = callers.problem(error)
+        if call.forwarded_service is not None and error.executed == "no":
+            headers += self._host.dialect.refusal_headers()
         connection.send_response(status, headers, body)
 
     def _record_outcome(self, call, progress, result_text):
@@ -707,6 +803,7 @@
             version=self._host.version(),
             resumes=call.resumed_id,
             software_version=call.software_version,
+            is_forwarded=call.forwarded_service is not None,
             **_crash_fields(call, progress),
             attempts=[_attempt_fields(attempt, call) for attempt in progress.attempts],
             response_begun=progress.has_response_begun,
@@ -715,6 +812,21 @@
         )
 
 
+def _check_refusal(attempt, head, body):
+    """Raise the error with which a host refused a call if it is final.
+
+    A host refuses as this one would if it had the same servers, unless the cause is the
+    host itself.
+    """
+    error = forwarding.refusal(body)
+    if error.kind in forwarding.LOCAL_REFUSALS:
+        attempt.detail = str(error)
+        return
+    retry_after = framing.header(head.headers, b"retry-after").decode("latin-1")
+    error.retry_after_s = framing.decimal(retry_after) or error.retry_after_s
+    raise error
+
+
 def _max_turn_wait_s(call, progress, now):
     """Return how long a call may wait for its turn at a server with a limit."""
     if progress.fallback is not None:
--- a/kumquatproxy/gateway/serverselection.py
+++ b/kumquatproxy/gateway/serverselection.py
@@ -284,6 +284,15 @@
             view.other_host_calls = max(0, count - own_count)
             view.other_host_tokens = max(0, tokens - own_tokens)
 
+    def in_flight_count(self, service: str) -> int:
+        """Return the number of this host's calls in flight at servers of a service."""
+        views = self.views_by_lifetime
+        return sum(
+            len(views[announcement.lifetime].in_flight_calls)
+            for announcement in self.table.all()
+            if announcement.service == service and announcement.lifetime in views
+        )
+
     def own_loads(self) -> dict:
         """Return this host's calls and tokens that await prefill, by instance id."""
         loads = {}
--- a/kumquatproxy/platform/callformat.py
+++ b/kumquatproxy/platform/callformat.py
@@ -75,22 +75,31 @@
         self, call, instance_id: str, left_s: float, last_event_id: str, priority=None
     ):
         """Return the headers of a call for a backend server."""
+        headers = self.relayed_headers(call, left_s, last_event_id)
+        headers.append((EXPECT_INSTANCE, instance_id.encode()))
+        if priority is not None:
+            level = min(LOWEST_PRIORITY, max(0, priority))
+            headers.append((PRIORITY, str(level).encode()))
+        return headers
+
+    def relayed_headers(self, call, left_s: float, last_event_id: str):
+        """Return the headers of a call for another host."""
         headers = [
             (key, value)
             for key, value in framing.end_to_end(call.headers)
             if key not in NOT_FORWARDED_HEADERS
         ]
-        headers.append((EXPECT_INSTANCE, instance_id.encode()))
         headers.append((DEADLINE, str(max(1, int(left_s * 1000))).encode()))
         if last_event_id:
             headers.append((LAST_EVENT_ID, last_event_id.encode()))
-        if priority is not None:
-            level = min(LOWEST_PRIORITY, max(0, priority))
-            headers.append((PRIORITY, str(level).encode()))
         if call.body or call.method not in (b"GET", b"HEAD"):
             headers.append((b"content-length", str(len(call.body)).encode()))
         return headers
 
+    def refusal_headers(self):
+        """Return the header by which a server says that it did not run a call."""
+        return [(NOT_EXECUTED, b"1")]
+
     def parse_response_head(self, status: int, headers) -> calls.ResponseHead:
         """Return the parsed head of a backend server's answer."""
         head = calls.ResponseHead(status, headers)
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -13,7 +13,9 @@
     calls,
     crashes,
     dialects,
+    forwarding,
     framing,
+    reachability,
     relay,
     retrybudget,
     serverlimits,
@@ -55,6 +57,12 @@
             headers.append((b"last-event-id", last_event_id.encode()))
         return headers
 
+    def relayed_headers(self, call, left_s, last_event_id):
+        return self.forwarded_headers(call, "", left_s, last_event_id, None)
+
+    def refusal_headers(self):
+        return [(b"x-not-run", b"1")]
+
     def parse_response_head(self, status, headers):
         head = calls.ResponseHead(status, headers)
         head.echoed_id = framing.header(headers, b"x-id").decode()
@@ -87,10 +95,25 @@
         self.meter = fleethost.NullMeter()
         self.stops_at = None
         self.crashes = crashes.CrashTracker("h", self.facts, self.facts.merge)
+        self.reach = reachability.Reachability()
+        self.peer_token = forwarding.token("key")
+        self.forwarders = []
 
     def version(self):
         return 1
 
+    def record_unreachable(self, announcement):
+        self.reach.record_unreachable(announcement, len(self.table.all()), clock.now())
+
+    def record_connected(self, announcement):
+        self.reach.record_connected(announcement.service, clock.now())
+
+    def forwarder_candidates(self, service, excluded, now):
+        return [peer for peer in self.forwarders if peer.lifetime not in excluded]
+
+    def choose_forwarder(self, candidates):
+        return candidates[0]
+
     def pick_service(self, route):
         return "s"
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -34,6 +34,7 @@
 LINK_PROXY_PORT, LINK_PORT = 7380, 7381
 API_PORT, CALLER_PORT, READY_PORT = 7382, 7383, 7384
 SERVER_PORT, SERVER_PROXY_PORT = 7385, 7386
+PEER_PORT = 7387
 CUTTABLE_HOST = str(pathlib.Path(__file__).parent / "cuttablehost.py")
 READY_TIMEOUT_S = 30.0
 DEADLINE_S = 2.5
@@ -133,7 +134,7 @@
     def entry_lines(self):
         callers = f"callers = {self.ip}:{CALLER_PORT}"
         readiness = f"readiness = {self.ip}:{READY_PORT}"
-        return f"{callers}\n{readiness}"
+        return f"{callers}\n{readiness}\npeers = {self.ip}:{PEER_PORT}"
 
     def signal(self, number):
         if self.is_running():
