Test the forwarding of calls, and let the soak cut hosts off from all servers

Soak: in a third of the seeds some entry hosts are cut off in the calm half, by connections that hang, end or are refused; the check is the users' rule.

--- a/kumquatproxy/errors.py
+++ b/kumquatproxy/errors.py
@@ -134,9 +134,7 @@
         self.kind: ErrorKind = kind
         self.detail: str = detail
         self.executed: str = executed or ANSWERS[kind].executed
-        self.retry_after_s: float | None = (
-            retry_after_s or ANSWERS[kind].retry_after_s
-        )
+        self.retry_after_s: float | None = retry_after_s or ANSWERS[kind].retry_after_s
 
     @property
     def status(self) -> int:
--- a/tests/fleet/simulatedhosts.py
+++ b/tests/fleet/simulatedhosts.py
@@ -7,13 +7,20 @@
 import itertools
 import random
 
-from kumquatproxy.fleet import factexchange
+from kumquatproxy.fleet import factexchange, servers
 
 TICK_S = 0.05
 # Time that a host must not have been disturbed for, before the rules hold for it.
 WINDOW_S = 3.0
 
 
+def make_server(number, born_ms=1):
+    """Return the announcement of a server."""
+    return servers.Announcement(
+        f"i-{number}", "s", f"10.0.0.{number}:80", "a", born_ms, 1, 4
+    )
+
+
 class Host:
     """A control host or an entry host, with the state that a restart loses."""
 
--- a/tests/fleet/test_crashschedules.py
+++ b/tests/fleet/test_crashschedules.py
@@ -9,7 +9,7 @@
 import pytest
 import simulatedhosts
 
-from kumquatproxy.fleet import factexchange, servers
+from kumquatproxy.fleet import factexchange
 from kumquatproxy.gateway import calls, crashes, crashingcalls, repetitions
 
 SEEDS = 200
@@ -45,9 +45,7 @@
         self.running = []  # (entry, its lifetime, call, whether it was answered)
 
     def announcement(self):
-        return servers.Announcement(
-            f"i-{self.number}", "s", f"10.0.0.{self.number}:80", "a", self.born_ms, 1, 4
-        )
+        return simulatedhosts.make_server(self.number, self.born_ms)
 
 
 class World(simulatedhosts.World):
--- /dev/null
+++ b/tests/gateway/test_forwarding.py
@@ -0,0 +1,194 @@
+"""Calls of a host that reaches no server, forwarded to one that does."""
+
+import contextlib
+
+import pytest
+import rawservers
+import test_relay
+
+from kumquatproxy import clock
+from kumquatproxy.fleet import servers, serviceconfig
+from kumquatproxy.gateway import callers, calls, crashes, forwarding, relay, sharedfacts
+
+UNREACHABLE = "127.0.0.1:1"
+
+
+class Host:
+    """A host with a listener for callers and one for calls of other hosts."""
+
+    def __init__(self, *server_addresses):
+        self.host = test_relay.FakeHost(*server_addresses)
+        tested_relay = relay.Relay(self.host)
+        self.listeners = [
+            callers.CallerServer("127.0.0.1:0", serve, serviceconfig.Limits)
+            for serve in (tested_relay.serve, tested_relay.serve_forwarded)
+        ]
+        for listener in self.listeners:
+            listener.start()
+        self.address, self.peer_address = (server.address for server in self.listeners)
+
+    def use(self, *addresses):
+        """Let hosts offer to take the calls of this one."""
+        self.host.forwarders = [
+            servers.Announcement(f"host {number}", "s", address, "")
+            for number, address in enumerate(addresses)
+        ]
+
+    def close(self):
+        for listener in self.listeners:
+            listener.abort()
+
+
+@contextlib.contextmanager
+def running_hosts(*responses_by_server):
+    """Run a host that reaches no server, and one with a server for each list."""
+    backends = [rawservers.RawServer(responses) for responses in responses_by_server]
+    cut, sound = (
+        Host(UNREACHABLE),
+        Host(*(backend.address for backend in backends)),
+    )
+    cut.use(sound.peer_address)
+    try:
+        yield cut, sound, backends
+    finally:
+        for closing in (cut, sound, *backends):
+            closing.close()
+
+
+def blame(host):
+    call = make_call()
+    keys = host.host.crashes.calls.features(call)
+    return host.host.crashes.calls._new_blame(keys[1:2], "h", clock.now())
+
+
+def make_call():
+    call = calls.Call(b"POST", b"/once/x", "a", [], b"", 0.0, "127.0.0.1")
+    call.service = "s"
+    return call
+
+
+def send(host, path, extra=b"", wait_s=1.2):
+    return test_relay.send_request(
+        host.address, path, b"Connection: close\r\n" + extra, wait_s
+    )[0]
+
+
+@pytest.mark.parametrize("path", [b"safe", b"once", b"stream"])
+def test_call_is_served_through_a_host_that_reaches_the_servers(path):
+    answer = (
+        test_relay.make_stream(1, 2)
+        if path == b"stream"
+        else (test_relay.make_response(b"done"))
+    )
+    with running_hosts([answer, answer]) as (cut, _, (backend,)):
+        data = send(cut, path)
+        second = send(cut, path)
+    assert data.startswith(b"HTTP/1.1 200") and data == second
+    assert all(name not in backend.heads[0] for name in forwarding.HEADERS)
+    assert b"x-expect: i-0" in backend.heads[0].lower()
+
+
+def test_call_is_not_forwarded_twice():
+    """Guards against calls that go round between hosts that are all cut off."""
+    with running_hosts([]) as (cut, _, _):
+        other = Host(UNREACHABLE)
+        other.use(cut.peer_address)
+        cut.use(other.peer_address)
+        try:
+            data = send(cut, b"safe")
+        finally:
+            other.close()
+    assert data.startswith(b"HTTP/1.1 503") and b'"executed":"no"' in data
+    assert b"host-cut-off" in data
+
+
+def test_next_host_takes_a_call_if_the_first_is_cut_off_or_gone():
+    answer = test_relay.make_response(b"done")
+    with running_hosts([answer]) as (cut, sound, _):
+        other = Host(UNREACHABLE)
+        try:
+            cut.use(UNREACHABLE, other.peer_address, sound.peer_address)
+            data = send(cut, b"once")
+        finally:
+            other.close()
+    assert data.startswith(b"HTTP/1.1 200")
+
+
+def test_refusal_by_a_host_that_reaches_the_servers_is_final():
+    """Guards against a refused call that tries host after host."""
+    with running_hosts([test_relay.NOT_RUN] * 20) as (cut, sound, _):
+        idle = rawservers.RawServer([test_relay.make_response()])
+        other = Host(idle.address)
+        try:
+            cut.use(sound.peer_address, other.peer_address)
+            data = send(cut, b"once")
+        finally:
+            other.close()
+            idle.close()
+        direct = send(sound, b"once")
+    assert idle.heads == []
+    assert data.startswith(b"HTTP/1.1 503") and b'"executed":"no"' in data
+    assert b"no-backend-server" in data and b"no-backend-server" in direct
+    assert b"retry-after" in data.lower()
+
+
+@pytest.mark.parametrize(("path", "runs"), [(b"once", 1), (b"safe", 2)])
+def test_forwarded_call_runs_at_no_more_servers_than_a_direct_one(path, runs):
+    """Its host tries one server, and the first host tries the next one."""
+    with running_hosts([None] * 9, [None] * 9) as (cut, sound, backends):
+        cut.use(sound.peer_address, sound.peer_address)
+        cut.host.forwarders[1].instance_id = "host b"
+        data = send(cut, path)
+        assert sum(len(backend.heads) for backend in backends) == runs
+    assert data.startswith(b"HTTP/1.1 502")
+
+
+def test_stream_goes_on_through_another_host():
+    broken = test_relay.make_stream(1, ends=False)
+    with running_hosts([broken, None]) as (cut, sound, (backend,)):
+        backend.closes = True
+        rest = rawservers.RawServer([test_relay.make_stream(2, 3)])
+        other = Host(rest.address)
+        try:
+            cut.use(sound.peer_address, other.peer_address)
+            data = send(cut, b"stream")
+        finally:
+            other.close()
+            rest.close()
+    assert [data.count(test_relay.make_event(number)) for number in (1, 2, 3)] == [
+        1
+    ] * 3
+    assert b"last-event-id: 1" in rest.heads[0].lower()
+
+
+def test_call_fails_at_once_without_a_host_that_takes_it():
+    """The caller learns in time that another host may serve it."""
+    with running_hosts([]) as (cut, _, _):
+        cut.use()
+        send(cut, b"safe")
+        started_at = clock.now()
+        data = send(cut, b"safe", wait_s=0.7)
+        assert clock.now() - started_at < 2 * forwarding.MAX_WAIT_S
+    assert data.startswith(b"HTTP/1.1 503") and b"host-cut-off" in data
+
+
+def test_calls_of_strangers_are_not_served():
+    with running_hosts([test_relay.make_response()]) as (_, sound, (backend,)):
+        data = test_relay.send_request(sound.peer_address, b"safe", wait_s=0.3)[0]
+    assert data.startswith(b"HTTP/1.1 401") and backend.heads == []
+
+
+def test_calls_that_crash_servers_are_the_same_at_all_hosts():
+    """Guards against an identity that depends on the host that forwards a call."""
+    with running_hosts([None], [None]) as (cut, sound, backends):
+        for backend in backends:
+            backend.close()
+            backend.answers = []
+        for host in (cut, sound):
+            host.host.facts.merge(blame(host), clock.now())
+            data = send(host, b"once", wait_s=0.4)
+            assert b"request-crashes-servers" in data
+        cut.host.facts = sharedfacts.FactTable()
+        cut.host.crashes = crashes.CrashTracker("c", cut.host.facts, print)
+        data = send(cut, b"once", wait_s=0.4)
+    assert b"request-crashes-servers" in data
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,6 +24,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 
 import callerclient
+import cuttablehost
 import fakeservers
 import faultproxy
 
@@ -53,6 +54,10 @@
 # Requests a second that servers in need take, in half of the runs.
 LIMIT_BOUNDS = (0.3, 1.5)
 MAX_LATER_DEADLY = 3
+# A host without a path to servers serves this share of what the others serve, or a few
+# requests fail there.
+CUT_SHARE = 2 / 3
+CUT_FAILURES, CUT_FAILURES_PER_REQUEST = 10, 1 / 50
 # Fewer sound streams than this are not compared with those at other times.
 MIN_COMPARED = 20
 # A request that crosses the closing of its connection ends within this time.
@@ -234,6 +239,8 @@
         if seed % 4 in (0, 3):
             deadly_mode = random.Random(seed).choice(("once", "safe", "stream"))
             self.executions.crashes.deadly_path = f"/{deadly_mode}/dead"
+        self.cuts_paths = seed % 3 == 0
+        self.path_cuts = []  # (IP addresses of hosts without a path, begin, end)
         self.mode_by_id = {}
         self.deadly_ids = set()
         self.refused_ids = set()
@@ -242,6 +249,7 @@
         self.is_restoring_disk = False
         self.served = 0
         self.checked_by_end = collections.Counter()
+        self.compared_paths = 0
         self.violations = []
         self.ends_at = 0.0
 
@@ -400,6 +408,54 @@
                         f"{limit.rate:.1f} a second, allowed {excess[2]:.1f}"
                     )
 
+    # Hosts without a path to servers
+
+    def cut_paths(self):
+        """Cut some entry hosts off from all servers while there are no other faults."""
+        gevent.sleep((1 - self.seed % 2) * self.seconds / 2)
+        cut = self.rng.sample(self.entries, self.rng.randrange(1, len(self.entries)))
+        mode = self.rng.choice(cuttablehost.MODES)
+        for host in cut:
+            with self.disturb(host):
+                host.cut(mode)
+        begins_at = time.monotonic()
+        gevent.sleep(self.seconds / 2 - 0.5)
+        self.path_cuts.append(({host.ip for host in cut}, begins_at, time.monotonic()))
+        for host in cut:
+            with self.disturb(host):
+                host.heal()
+
+    def check_paths(self):
+        """Check that callers of hosts without a path are served as others are."""
+        faults = [fault for fault in self.disturbances if not fault.is_crash]
+        for ips, begins_at, ends_at in self.path_cuts:
+            counted = [
+                exchange
+                for exchange in self.exchanges
+                if begins_at + STABILITY_WINDOW_S < exchange.sent_at
+                and exchange.ended_at < ends_at
+                and exchange.request_id not in self.deadly_ids
+                and exchange.patience_s >= DEADLINE_S
+                and not any(fault.affects(exchange) for fault in faults)
+            ]
+            served = collections.Counter()
+            sent = collections.Counter()
+            for exchange in counted:
+                is_cut = exchange.ip in ips
+                sent[is_cut] += 1
+                served[is_cut] += exchange.end is callerclient.End.ANSWERED
+            if min(sent[True], sent[False]) < MIN_COMPARED:
+                continue
+            self.compared_paths += 1
+            allowed = CUT_FAILURES + CUT_FAILURES_PER_REQUEST * len(counted)
+            share, usual_share = (served[key] / sent[key] for key in (True, False))
+            failures = sent[True] - served[True]
+            if share < CUT_SHARE * usual_share and failures > allowed:
+                self.record_violation(
+                    f"hosts without a path served {served[True]} of {sent[True]}, the "
+                    f"others {served[False]} of {sent[False]}"
+                )
+
     # Planned work, beside which every request gets an answer
 
     def plan_work(self):
@@ -408,7 +464,7 @@
             host = self.rng.choice(self.entries)
             if time.monotonic() - host.started_at < STABILITY_WINDOW_S:
                 continue  # the handlers of its signals may not be set yet
-            if self.rng.random() < 0.7:
+            if self.rng.random() < 0.7 or self.cuts_paths:
                 host.signal(signal.SIGHUP)
             else:
                 self.stop_gracefully(host)
@@ -537,6 +593,8 @@
                 for number in range(self.caller_count)
             ]
             tasks += [gevent.spawn(self.run_operator), gevent.spawn(self.plan_work)]
+            if self.cuts_paths:
+                tasks.append(gevent.spawn(self.cut_paths))
             if self.seed % 4 in (1, 2):
                 tasks.append(gevent.spawn(self.name_limits))
             for _ in range(2):
@@ -593,6 +651,7 @@
                 self.check_end(exchange)
         self.check_crashes()
         self.check_limits()
+        self.check_paths()
 
     def check_crashes(self):
         """Check that hosts in touch stop sending what crashes servers, and no more."""
