Keep servers that say that they are brittle from falling over

No caller saw it; entry hosts knew no such servers, and sent to full ones each 0.1 s, every host by itself.

--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -22,6 +22,7 @@
     turns,
 )
 from kumquatproxy.gateway import (
+    brittleservers,
     callers,
     calls,
     crashes,
@@ -85,9 +86,16 @@
         self.table = servers.ServerTable()
         self._facts = factexchange.EntryFacts(self._broadcast)
         self.limits = serverlimits.ServerLimits(self._facts.table, self._facts.publish)
+        self.brittle = brittleservers.BrittleServers(
+            self.host_id, self._facts.table, self._facts.publish
+        )
         self._turn_client = turns.TurnClient(self.send_message)
         self.server_selector = serverselection.ServerSelector(
-            host_settings.host.data_centre, self.table, self._rng, self.limits
+            host_settings.host.data_centre,
+            self.table,
+            self._rng,
+            self.limits,
+            self.brittle,
         )
         bounds = host_settings.bounds
         self.budget = retrybudget.RetryBudget(
@@ -493,6 +501,7 @@
 
     def _on_hosts(self, message, now):
         self.entry_count = max(1, message.entry_count)
+        self.brittle.host_count = self.entry_count
         self._control_ids.update(host_id for host_id, _ in message.hosts)
         if message.leader:
             self._leader = message.leader
--- a/kumquatproxy/fleet/factexchange.py
+++ b/kumquatproxy/fleet/factexchange.py
@@ -8,6 +8,7 @@
 from kumquatproxy import wire
 from kumquatproxy.fleet import fleetmessages
 from kumquatproxy.gateway import (
+    brittleservers,
     crashingcalls,
     crashingparts,
     forwarding,
@@ -18,7 +19,13 @@
 REPEAT_INTERVAL_S = 1.0
 
 # Importing these modules registers the kinds of facts.
-FACT_MODULES = (crashingcalls, crashingparts, forwarding, serverlimits)
+FACT_MODULES = (
+    brittleservers,
+    crashingcalls,
+    crashingparts,
+    forwarding,
+    serverlimits,
+)
 
 
 class EntryFacts:
--- a/kumquatproxy/gateway/calls.py
+++ b/kumquatproxy/gateway/calls.py
@@ -158,6 +158,7 @@
         "is_wrong_server",
         "load",
         "names_limit",
+        "refusals_per_s",
         "request_limit",
         "status",
     )
@@ -174,6 +175,9 @@
         # None if it names no limit, or one that cannot be read.
         self.request_limit: float | None = None
         self.names_limit = False
+        # Refusals a second after which a server of this service falls over; None if any
+        # number of them does no harm.
+        self.refusals_per_s: float | None = None
 
 
 class ServerLoad(records.Record):
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -417,9 +417,10 @@
         if attempt.head is None:
             head = self._read_matching_head(call, attempt, read, timeouts)
             if not head.is_wrong_server and not attempt.is_forwarded:
-                self._host.limits.record_answer(
-                    attempt.announcement, head, attempt.sent_at, clock.now()
-                )
+                for tracker in (self._host.limits, self._host.brittle):
+                    tracker.record_answer(
+                        attempt.announcement, head, attempt.sent_at, clock.now()
+                    )
             if head.load is not None and not attempt.is_forwarded:
                 view = self._host.server_selector.view(attempt.announcement)
                 view.load = head.load
--- a/kumquatproxy/gateway/serverselection.py
+++ b/kumquatproxy/gateway/serverselection.py
@@ -8,7 +8,14 @@
 import random
 
 from kumquatproxy.fleet import servers, serviceconfig
-from kumquatproxy.gateway import calls, health, prefixcache, serverlimits, waiting
+from kumquatproxy.gateway import (
+    brittleservers,
+    calls,
+    health,
+    prefixcache,
+    serverlimits,
+    waiting,
+)
 
 # Assumed prefill rate of an engine.
 DEFAULT_PREFILL_TOKENS_PER_S = 20_000.0
@@ -105,9 +112,11 @@
         table: servers.ServerTable,
         rng,
         limits: serverlimits.ServerLimits,
+        brittle: brittleservers.BrittleServers,
     ):
         self.table = table
         self._limits = limits
+        self._brittle = brittle
         self.prefix_cache = prefixcache.PrefixCacheTracker()
         # A lifetime identifies one run of a server: (instance id, time of its start).
         self.views_by_lifetime: dict[tuple, ServerView] = {}
@@ -142,7 +151,12 @@
                 call, announcement
             ):
                 continue
-            if not self.view(announcement).health.is_usable(now):
+            view = self.view(announcement)
+            if not view.health.is_usable(now):
+                continue
+            if not self._brittle.admits(
+                announcement, len(view.in_flight_calls), view.running, now
+            ):
                 continue
             delay_s = self._delay_s(call, service, announcement)
             if self._limits.rate(announcement, now) is not None:
--- a/kumquatproxy/laboratory/measure_fleet.py
+++ b/kumquatproxy/laboratory/measure_fleet.py
@@ -17,6 +17,7 @@
     serviceconfig,
 )
 from kumquatproxy.gateway import (
+    brittleservers,
     calls,
     serverlimits,
     serverselection,
@@ -155,7 +156,8 @@
         table.apply_announcement(announcement, 0.0)
     facts = sharedfacts.FactTable()
     limits = serverlimits.ServerLimits(facts, facts.merge)
-    server_selector = serverselection.ServerSelector("a", table, rng, limits)
+    brittle = brittleservers.BrittleServers("h", facts, facts.merge)
+    server_selector = serverselection.ServerSelector("a", table, rng, limits, brittle)
     call = calls.Call(b"POST", b"/", "h", [], b"", 0.0)
     call.need = calls.ModelNeed("m0")
     service = _service(size)
--- a/kumquatproxy/platform/callformat.py
+++ b/kumquatproxy/platform/callformat.py
@@ -16,6 +16,7 @@
 NOT_EXECUTED = b"kumquatproxy-not-executed"
 LOAD = b"kumquatproxy-server-load"
 LIMIT = b"server-limit"  # requests a second from all hosts together
+BRITTLE = b"server-brittle"  # refusals a second after which a server falls over
 LAST_EVENT_ID = b"last-event-id"
 RESUMES = b"resumes"
 
@@ -110,6 +111,7 @@
         head.load = _server_load(_header_text(headers, LOAD))
         head.names_limit = bool(framing.header(headers, LIMIT))
         head.request_limit = framing.decimal(_header_text(headers, LIMIT))
+        head.refusals_per_s = framing.decimal(_header_text(headers, BRITTLE))
         return head
 
     def report_request(self, announcement):
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -6,6 +6,7 @@
 
 from kumquatproxy.fleet import servers, serviceconfig
 from kumquatproxy.gateway import (
+    brittleservers,
     calls,
     health,
     retrybudget,
@@ -56,7 +57,8 @@
         table.apply_announcement(announcement, 0.0)
     facts = sharedfacts.FactTable()
     limits = serverlimits.ServerLimits(facts, facts.merge)
-    return serverselection.ServerSelector("a", table, random.Random(1), limits)
+    brittle = brittleservers.BrittleServers("h", facts, facts.merge)
+    return serverselection.ServerSelector("a", table, random.Random(1), limits, brittle)
 
 
 def instance_ids(candidates):
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -9,6 +9,7 @@
 from kumquatproxy import clock
 from kumquatproxy.fleet import fleethost, servers, serviceconfig
 from kumquatproxy.gateway import (
+    brittleservers,
     callers,
     calls,
     crashes,
@@ -82,9 +83,10 @@
                 servers.Announcement(f"i-{index}", "s", address, "a", 1, 1, 4), 0.0
             )
         self.facts = sharedfacts.FactTable()
+        self.brittle = brittleservers.BrittleServers("h", self.facts, self.facts.merge)
         self.limits = serverlimits.ServerLimits(self.facts, self.facts.merge)
         self.server_selector = serverselection.ServerSelector(
-            "a", self.table, FirstItemRandom(), self.limits
+            "a", self.table, FirstItemRandom(), self.limits, self.brittle
         )
         self.budget = retrybudget.RetryBudget(1.0, 100.0, 10.0)
         self.configuration = serviceconfig.Configuration(
--- a/tests/platform/test_platform.py
+++ b/tests/platform/test_platform.py
@@ -341,3 +341,24 @@
     headers = [(b"server-limit", text)] if text else []
     head = callformat.PlatformDialect().parse_response_head(200, headers)
     assert (head.request_limit, head.names_limit) == (limit, bool(text))
+
+
+@pytest.mark.parametrize(
+    ("text", "refusals"), [(b"6", 6.0), (b"", None), (b"many", None), (b"-1", None)]
+)
+def test_refusals_that_a_brittle_server_bears_are_read(text, refusals):
+    headers = [(b"server-brittle", text)] if text else []
+    head = callformat.PlatformDialect().parse_response_head(200, headers)
+    assert head.refusals_per_s == refusals
+
+
+def test_call_for_another_host_names_no_server():
+    """Guards against a forwarded call that its host's server takes for another's."""
+    headers = [(b"kumquatproxy-deadline-ms", b"900"), (b"kumquatproxy-hold", b"1")]
+    headers.append((b"kumquatproxy-prompt-prefix", b"aa:1,bb:2"))
+    call = calls.Call(b"POST", b"/", "a", headers, b"x", 0.0)
+    sent = dict(callformat.PlatformDialect().relayed_headers(call, 0.5, "3"))
+    assert sent[b"kumquatproxy-deadline-ms"] == b"500"
+    assert sent[b"last-event-id"] == b"3"
+    assert sent[b"kumquatproxy-prompt-prefix"] == b"aa:1,bb:2"
+    assert not {b"kumquatproxy-expect-instance", b"kumquatproxy-hold"} & set(sent)
--- a/tests/soak/fakeservers.py
+++ b/tests/soak/fakeservers.py
@@ -2,8 +2,8 @@
 
 They fall silent for a while and go on, and refuse requests when their slots are taken.
 They crash when they begin to answer a request with a deadly prompt part, or the one
-request that is deadly. In need they name a limit of requests a second, and record what
-they get.
+request that is deadly. Brittle ones fall over if they refuse too much. In need they
+name a limit of requests a second, and record what they get.
 """
 
 import collections
@@ -120,6 +120,7 @@
     """Run one backend server of a service and send its heartbeats."""
 
     role = "server"
+    bears_refusals = None  # a second; the server says so and falls over beyond it
     close_share = 0.0  # of the answers after which the connection is closed
 
     def __init__(
@@ -145,6 +146,8 @@
         self.controls = controls
         self.slots = slots
         self.state = "ready"
+        self.falls = []  # (time, ids of the requests refused in the second before)
+        self._refusals = collections.deque()  # (time, request id)
         self.limit = None  # LimitRecord while the server names a limit
         self.limits = []  # all of them
         self._rng = rng  # None for a server that never falls silent
@@ -254,11 +257,14 @@
         if environ.get("HTTP_KUMQUATPROXY_EXPECT_INSTANCE") != self.name:
             start_response("421 Misdirected", headers)
             return
+        if self.bears_refusals is not None:
+            headers.append(("Server-Brittle", str(self.bears_refusals)))
         if self.limit is not None:
             self.limit.arrivals.append((time.monotonic(), request_id))
             self.limit.told_by_id[request_id] = time.monotonic()
             headers.append(("Server-Limit", f"{self.limit.rate:g}"))
         if self._running >= self.slots:
+            self._record_refusal(request_id)
             headers.append(("Kumquatproxy-Not-Executed", "1"))
             start_response("503 Full", headers)
             return
@@ -288,6 +294,19 @@
             if born_ms == self.born_ms:
                 self._running -= 1
 
+    def _record_refusal(self, request_id):
+        """Fall over if a brittle server has refused too many requests in a second."""
+        now = time.monotonic()
+        self._refusals.append((now, request_id))
+        while self._refusals[0][0] < now - 1.0:
+            self._refusals.popleft()
+        if self.bears_refusals is None or self._is_down:
+            return
+        if len(self._refusals) > self.bears_refusals:
+            self.falls.append((now, [refused for _, refused in self._refusals]))
+            self._refusals.clear()
+            gevent.spawn(self.crash, self._crash_rng.uniform(*CRASH_BOUNDS_S), "fall")
+
     def _crash_on_answer(self, start_response, headers, cause):
         """Crash before the head, after it, or inside the body."""
         request_id = headers[0][1]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -54,6 +54,8 @@
 # Requests a second that servers in need take, in half of the runs.
 LIMIT_BOUNDS = (0.3, 1.5)
 MAX_LATER_DEADLY = 3
+# Refusals a second after which servers fall over, in a fifth of the runs.
+BEARS_REFUSALS = 6
 # A host without a path to servers serves this share of what the others serve, or a few
 # requests fail there.
 CUT_SHARE = 2 / 3
@@ -250,6 +252,7 @@
         self.served = 0
         self.checked_by_end = collections.Counter()
         self.compared_paths = 0
+        self.brittle_since = math.inf
         self.violations = []
         self.ends_at = 0.0
 
@@ -408,6 +411,39 @@
                         f"{limit.rate:.1f} a second, allowed {excess[2]:.1f}"
                     )
 
+    # Brittle servers
+
+    def make_brittle(self):
+        """Let all servers say that they are brittle for most of the run."""
+        for server in self.servers:
+            server.bears_refusals = BEARS_REFUSALS
+        self.brittle_since = time.monotonic()
+        gevent.sleep(0.8 * self.seconds)
+        for server in self.servers:
+            server.bears_refusals = None
+
+    def check_brittle(self):
+        """Check that few servers fell over under requests of hosts in touch."""
+        exchanges_by_id = {exchange.request_id: exchange for exchange in self.exchanges}
+        faults = [fault for fault in self.disturbances if not fault.is_crash]
+        for service in {server.service for server in self.servers}:
+            members = [server for server in self.servers if server.service == service]
+            falls = 0
+            for at, ids in (fall for server in members for fall in server.falls):
+                calm = [
+                    request_id in exchanges_by_id
+                    and not any(
+                        fault.affects(exchanges_by_id[request_id]) for fault in faults
+                    )
+                    for request_id in ids
+                ]
+                is_settled = at > self.brittle_since + STABILITY_WINDOW_S
+                falls += is_settled and sum(calm) > len(calm) / 2
+            if falls > 2 + len(members) / 10:
+                self.record_violation(
+                    f"brittle servers of {service} fell {falls} times"
+                )
+
     # Hosts without a path to servers
 
     def cut_paths(self):
@@ -593,6 +629,8 @@
                 for number in range(self.caller_count)
             ]
             tasks += [gevent.spawn(self.run_operator), gevent.spawn(self.plan_work)]
+            if self.seed % 5 == 0:
+                tasks.append(gevent.spawn(self.make_brittle))
             if self.cuts_paths:
                 tasks.append(gevent.spawn(self.cut_paths))
             if self.seed % 4 in (1, 2):
@@ -652,6 +690,7 @@
         self.check_crashes()
         self.check_limits()
         self.check_paths()
+        self.check_brittle()
 
     def check_crashes(self):
         """Check that hosts in touch stop sending what crashes servers, and no more."""
