Keep forwarding to the route's services, and off hosts that stop

Found by reading; no caller saw it. A forwarded call named the service that its first host had selected, which the second host used even if its newer configuration no longer allowed it. A stopping host went on offering to take calls. While one service was cut off, servers of the others were tried each 0.5 s although they answered.

Change: the named service counts only if the route has it; stopping hosts withdraw their offer; other services are tried only while they are silent. Tests for the first two.

--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -294,7 +294,7 @@
         for server in ready:
             # Its connections may hang.
             self.relay.links.close_server(server.instance_id)
-        self._forwarding.tick(self.entry_count, now)
+        self._exchange_offers(now)
         self._schedule_wakeup()
 
     def record_connected(self, announcement: servers.Announcement) -> None:
@@ -304,9 +304,12 @@
             self._host_log.write(
                 now, f"reaches {announcement.service} again: a server accepted"
             )
-            self._forwarding.tick(self.entry_count, now)
+            self._exchange_offers(now)
             self._schedule_wakeup()
 
+    def _exchange_offers(self, now):
+        self._forwarding.tick(self.entry_count, now, not self.is_stopping)
+
     def forwarder_candidates(
         self, service: str, excluded, now: float
     ) -> list[servers.Announcement]:
@@ -338,7 +341,7 @@
             }
             for service in self.reach.due_probes(in_flight, now):
                 gevent.spawn(self._probe, service)
-        self._forwarding.tick(self.entry_count, now)
+        self._exchange_offers(now)
         cut_services = self.reach.cut_services()
         is_useless = (
             self.configuration is not None
@@ -496,7 +499,7 @@
         if facts:
             self.crashes.handle_facts(facts, now)
             if any(fact.kind == forwarding.CUT_HOST for fact in facts):
-                self._forwarding.tick(self.entry_count, now)
+                self._exchange_offers(now)
             self._schedule_wakeup()
 
     def _on_hosts(self, message, now):
--- a/kumquatproxy/gateway/forwarding.py
+++ b/kumquatproxy/gateway/forwarding.py
@@ -132,7 +132,7 @@
         self._next_renewal_at_by_kind: dict[str, float] = {}
         self._published_by_kind: dict[str, list] = {}
 
-    def tick(self, host_count: int, now: float) -> None:
+    def tick(self, host_count: int, now: float, takes_calls: bool = True) -> None:
         """Publish what this host needs or offers, if it changed or is to be renewed."""
         cut_services = self._reach.cut_services()
         if cut_services or self._published_by_kind.get(CUT_HOST):
@@ -149,7 +149,7 @@
         offered = [
             service
             for service in self._reach.reached_services(now)
-            if service in wanted
+            if takes_calls and service in wanted
         ]
         if offered or self._published_by_kind.get(FORWARDER, ["", []])[1]:
             self._tell(FORWARDER, [self._address, offered], now)
--- a/kumquatproxy/gateway/reachability.py
+++ b/kumquatproxy/gateway/reachability.py
@@ -102,14 +102,15 @@
     def due_probes(self, in_flight_by_service: dict[str, int], now: float) -> list[str]:
         """Return the services whose servers are to be tried by new connections now.
 
-        While one service is cut off, the others may be as well.
+        While one service is cut off, others that are silent may be as well.
         """
         has_cut = any(reach.is_cut for reach in self._by_service.values())
         due = []
         for service, in_flight in in_flight_by_service.items():
             reach = self._reach(service)
-            is_silent = in_flight > 0 and now - reach.received_at > SILENCE_S
-            if now < reach.next_probe_at or not (has_cut or is_silent):
+            is_silent = now - reach.received_at > SILENCE_S
+            is_suspect = reach.is_cut or (is_silent and (in_flight > 0 or has_cut))
+            if now < reach.next_probe_at or not is_suspect:
                 continue
             interval_s = CUT_PROBE_INTERVAL_S if has_cut else SILENCE_PROBE_INTERVAL_S
             reach.next_probe_at = now + interval_s
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -125,13 +125,20 @@
             timeout_s if call_timeout_s is None else min(call_timeout_s, timeout_s)
         )
         call.deadline = call.arrived_at + call_timeout_s
-        call.service = call.forwarded_service or self._host.pick_service(call.route)
+        call.service = self._select_service(call)
         if call.is_resumed_stream:
             self._host.restore_origin(call)
         self._check_blame(call)
         if call.forwarded_service is None:
             self._host.record_arrival(call)
 
+    def _select_service(self, call):
+        """Return the service that another host has selected, or draw one."""
+        targets = {target.service for target in call.route.targets}
+        if call.forwarded_service in targets:
+            return call.forwarded_service
+        return self._host.pick_service(call.route)
+
     def _check_blame(self, call):
         """Raise ProxyError if the call or parts of its prompt crash servers."""
         now = clock.now()
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -8,7 +8,15 @@
 
 from kumquatproxy import clock
 from kumquatproxy.fleet import servers, serviceconfig
-from kumquatproxy.gateway import callers, calls, crashes, forwarding, relay, sharedfacts
+from kumquatproxy.gateway import (
+    callers,
+    calls,
+    crashes,
+    forwarding,
+    reachability,
+    relay,
+    sharedfacts,
+)
 
 UNREACHABLE = "127.0.0.1:1"
 
@@ -192,3 +200,26 @@
         cut.host.crashes = crashes.CrashTracker("c", cut.host.facts, print)
         data = send(cut, b"once", wait_s=0.4)
     assert b"request-crashes-servers" in data
+
+
+def test_service_that_the_route_no_longer_has_is_not_used():
+    """Guards against hosts that learn of a configuration through each other."""
+    with running_hosts([test_relay.make_response()]) as (cut, _, (backend,)):
+        cut.host.pick_service = lambda route: "old"
+        cut.host.record_unreachable(servers.Announcement("i", "old", "", "a"))
+        data = send(cut, b"safe")
+        assert len(backend.heads) == 1
+    assert data.startswith(b"HTTP/1.1 200")
+
+
+def test_host_that_stops_offers_nothing():
+    table = sharedfacts.FactTable()
+    reach = reachability.Reachability()
+    offering = forwarding.Forwarding("h", "h:1", table, table.merge, reach)
+    cut = sharedfacts.Fact(forwarding.CUT_HOST, "c", ["s"], 1.0, 5.0)
+    table.merge(cut, 1.0)
+    reach.record_connected("s", 1.0)
+    for now, takes_calls in ((1.1, True), (1.2, False)):
+        offering.tick(2, now, takes_calls)
+        (fact,) = table.of_kind(forwarding.FORWARDER, now)
+        assert fact.value == ["h:1", ["s"] if takes_calls else []]
