Split large sets of shared facts over several messages

Found while the sizes were written down: with all kinds at their limits, a repeated set of facts would be about 252 kB, of a frame's 256; links end on larger ones. No caller saw it.

Change: 50 facts a message. Test: all tables at their limits, with the largest values that hosts write, fit into frames; facts of crashes under calls merge to the same in any order.

--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -298,7 +298,7 @@
         is_new = self.publisher.is_new(received.sender, received.message)
         self._send_all(self.publisher.subscribe(received.sender, received.message, now))
         if is_new and self.publisher.subscribers_by_id[received.sender].knows_facts:
-            self._send_all([self._facts.greet(received.sender, now)])
+            self._send_all(self._facts.greet(received.sender, now))
         if received.message.kind == fleetmessages.CONTROL:
             self._link_address_by_id[received.sender] = received.message.address
 
--- a/kumquatproxy/fleet/factexchange.py
+++ b/kumquatproxy/fleet/factexchange.py
@@ -17,6 +17,8 @@
 )
 
 REPEAT_INTERVAL_S = 1.0
+# All tables at their limits do not fit into a frame; so many of the largest facts do.
+MAX_FACTS_PER_MESSAGE = 50
 
 # Importing these modules registers the kinds of facts.
 FACT_MODULES = (
@@ -74,8 +76,10 @@
             self._send(facts, now)
 
     def _send(self, facts, now):
-        if self._host_ids:
-            self._broadcast(sorted(self._host_ids), to_message(facts, now))
+        if not self._host_ids:
+            return
+        for message in to_messages(facts, now):
+            self._broadcast(sorted(self._host_ids), message)
 
 
 class ControlFacts:
@@ -97,9 +101,10 @@
         for fact in merge_all(self.table, message, now):
             self._changed[fact.kind, fact.key] = fact
 
-    def greet(self, host_id: str, now: float) -> wire.Send:
-        """Return the message for a new subscriber, which may hold no facts."""
-        return wire.Send(host_id, to_message(self.table.all(now), now))
+    def greet(self, host_id: str, now: float) -> list[wire.Send]:
+        """Return the messages for a new subscriber; the only one may hold no facts."""
+        messages = to_messages(self.table.all(now), now)
+        return [wire.Send(host_id, message) for message in messages]
 
     def tick(self, subscribers: list[tuple[str, bool]], now: float) -> list[wire.Send]:
         """Return the messages that are due for (id, whether it wants details).
@@ -110,16 +115,19 @@
         self._changed.clear()
         sends = []
         if changed:
-            message = to_message(changed, now)
-            sends = [wire.Send(host_id, message) for host_id, _ in subscribers]
+            sends = [
+                wire.Send(host_id, message)
+                for message in to_messages(changed, now)
+                for host_id, _ in subscribers
+            ]
         if now >= self._next_repeat_at:
             self._next_repeat_at = now + REPEAT_INTERVAL_S
             self.table.expire(now)
             facts = self.table.all(now)
             if facts:
-                message = to_message(facts, now)
                 sends += [
                     wire.Send(host_id, message)
+                    for message in to_messages(facts, now)
                     for host_id, has_details in subscribers
                     if has_details
                 ]
@@ -136,6 +144,11 @@
     return [fact for fact in merged if fact is not None]
 
 
-def to_message(facts, now: float) -> fleetmessages.SharedFacts:
-    """Return the message with these facts."""
-    return fleetmessages.SharedFacts([fact.to_wire(now) for fact in facts])
+def to_messages(facts, now: float) -> list[fleetmessages.SharedFacts]:
+    """Return the messages with these facts, at least one."""
+    return [
+        fleetmessages.SharedFacts(
+            [fact.to_wire(now) for fact in facts[start : start + MAX_FACTS_PER_MESSAGE]]
+        )
+        for start in range(0, max(1, len(facts)), MAX_FACTS_PER_MESSAGE)
+    ]
--- a/tests/fleet/simulatedhosts.py
+++ b/tests/fleet/simulatedhosts.py
@@ -121,7 +121,8 @@
             subscribers = [(name, True) for name in names]
             sends = control.controls.tick(subscribers, self.now)
             if self.rng.random() < TICK_S:  # subscriptions are repeated each second
-                sends += [control.controls.greet(name, self.now) for name in names]
+                for name in names:
+                    sends += control.controls.greet(name, self.now)
             for send in sends:
                 self._push(control, send)
         for entry in self.entries:
--- a/tests/gateway/test_sharedfacts.py
+++ b/tests/gateway/test_sharedfacts.py
@@ -2,9 +2,12 @@
 
 import itertools
 
-from kumquatproxy.gateway import crashingparts, sharedfacts
+from kumquatproxy import wire
+from kumquatproxy.fleet import factexchange
+from kumquatproxy.gateway import crashingcalls, crashingparts, sharedfacts
 
 CRASH = crashingparts.SERVER_CRASH
+CALL_CRASH = crashingcalls.CALL_CRASH
 SOUND = crashingparts.SOUND_PART
 CRASHING = crashingparts.CRASHING_PARTS
 
@@ -74,6 +77,11 @@
             [["h2", False, ["b"]], ["h2", True, ["d"]]],
             [["h3", False, [str(number)]] for number in range(20)],
         ],
+        CALL_CRASH: [
+            [["h1", 1, ["a"]]],
+            [["h2", 0, ["b"]], ["h2", 3, ["d"]]],
+            [["h3", number % 4, [str(number)]] for number in range(60)],
+        ],
         CRASHING: [[1, "h2", ["a"]], [2, "h3", ["a"]], [1, "h1", ["a"]]],
     }
     for kind, values in facts_by_kind.items():
@@ -84,3 +92,22 @@
                 table.merge(make_fact(kind, value=value), 11.0)
             results.add(repr(table.get(kind, "k", 11.0).value))
         assert len(results) == 1
+
+
+def test_all_tables_at_their_limits_fit_into_frames():
+    """Guards against facts that end the link between hosts."""
+    largest_values = {
+        CRASH: [["h" * 15, True, ["p" * 80] * 8]] * 8,
+        CALL_CRASH: [["h" * 15, 3, ["k" * 16] * 3]] * 40,
+        CRASHING: [1, "h" * 15, ["p" * 80] * 8],
+    }
+    facts = []
+    for alias in sharedfacts.FACT_KINDS.aliases():
+        value = largest_values.get(alias, ["h" * 30, ["s" * 30] * 4])
+        for number in range(sharedfacts.FACT_KINDS.get(alias)().max_count):
+            facts.append(make_fact(alias, f"{number:0100}", value))
+    messages = factexchange.to_messages(facts, 11.0)
+    assert sum(len(message.facts) for message in messages) == len(facts)
+    sizes = [len(wire.encode(message)) for message in messages]
+    assert max(sizes) < wire.MAX_FRAME_BYTES
+    assert len(factexchange.to_messages([], 11.0)) == 1
