Reject repeated calls that crash their servers in the requests stack too

Found by looking for the same cause elsewhere; no caller saw it. A call whose server crashed was retried within its attempts and its budget, and each repetition went on to the next one.

Cause: as in the fleet, nothing told a repetition from a new call.

Change: requests/crashguard applies the judge of calls to the dispatcher's own calls: before the first attempt and before each retry. Other data centres are no servers.

Test: a repeated call, complete or a stream, idempotent or not, reached six of six servers on (4 of 4 cases fail), and three now; a sound call beside two crashes is answered.

--- a/kumquatproxy/requests/dispatch.py
+++ b/kumquatproxy/requests/dispatch.py
@@ -8,13 +8,15 @@
 import random
 
 import gevent
+import orjson
 
 from kumquatproxy import clock, errors, logs, metrics, records
 from kumquatproxy.configuration import sheet
-from kumquatproxy.gateway import stalltimeouts
+from kumquatproxy.gateway import calls, stalltimeouts
 from kumquatproxy.requests import (
     admissionwait,
     breaker,
+    crashguard,
     drivers,
     estimates,
     exchanges,
@@ -80,9 +82,10 @@
     off. So the stalled attempt stays open until another server has accepted the call.
     """
 
-    __slots__ = ("attempt", "fallback", "history")
+    __slots__ = ("attempt", "fallback", "history", "subject")
 
-    def __init__(self):
+    def __init__(self, subject):
+        self.subject: calls.Call = subject  # the same for repetitions of the call
         self.attempt: Attempt | None = None  # the one in progress
         self.fallback: Attempt | None = None  # a stalled one
         self.history = retries.AttemptHistory()
@@ -114,6 +117,7 @@
         self._admission = admissionwait.BlockingAdmission()
         self._budget = retries.RetryBudget()
         self._pool = exchanges.ConnectionPool()
+        self._guard = crashguard.CrashGuard(self._pool.links)
         self._drivers_by_alias: dict[str, drivers.Driver] = {}
         self._log = logs.Log("route")
 
@@ -212,7 +216,8 @@
             self._end_fallback(call, state)
             return attempt.engine_call.read_reply(timeout)
 
-        return self._call(call, target.items(), send)
+        subject = crashguard.make_subject(call, "POST", path, body)
+        return self._call(call, target.items(), subject, send)
 
     def call_service(self, call, service, method, path, headers, body):
         """Return the answer of a plain service; raise ProxyError."""
@@ -229,7 +234,9 @@
             all_headers = [*headers, *self._extra_headers(attempt)]
             return make_call(server, method, target, all_headers, body, timeout)
 
-        return self._call(call, (routing.service_item(service.name),), send)
+        subject = crashguard.make_subject(call, method, path, body or b"")
+        items = (routing.service_item(service.name),)
+        return self._call(call, items, subject, send)
 
     def _same_centre_ids(self, server):
         """Return the ids of all remote servers in the data centre of a remote server.
@@ -251,10 +258,11 @@
             headers.append((FORWARDED_HEADER, self.table.data_centre))
         return headers
 
-    def _call(self, call, items, send):
-        state = CallState()
+    def _call(self, call, items, subject, send):
+        state = CallState(subject)
         self._budget.record_request(call.service)
         try:
+            self._guard.check(subject)
             state.attempt = self._start(call, items, state.history)
             while True:
                 try:
@@ -264,6 +272,7 @@
                     self._next_attempt(call, items, state, error, error.failure, 0.0)
                 except FallbackResumedError:
                     self._resume_fallback(call, state)
+            self._guard.record_answer(subject)
             self._end_attempt(call, state, "complete")
             self._record_duration(call, "complete")
             return reply
@@ -280,11 +289,13 @@
         return _chain_events(first_events, events)
 
     def _stream_events(self, call, target, path, body):
-        state = CallState()
+        subject = crashguard.make_subject(call, "POST", path, orjson.dumps(body))
+        state = CallState(subject)
         progress = retries.StreamProgress()
         items = target.items()
         self._budget.record_request(call.service)
         try:
+            self._guard.check(subject)
             state.attempt = self._start(call, items, state.history)
             while not progress.complete:
                 try:
@@ -300,6 +311,7 @@
                     )
                 except FallbackResumedError:
                     self._resume_fallback(call, state)
+            self._guard.record_answer(subject)
             self._end_attempt(call, state, "complete")
             self._record_duration(call, "complete")
         finally:
@@ -507,6 +519,7 @@
         self._end_attempt(call, state, "abandoned")
         state.return_to_fallback()
         self._end_attempt(call, state, "abandoned")
+        self._guard.end(state.subject)
 
     def _resume_fallback(self, call, state):
         """Return to a stalled attempt whose server went on."""
@@ -532,7 +545,12 @@
         if state.is_stalled(error.failure) and now < call.deadline:
             self._replace_stalled(call, items, state, error, failure, min_attempt_s)
             return
+        attempt = state.attempt
         self._end_attempt(call, state, _outcome_result(error.failure))
+        is_local = attempt.server.backend_id not in self._remote_ids
+        if error.failure is retries.Failure.LOST and is_local:
+            ran_s = now - attempt.first_token_at if attempt.tokens else None
+            self._guard.record_break(state.subject, attempt.server, ran_s)
         if state.fallback is not None:
             self._log.write(
                 now,
@@ -543,8 +561,18 @@
             state.return_to_fallback()
             return
         self._after_failure(call, failure, error, state.history, min_attempt_s)
+        self._check_repetition(call, state)
         state.attempt = self._start(call, items, state.history)
 
+    def _check_repetition(self, call, state):
+        """Raise ProxyError if the call crashes servers; it may have run at some."""
+        try:
+            self._guard.check(state.subject)
+        except errors.ProxyError as error:
+            self._record_duration(call, "refused")
+            error.executed = state.history.executed
+            raise
+
     def _replace_stalled(self, call, items, state, error, failure, min_attempt_s):
         """Try another server for a stalled call, or continue the attempt."""
         now = clock.now()
--- a/kumquatproxy/requests/exchanges.py
+++ b/kumquatproxy/requests/exchanges.py
@@ -61,28 +61,28 @@
 class ConnectionPool:
     """Pool of idle connections by backend address."""
 
-    __slots__ = ("_links",)
+    __slots__ = ("links",)
 
     def __init__(self):
-        self._links = backendconnections.ConnectionPool()
+        self.links = backendconnections.ConnectionPool()
 
     def open(
         self, address: str, max_idle_s: float, timeout_s: float
     ) -> backendconnections.BackendConnection:
         """Return a pooled connection idle for at most ``max_idle_s``, or a new one."""
-        return self._links.acquire(address, address, max_idle_s, timeout_s)
+        return self.links.acquire(address, address, max_idle_s, timeout_s)
 
     def release(self, link: backendconnections.BackendConnection) -> None:
         """Pool a connection whose answer was read completely, if it is reusable."""
-        self._links.release(link)
+        self.links.release(link)
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections of an address, so that new ones are opened."""
-        self._links.close_server(address)
+        self.links.close_server(address)
 
     def close(self) -> None:
         """Close all idle connections."""
-        self._links.close_all()
+        self.links.close_all()
 
 
 class Exchange:
