Move the paths of an entry host to a module of their own

They are fleet/serverpaths now; no decision changes. The tests of forwarding, of the entry host and of cut hosts pass.

--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -16,6 +16,7 @@
     fleetsettings,
     fleetstate,
     publishing,
+    serverpaths,
     servers,
     serviceconfig,
     streamrecords,
@@ -55,12 +56,6 @@
 EXPIRE_INTERVAL_S = 5.0
 # Maximum size of the needs in a report. The rest of the frame is for the loads.
 MAX_NEEDS_BYTES = wire.MAX_FRAME_BYTES // 2
-# Interval at which the paths to servers are checked, and the time in which a server
-# accepts a connection.
-REACH_INTERVAL_S = 0.2
-PROBE_TIMEOUT_S = 0.3
-# A host that serves nobody leaves the load balancer after this time.
-CUT_READINESS_S = 1.0
 # Interval at which the software versions of the known servers are recorded.
 VERSION_INTERVAL_S = 1.0
 
@@ -114,17 +109,7 @@
         self.crashes = crashes.CrashTracker(
             self.host_id, self._facts.table, self._facts.publish
         )
-        self.reach = reachability.Reachability()
         self.peer_token = forwarding.token(host_settings.host.key)
-        self._forwarding = forwarding.Forwarding(
-            self.host_id,
-            host_settings.entry.peers,
-            self._facts.table,
-            self._facts.publish,
-            self.reach,
-        )
-        self._next_reach_at = now
-        self._useless_since: float | None = None  # reaches neither servers nor hosts
         self._heard_at_by_id: dict[str, float] = {}
         self._change_event = gevent.event.Event()
         self._has_changes = False
@@ -135,6 +120,22 @@
         self._reported_loads: dict = {}
         self._waiting_calls: dict[calls.Call, None] = {}
         self.relay = relay.Relay(self)
+        reach = reachability.Reachability()
+        offers = forwarding.Forwarding(
+            self.host_id,
+            host_settings.entry.peers,
+            self._facts.table,
+            self._facts.publish,
+            reach,
+        )
+        self.paths = serverpaths.ServerPaths(
+            reach,
+            offers,
+            self.server_selector,
+            self.relay.links,
+            self._rng,
+            self._schedule_wakeup,
+        )
         self._callers = callers.CallerServer(
             host_settings.entry.callers, self.relay.serve, self._limits
         )
@@ -170,7 +171,7 @@
         now = clock.now()
         deadline = now + self.settings.bounds.stop_grace - STOP_MARGIN_S
         self._host_log.write(now, "stopping", in_flight=self._in_flight_count())
-        self.is_stopping = True
+        self.is_stopping = self.paths.is_stopping = True
         self.stops_at = deadline
         caller_servers = self._caller_servers()
         for caller_server in caller_servers:
@@ -200,7 +201,7 @@
         return {
             **super().gauges(),
             "calls.in_flight": self._in_flight_count(),
-            "services.cut_off": len(self.reach.cut_services()),
+            "services.cut_off": len(self.paths.cut_services()),
             "calls.waiting": len(self._waiting_calls),
             "servers.known": len(self.table.all()),
             "configuration.version": self.version(),
@@ -279,101 +280,6 @@
             return waiting.ExpectedAvailability(turn_wait_s, is_excluded=True)
         return waiting.ExpectedAvailability(self._unplanned_load_s(call))
 
-    # Paths to servers, and hosts that have one
-
-    def record_unreachable(self, announcement: servers.Announcement) -> None:
-        """Record that no new connection could be made to a server."""
-        now = clock.now()
-        service = announcement.service
-        ready = self.table.ready(service, now)
-        if not self.reach.record_unreachable(announcement, len(ready), now):
-            return
-        self._host_log.write(
-            now, f"cut off from {service}: no server can be connected to"
-        )
-        for server in ready:
-            # Its connections may hang.
-            self.relay.links.close_server(server.instance_id)
-        self._exchange_offers(now)
-        self._schedule_wakeup()
-
-    def record_connected(self, announcement: servers.Announcement) -> None:
-        """Record a new connection to a server."""
-        now = clock.now()
-        if self.reach.record_connected(announcement.service, now):
-            self._host_log.write(
-                now, f"reaches {announcement.service} again: a server accepted"
-            )
-            self._exchange_offers(now)
-            self._schedule_wakeup()
-
-    def _exchange_offers(self, now):
-        self._forwarding.tick(self.entry_count, now, not self.is_stopping)
-
-    def forwarder_candidates(
-        self, service: str, excluded, now: float
-    ) -> list[servers.Announcement]:
-        """Return the hosts that take calls for a service, in the form of servers."""
-        return [
-            announcement
-            for announcement in self._forwarding.forwarders(service, now)
-            if announcement.lifetime not in excluded
-            and self.server_selector.view(announcement).health.is_usable(now)
-        ]
-
-    def choose_forwarder(
-        self, candidates: list[servers.Announcement]
-    ) -> servers.Announcement:
-        """Return the host with fewer calls of this one, of two drawn at random."""
-        drawn = self._rng.sample(candidates, min(2, len(candidates)))
-        return min(
-            drawn,
-            key=lambda candidate: self.server_selector.view(candidate).running,
-        )
-
-    def _check_paths(self, now):
-        """Try servers of services that are silent or cut off; offer or ask for help."""
-        self._next_reach_at = now + REACH_INTERVAL_S
-        if self.configuration is not None:
-            in_flight = {
-                service: self.server_selector.in_flight_count(service)
-                for service in self.configuration.services_by_name
-            }
-            for service in self.reach.due_probes(in_flight, now):
-                gevent.spawn(self._probe, service)
-        self._exchange_offers(now)
-        cut_services = self.reach.cut_services()
-        is_useless = (
-            self.configuration is not None
-            and len(cut_services) == len(self.configuration.services_by_name)
-            and not any(
-                self._forwarding.forwarders(service, now) for service in cut_services
-            )
-        )
-        if not is_useless:
-            self._useless_since = None
-        elif self._useless_since is None:
-            self._useless_since = now
-
-    def _probe(self, service):
-        """Connect to a server of a service, and to more if that fails."""
-        ready = self.table.ready(service, clock.now())
-        drawn = self._rng.sample(ready, min(reachability.MIN_UNREACHABLE, len(ready)))
-        if drawn and not self._probe_server(drawn[0]):
-            gevent.joinall([gevent.spawn(self._probe_server, s) for s in drawn[1:]])
-
-    def _probe_server(self, announcement):
-        try:
-            link = self.relay.links.acquire(
-                announcement.instance_id, announcement.address, 0.0, PROBE_TIMEOUT_S
-            )
-        except OSError:
-            self.record_unreachable(announcement)
-            return False
-        self.relay.links.release(link)
-        self.record_connected(announcement)
-        return True
-
     def _offered_model(self, call):
         """Return the model a call needs as its service offers it, or None."""
         if call.need is None or self.configuration is None:
@@ -485,7 +391,7 @@
         announcements = [servers.from_wire(fields) for fields in message.servers]
         for announcement in announcements:
             if self.table.apply_announcement(announcement, now):
-                self.reach.probe_soon(announcement.service)
+                self.paths.record_announced(announcement.service)
             self.crashes.confirm_ended(announcement, now)
         streamrecords.record_versions(self._streams.history, announcements, now)
         for instance_id, born_ms, state in message.marks:
@@ -499,12 +405,12 @@
         if facts:
             self.crashes.handle_facts(facts, now)
             if any(fact.kind == forwarding.CUT_HOST for fact in facts):
-                self._exchange_offers(now)
+                self.paths.exchange_offers(now)
             self._schedule_wakeup()
 
     def _on_hosts(self, message, now):
         self.entry_count = max(1, message.entry_count)
-        self.brittle.host_count = self.entry_count
+        self.brittle.host_count = self.paths.host_count = self.entry_count
         self._control_ids.update(host_id for host_id, _ in message.hosts)
         if message.leader:
             self._leader = message.leader
@@ -609,8 +515,8 @@
         if now >= self._next_report_at:
             self._report(now)
         self._facts.tick(now)
-        if now >= self._next_reach_at:
-            self._check_paths(now)
+        if self.configuration is not None:
+            self.paths.tick(self.configuration.services_by_name, now)
         if now >= self._next_expiry_at:
             self._next_expiry_at = now + EXPIRE_INTERVAL_S
             self.table.expire(now)
@@ -665,8 +571,7 @@
         """Return whether the load balancer may send callers here."""
         if self.configuration is None or self.is_stopping:
             return False
-        useless_since = self._useless_since
-        return useless_since is None or clock.now() - useless_since < CUT_READINESS_S
+        return not self.paths.is_useless(clock.now())
 
 
 DEFAULT_LIMITS = serviceconfig.Limits()
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -174,7 +174,7 @@
             while True:
                 self._check_blame(call)
                 now = clock.now()
-                if self._host.reach.is_cut(call.service):
+                if self._host.paths.is_cut(call.service):
                     forwarded = self._forward(call, progress, now)
                     if forwarded is not None or progress.fallback is not None:
                         progress.waited_s += now - wait_policy.since
@@ -224,14 +224,14 @@
         """Return an attempt at a host that reaches the service, or None."""
         if call.forwarded_service is not None:
             return None
-        candidates = self._host.forwarder_candidates(
+        candidates = self._host.paths.candidates(
             call.service, progress.excluded_lifetimes, now
         )
         if not candidates:
             return None
         self._count_in_budget(call, progress)
         attempt = attempts.Attempt(
-            self._host.choose_forwarder(candidates),
+            self._host.paths.choose(candidates),
             len(candidates),
             0.0,
             now,
@@ -381,10 +381,10 @@
             )
         except OSError:
             if not attempt.is_forwarded:
-                self._host.record_unreachable(announcement)
+                self._host.paths.record_unreachable(announcement)
             raise
         if not attempt.is_forwarded and not link.had_earlier_call:
-            self._host.record_connected(announcement)
+            self._host.paths.record_connected(announcement)
         return link
 
     def _send(self, call, attempt, progress):
@@ -476,7 +476,7 @@
         link = attempt.link
         result = link.read_with_timeout(first_limit_s, receive, get_extension_s)
         if not attempt.is_forwarded:
-            self._host.reach.record_received(call.service, clock.now())
+            self._host.paths.record_received(call.service)
         return result
 
     def _check_fallback(self, call, attempt, progress):
@@ -511,9 +511,9 @@
             attempt.announcement.lifetime
         }
         now = clock.now()
-        if self._host.reach.is_cut(call.service):
+        if self._host.paths.is_cut(call.service):
             return call.forwarded_service is None and bool(
-                self._host.forwarder_candidates(call.service, excluded_lifetimes, now)
+                self._host.paths.candidates(call.service, excluded_lifetimes, now)
             )
         service = self._host.service(call.service)
         return bool(
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -37,7 +37,7 @@
 
     def use(self, *addresses):
         """Let hosts offer to take the calls of this one."""
-        self.host.forwarders = [
+        self.host.paths.forwarders = [
             servers.Announcement(f"host {number}", "s", address, "")
             for number, address in enumerate(addresses)
         ]
@@ -145,7 +145,7 @@
     """Its host tries one server, and the first host tries the next one."""
     with running_hosts([None] * 9, [None] * 9) as (cut, sound, backends):
         cut.use(sound.peer_address, sound.peer_address)
-        cut.host.forwarders[1].instance_id = "host b"
+        cut.host.paths.forwarders[1].instance_id = "host b"
         data = send(cut, path)
         assert sum(len(backend.heads) for backend in backends) == runs
     assert data.startswith(b"HTTP/1.1 502")
@@ -206,7 +206,7 @@
     """Guards against hosts that learn of a configuration through each other."""
     with running_hosts([test_relay.make_response()]) as (cut, _, (backend,)):
         cut.host.pick_service = lambda route: "old"
-        cut.host.record_unreachable(servers.Announcement("i", "old", "", "a"))
+        cut.host.paths.record_unreachable(servers.Announcement("i", "old", "", "a"))
         data = send(cut, b"safe")
         assert len(backend.heads) == 1
     assert data.startswith(b"HTTP/1.1 200")
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -73,6 +73,34 @@
         return head
 
 
+class FakePaths:
+    """Provide a relay with paths to servers, and hosts that take calls."""
+
+    def __init__(self, table):
+        self.reach = reachability.Reachability()
+        self.forwarders = []
+        self._table = table
+
+    def is_cut(self, service):
+        return self.reach.is_cut(service)
+
+    def record_received(self, service):
+        self.reach.record_received(service, clock.now())
+
+    def record_unreachable(self, announcement):
+        count = len(self._table.all())
+        self.reach.record_unreachable(announcement, count, clock.now())
+
+    def record_connected(self, announcement):
+        self.reach.record_connected(announcement.service, clock.now())
+
+    def candidates(self, service, excluded, now):
+        return [peer for peer in self.forwarders if peer.lifetime not in excluded]
+
+    def choose(self, candidates):
+        return candidates[0]
+
+
 class FakeHost:
     """Provide a relay with a fixed configuration and deterministic decisions."""
 
@@ -97,25 +125,12 @@
         self.meter = fleethost.NullMeter()
         self.stops_at = None
         self.crashes = crashes.CrashTracker("h", self.facts, self.facts.merge)
-        self.reach = reachability.Reachability()
         self.peer_token = forwarding.token("key")
-        self.forwarders = []
+        self.paths = FakePaths(self.table)
 
     def version(self):
         return 1
 
-    def record_unreachable(self, announcement):
-        self.reach.record_unreachable(announcement, len(self.table.all()), clock.now())
-
-    def record_connected(self, announcement):
-        self.reach.record_connected(announcement.service, clock.now())
-
-    def forwarder_candidates(self, service, excluded, now):
-        return [peer for peer in self.forwarders if peer.lifetime not in excluded]
-
-    def choose_forwarder(self, candidates):
-        return candidates[0]
-
     def pick_service(self, route):
         return "s"
 
