--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -12,14 +12,13 @@
     attempts,
     backendconnections,
     callers,
+    calllog,
     calls,
     crashingcalls,
-    crashingparts,
-    crashprobe,
+    crashrecorder,
     enginepriority,
     forwarding,
     framing,
-    repetitions,
     serverlimits,
     shedding,
     stalltimeouts,
@@ -57,7 +56,7 @@
         self._host = host
         self._log = logs.Log("call")
         self.links = backendconnections.ConnectionPool()
-        self._crash_probe = crashprobe.CrashProbe(self.links)
+        self._crashes = crashrecorder.CrashRecorder(host, self.links)
 
     def serve_forwarded(
         self, call: calls.Call, connection: callers.CallerConnection
@@ -88,7 +87,9 @@
             self._end_with_error(call, progress, connection, _stopping_error())
         except calls.ResponseAbortedError:
             # This text is also a value of the outcome label in metrics.
-            self._record_outcome(call, progress, "the caller has gone")
+            calllog.write_outcome(
+                self._log, self._host, call, progress, "the caller has gone"
+            )
             connection.is_closing = True
             raise
         except Exception as error:
@@ -158,7 +159,7 @@
         while True:
             self._run_attempt(call, attempt, progress, connection)
             if attempt.outcome is calls.Outcome.ANSWERED:
-                self._record_outcome(call, progress, "answered")
+                calllog.write_outcome(self._log, self._host, call, progress, "answered")
                 return
             attempt = self._next_attempt(call, attempt, progress)
 
@@ -331,20 +332,10 @@
         finally:
             if not is_silent:
                 self._end_attempt(attempt)
-        self._record_soundness(call, attempt)
+        self._crashes.record_soundness(call, attempt)
         self._update_health(attempt, server_selector)
         self._host.meter.attempt(call.service, attempt.outcome.value)
 
-    def _record_soundness(self, call, attempt):
-        now = clock.now()
-        is_up_since_event = (
-            attempt.first_event_at is not None
-            and now - attempt.first_event_at >= crashingparts.SOUND_AFTER_S
-        )
-        is_answered = attempt.outcome is calls.Outcome.ANSWERED
-        if is_answered or is_up_since_event:
-            self._host.crashes.record_answer(call, now, is_complete=is_answered)
-
     def _end_attempt(self, attempt):
         """Stop counting an attempt as in flight, and release or close its connection.
 
@@ -367,7 +358,7 @@
             return
         fallback.link.receive_available()
         if fallback.link.has_ended and not fallback.is_forwarded:
-            self._record_break(call, fallback)
+            self._crashes.record_break(call, fallback)
         self._end_attempt(fallback)
 
     def _connect(self, call, attempt):
@@ -489,7 +480,7 @@
             raise FallbackResumedError
         if fallback.link.has_ended:
             self._end_fallback(call, progress)
-            self._has_crashed_server(call, fallback)
+            self._crashes.has_crashed_server(call, fallback)
             return 0.0
         if call.route.mode is not calls.Mode.STREAM:
             # Calls that are no streams may run at two servers at the same time.
@@ -658,7 +649,7 @@
         """
         outcome = attempt.outcome
         progress.excluded_lifetimes.add(attempt.announcement.lifetime)
-        self._log_attempt(call, attempt)
+        calllog.write_attempt(self._log, call, attempt)
         if outcome is calls.Outcome.WRONG_SERVER:
             self._host.server_selector.remove_adapter(attempt.announcement, call.need)
         if outcome is calls.Outcome.SILENT:
@@ -673,7 +664,7 @@
         else:
             progress.possible_executions += 1
         has_crashed_server = outcome is calls.Outcome.LOST and (
-            self._has_crashed_server(call, attempt)
+            self._crashes.has_crashed_server(call, attempt)
         )
         if progress.fallback is None:
             if has_crashed_server:
@@ -701,43 +692,6 @@
             progress.has_reserved_retry = True
             self._host.budget.record_retry(call.service, clock.now())
 
-    def _has_crashed_server(self, call, attempt):
-        """Return whether a call has probably crashed a server, and record a crash.
-
-        Only evidence against its prompt counts: it may repeat no call, and any call may
-        be beside one that crashes its server.
-        """
-        if attempt.is_response_read or attempt.is_forwarded:
-            return False
-        crashes = self._host.crashes
-        announcement = attempt.announcement
-        has_begun = attempt.head is not None
-        now = clock.now()
-        ran_s = None
-        if attempt.first_event_at is not None:
-            ran_s = now - attempt.first_event_at
-        has_bad_prompt = crashes.record_break(call, announcement, has_begun, now, ran_s)
-        # A host that was paused reads the end of a connection late.
-        if not self._host.table.has_successor(
-            announcement
-        ) and not self._crash_probe.has_crashed(announcement):
-            return False
-        now = clock.now()
-        self._host.crashes.confirm_crash(announcement.lifetime, now)
-        view = self._host.server_selector.view(announcement)
-        view.health.record_failure(now, is_unreachable=True)
-        return attempt.head is not None and has_bad_prompt
-
-    def _record_break(self, call, attempt):
-        now = clock.now()
-        ran_s = None
-        if attempt.first_event_at is not None:
-            ran_s = now - attempt.first_event_at
-        has_begun = attempt.head is not None
-        return self._host.crashes.record_break(
-            call, attempt.announcement, has_begun, now, ran_s
-        )
-
     def _check_retry(self, call, progress):
         """Raise ProxyError if a call must not be sent again."""
         if progress.may_have_executed() and not call.is_repeatable:
@@ -756,16 +710,6 @@
         ):
             raise _retries_exhausted_error(progress)
 
-    def _log_attempt(self, call, attempt):
-        self._log.write_limited(
-            clock.now(),
-            f"attempt-{attempt.outcome.value}",
-            f"attempt at {attempt.announcement.instance_id} ended with outcome "
-            f"{attempt.outcome.value}: {attempt.detail[:200]}",
-            request_id=call.request_id,
-            route=call.route.name,
-        )
-
     def _end_with_error(self, call, progress, connection, error):
         """Record the outcome of a failed call and send an error response.
 
@@ -776,13 +720,13 @@
         self._end_fallback(call, progress)
         kept = progress.error_response
         if kept is not None and not progress.has_response_begun:
-            self._record_outcome(call, progress, "answered")
+            calllog.write_outcome(self._log, self._host, call, progress, "answered")
             headers = _response_headers(kept.head)
             connection.send_response(kept.head.status, headers, kept.body)
             return
         if progress.may_have_executed() and error.status in NOT_EXECUTED_STATUSES:
             error = errors.ProxyError(errors.ErrorKind.BACKEND_FAILED, error.detail)
-        self._record_outcome(call, progress, str(error))
+        calllog.write_outcome(self._log, self._host, call, progress, str(error))
         if progress.has_response_begun:
             # Closing without the last chunk marks the response as incomplete.
             connection.is_closing = True
@@ -792,33 +736,6 @@
             headers += self._host.dialect.refusal_headers()
         connection.send_response(status, headers, body)
 
-    def _record_outcome(self, call, progress, result_text):
-        now = clock.now()
-        self._host.meter.call(
-            call.route.name if call.route else "",
-            call.route.mode.value if call.route else "",
-            # The text of a ProxyError is "kind: detail"; the metric has only the kind.
-            result_text.partition(":")[0],
-            now - call.arrived_at,
-            progress.waited_s,
-        )
-        self._log.write(
-            now,
-            result_text,
-            request_id=call.request_id,
-            route=call.route.name if call.route else "",
-            need=call.need.key() if call.need else "",
-            version=self._host.version(),
-            resumes=call.resumed_id,
-            software_version=call.software_version,
-            is_forwarded=call.forwarded_service is not None,
-            **_crash_fields(call, progress),
-            attempts=[_attempt_fields(attempt, call) for attempt in progress.attempts],
-            response_begun=progress.has_response_begun,
-            waited_ms=round(progress.waited_s * 1000),
-            took_ms=round((now - call.arrived_at) * 1000),
-        )
-
 
 def _check_refusal(attempt, head, body):
     """Raise the error with which a host refused a call if it is final.
@@ -843,34 +760,6 @@
     return max(0.0, min(serverlimits.MAX_TURN_WAIT_S, left_s))
 
 
-def _attempt_fields(attempt, call):
-    """Return the log fields of an attempt, with times since the call's arrival."""
-    return {
-        "server": attempt.announcement.instance_id,
-        "born_ms": attempt.announcement.born_ms,
-        "software_version": attempt.announcement.software_version,
-        "at_ms": round((attempt.started_at - call.arrived_at) * 1000),
-        "candidates": attempt.candidate_count,
-        "predicted_ms": round(attempt.lowest_delay_s * 1000),
-        "outcome": attempt.outcome.value if attempt.outcome else "not-sent",
-        "has_head": attempt.head is not None,
-        "has_first_event": attempt.first_event_at is not None,
-        "detail": attempt.detail[:200],
-    }
-
-
-def _crash_fields(call, progress):
-    """Return the log fields that tell what calls have in common at crashed servers."""
-    if not progress.has_broken_attempt():
-        return {"caller": call.caller, "repetition": "", "parts": []}
-    parts = call.need.parts[:-1] if call.need else ()
-    return {
-        "caller": call.caller,
-        "repetition": " ".join(repetitions.keys(call)),
-        "parts": [part.part_id for part in parts],
-    }
-
-
 def _is_unencoded(head):
     return not framing.header(head.headers, b"content-encoding")
 
