Give the test of an unread body a deadline that a busy machine keeps

Cause: the test's server speaks 0.3 s before the deadline of a call with 4 MB of body, and receiving the body takes that long beside load.

Change: three times the timeout, and a pause in the same place between its limits (after the next server has not read the body for as long as the silent attempt is kept).

--- a/tests/gateway/test_laterefusals.py
+++ b/tests/gateway/test_laterefusals.py
@@ -119,13 +119,31 @@
     blocked.bind(("127.0.0.1", 0))
     blocked.listen()
     address_of_blocked = f"127.0.0.1:{blocked.getsockname()[1]}"
-    late = [PLAIN_PAUSE_S, test_relay.make_response()]
-    with test_silentservers.running_relay([late]) as (address, _, host):
+    # Receiving the body takes long on a busy machine, so the deadline is far.
+    route = serviceconfig.Route(
+        "safe",
+        "a",
+        "/safe/",
+        calls.Mode.SAFE,
+        test_silentservers.TARGETS,
+        3 * test_silentservers.SAFE_ROUTE.timeout_s,
+        attempts=2,
+    )
+    timeouts = test_silentservers.attempt_timeouts(route)
+    pause_s = timeouts.initial_s + 2 * stalltimeouts.ACCEPTANCE_S
+    with test_relay.running_relay([[pause_s, test_relay.make_response()]]) as (
+        address,
+        _,
+        host,
+    ):
+        host.configuration = serviceconfig.Configuration(
+            1, [route], [serviceconfig.Service("s")]
+        )
         test_silentservers.add_server(host, address_of_blocked)
         head = b"POST /safe/x HTTP/1.1\r\nHost: a\r\nX-Id: 7\r\nConnection: close\r\n"
         head += b"Content-Length: %d\r\n\r\n" % len(body)
         data, _ = test_relay.rawservers.exchange_bytes(
-            address, head + body, PLAIN_PAUSE_S + 1.0
+            address, head + body, pause_s + 1.0
         )
     blocked.close()
     assert data.startswith(b"HTTP/1.1 200") and data.endswith(b"\r\n\r\nok")
