Let brittle servers calm down before hosts use more than their places

Cause: when the pause after a refusal ended, or a server was back, all hosts saw an empty server at the same moment, each with calls that waited; whoever had no place sent one as well. The refusals of that moment could make the server fall again.

Change: for 2 s after a refusal, or from the first sight of a server, hosts send to it only within their places. Test: 50 hosts, of which only those with a place come after a refusal or a start; all come to a calm server.

Also, found by reading: a connection that timed out shortly before a deadline no longer counts against a path, and a call is rejected at once (not after 0.4 s) when its host has been cut off for a second and no offer has come. A test for the second.

--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -523,6 +523,7 @@
             self.server_selector.prune()
             self._streams.expire(now)
             self.limits.expire(now)
+            self.brittle.expire(now)
         if now >= self._next_versions_at:
             self._next_versions_at = now + VERSION_INTERVAL_S
             streamrecords.record_versions(self._streams.history, self.table.all(), now)
--- a/kumquatproxy/fleet/serverpaths.py
+++ b/kumquatproxy/fleet/serverpaths.py
@@ -67,6 +67,10 @@
         """Return whether this host reaches no server of a service."""
         return self._reach.is_cut(service)
 
+    def may_expect_offer(self, service: str, now: float) -> bool:
+        """Return whether offers of other hosts may be on their way."""
+        return self._reach.is_newly_cut(service, now)
+
     def cut_services(self) -> list[str]:
         """Return the services of which this host reaches no server."""
         return self._reach.cut_services()
--- a/kumquatproxy/gateway/brittleservers.py
+++ b/kumquatproxy/gateway/brittleservers.py
@@ -2,9 +2,9 @@
 
 The servers say so in all their answers, with the number of refusals a second that one
 of them bears. Hosts tell each other by shared facts, which end with an answer that does
-not say so. Meanwhile each host has a share of the places at each server, and uses more
-of them only while the server is half empty; after a refusal all hosts leave the server
-alone for a time.
+not say so. Meanwhile each host has a share of the places at each server. After a
+refusal all hosts leave the server alone for a time. Only at a server without a refusal
+for a while hosts use more than their share, as long as it is half empty.
 """
 
 import zlib
@@ -19,6 +19,10 @@
 # Least time for which a server is left alone after a refusal. Other hosts send to it
 # until they hear of the refusal, so some more refusals come with each one.
 MIN_BACKOFF_S = 0.5
+MAX_BACKOFF_S = 10.0
+# Time since the last refusal, or the start of a server, after which hosts use more than
+# their share: until then calls may wait for it at all hosts, which would come at once.
+CALM_S = 2.0
 # Refusals that may come at a time, over all hosts.
 REFUSALS_AT_ONCE = 4
 # Share of the places of a server up to which hosts use more than their own ones.
@@ -37,11 +41,11 @@
 class FullServers(sharedfacts.FactKind):
     """Facts about one lifetime of a server that has refused a request for lack of room.
 
-    The value is empty; it is to be left alone until the fact ends.
+    The value is empty. The fact is kept until the server has been calm for a while.
     """
 
     max_count = 600
-    max_kept_s = 10.0
+    max_kept_s = 15.0
     max_travel_s = 0.1
 
 
@@ -57,6 +61,7 @@
         self._table = table
         self._publish = publish
         self._log = logs.Log("limit")
+        self._first_seen_at_by_key: dict[str, float] = {}  # in brittle services
 
     def refusals_per_s(self, service: str, now: float) -> float | None:
         """Return how many refusals a server of a service bears, None if any number."""
@@ -85,7 +90,7 @@
             return
         if head.is_not_executed and limit is not None:
             key = serverlimits.lifetime_key(announcement)
-            ends_at = now + backoff_s(limit)
+            ends_at = now + backoff_s(limit) + CALM_S
             self._publish(sharedfacts.Fact(FULL_SERVER, key, [], now, ends_at), now)
 
     def _tell(self, service, limit, previous_limit, now):
@@ -112,14 +117,24 @@
         """
         if not self._table.has_kind(BRITTLE_SERVICE):
             return True
-        if self.refusals_per_s(announcement.service, now) is None:
+        limit = self.refusals_per_s(announcement.service, now)
+        if limit is None:
             return True
         key = serverlimits.lifetime_key(announcement)
-        if self._table.get(FULL_SERVER, key, now) is not None:
+        full = self._table.get(FULL_SERVER, key, now)
+        if full is not None and now < full.observed_at + backoff_s(limit):
             return False
+        first_seen_at = self._first_seen_at_by_key.setdefault(key, now)
         slots = max(1, announcement.slots)
-        places = own_places(self._host_id, key, slots, self.host_count)
-        return own < places or running < SHARED_FILL * slots
+        if own < own_places(self._host_id, key, slots, self.host_count):
+            return True
+        is_calm = full is None and now >= first_seen_at + CALM_S
+        return is_calm and running < SHARED_FILL * slots
+
+    def expire(self, now: float) -> None:
+        """Forget the servers if no service is brittle any more."""
+        if not self._table.of_kind(BRITTLE_SERVICE, now):
+            self._first_seen_at_by_key.clear()
 
 
 def own_places(host_id: str, server_key: str, slots: int, host_count: int) -> int:
@@ -132,8 +147,8 @@
 def backoff_s(refusals_per_s: float) -> float:
     """Return how long a server is left alone after a refusal."""
     if refusals_per_s <= 0.0:
-        return FullServers.max_kept_s
+        return MAX_BACKOFF_S
     return min(
-        FullServers.max_kept_s,
+        MAX_BACKOFF_S,
         max(MIN_BACKOFF_S, REFUSALS_AT_ONCE / refusals_per_s),
     )
--- a/kumquatproxy/gateway/reachability.py
+++ b/kumquatproxy/gateway/reachability.py
@@ -15,6 +15,8 @@
 # Interval of new connections that tell whether the path is back, or lost to further
 # services too.
 CUT_PROBE_INTERVAL_S = 0.5
+# Time in which offers of other hosts arrive after a cut.
+OFFER_S = 1.0
 # A host that has heard of a server within this time reaches its service.
 EVIDENCE_S = 2.0
 
@@ -22,12 +24,19 @@
 class ServiceReach:
     """Hold what a host knows of its path to the servers of one service."""
 
-    __slots__ = ("failed_at_by_lifetime", "is_cut", "next_probe_at", "received_at")
+    __slots__ = (
+        "cut_at",
+        "failed_at_by_lifetime",
+        "is_cut",
+        "next_probe_at",
+        "received_at",
+    )
 
     def __init__(self):
         # Servers that were unreachable since the last new connection.
         self.failed_at_by_lifetime: dict[tuple, float] = {}
         self.is_cut = False
+        self.cut_at = 0.0  # of the last cut
         self.next_probe_at = 0.0
         self.received_at = float("-inf")  # new connection, or data on any connection
 
@@ -74,7 +83,7 @@
             MIN_UNREACHABLE, server_count
         ):
             return False
-        reach.is_cut = True
+        reach.is_cut, reach.cut_at = True, now
         reach.next_probe_at = now + CUT_PROBE_INTERVAL_S
         return True
 
@@ -87,6 +96,10 @@
         reach = self._by_service.get(service)
         return reach is not None and reach.is_cut
 
+    def is_newly_cut(self, service: str, now: float) -> bool:
+        """Return whether a service was cut off so lately that offers may be coming."""
+        return self.is_cut(service) and now - self._reach(service).cut_at < OFFER_S
+
     def cut_services(self) -> list[str]:
         """Return the services of which this host reaches no server."""
         return sorted(name for name, reach in self._by_service.items() if reach.is_cut)
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -31,6 +31,8 @@
 MAX_IDLE_S = 8.0
 # A call with less time left until its deadline is not sent.
 MIN_REMAINING_S = 0.02
+# A connection that takes longer tells that a server cannot be reached.
+MIN_CONNECT_S = 0.3
 # Time reserved for sending the response before the deadline.
 RESPONSE_MARGIN_S = 0.005
 # A call fails after more than this many attempts that certainly did not execute it.
@@ -248,7 +250,8 @@
         if (
             is_forwarded
             or left_s < 0.0
-            or (now - wait_policy.since >= forwarding.MAX_WAIT_S)
+            or now - wait_policy.since >= forwarding.MAX_WAIT_S
+            or not self._host.paths.may_expect_offer(call.service, now)
         ):
             raise errors.ProxyError(
                 errors.ErrorKind.HOST_CUT_OFF,
@@ -370,8 +373,10 @@
             link = self.links.acquire(
                 announcement.instance_id, announcement.address, max_idle_s, timeout_s
             )
-        except OSError:
-            if not attempt.is_forwarded:
+        except OSError as error:
+            # Shortly before the deadline there is no time to connect.
+            is_short = timeout_s < MIN_CONNECT_S and isinstance(error, TimeoutError)
+            if not attempt.is_forwarded and not is_short:
                 self._host.paths.record_unreachable(announcement)
             raise
         if not attempt.is_forwarded and not link.had_earlier_call:
--- a/tests/gateway/test_brittleservers.py
+++ b/tests/gateway/test_brittleservers.py
@@ -43,12 +43,28 @@
 def test_all_hosts_leave_a_full_brittle_server_alone_for_a_time():
     hosts = Hosts(3)
     hosts.trackers[0].record_answer(SERVER, make_head(8), 0.0, 1.0)
-    assert hosts.admitting(0, 0, 1.1) == 3
+    assert hosts.admitting(0, 0, 1.1) == 3  # four slots
     hosts.trackers[1].record_answer(SERVER, make_head(8, 503), 1.0, 1.2)
     assert hosts.admitting(0, 0, 1.3) == 0
     assert hosts.admitting(0, 0, 1.3 + brittleservers.backoff_s(8)) == 3
 
 
+def test_hosts_without_a_place_do_not_come_at_once_after_a_refusal_or_a_start():
+    """Guards against servers that fall again as soon as they are back."""
+    hosts = Hosts(50)
+    hosts.trackers[0].record_answer(SERVER, make_head(8), 0.0, 1.0)
+    with_places = hosts.admitting(0, 0, 1.0)
+    assert with_places < 10
+    calm_at = 1.0 + brittleservers.CALM_S
+    assert hosts.admitting(0, 0, calm_at) == 50
+    assert hosts.admitting(1, 3, calm_at) == 0
+    hosts.trackers[0].record_answer(SERVER, make_head(8, 503), calm_at, calm_at)
+    reopened_at = calm_at + brittleservers.backoff_s(8)
+    assert hosts.admitting(0, 0, reopened_at) == with_places
+    hosts.trackers[0].record_answer(SERVER, make_head(8), calm_at, reopened_at)
+    assert hosts.admitting(0, 0, reopened_at + brittleservers.CALM_S) == 50
+
+
 @pytest.mark.parametrize("answer", [make_head(None, 503), make_head(), make_head(8)])
 def test_servers_that_are_not_brittle_are_used_as_before(answer):
     """Guards against rejected calls after the servers are sound again."""
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -169,15 +169,19 @@
     assert b"last-event-id: 1" in rest.heads[0].lower()
 
 
-def test_call_fails_at_once_without_a_host_that_takes_it():
+@pytest.mark.parametrize("cut_s", [0.0, reachability.OFFER_S])
+def test_call_fails_in_time_without_a_host_that_takes_it(cut_s):
     """The caller learns in time that another host may serve it."""
     with running_hosts([]) as (cut, _, _):
         cut.use()
         send(cut, b"safe")
+        cut.host.paths.reach._reach("s").cut_at = clock.now() - cut_s
         started_at = clock.now()
         data = send(cut, b"safe", wait_s=0.7)
-        assert clock.now() - started_at < 2 * forwarding.MAX_WAIT_S
+        took_s = clock.now() - started_at
     assert data.startswith(b"HTTP/1.1 503") and b"host-cut-off" in data
+    assert took_s < 2 * forwarding.MAX_WAIT_S
+    assert cut_s == 0.0 or took_s < forwarding.MAX_WAIT_S
 
 
 def test_calls_of_strangers_are_not_served():
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -84,6 +84,9 @@
     def is_cut(self, service):
         return self.reach.is_cut(service)
 
+    def may_expect_offer(self, service, now):
+        return self.reach.is_newly_cut(service, now)
+
     def record_received(self, service):
         self.reach.record_received(service, clock.now())
 
