Count crashes of servers that have not announced their next lifetime

Facts of crashes are merged by lifetime, so the third crash was none, and the blame came with the fourth one, at 33.70 s. The class: an identity that is known late joins what happened at different times.

Ruled out: lost facts (no host restarted before 36 s), an answer in between (none to the path).

Change: if the call was sent more than 0.5 s after the known crash was seen, the server was up again, so the crash gets a key of its own. Hosts that see one crash late have sent their calls before it, and still merge. Tests: three crashes of one announced lifetime are counted (one before), one crash seen by two hosts up to 8 s apart is not counted twice.

--- a/kumquatproxy/gateway/crashes.py
+++ b/kumquatproxy/gateway/crashes.py
@@ -14,6 +14,10 @@
 # the server's next lifetime.
 PENDING_KEPT_S = 15.0
 MAX_PENDING_SERVERS = 100
+# A call that was sent to a server so long after its crash was seen ran at a later
+# lifetime, which has not announced itself yet.
+RESTART_S = 0.5
+MAX_UNANNOUNCED_LIFETIMES = 10
 
 
 class PendingCrash:
@@ -24,6 +28,7 @@
         "born_ms",
         "broken_at",
         "instance_id",
+        "sent_at",
         "suspected_calls",
         "suspected_parts",
     )
@@ -35,6 +40,7 @@
         self.suspected_calls: list[list] = []
         self.suspected_parts: list[list] = []
         self.broken_at: float = now
+        self.sent_at = float("-inf")  # of the call that was sent last
 
     def is_ended_by(self, announcement) -> bool:
         """Return whether an announcement is of a later lifetime of this server."""
@@ -78,6 +84,7 @@
         has_begun: bool,
         now: float,
         ran_s: float | None = None,
+        sent_at: float = float("-inf"),
     ) -> bool:
         """Record that a server broke off a call.
 
@@ -98,6 +105,7 @@
         if pending is None:
             pending = PendingCrash(announcement, now)
             self._pending_by_lifetime[lifetime] = pending
+        pending.sent_at = max(pending.sent_at, sent_at)
         if suspected_calls:
             is_long = ran_s is not None and ran_s >= crashingparts.SOUND_AFTER_S
             grade = crashingcalls.LONG_RUNNING if is_long else crashingcalls.RUNNING
@@ -123,7 +131,7 @@
             suspects=pending.suspected_parts,
             repetitions=pending.suspected_calls,
         )
-        key = f"{instance_id}/{born_ms}"
+        key = self._crash_key(pending, now)
         facts = []
         for judge, suspects in (
             (self.parts, pending.suspected_parts),
@@ -133,6 +141,16 @@
                 facts.append(judge.publish_crash(key, suspects, now))
         self.handle_facts(facts, now)
 
+    def _crash_key(self, pending, now):
+        """Return the key of a crash, the same at all hosts that see it."""
+        key = lifetime_key = f"{pending.instance_id}/{pending.born_ms}"
+        for number in range(1, MAX_UNANNOUNCED_LIFETIMES):
+            seen_at = min(judge.crash_seen_at(key, now) for judge in self._judges)
+            if pending.sent_at <= seen_at + RESTART_S:
+                break
+            key = f"{lifetime_key}+{number}"
+        return key
+
     def confirm_ended(self, announcement, now: float) -> None:
         """Confirm the crash of earlier lifetimes of a server that announces itself."""
         for lifetime, pending in list(self._pending_by_lifetime.items()):
--- a/kumquatproxy/gateway/crashrecorder.py
+++ b/kumquatproxy/gateway/crashrecorder.py
@@ -38,7 +38,7 @@
             ran_s = now - attempt.first_event_at
         has_begun = attempt.head is not None
         return self._host.crashes.record_break(
-            call, attempt.announcement, has_begun, now, ran_s
+            call, attempt.announcement, has_begun, now, ran_s, attempt.sent_at
         )
 
     def has_crashed_server(self, call: calls.Call, attempt) -> bool:
--- a/kumquatproxy/gateway/suspicion.py
+++ b/kumquatproxy/gateway/suspicion.py
@@ -207,6 +207,11 @@
         self._renew_blames(fact, now)
         return fact
 
+    def crash_seen_at(self, key: str, now: float) -> float:
+        """Return when a crash was seen last, infinity if it was not."""
+        fact = self._table.get(self.crash_kind, key, now)
+        return float("inf") if fact is None else fact.observed_at
+
     # Decisions
 
     def find_blame(self, call: calls.Call, now: float) -> sharedfacts.Fact | None:
--- a/tests/gateway/test_repetitions.py
+++ b/tests/gateway/test_repetitions.py
@@ -14,11 +14,11 @@
     return call
 
 
-def crash(tracker, number, *suspect_calls, ran_s=None):
-    """Let a server crash at the time ``number``."""
-    server = test_crashingparts.make_server(number)
+def crash(tracker, number, *suspect_calls, ran_s=None, server_number=None):
+    """Let a server crash at the time ``number``, 0.1 s after it got the calls."""
+    server = test_crashingparts.make_server(server_number or number)
     for call in suspect_calls:
-        tracker.record_break(call, server, False, number, ran_s)
+        tracker.record_break(call, server, False, number, ran_s, number - 0.1)
     tracker.confirm_crash(server.lifetime, number)
 
 
@@ -165,3 +165,25 @@
     first, second = make_call(target=b"/x", body=b"yz"), make_call(target=b"/xy")
     second.body = b"z"
     assert repetitions.keys(first) != repetitions.keys(second)
+
+
+def test_crashes_of_a_server_that_did_not_announce_its_next_lifetime_count_each():
+    """Guards against servers whose crashes are taken for one.
+
+    In the soak, seed 1191, a host sent the call to a server that was back under its id.
+    """
+    hosts = test_crashingparts.Hosts("a", "b")
+    for number in (1, 3, 5):
+        assert not is_rejected(hosts, make_call(), number)
+        crash(hosts.trackers[number % 4 == 3], number, make_call(), server_number=9)
+    assert is_rejected(hosts, make_call())
+
+
+def test_one_crash_that_hosts_see_one_after_the_other_counts_once():
+    """Guards against blame by a host that was paused when the server crashed."""
+    hosts = test_crashingparts.Hosts("a", "b")
+    server = test_crashingparts.make_server(1)
+    for tracker, now in zip(hosts.trackers * 2, (1.0, 1.4, 3.0, 9.0)):
+        tracker.record_break(make_call(), server, False, now, None, 0.9)
+        tracker.confirm_crash(server.lifetime, now)
+    assert not is_rejected(hosts, make_call())
