--- a/tests/gateway/test_repetitions.py
+++ b/tests/gateway/test_repetitions.py
@@ -168,10 +168,7 @@
 
 
 def test_crashes_of_a_server_that_did_not_announce_its_next_lifetime_count_each():
-    """Guards against servers whose crashes are taken for one.
-
-    In the soak, seed 1191, a host sent the call to a server that was back under its id.
-    """
+    """Guards against crashes of one server that are taken for a single one."""
     hosts = test_crashingparts.Hosts("a", "b")
     for number in (1, 3, 5):
         assert not is_rejected(hosts, make_call(), number)
