Reserve the ports of the demo and of tests per process, and wait for an owner

Cause: three. A port that is free when it is drawn may be taken by another process before it is bound. The demo looked once for a placement owner to stop, and there is none while a data centre elects one. It chose a host before it connected, and under load the host's settle time of 200 ms passed in between.

Ruled out: a port of the kernel's own choice (the range is outside the ephemeral one).

Change: ports are reserved by a file lock that the process holds until it ends, so that neither the demo nor tests in several processes meet on one; the demo waits for an owner and, if a host that stops refuses the connection, sends the call to another one as a load balancer does. A refused connection at a host that does not stop still fails.

--- a/kumquatproxy/laboratory/demo.py
+++ b/kumquatproxy/laboratory/demo.py
@@ -91,6 +91,19 @@
         ]
         return self._system.callers_address(self._rng.choice(ready_host_ids))
 
+    def _post(self, path, body, headers=None):
+        """Post to a ready host, and to another one if the host has just closed.
+
+        Raise ConnectionRefusedError if a host that does not stop refuses a connection.
+        """
+        while True:
+            address = self._ready_address()
+            try:
+                return post(address, path, body, headers)
+            except ConnectionRefusedError:
+                if not self._system.is_stopping(address):
+                    raise
+
     def request_completion(self, index: int, stream: bool) -> None:
         """Request one completion and compare its text with the expected text."""
         name = self._listed_names[index % len(self._listed_names)]
@@ -99,7 +112,7 @@
         if stream:
             body["stream"] = True
         try:
-            status, data = post(self._ready_address(), "/v1/completions", body)
+            status, data = self._post("/v1/completions", body)
         except geventhttpclient.response.HTTPParseError as error:
             status, data = 0, f"interrupted: {error}".encode()
         expected = "".join(fakes.tokens_for(name, prompt, MAX_TOKENS))
@@ -130,9 +143,7 @@
         service = self._system.size.plain_service
         path = f"/services/{service}/reservations"
         key = {"Idempotency-Key": f"action-{index}"}
-        answers = [
-            post(self._ready_address(), path, {"action": index}, key) for _ in range(2)
-        ]
+        answers = [self._post(path, {"action": index}, key) for _ in range(2)]
         distinct_answers = {data for status, data in answers if status == 200}
         if len(distinct_answers) == 1:
             self._outcome_counts.record(service, "correct")
@@ -226,13 +237,22 @@
 
 
 def _stop_a_placement_owner(system):
-    """Stop the first host that is a placement owner, as in a planned shutdown."""
-    for host_id, running_host in system.hosts_by_id.items():
-        if running_host.control.placement.order_engine is not None:
-            running_host.stop()
-            print(f"stopped: a placement owner, {host_id}")
-            return
-    raise RuntimeError("no host is a placement owner")
+    """Stop the first host that is a placement owner, as in a planned shutdown.
+
+    There is none while a data centre elects one, so wait for it.
+    """
+
+    def owner_ids():
+        return [
+            host_id
+            for host_id, running_host in system.hosts_by_id.items()
+            if running_host.control.placement.order_engine is not None
+        ]
+
+    demosystem.wait_for(owner_ids, "a host is a placement owner")
+    owner_id = owner_ids()[0]
+    system.hosts_by_id[owner_id].stop()
+    print(f"stopped: a placement owner, {owner_id}")
 
 
 def _report(system, outcome_counts, loads_until_settled):
--- a/kumquatproxy/laboratory/demosystem.py
+++ b/kumquatproxy/laboratory/demosystem.py
@@ -1,5 +1,6 @@
 """Run several hosts and fake backend servers in one process."""
 
+import fcntl
 import pathlib
 import random
 import socket
@@ -26,6 +27,23 @@
 # Ports outside the ephemeral range: the kernel could give an ephemeral port to another
 # process's outgoing connection before a host binds it.
 FIRST_PORT, LAST_PORT = 12_000, 32_000
+# A process holds the locks of its ports until it ends, because a port that is free may
+# be chosen by another process before it is bound.
+PORT_LOCKS_FOLDER = pathlib.Path(tempfile.gettempdir()) / "kumquatproxy-ports"
+_lock_files: list = []
+
+
+def reserve_port(port: int) -> bool:
+    """Reserve a port for this process; return False if any process has reserved it."""
+    PORT_LOCKS_FOLDER.mkdir(exist_ok=True)
+    lock_file = open(PORT_LOCKS_FOLDER / str(port), "w")
+    try:
+        fcntl.flock(lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        lock_file.close()
+        return False
+    _lock_files.append(lock_file)
+    return True
 
 
 def is_free(port: int) -> bool:
@@ -39,10 +57,10 @@
 
 
 def free_address() -> str:
-    """Return a loopback address with a port that is currently free."""
+    """Return a loopback address with a free port that this process has reserved."""
     while True:
         port = random.SystemRandom().randint(FIRST_PORT, LAST_PORT)
-        if is_free(port):
+        if reserve_port(port) and is_free(port):
             return f"127.0.0.1:{port}"
 
 
@@ -203,6 +221,13 @@
         """Return the address at which a host serves callers."""
         return self._addresses_by_host[host_id]["callers"]
 
+    def is_stopping(self, address: str) -> bool:
+        """Return whether the host that serves callers at an address is stopping."""
+        return any(
+            running_host.entry.stopping and self.callers_address(host_id) == address
+            for host_id, running_host in self.hosts_by_id.items()
+        )
+
     def admin_address(self, host_id: str) -> str:
         """Return the address at which a host serves operators."""
         return self._addresses_by_host[host_id]["administration"]
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -120,7 +120,7 @@
     port = first + os.getpid() * 50 % (last - first)
     while len(ports) < count:
         port = port + 1 if port < last else first
-        if demosystem.is_free(port):
+        if demosystem.reserve_port(port) and demosystem.is_free(port):
             ports.append(port)
     return ports
 
--- a/tests/soak/test_limitedservers.py
+++ b/tests/soak/test_limitedservers.py
@@ -15,7 +15,7 @@
 import soak
 import test_crashingprompts
 
-BLOCK = 242  # of the loopback addresses, outside those of the soak's seeds
+BLOCK = 247  # of the loopback addresses, outside those of the soak's seeds
 RATES = (1.0, 2.5)
 LIMITED_S = 14.0
 CALLS_PER_S = 30.0
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -38,6 +38,39 @@
     assert not demo.run(request_count=10, action_count=2, sheet_text=sheet_text)
 
 
+def test_reserved_port_is_reserved_once():
+    """Guards against two processes that choose the same port at the same time."""
+    port = int(demosystem.free_address().rpartition(":")[2])
+    assert not demosystem.reserve_port(port)
+
+
+def test_owner_is_awaited_while_a_data_centre_elects_one(monkeypatch):
+    """Guards against a demo that ends because it looked during an election."""
+
+    class Placement:
+        order_engine = None
+
+    class RunningHost:
+        class control:
+            placement = Placement
+
+        is_stopped = False
+
+        def stop(self):
+            self.is_stopped = True
+
+    class System:
+        hosts_by_id = {"host-1": RunningHost()}
+
+    def elect(condition, description):
+        assert not condition()
+        Placement.order_engine = object()
+
+    monkeypatch.setattr(demosystem, "wait_for", elect)
+    demo._stop_a_placement_owner(System)
+    assert System.hosts_by_id["host-1"].is_stopped
+
+
 def test_free_address_is_outside_the_ephemeral_port_range():
     """Guards against a port that another process takes for an outgoing connection."""
     ports = [int(demosystem.free_address().rpartition(":")[2]) for _ in range(50)]
