Answer what has been accepted before a planned stop ends

What callers saw: during a planned stop, a request that had just been sent was cut off without an answer: on a connection that the kernel had accepted and the process had not, or on a connection that had been open before, between two counted requests.

Cause: the stop closed the listener, which resets established connections in its queue, and waited only while requests were counted. One that came on an open connection after the count was zero met the end of the process, 0.3 s later.

Change: httpapi.Server.drain accepts what is established, ends each connection with its next answer (Connection: close), ends idle ones after a second, unless bytes have arrived, and returns once all have ended or at the timeout. The count of active requests is gone with its wrapper. Control hosts drain the operators' calls as well.

--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -192,6 +192,7 @@
         if self.replication.member.leader_state is not None:
             self.replication.tell(replication.TransferLeadership())
             gevent.sleep(STEP_DOWN_WAIT_S)
+        self._server.drain(COMMIT_TIMEOUT_S)
         self._server.stop(0.1)
         self.replication.stop()
         self._stop_links()
--- a/kumquatproxy/host.py
+++ b/kumquatproxy/host.py
@@ -238,17 +238,11 @@
         self.entry.stopping = True
         self.control.ask(control.StartLeaving(), CLOSE_TIMEOUT_S)
         gevent.sleep(host.settle_time)
-        self._entry_server.close()
-        self._wait_until_drained(host.drain_timeout)
+        self._entry_server.drain(host.drain_timeout)
         self.control.ask(control.Leave(), CLOSE_TIMEOUT_S)
         gevent.sleep(DRAIN_POLL_S * 4)  # let the last messages be sent
         self.kill()
 
-    def _wait_until_drained(self, timeout_s):
-        end = clock.now() + timeout_s
-        while self.entry.active_requests and clock.now() < end:
-            gevent.sleep(DRAIN_POLL_S)
-
     def kill(self) -> None:
         """Stop at once: cut off requests in flight, transfer no leaderships."""
         if self._is_closed:
--- a/kumquatproxy/httpapi.py
+++ b/kumquatproxy/httpapi.py
@@ -2,6 +2,8 @@
 
 import functools
 import json
+import select
+import socket
 
 import gevent
 import gevent.pool
@@ -13,6 +15,9 @@
 MAX_CONNECTIONS = 4096
 CLIENT_TIMEOUT_S = 30.0  # without progress of the client in either direction
 BODY_TIMEOUT_S = 30.0
+# Time that open connections have for one more request once their server closes.
+IDLE_GRACE_S = 1.0
+DRAIN_POLL_INTERVAL_S = 0.05
 READ_BLOCK_BYTES = 64 * 1024
 
 JSON_TYPE = "application/json"
@@ -187,10 +192,37 @@
     """Set the idle timeout of a client; write no access log."""
 
     client_timeout_s = CLIENT_TIMEOUT_S
+    is_serving = False  # a request has begun to arrive, or is answered
 
     def handle(self):
         self.socket.settimeout(self.client_timeout_s)
-        super().handle()
+        self.server.open_handlers[self] = None
+        try:
+            super().handle()
+        finally:
+            del self.server.open_handlers[self]
+
+    def handle_one_request(self):
+        try:
+            return super().handle_one_request()
+        finally:
+            self.is_serving = False
+
+    def read_requestline(self):
+        line = super().read_requestline()
+        self.is_serving = bool(line)
+        return line
+
+    def start_response(self, status, headers, exc_info=None):
+        if self.server.is_draining:
+            headers = [*headers, ("Connection", "close")]
+        return super().start_response(status, headers, exc_info)
+
+    def end_if_idle(self):
+        """End the connection unless a request is being served or has arrived."""
+        if self.is_serving or select.select([self.socket], [], [], 0)[0]:
+            return
+        self.socket.shutdown(socket.SHUT_RD)
 
     def log_request(self):
         pass
@@ -211,6 +243,24 @@
     """Abort a streamed reply so that the client sees it as incomplete."""
 
 
+class _WsgiServer(gevent.pywsgi.WSGIServer):
+    """Keep track of the open connections, so that a stop can wait for them."""
+
+    is_draining = False
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.open_handlers: dict[_Handler, None] = {}
+
+    def accept_pending(self):
+        """Accept the connections that are established already."""
+        while not self.full():
+            connection = self.do_read()
+            if connection is None:
+                return
+            self.do_handle(*connection)
+
+
 class Server:
     """Serve one WSGI application on an address."""
 
@@ -223,7 +273,7 @@
     ):
         host, _, port = address.rpartition(":")
         self._pool = gevent.pool.Pool(max_connections)
-        self._server = gevent.pywsgi.WSGIServer(
+        self._server = _WsgiServer(
             (host, int(port)),
             application,
             handler_class=_handler_class(client_timeout_s),
@@ -237,9 +287,21 @@
         self._server.start()
         return f"{self._server.server_host}:{self._server.server_port}"
 
-    def close(self) -> None:
-        """Stop accepting connections; open ones continue."""
+    def drain(self, timeout_s: float) -> None:
+        """Stop accepting connections, and wait until the open ones have ended.
+
+        Each ends with its next answer, or without one after ``IDLE_GRACE_S``.
+        """
+        self._server.is_draining = True
+        self._server.accept_pending()
         self._server.close()
+        now = clock.now()
+        idle_until, deadline = now + IDLE_GRACE_S, now + timeout_s
+        while len(self._pool) and clock.now() < deadline:
+            if clock.now() >= idle_until:
+                for handler in list(self._server.open_handlers):
+                    handler.end_if_idle()
+            gevent.sleep(DRAIN_POLL_INTERVAL_S)
 
     def stop(self, timeout_s: float) -> None:
         """Stop, waiting at most ``timeout_s`` seconds for open connections."""
--- a/kumquatproxy/requests/entry.py
+++ b/kumquatproxy/requests/entry.py
@@ -31,25 +31,6 @@
         self.sheet: sheet.Sheet | None = parsed_sheet
 
 
-class _TrackedBody:
-    """Response body that counts its request as active until the server closes it."""
-
-    __slots__ = ("_application", "_body")
-
-    def __init__(self, application, body):
-        self._application = application
-        self._body = body
-
-    def __iter__(self):
-        return iter(self._body)
-
-    def close(self):
-        """Count the request as ended; the server calls this once."""
-        self._application.active_requests -= 1
-        if hasattr(self._body, "close"):
-            self._body.close()
-
-
 class EntryApplication(httpapi.Application):
     """WSGI application for completions, models, plain services and health checks."""
 
@@ -69,17 +50,6 @@
         self.view = ConfigurationView()
         self.stopping = False
         self.has_load_reports = False  # whether the first load reports have arrived
-        self.active_requests = 0  # requests whose answer is not yet written
-
-    def __call__(self, environ, start_response):
-        """Answer a WSGI request; count it as active until its answer is written."""
-        self.active_requests += 1
-        try:
-            body = super().__call__(environ, start_response)
-        except BaseException:
-            self.active_requests -= 1
-            raise
-        return _TrackedBody(self, body)
 
     def answer(self, request, now):
         """Return the reply to a request; raise ProxyError if it is refused or fails."""
