Send the full state again after a link has opened or a push was lost

Timeline: 23.397 to 23.401 s the restarted host has links to the three control hosts, 23.425 to 23.433 s a second link to each, dialled by the other side, replaces them. It holds the configuration from 24 s on and never a server.

Cause: the full state is pushed once a session, right after the first subscription, and went down with the links that were replaced 25 ms later. Configurations are repeated until the subscriber has them, servers were not: a heartbeat that changes nothing is not published, and the list of live servers only refreshes those that are known.

Change: a control host sends the full state at the next subscription after any link to the subscriber has opened, and an entry host that is told of live servers it has no description of renews its subscription there. No message changes.

What remains: a mark that is lost with a link while it stays the only one arrives with the next full state, up to a second later.

--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -99,6 +99,15 @@
             gevent.sleep(STORAGE_RETRY_S)
 
 
+class LinkOpened:
+    """Tell that a link to another host has opened."""
+
+    __slots__ = ("host_id",)
+
+    def __init__(self, host_id):
+        self.host_id: str = host_id
+
+
 class ControlHost(fleethost.FleetHost):
     """Run one control host: group member, server table, publisher, owner of orders."""
 
@@ -225,6 +234,9 @@
         else:
             super()._on_message(sender, message)
 
+    def _on_link_opened(self, host_id):
+        self.tell(LinkOpened(host_id))
+
     # API requests, each in the greenlet of its connection
 
     def put_configuration(self, data: bytes) -> int:
@@ -288,6 +300,9 @@
 
     def handle(self, message, now: float, reply=None):
         """Handle one message."""
+        if isinstance(message, LinkOpened):
+            self.publisher.renew(message.host_id)
+            return
         if isinstance(message, HeartbeatReceived):
             self.publisher.record_heartbeat(message.announcement, now)
             return
--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -111,6 +111,9 @@
         )
         self.peer_token = forwarding.token(host_settings.host.key)
         self._heard_at_by_id: dict[str, float] = {}
+        # Sessions at the control hosts of which a push was lost.
+        self._session_by_id: dict[str, str] = {}
+        self._renewal_count = 0
         self._change_event = gevent.event.Event()
         self._has_changes = False
         self._placement_version = (0, 0)  # fence and number of the last push applied
@@ -372,6 +375,8 @@
         handler = _HANDLERS.get(type(message.message))
         if handler is not None:
             handler(self, message.message, now)
+        if isinstance(message.message, fleetmessages.ServersPush):
+            self._renew_if_incomplete(message.sender, message.message)
 
     def _on_configuration(self, message, now):
         current = self.version()
@@ -400,6 +405,16 @@
         publishing.refresh_heartbeats(self.table, message.alive, now)
         self._schedule_wakeup()
 
+    def _renew_if_incomplete(self, host_id, push):
+        """Ask for the full state if a push names servers that no push described.
+
+        A control host sends it to a session that it does not know.
+        """
+        if all(instance_id in self.table.known_by_id for instance_id, _ in push.alive):
+            return
+        self._renewal_count += 1
+        self._session_by_id[host_id] = f"{self._renewal_count}-{self._session}"
+
     def _on_facts(self, sender, message, now):
         facts = self._facts.receive(sender, message, now)
         if facts:
@@ -541,7 +556,7 @@
                 address=self.settings.host.links,
                 has_details=host_id in detail_host_ids,
                 kind=fleetmessages.ENTRY,
-                session=self._session,
+                session=self._session_by_id.get(host_id, self._session),
                 version=version,
             )
             self.send_message(host_id, message)
--- a/kumquatproxy/fleet/fleethost.py
+++ b/kumquatproxy/fleet/fleethost.py
@@ -63,7 +63,9 @@
         centres = set(host.data_centres) | {host.data_centre}
         identity = hello.Identity(host.id, host.data_centre, host.key.encode(), centres)
         links = transport.Settings(host.links, identity, LINK_TIMING)
-        self.transport = transport.Transport(links, self._on_message)
+        self.transport = transport.Transport(
+            links, self._on_message, on_opened=self._on_link_opened
+        )
         self.meter: typing.Any = NullMeter()
         self.meter_server: httpapi.Server | None = None
         if host.metrics:
@@ -104,6 +106,9 @@
     def _on_message(self, sender, message):
         self.tell(ReceivedMessage(sender, message))
 
+    def _on_link_opened(self, host_id):
+        """Do nothing; control hosts override this."""
+
     def send_message(self, host_id: str, message) -> None:
         """Send a message over the link to a host."""
         self.transport.set_address(host_id, self.settings.link_address(host_id))
--- a/kumquatproxy/fleet/publishing.py
+++ b/kumquatproxy/fleet/publishing.py
@@ -77,6 +77,15 @@
             sends.append(wire.Send(sender, self._configuration_push()))
         return sends
 
+    def renew(self, host_id: str) -> None:
+        """Send the full state at the next subscription of a host.
+
+        Pushes to it may have been lost with an earlier link.
+        """
+        known = self.subscribers_by_id.get(host_id)
+        if known is not None:
+            known.session = ""
+
     def is_new(self, sender: str, message) -> bool:
         """Return whether a subscription is the first one of a host since its start."""
         known = self.subscribers_by_id.get(sender)
--- a/kumquatproxy/membership/transport.py
+++ b/kumquatproxy/membership/transport.py
@@ -59,13 +59,22 @@
 
     ``on_message(host_id, message)`` is called for each message, in the greenlet of a
     link, and must not block. ``on_link_error(error)`` is called for each link that
-    closes with a ProxyError.
+    closes with a ProxyError, and ``on_opened(host_id)`` for each that opens: messages
+    that an earlier link carried may be lost.
     """
 
-    def __init__(self, settings, on_message, on_link_error=None, clock=clock.now):
+    def __init__(
+        self,
+        settings,
+        on_message,
+        on_link_error=None,
+        clock=clock.now,
+        on_opened=None,
+    ):
         self._settings: Settings = settings
         self._on_message = on_message
         self._on_link_error = on_link_error or (lambda error: None)
+        self._on_opened = on_opened or (lambda host_id: None)
         self._clock = clock
         self._log = logs.Log("link")
         self._nonce_cache = hello.NonceCache()
@@ -187,6 +196,7 @@
         peer.links.append(peer_link)
         self._close_duplicate(peer)
         self._log.write(self._clock(), f"{peer_link.peer_id} connected")
+        self._on_opened(peer_link.peer_id)
 
     def _close_duplicate(self, peer):
         """Close one of two links if each host has dialled the other.
--- a/tests/fleet/test_entryhost.py
+++ b/tests/fleet/test_entryhost.py
@@ -70,6 +70,30 @@
     assert host.table.ready("s", 1.0) == []
 
 
+def subscribed_sessions(host, monkeypatch):
+    """Return the session of the next subscription by control host."""
+    sent = {}
+    monkeypatch.setattr(
+        host, "send_message", lambda host_id, message: sent.update({host_id: message})
+    )
+    host._subscribe(1.0)
+    return {host_id: message.session for host_id, message in sent.items()}
+
+
+def test_host_asks_again_for_servers_of_which_the_push_was_lost(host, monkeypatch):
+    """Guards against a restarted host without servers, whose calls are all rejected."""
+    before = subscribed_sessions(host, monkeypatch)
+    receive(host, fleetmessages.ServersPush([["i-1", 5]], [], []))
+    after = subscribed_sessions(host, monkeypatch)
+    assert after["127.0.0.2"] != before["127.0.0.2"]
+    assert after["127.0.0.3"] == before["127.0.0.3"]
+    assert after["127.0.0.2"].endswith(fleetmessages.FACTS_SUFFIX)
+    announcement = servers.Announcement("i-1", "s", "10.0.0.1:80", "a", 5, 1, 4)
+    receive(host, fleetmessages.ServersPush([], [], [announcement.to_wire()]))
+    receive(host, fleetmessages.ServersPush([["i-1", 5]], [], []))
+    assert subscribed_sessions(host, monkeypatch) == after
+
+
 def test_server_changes_are_requested_from_two_live_control_hosts(host):
     """All are asked while fewer than three have been heard from lately."""
     assert len(host._detail_host_ids(1.0)) == 3
--- a/tests/fleet/test_fleet_core.py
+++ b/tests/fleet/test_fleet_core.py
@@ -129,6 +129,17 @@
         # A new session means that the subscriber restarted and lost its state.
         assert len(publisher.subscribe("e1", subscription(0, "y"), 2.0)) == 2
 
+    def test_subscriber_gets_the_full_state_again_after_a_link_has_opened(
+        self, publisher
+    ):
+        """Guards against a push that is lost with a link that another one replaces."""
+        publisher.record_heartbeat(announcement(), 0.0)
+        publisher.subscribe("e1", subscription(), 0.0)
+        publisher.renew("e1")
+        (send,) = publisher.subscribe("e1", subscription(), 1.0)
+        assert [fields[0] for fields in send.message.servers] == ["i-1"]
+        assert publisher.subscribe("e1", subscription(), 2.0) == []
+
     def test_subscriber_with_an_older_version_gets_the_configuration(self, publisher):
         publisher.subscribe("e1", subscription(), 0.0)
         assert publisher.configure(7, b"text", 0.0)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -34,11 +34,13 @@
     ):
         self.messages = []
         self.link_errors = []
+        self.opened_ids = []
         identity = hello.Identity(host_id, centre, key, ["a", "b"], patterns)
         self.transport = transport.Transport(
             transport.Settings("127.0.0.1:0", identity, timing),
             lambda sender, message: self.messages.append((sender, message.text)),
             self.link_errors.append,
+            on_opened=self.opened_ids.append,
         )
         self.transport.start()
 
@@ -88,6 +90,21 @@
         a.send("h-b", "x" * wire.MAX_FRAME_BYTES)
 
 
+def test_each_link_that_opens_is_announced(start_endpoint):
+    """Guards against a host that does not repeat what a replaced link has lost."""
+    a, b = start_endpoint("h-a"), start_endpoint("h-b")
+    a.transport.set_address("h-b", b.address)
+    a.send("h-b", "x")
+    wait_until(lambda: b.messages)
+    assert a.opened_ids == ["h-b"] and b.opened_ids == ["h-a"]
+    for peer_link in list(a.transport._links):
+        peer_link.stop()
+    wait_until(lambda: not a.transport.connected())
+    a.send("h-b", "y")
+    wait_until(lambda: len(b.messages) == 2)
+    assert b.opened_ids == ["h-a", "h-a"]
+
+
 def test_hosts_that_dial_each_other_at_once_keep_one_link(start_endpoint):
     a, b = start_endpoint("h-a"), start_endpoint("h-b")
     a.transport.set_address("h-b", b.address)
