Count only engines that hosts can use as holders of their models

From 20 to 39 s 86 streams waited until their callers left, untried, and 170 calls ended with no-backend-server.

Timeline (core-gl-a-1): 19.0 s first release; 20.0 s engines marked gone one after the other; 20.4 s the plan shows four replicas of the busiest model, of which three are at engines that are leaving or gone, and no load for it; two loads, of other models, in the next ten seconds; 28.3 s the last old engine is gone, 28.5 to 39 s 17 answers.

Cause: the owner of orders kept a state for every engine that it had ever heard of, also leaving and gone ones, and the plan took each for a holder of its models; so busy models looked available and were not loaded at the empty engines. Control hosts never forget servers, so this lasted to the end. Class: a view that is only added to. The same cause acted on engines that crash (their heartbeats end and nobody looks) and on loads at an engine that leaves or has ended, whose expected time callers waited for.

Ruled out: adapters that block each other ('unload ...: holds' is the answer of a completed unload), orders refused (2 of 97), hosts that hold sound engines for ineligible (they answered from the one old engine and from new ones once loaded).

Change: fleet/replicas decides which engines count: ready ones with recent heartbeats. Where calls wait for 0.6 s beside an engine that seems to hold their model, it is asked for a report, and without an answer it counts no more until it gives one; a log line says so. Engines are polled during a load, so that one that ends is noticed. The expected end of a load moves on while the engine still unloads, and is pushed.

--- a/kumquatproxy/fleet/engines.py
+++ b/kumquatproxy/fleet/engines.py
@@ -15,6 +15,7 @@
         "announcement",
         "has_task",
         "is_unconfirmed",
+        "is_unreachable",
         "loaded_at_by_model",
         "loading",
         "loading_until",
@@ -31,6 +32,8 @@
         self.has_task = False  # a greenlet sends it orders or requests
         # A model order was accepted, and no report shows its completion yet.
         self.is_unconfirmed = False
+        # Calls wait for its models, and it did not answer when asked for a report.
+        self.is_unreachable = False
         self.loading = ""  # model being loaded
         self.loading_until = 0.0
         self.unloading: set[str] = set()  # models that new calls must avoid here
@@ -46,6 +49,7 @@
         Reports lag behind. One that counts fewer orders than were accepted does not
         show the effect of the latest orders.
         """
+        self.is_unreachable = False
         if self.order_count is not None and report.order_count < self.order_count:
             return False
         self.report = report
@@ -78,6 +82,17 @@
             names.add(self.loading)
         return names
 
+    def resident_models(self) -> list[str]:
+        """Return the models that the engine can serve according to its last report."""
+        if self.report is None:
+            return [model[0] for model in self.announcement.models]
+        return [name for name in self.report.models if name not in self.unloading]
+
+    def is_serving(self) -> bool:
+        """Return whether calls may go to the engine once it has their model."""
+        is_ready = self.announcement.state is servers.ServerState.READY
+        return is_ready and not self.is_unreachable
+
     @property
     def in_memory(self) -> list[str]:
         """Return the models cached in the server's memory."""
@@ -95,7 +110,7 @@
     def is_usable(self, now: float) -> bool:
         """Return whether orders may go to the engine now."""
         is_ready = self.announcement.state is servers.ServerState.READY
-        is_settled = not self._is_uncertain()
+        is_settled = not self._is_uncertain() and not self.is_unreachable
         return is_ready and is_settled and not self.has_task and now >= self.retry_at
 
     def has_unknown_order(self) -> bool:
@@ -107,7 +122,8 @@
 
     def needs_refresh(self, now: float) -> bool:
         """Return whether a new report is needed before the engine can get orders."""
-        return self._is_uncertain() and not self.has_task and now >= self.retry_at
+        is_needed = self._is_uncertain() or self.is_unreachable
+        return is_needed and not self.has_task and now >= self.retry_at
 
     def _is_uncertain(self):
         """Return whether the resident models are uncertain."""
--- a/kumquatproxy/fleet/orderissuer.py
+++ b/kumquatproxy/fleet/orderissuer.py
@@ -14,17 +14,22 @@
     longloads,
     modelplan,
     prefetching,
+    replicas,
+    servers,
     storelimiter,
 )
 
 TICK_INTERVAL_S = 0.1
 PUSH_INTERVAL_S = 0.25
 OWNERSHIP_TIMEOUT_S = 1.0
+EXPECTED_END_STEP_S = 0.5  # smallest change of a load's expected end that is pushed
 OVERVIEW_INTERVAL_S = 2.0  # between log lines with demand and replicas by model
 # Time between telling entry hosts to route calls away from a model and its unload.
 ROUTE_AWAY_S = 0.06
 # Interval at which an engine is polled for the completion of an order.
 POLL_INTERVAL_S = 0.2
+# Interval at which an engine is polled while a load is not expected to have ended yet.
+LOAD_CHECK_INTERVAL_S = 1.5
 # Share of a server's limit that polls use. Orders and reports count like calls.
 POLL_SHARE = 0.25
 # Longest wait of an order or a report for its turn at a server with a limit.
@@ -69,6 +74,7 @@
         self._adapter_tasks: set[tuple] = set()
         self.table = engines.EngineTable()
         self.demand = fleetdemand.FleetDemand()
+        self._contradictions = replicas.ContradictionTracker()
         self.store_limiter = storelimiter.StoreLoadLimiter(
             host.settings.bounds.load_window
         )
@@ -190,6 +196,7 @@
             announcement
             for announcement in self._host.table.all()
             if announcement.service in names
+            and announcement.state is not servers.ServerState.GONE
         ]
 
     # Plan
@@ -197,11 +204,14 @@
     def _plan(self, now):
         loads_by_id = self.demand.loads_by_id(now)
         for service in self._engine_services():
+            serving = replicas.serving_states(
+                self._host.table, self.table.all(), service.name, now
+            )
+            self._ask_silent_holders(service.name, serving, now)
             states_by_id = {
                 state.announcement.instance_id: state
-                for state in self.table.all()
-                if state.announcement.service == service.name
-                and state.report is not None
+                for state in serving
+                if state.report is not None
             }
             adapters_mb = _adapters_mb(service.engine)
             views = [
@@ -228,6 +238,39 @@
             for swap in swaps:
                 self._begin_swap(states_by_id[swap.instance_id], swap, service, now)
 
+    def _ask_silent_holders(self, service_name, serving, now):
+        """Ask the holders of a model for a report if calls wait beside them."""
+        holders_by_model: dict[str, list[str]] = {}
+        states_by_id = {}
+        for state in serving:
+            if not state.has_task and now >= state.retry_at:
+                states_by_id[state.announcement.instance_id] = state
+                for name in state.resident_models():
+                    holders_by_model.setdefault(name, []).append(
+                        state.announcement.instance_id
+                    )
+        waiting_by_model = self.demand.waiting(service_name, now)
+        models_by_id = self._contradictions.engines_to_ask(
+            waiting_by_model, holders_by_model, now
+        )
+        for instance_id, name in models_by_id.items():
+            self._log.write(
+                now,
+                f"calls wait for {name} although engine {instance_id} holds it",
+                waiting=waiting_by_model[name],
+            )
+            self._spawn_task(states_by_id[instance_id], self._verify)
+
+    def _verify(self, state):
+        """Ask an engine for a report; without an answer it is no holder until one."""
+        if not self._refresh(state):
+            state.is_unreachable = True
+            self._log.write(
+                clock.now(),
+                f"engine {state.announcement.instance_id} does not answer and does "
+                "not count as a holder of its models",
+            )
+
     def _view(self, state, adapters_mb, loads_by_id, now):
         announcement = state.announcement
         calls = loads_by_id.get(announcement.instance_id, (0, 0))[0]
@@ -314,9 +357,10 @@
             gevent.sleep(ROUTE_AWAY_S)
         for name in swap.unload:
             order = engineorders.Order(engineorders.Action.UNLOAD, name)
-            if not self._execute(state, order, 0.0, UNLOAD_TIMEOUT_S):
+            if not self._execute(state, order, 0.0, UNLOAD_TIMEOUT_S, swap.load_s):
                 return
         order = engineorders.Order(engineorders.Action.LOAD, swap.load)
+        state.loading_until = clock.now() + swap.load_s
         expected_s = max(0.0, swap.load_s - POLL_INTERVAL_S)
         timeout_s = swap.load_s * 3 + LOAD_MARGIN_S
         if self._execute(state, order, expected_s, timeout_s):
@@ -324,20 +368,28 @@
         elif swap.needs_store:
             self.store_limiter.record_uncertain_load(clock.now())
 
-    def _execute(self, state, order, expected_s, timeout_s):
+    def _execute(self, state, order, expected_s, timeout_s, then_s=0.0):
         """Send an order and wait until a report shows that it is completed.
 
-        Polling starts after ``expected_s``, when completion is likely.
+        Polling is frequent after ``expected_s``, when completion is likely; before
+        that it notices an engine that has ended. A load that follows takes ``then_s``.
         """
         deadline = clock.now() + timeout_s
         if not self._send(state, order):
             self._resynchronise(state)
             return False
-        gevent.sleep(expected_s)
+        expected_at = clock.now() + expected_s
+        while (left_s := expected_at - clock.now()) > LOAD_CHECK_INTERVAL_S:
+            gevent.sleep(LOAD_CHECK_INTERVAL_S)
+            if not self._refresh(state):
+                return False
+        gevent.sleep(max(0.0, left_s))
         while clock.now() < deadline:
             gevent.sleep(self._poll_interval_s(state, clock.now()))
             if not self._refresh(state):
                 return False
+            # What follows cannot end sooner, and entry hosts are told so.
+            state.loading_until = max(state.loading_until, clock.now() + then_s)
             if state.report.order_count < state.order_count:
                 continue
             is_resident = order.model in state.report.models
@@ -490,12 +542,16 @@
                 adapters[instance_id] = sorted(state.adapters_requested_at)
             if state.unloading:
                 unloading[instance_id] = sorted(state.unloading)
-            if state.loading:
-                left_s = max(0.0, state.loading_until - now)
+            if state.loading and state.is_serving():
+                left_s = state.loading_until - now  # negative if it is overdue
                 other_left_s = loading.get(state.loading, left_s)
                 loading[state.loading] = min(left_s, other_left_s)
-        placement = (adapters, unloading, sorted(loading))
-        is_urgent = placement[1:] != self._last_push[1:]
+        ends = {
+            name: round((now + left_s) / EXPECTED_END_STEP_S)
+            for name, left_s in loading.items()
+        }
+        placement = (adapters, ends, unloading, sorted(loading))
+        is_urgent = placement[2:] != self._last_push[2:]
         if placement == self._last_push or not (
             is_urgent or now >= self._next_placement_push_at
         ):
