Let calls wait only for a time that still holds and that their callers wait for

Cause: three. A host that knew of no load assumed at each check that one from disk began now, so the expected time moved on for ever. A load that was overdue counted as expected 'now'. And callers leave a stream after a time without an event (on these sites eight pauses, 4.8 s), long before a deadline of 15 s: a call was held for a server at 5 s.

Ruled out: callers that leave early on their own account (all left after 4.80 s).

Waits are logged also if the call ends in them.

Tests: test_call_that_its_caller_would_leave_is_rejected_at_once, test_time_of_a_load_that_nobody_has_begun_is_not_assumed_anew, test_call_does_not_wait_for_a_load_that_is_overdue; they fail or cannot run before.

--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -51,6 +51,8 @@
 ADAPTER_RETRY_S = 0.15
 # Time that a swap of models takes in addition to the load.
 SWAP_OVERHEAD_S = 0.5
+# A load that has not ended this long after it should have is not waited for.
+MAX_LOAD_DELAY_S = 1.0
 # Engine time of one generated token, as its share of a decoding step of a batch.
 OUTPUT_TOKEN_S = 0.0006
 EXPIRE_INTERVAL_S = 5.0
@@ -264,7 +266,10 @@
         return turn
 
     def expected_availability(
-        self, call: calls.Call, turn_wait_s: float | None = None
+        self,
+        call: calls.Call,
+        now: float,
+        turn_wait_s: float | None = None,
     ) -> waiting.ExpectedAvailability:
         """Return when a server for a call is expected, None if that is unknown.
 
@@ -273,15 +278,18 @@
         if call.need is None:
             is_limited = turn_wait_s is not None
             return waiting.ExpectedAvailability(turn_wait_s, is_excluded=is_limited)
-        now = clock.now()
         if call.need.adapter:
             self._request_adapter(call, now)
         expected_at = self._expected_at_by_model.get(call.need.model)
         if expected_at is not None:
+            if now >= expected_at + MAX_LOAD_DELAY_S:
+                return waiting.ExpectedAvailability(None)
             return waiting.ExpectedAvailability(max(0.0, expected_at - now))
         if turn_wait_s is not None:
             return waiting.ExpectedAvailability(turn_wait_s, is_excluded=True)
-        return waiting.ExpectedAvailability(self._unplanned_load_s(call))
+        return waiting.ExpectedAvailability(
+            self._unplanned_load_s(call, now), is_assumed=True
+        )
 
     def _offered_model(self, call):
         """Return the model a call needs as its service offers it, or None."""
@@ -290,10 +298,17 @@
         engine = self.service(call.service).engine
         return engine.models_by_name.get(call.need.model) if engine else None
 
-    def _unplanned_load_s(self, call):
+    def _unplanned_load_s(self, call, now):
         """Return the time of a load that is not in progress yet, None if unknown."""
         model = self._offered_model(call)
-        return model.disk_load_s + SWAP_OVERHEAD_S if model is not None else None
+        if model is None:
+            return None
+        is_cached = any(
+            model.name in announcement.on_disk or model.name in announcement.in_memory
+            for announcement in self.table.ready(call.service, now)
+        )
+        load_s = model.disk_load_s if is_cached else model.store_load_s
+        return load_s + SWAP_OVERHEAD_S
 
     def _request_adapter(self, call, now):
         key = (call.service, call.need.key())
--- a/kumquatproxy/fleet/serviceconfig.py
+++ b/kumquatproxy/fleet/serviceconfig.py
@@ -1,5 +1,7 @@
 """The operator's configuration: routes, services, limits, and their validation."""
 
+import math
+
 from kumquatproxy import errors, records
 from kumquatproxy.gateway import calls
 
@@ -27,6 +29,7 @@
         "name",
         "objective_s",
         "path_prefix",
+        "patience_s",
         "priority",
         "targets",
         "timeout_s",
@@ -46,6 +49,7 @@
         is_sticky=False,
         is_resumable=False,
         max_pause_s=0.0,
+        patience_s=math.inf,
     ):
         self.name: str = name
         self.host: str = host
@@ -59,6 +63,8 @@
         self.is_sticky: bool = is_sticky
         self.is_resumable: bool = is_resumable
         self.max_pause_s: float = max_pause_s  # between two events of a stream
+        # Time without an event after which callers leave a stream.
+        self.patience_s: float = patience_s
 
 
 class Model(records.Record):
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -171,57 +171,57 @@
         Raise ProxyError if the call is shed or no server is expected in time. With a
         fallback, return None instead of waiting.
         """
-        wait_policy = waiting.WaitPolicy(call, clock.now())
+        wait_policy = waiting.WaitPolicy(call, clock.now(), progress.has_response_begun)
+        try:
+            with self._host.count_while_waiting(call):
+                return self._await_attempt(call, progress, wait_policy)
+        finally:
+            progress.waited_s += clock.now() - wait_policy.since
+
+    def _await_attempt(self, call, progress, wait_policy):
         has_waited = False
-        with self._host.count_while_waiting(call):
-            while True:
-                self._check_blame(call)
-                now = clock.now()
-                if self._host.paths.is_cut(call.service):
-                    forwarded = self._forward(call, progress, now)
-                    if forwarded is not None or progress.fallback is not None:
-                        progress.waited_s += now - wait_policy.since
-                        return forwarded
-                    self._check_forwarding(call, wait_policy, now)
-                    has_waited = True
-                    self._host.wait_for_change(waiting.RECHECK_INTERVAL_S)
+        while True:
+            self._check_blame(call)
+            now = clock.now()
+            if self._host.paths.is_cut(call.service):
+                forwarded = self._forward(call, progress, now)
+                if forwarded is not None or progress.fallback is not None:
+                    return forwarded
+                self._check_forwarding(call, wait_policy, now)
+                has_waited = True
+                self._host.wait_for_change(waiting.RECHECK_INTERVAL_S)
+                continue
+            self._check_origin(call, progress)
+            service = self._host.service(call.service)
+            max_turn_wait_s = _max_turn_wait_s(call, progress, now)
+            candidates = self._host.server_selector.candidates(
+                call, service, progress.excluded_lifetimes, now, max_turn_wait_s
+            )
+            announcement = self._host.server_selector.choose(candidates)
+            if announcement is not None and not progress.attempts and not has_waited:
+                error = shedding.check(call, candidates[0].delay_s, now)
+                if error is not None:
+                    raise error
+            if announcement is not None:
+                if not self._take_turn(announcement, max_turn_wait_s):
                     continue
-                self._check_origin(call, progress)
-                service = self._host.service(call.service)
-                max_turn_wait_s = _max_turn_wait_s(call, progress, now)
-                candidates = self._host.server_selector.candidates(
-                    call, service, progress.excluded_lifetimes, now, max_turn_wait_s
-                )
-                announcement = self._host.server_selector.choose(candidates)
-                if (
-                    announcement is not None
-                    and not progress.attempts
-                    and not has_waited
-                ):
-                    error = shedding.check(call, candidates[0].delay_s, now)
-                    if error is not None:
-                        raise error
-                if announcement is not None:
-                    if not self._take_turn(announcement, max_turn_wait_s):
-                        continue
-                    self._check_blame(call)
-                    progress.waited_s += clock.now() - wait_policy.since
-                    self._count_in_budget(call, progress)
-                    attempt = attempts.Attempt(
-                        announcement, len(candidates), candidates[0].delay_s, now
-                    )
-                    progress.attempts.append(attempt)
-                    return attempt
-                if progress.fallback is not None:
-                    return None
-                expected_availability = self._expected_availability(call, progress, now)
-                decision = wait_policy.decide(
-                    service, expected_availability, now, self._host.stops_at
+                self._check_blame(call)
+                self._count_in_budget(call, progress)
+                attempt = attempts.Attempt(
+                    announcement, len(candidates), candidates[0].delay_s, now
                 )
-                if decision.error is not None:
-                    raise decision.error
-                has_waited = True
-                self._host.wait_for_change(decision.wait_s)
+                progress.attempts.append(attempt)
+                return attempt
+            if progress.fallback is not None:
+                return None
+            expected_availability = self._expected_availability(call, progress, now)
+            decision = wait_policy.decide(
+                service, expected_availability, now, self._host.stops_at
+            )
+            if decision.error is not None:
+                raise decision.error
+            has_waited = True
+            self._host.wait_for_change(decision.wait_s)
 
     def _forward(self, call, progress, now):
         """Return an attempt at a host that reaches the service, or None."""
@@ -282,7 +282,7 @@
         if turn_wait_s == math.inf:
             turn_wait_s = None  # nobody gives turns at present
         # This also requests an adapter that is missing.
-        expected_availability = self._host.expected_availability(call, turn_wait_s)
+        expected_availability = self._host.expected_availability(call, now, turn_wait_s)
         if call.software_version is None:
             return expected_availability
         return self._host.server_selector.expected_for_begun_stream(
--- a/kumquatproxy/gateway/waiting.py
+++ b/kumquatproxy/gateway/waiting.py
@@ -14,16 +14,21 @@
 MIN_RETRY_AFTER_S = 0.6
 # Time reserved for serving a call after its wait, on a host that is stopping.
 STOP_MARGIN_S = 1.0
+# Time reserved for the first event of a stream after its wait. A caller that would have
+# left by then is told at once when to come back.
+FIRST_EVENT_MARGIN_S = 0.5
 
 
 class ExpectedAvailability:
     """Hold the expected time until a server can serve a call."""
 
-    __slots__ = ("is_excluded", "ready_in_s")
+    __slots__ = ("is_assumed", "is_excluded", "ready_in_s")
 
-    def __init__(self, ready_in_s, is_excluded=False):
+    def __init__(self, ready_in_s, is_excluded=False, is_assumed=False):
         self.ready_in_s: float | None = ready_in_s  # None if no server is expected
         self.is_excluded: bool = is_excluded  # waiting is known to be useless
+        # Nothing is under way; the time holds if it begins now.
+        self.is_assumed: bool = is_assumed
 
 
 class WaitDecision:
@@ -39,11 +44,16 @@
 class WaitPolicy:
     """Decide whether one call waits or is rejected."""
 
-    __slots__ = ("_call", "since")
+    __slots__ = ("_assumed_until", "_call", "_ends_at", "since")
 
-    def __init__(self, call, now):
+    def __init__(self, call, now, has_begun=False):
         self._call = call
         self.since: float = now
+        self._assumed_until: float | None = None
+        # Callers wait for each event for as long, also for the first one.
+        last_event_at = now if has_begun else call.arrived_at
+        patience_ends_at = last_event_at + call.route.patience_s - FIRST_EVENT_MARGIN_S
+        self._ends_at: float = min(call.deadline, patience_ends_at)
 
     def decide(
         self,
@@ -57,11 +67,13 @@
         On a host that stops at ``stops_at``, calls that would wait until then are
         rejected, so that the caller retries at another host sooner.
         """
-        end = self._call.deadline
+        end = self._ends_at
         if stops_at is not None:
             end = min(end, stops_at - STOP_MARGIN_S)
         left_s = end - now
-        if expected_availability.is_excluded:
+        if expected_availability.is_excluded or self._is_disproved(
+            expected_availability, now
+        ):
             return WaitDecision(
                 error=_no_server(self._call, service, expected_availability)
             )
@@ -79,6 +91,16 @@
             error=_no_server(self._call, service, expected_availability)
         )
 
+    def _is_disproved(self, expected_availability, now):
+        """Return whether an assumed time has passed, so that it is not assumed anew."""
+        if not expected_availability.is_assumed:
+            return False
+        if expected_availability.ready_in_s is None:
+            return False
+        if self._assumed_until is None:
+            self._assumed_until = now + expected_availability.ready_in_s
+        return now >= self._assumed_until
+
 
 def _no_server(call, service, expected_availability):
     name = service.name if service is not None else "?"
--- a/kumquatproxy/laboratory/fleetmodel.py
+++ b/kumquatproxy/laboratory/fleetmodel.py
@@ -15,6 +15,7 @@
 
 from kumquatproxy.fleet import (
     engineviews,
+    entryhost,
     fleetdemand,
     longloads,
     modelplan,
@@ -208,7 +209,9 @@
             return waiting.ExpectedAvailability(max(0.0, min(load_ends) - self.now))
         # No load has begun: assume that one from disk begins now.
         model = self._engine_config.models_by_name[name]
-        return waiting.ExpectedAvailability(model.disk_load_s)
+        return waiting.ExpectedAvailability(
+            model.disk_load_s + entryhost.SWAP_OVERHEAD_S, is_assumed=True
+        )
 
     def _refuse(self, job, error):
         if job in self._waiting:
--- a/kumquatproxy/platform/configformat.py
+++ b/kumquatproxy/platform/configformat.py
@@ -1,5 +1,7 @@
 """The operator's configuration in the platform's JSON format."""
 
+import math
+
 import orjson
 
 from kumquatproxy import errors
@@ -12,6 +14,10 @@
     "streaming": calls.Mode.STREAM,
 }
 REQUIRED = object()
+# Callers leave a stream after a time without an event: the longest of these.
+MIN_PATIENCE_S = 2.0
+PATIENCE_PER_OBJECTIVE = 4.0
+PATIENCE_PER_PAUSE = 8.0
 
 
 class Reader:
@@ -91,10 +97,23 @@
     return configuration
 
 
+def _patience_s(mode, objective_s, max_pause_s):
+    """Return the time without an event after which callers leave a stream."""
+    if MODES[mode] is not calls.Mode.STREAM:
+        return math.inf
+    return max(
+        MIN_PATIENCE_S,
+        PATIENCE_PER_OBJECTIVE * objective_s,
+        PATIENCE_PER_PAUSE * max_pause_s,
+    )
+
+
 def _route(reader):
     mode = reader.text("mode")
     if mode not in MODES:
         raise invalid(f"mode {mode!r} is unknown")
+    objective_s = reader.number("slo_ms", 0) / 1000
+    max_pause_s = reader.number("gap_target_ms", 0) / 1000
     return serviceconfig.Route(
         reader.text("name"),
         reader.text("hostname").lower(),
@@ -102,12 +121,13 @@
         MODES[mode],
         _targets(reader),
         reader.number("timeout_ms") / 1000,
-        reader.number("slo_ms", 0) / 1000,  # latency objective
+        objective_s,
         reader.integer("priority", 0),
         reader.integer("attempts", 1),
         reader.boolean("sticky"),
         reader.boolean("resumable"),
-        reader.number("gap_target_ms", 0) / 1000,
+        max_pause_s,
+        _patience_s(mode, objective_s, max_pause_s),
     )
 
 
--- a/tests/fleet/test_entryhost.py
+++ b/tests/fleet/test_entryhost.py
@@ -113,7 +113,15 @@
     receive(host, fleetmessages.PlacementPush({}, {"m": 2.0}, 1, {}, 1), now=10.0)
     assert host._expected_at_by_model == {"m": 12.0}
     call = calls.Call(b"GET", b"/", "a", [], b"", 0.0)
-    assert host.expected_availability(call).ready_in_s is None
+    assert host.expected_availability(call, 10.0).ready_in_s is None
+
+
+def test_call_does_not_wait_for_a_load_that_is_overdue(host):
+    """Guards against calls that wait until their callers leave."""
+    offer_model(host, "m")
+    receive(host, fleetmessages.PlacementPush({}, {"m": 2.0}, 1, {}, 1), now=10.0)
+    assert host.expected_availability(make_call("m"), 12.5).ready_in_s == 0.0
+    assert host.expected_availability(make_call("m"), 13.5).ready_in_s is None
 
 
 def offer_model(host, name):
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -90,6 +90,32 @@
             SERVICE, no_server_expected, 0.1 + waiting.MAX_UNPLANNED_WAIT_S
         ).error
 
+    def test_call_that_its_caller_would_leave_is_rejected_at_once(self):
+        """Guards against calls that are held until their callers leave, untried."""
+        call = make_call(calls.Mode.STREAM, deadline=15.0, patience_s=4.8)
+        wait_policy = waiting.WaitPolicy(call, 0.0)
+        in_time = waiting.ExpectedAvailability(4.0)
+        assert wait_policy.decide(SERVICE, in_time, 0.0).error is None
+        too_late = waiting.ExpectedAvailability(4.6)
+        error = wait_policy.decide(SERVICE, too_late, 0.0).error
+        assert error.retry_after_s == pytest.approx(4.6)
+
+    def test_patience_counts_from_the_last_event_of_a_begun_stream(self):
+        call = make_call(calls.Mode.STREAM, deadline=15.0, patience_s=4.8)
+        wait_policy = waiting.WaitPolicy(call, 6.0, has_begun=True)
+        expected = waiting.ExpectedAvailability(2.0)
+        assert wait_policy.decide(SERVICE, expected, 6.0).error is None
+
+    def test_time_of_a_load_that_nobody_has_begun_is_not_assumed_anew(self):
+        """Guards against an expected time that moves on with each check."""
+        wait_policy = waiting.WaitPolicy(make_call(deadline=15.0), 0.0)
+        assumed = waiting.ExpectedAvailability(1.5, is_assumed=True)
+        assert wait_policy.decide(SERVICE, assumed, 0.0).error is None
+        assert wait_policy.decide(SERVICE, assumed, 1.4).error is None
+        under_way = waiting.ExpectedAvailability(1.5)
+        assert wait_policy.decide(SERVICE, under_way, 1.5).error is None
+        assert wait_policy.decide(SERVICE, assumed, 1.5).error
+
     def test_call_that_would_wait_until_the_host_stops_is_rejected(self):
         """Guards against calls that are lost when the stop's grace period ends."""
         wait_policy = waiting.WaitPolicy(make_call(deadline=12.0), 0.0)
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -146,7 +146,7 @@
     def take_turn(self, announcement, max_wait_s):
         return serverlimits.Turn(True, 0.0)
 
-    def expected_availability(self, call, turn_wait_s=None):
+    def expected_availability(self, call, now, turn_wait_s=None):
         return waiting.ExpectedAvailability(None)
 
     def record_arrival(self, call):
--- a/tests/gateway/test_serverlimits.py
+++ b/tests/gateway/test_serverlimits.py
@@ -155,7 +155,7 @@
         host.limits.record_turn(announcement, turn, clock.now())
         return turn
 
-    def expected_availability(call, turn_wait_s=None):
+    def expected_availability(call, now, turn_wait_s=None):
         return test_relay.waiting.ExpectedAvailability(turn_wait_s, True)
 
     host.take_turn = take_turn
--- a/tests/platform/test_platform.py
+++ b/tests/platform/test_platform.py
@@ -144,6 +144,7 @@
     route = parsed.find_route("a.example", "/x/y")
     assert parsed.version == 7 and route.mode is calls.Mode.STREAM
     assert (route.timeout_s, route.objective_s, route.max_pause_s) == (4.0, 0.6, 0.4)
+    assert route.patience_s == pytest.approx(3.2)  # eight pauses
     assert [target.weight for target in route.targets] == [90, 10]
     engine = parsed.services_by_name["s"].engine
     model = engine.models_by_name["m"]
