Load as many models at once as the store serves at full speed

Cause: the store serves three loads at full speed there and the others share it; up to six were begun within two seconds, so that all of them, the most urgent ones too, ended late and later than hosts had been told.

Ruled out: slow engines, unloads that drain (the loads had no unload before them).

Change: fleet/storeconcurrency learns the number from the time that loads take against their usual time and limits loads to it; it rises again with loads at full speed. Loads that one plan starts count among each other, and a load counts in the store's window when it begins, not when it is planned: an unload of several seconds could put more loads into one window than the ceiling allows.

--- a/kumquatproxy/fleet/fleetsettings.py
+++ b/kumquatproxy/fleet/fleetsettings.py
@@ -78,6 +78,13 @@
     Option("retry_window", "duration", 10.0, low=0.1, help="window of the retries"),
     Option("retry_slack", "float", 50.0, low=0.0, help="retries beyond the share"),
     Option("load_window", "duration", 5.0, low=0.1, help="window of store loads"),
+    Option(
+        "load_excess",
+        "float",
+        1.0,
+        low=1.0,
+        help="factor by which a window may exceed the rate of store loads",
+    ),
     Option("checks_fencing", "bool", True, help="whether servers check the fence"),
 ]
 SECTIONS = {
--- a/kumquatproxy/fleet/orderissuer.py
+++ b/kumquatproxy/fleet/orderissuer.py
@@ -16,6 +16,7 @@
     prefetching,
     replicas,
     servers,
+    storeconcurrency,
     storelimiter,
 )
 
@@ -75,8 +76,9 @@
         self.table = engines.EngineTable()
         self.demand = fleetdemand.FleetDemand()
         self._contradictions = replicas.ContradictionTracker()
+        self.store_concurrency = storeconcurrency.StoreConcurrency()
         self.store_limiter = storelimiter.StoreLoadLimiter(
-            host.settings.bounds.load_window
+            host.settings.bounds.load_window, host.settings.bounds.load_excess
         )
 
     # Ownership
@@ -228,8 +230,16 @@
                 )
             rate = service.engine.loads_per_s
 
-            def store_allows(rate=rate):
-                return self.store_limiter.allows(rate, now)
+            planned_loads: list[None] = []
+
+            def store_allows(rate=rate, planned_loads=planned_loads):
+                planned = len(planned_loads)
+                is_allowed = self.store_limiter.allows(
+                    rate, now, planned
+                ) and self.store_concurrency.allows(planned)
+                if is_allowed:
+                    planned_loads.append(None)
+                return is_allowed
 
             if self._prefetcher is not None and not self.demand.has_demand():
                 swaps = self._prefetcher.swaps(service, views, store_allows, now)
@@ -298,7 +308,7 @@
             takes_s=round(swap.load_s, 2),
             from_store=swap.needs_store,
         )
-        self._spawn_task(state, self._swap, swap)
+        self._spawn_task(state, self._swap, swap, service.engine.loads_per_s, now)
 
     def _spawn_task(self, state, task, *arguments):
         state.has_task = True
@@ -351,7 +361,7 @@
         if self._refresh(state):
             state.retry_at = 0.0
 
-    def _swap(self, state, swap):
+    def _swap(self, state, swap, loads_per_s, planned_at):
         self._push_placement(clock.now())
         if swap.unload:
             gevent.sleep(ROUTE_AWAY_S)
@@ -360,10 +370,21 @@
             if not self._execute(state, order, 0.0, UNLOAD_TIMEOUT_S, swap.load_s):
                 return
         order = engineorders.Order(engineorders.Action.LOAD, swap.load)
+        while swap.needs_store and not self.store_limiter.start_reserved(
+            planned_at, loads_per_s, clock.now()
+        ):
+            gevent.sleep(TICK_INTERVAL_S)
         state.loading_until = clock.now() + swap.load_s
         expected_s = max(0.0, swap.load_s - POLL_INTERVAL_S)
         timeout_s = swap.load_s * 3 + LOAD_MARGIN_S
-        if self._execute(state, order, expected_s, timeout_s):
+        load_key = (state.announcement.lifetime, swap.load)
+        if swap.needs_store:
+            self.store_concurrency.begin(load_key, clock.now())
+        is_loaded = self._execute(state, order, expected_s, timeout_s)
+        if swap.needs_store:
+            usual_s = swap.load_s if is_loaded else None
+            self.store_concurrency.end(load_key, usual_s, clock.now())
+        if is_loaded:
             state.loaded_at_by_model[swap.load] = clock.now()
         elif swap.needs_store:
             self.store_limiter.record_uncertain_load(clock.now())
--- a/kumquatproxy/fleet/storelimiter.py
+++ b/kumquatproxy/fleet/storelimiter.py
@@ -9,32 +9,55 @@
 
 from kumquatproxy.fleet import engineorders
 
-# Loads that a window may hold beyond the rate; the store tolerates three.
-BURST_LOADS = 1.5
+# Loads that a window may hold beyond the rate and its excess; the store tolerates
+# three. One fewer is left to a new owner, to whom loads of the last one are unknown.
+BURST_LOADS = 2.0
+NEW_OWNER_LOADS = 1.0
 
 
 class StoreLoadLimiter:
     """Count the loads that may have started within the last window."""
 
-    __slots__ = ("_started_at", "_uncertain_until", "window_s")
+    __slots__ = ("_started_at", "_uncertain_until", "excess", "window_s")
 
-    def __init__(self, window_s: float):
+    def __init__(self, window_s: float, excess: float = 1.0):
         self.window_s = window_s
+        self.excess = excess  # factor by which a window may exceed the rate
         self._started_at: collections.deque[float] = collections.deque()
         self._uncertain_until: list[float] = []
 
-    def allows(self, loads_per_s: float, now: float) -> bool:
-        """Return whether one more load may start at ``now``."""
+    def allows(self, loads_per_s: float, now: float, planned: int = 0) -> bool:
+        """Return whether one more load beside ``planned`` new ones may start now."""
         while self._started_at and now - self._started_at[0] >= self.window_s:
             self._started_at.popleft()
         self._uncertain_until = [end for end in self._uncertain_until if end > now]
-        load_count = len(self._started_at) + len(self._uncertain_until)
-        return load_count + 1 <= loads_per_s * self.window_s + BURST_LOADS
+        load_count = len(self._started_at) + len(self._uncertain_until) + planned
+        return load_count + 1 <= self._allowance(loads_per_s)
+
+    def _allowance(self, loads_per_s):
+        return loads_per_s * self.window_s * self.excess + BURST_LOADS
 
     def record_load(self, now: float) -> None:
         """Record a load that was ordered."""
         self._started_at.append(now)
 
+    def start_reserved(
+        self, reserved_at: float, loads_per_s: float, now: float
+    ) -> bool:
+        """Record that a load recorded at ``reserved_at`` starts now instead.
+
+        Return False if it has to wait: other loads may have taken its place after
+        its window had passed.
+        """
+        try:
+            self._started_at.remove(reserved_at)
+        except ValueError:
+            pass
+        if not self.allows(loads_per_s, now):
+            return False
+        self.record_load(now)
+        return True
+
     def record_uncertain_load(self, now: float) -> None:
         """Record an order that may still start a load within the next seconds."""
         self._uncertain_until.append(now + engineorders.MAX_ORDER_DELAY_S)
@@ -42,7 +65,7 @@
     def fill_window(self, loads_per_s: float, now: float) -> None:
         """Record the loads that the rate allows in a window, as started just now.
 
-        The loads of an earlier owner are unknown. BURST_LOADS remain available.
+        The loads of an earlier owner are unknown. NEW_OWNER_LOADS remain available.
         """
-        for _ in range(int(loads_per_s * self.window_s)):
+        for _ in range(int(self._allowance(loads_per_s) - NEW_OWNER_LOADS)):
             self._started_at.append(now)
--- a/tests/fleet/test_limitedorders.py
+++ b/tests/fleet/test_limitedorders.py
@@ -41,6 +41,7 @@
     class settings:
         class bounds:
             load_window = 5.0
+            load_excess = 1.1
 
     host_id = "h"
     dialect = None
