Resume a stream whose server reports an error in it at the right token

Cause: a host of another data centre that cannot go on with a forwarded stream writes an event with the problem and breaks the stream off. The first host took this event for a token: it passed it on, counted it, and resumed one token too late. Engines that report an error in a stream did the same to their callers.

Ruled out: a connection that is used again with data left on it (released only after the last chunk was read); the answer of a stalled server mixed with that of its replacement (the fallback is closed before the first event of the replacement is passed on).

Change: the driver tells error events from tokens; tokens before one in the same read are delivered, then the attempt fails and the stream is resumed after them. The demo prints the text of a broken answer.

Tests: test_stream_that_ends_with_an_error_event_is_resumed_without_a_gap, both cases fail before with the error event in the caller's stream.

--- a/kumquatproxy/laboratory/demo.py
+++ b/kumquatproxy/laboratory/demo.py
@@ -132,7 +132,8 @@
             self._outcome_counts.record(
                 service,
                 "broken",
-                f"{name}: status {status}, {data[:200]!r} to {data[-200:]!r}",
+                f"{name}: status {status}, text {text!r}, {data[:200]!r} to "
+                f"{data[-200:]!r}",
             )
 
     def send_action(self, index: int) -> None:
--- a/kumquatproxy/requests/drivers.py
+++ b/kumquatproxy/requests/drivers.py
@@ -4,6 +4,8 @@
 import functools
 import json
 
+import orjson
+
 from kumquatproxy import clock, records, registry
 from kumquatproxy.gateway import eventstream
 from kumquatproxy.requests import exchanges, retries
@@ -12,6 +14,7 @@
 
 EVENT_END = b"\n\n"
 LAST_EVENT = b"data: [DONE]"
+_ERROR_MEMBER = b'"error"'
 
 # Engines answer 404 for a model that is no longer loaded, and 429 or 503 when full.
 _NOT_EXECUTED_STATUSES = frozenset((404, 429, 503))
@@ -114,7 +117,7 @@
     The methods raise CallFailedError.
     """
 
-    __slots__ = ("_exchange", "_is_stream", "_send", "_splitter")
+    __slots__ = ("_error", "_exchange", "_is_stream", "_send", "_splitter")
 
     def __init__(self, exchange, send, is_stream):
         self._exchange: exchanges.Exchange = exchange
@@ -122,6 +125,7 @@
         self._send: collections.abc.Callable[[exchanges.ExtendableTimeout], None] = send
         self._is_stream: bool = is_stream
         self._splitter = eventstream.EventSplitter()
+        self._error = ""  # message with which the engine ended the stream
 
     @property
     def is_sent(self) -> bool:
@@ -157,10 +161,16 @@
     def next_events(self, timeout: exchanges.ExtendableTimeout) -> list[bytes]:
         """Return all events that have arrived, at least one.
 
+        An event that reports an error ends the stream, and is none of its tokens.
         Events that arrive together are returned together, which saves one timer and
         one write for each of them.
         """
         while True:
+            if self._error:
+                raise exchanges.CallFailedError(
+                    retries.Failure.FAILED,
+                    f"{self._exchange.address} ended the stream: {self._error}",
+                )
             part = self._exchange.read_part(timeout)
             if part is None:
                 raise self._exchange.lost_error(
@@ -172,9 +182,17 @@
                 raise self._exchange.lost_error(
                     f"sent an invalid event: {error}"
                 ) from None
+            events = self._take_tokens(events)
             if events:
                 return events
 
+    def _take_tokens(self, events):
+        for index, event in enumerate(events):
+            self._error = _error_message(event)
+            if self._error:
+                return events[:index]
+        return events
+
     def receive_available(self) -> bool:
         """Return whether the engine has sent data that was not read."""
         return self._exchange.receive_available()
@@ -184,6 +202,21 @@
         self._exchange.close()
 
 
+def _error_message(event):
+    """Return the message of an event that reports an error, or an empty string."""
+    if _ERROR_MEMBER not in event:
+        return ""  # text that contains it is escaped
+    try:
+        fields = orjson.loads(event.partition(b"data:")[2])
+    except ValueError:
+        return ""
+    error = fields.get("error") if isinstance(fields, dict) else None
+    if not error:
+        return ""
+    message = error.get("message") if isinstance(error, dict) else error
+    return str(message)[:200] or "error"
+
+
 class EngineDriver(Driver):
     """Base class of the drivers for model engines."""
 
--- a/tests/rawservers.py
+++ b/tests/rawservers.py
@@ -19,6 +19,7 @@
     def __init__(self, answers, closes=False):
         self.answers = list(answers)
         self.heads = []
+        self.bodies = []
         self.connections = 0
         self.closes = closes
         self._server = gevent.server.StreamServer(("127.0.0.1", 0), self._handle)
@@ -61,6 +62,7 @@
                 length = int(line.split(b":")[1])
         while len(data) < end + length:
             data += sock.recv(65536)
+        self.bodies.append(data[end : end + length])
         return data[end + length :]
 
     def close(self):
--- a/tests/requests/test_stalls.py
+++ b/tests/requests/test_stalls.py
@@ -124,6 +124,39 @@
     assert stalled.heads and all(b"[DONE]" in text for text in answers)
 
 
+ERROR_EVENT = b'data: {"error": {"message": "gone", "code": "backend-failed"}}\n\n'
+
+
+@pytest.mark.parametrize("arrives_together", [True, False])
+def test_stream_that_ends_with_an_error_event_is_resumed_without_a_gap(
+    arrives_together,
+):
+    """Guards against an error that counts as a token, and a stream that lacks one.
+
+    Hosts of other data centres and engines report a failure in a stream like this.
+    """
+    if arrives_together:
+        parts = [RESPONSE_HEAD, chunk(b'data: {"t": 0}\n\n' + ERROR_EVENT)]
+    else:
+        parts = [RESPONSE_HEAD, event(0), 0.05, chunk(ERROR_EVENT)]
+    failing = create_engine(*parts)
+    working = create_engine(RESPONSE_HEAD, event(1), END)
+    dispatcher, target = create_dispatcher(failing, working)
+    for _ in range(4):
+        text = read_stream(dispatcher, target, call())
+        assert b"error" not in text and text.endswith(b"data: [DONE]\n\n")
+    assert failing.heads
+    resumed = [body for body in working.bodies if b"resume_from" in body]
+    assert resumed and all(b'"resume_from": 1' in body for body in resumed)
+
+
+def test_word_error_in_a_token_is_no_error():
+    data = b'data: {"choices": [{"text": "\\"error\\": {"}]}\n\n'
+    engine = create_engine(RESPONSE_HEAD, chunk(data), END)
+    dispatcher, target = create_dispatcher(engine)
+    assert data in read_stream(dispatcher, target, call())
+
+
 def test_stalled_stream_is_kept_when_the_retry_budget_is_spent():
     """Guards against interrupting slow streams that cannot be retried any more."""
     engines = [
