Tell callers of a host that has just started when it will be ready

Cause: the control hosts start at the same time, refuse votes for one election timeout, so that a lease of before stays exclusive, and have a leader about 1.4 s after the start of the entry hosts (46.95 -> 48.36 s). The fixed time was right for one host that restarts, to which the load balancer sends nobody.

Ruled out: an earlier election (the 0.8 s protect the lease); serving from the configuration on the disk of one control host (it may be older than what was confirmed).

Change: waiting.not_ready_retry_after_s gives the rest of 1.5 s from the start, at least 0.4 s, and up to a fifth more by lot.

What it does not change: streams that are cut by the fault itself.

--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -79,6 +79,7 @@
     def __init__(self, host_settings: fleetsettings.FleetSettings, seed: int = 0):
         super().__init__(host_settings, seed)
         now = clock.now()
+        self.started_at = now
         self.configuration: typing.Any = None  # serviceconfig.Configuration
         self.table = servers.ServerTable()
         self._facts = factexchange.EntryFacts(self._broadcast)
@@ -229,6 +230,10 @@
         """Return the version of the configuration in force, 0 if there is none."""
         return self.configuration.version if self.configuration else 0
 
+    def spread(self) -> float:
+        """Return a random number from 0 to 1 that spreads callers over time."""
+        return self._rng.random()
+
     def pick_service(self, route: serviceconfig.Route) -> str:
         """Draw one of the services of a route by weight."""
         weights = [target.weight for target in route.targets]
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -37,7 +37,6 @@
 RESPONSE_MARGIN_S = 0.005
 # A call fails after more than this many attempts that certainly did not execute it.
 MAX_UNEXECUTED_ATTEMPTS = 6
-NOT_READY_RETRY_AFTER_S = 0.5
 OVERLOADED_RETRY_AFTER_S = 0.5
 # Statuses that tell a caller that the call was not executed.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
@@ -113,7 +112,9 @@
             raise errors.ProxyError(
                 errors.ErrorKind.NOT_READY,
                 "this host has no configuration yet",
-                retry_after_s=NOT_READY_RETRY_AFTER_S,
+                retry_after_s=waiting.not_ready_retry_after_s(
+                    clock.now() - self._host.started_at, self._host.spread()
+                ),
             )
         path = call.target.split(b"?", 1)[0].decode("latin-1")
         http_host = call.host.rsplit(":", 1)[0]
--- a/kumquatproxy/gateway/waiting.py
+++ b/kumquatproxy/gateway/waiting.py
@@ -12,6 +12,11 @@
 # Maximum wait if no server is expected to become available.
 MAX_UNPLANNED_WAIT_S = 0.4
 MIN_RETRY_AFTER_S = 0.6
+# Time from the start of a host to its configuration if the control hosts start as well:
+# an election timeout and links.
+READY_AFTER_START_S = 1.5
+MIN_NOT_READY_RETRY_AFTER_S = 0.4
+NOT_READY_SPREAD = 0.2
 # Time reserved for serving a call after its wait, on a host that is stopping.
 STOP_MARGIN_S = 1.0
 # Time reserved for the first event of a stream after its wait. A caller that would have
@@ -19,6 +24,17 @@
 FIRST_EVENT_MARGIN_S = 0.5
 
 
+def not_ready_retry_after_s(uptime_s: float, spread: float) -> float:
+    """Return when to retry at a host that has no configuration yet.
+
+    Traffic pattern: all hosts have lost power or were killed, and callers are sent to
+    them before the control hosts have a leader. ``spread``, from 0 to 1, keeps the
+    callers of all hosts from coming back at the same moment.
+    """
+    left_s = max(MIN_NOT_READY_RETRY_AFTER_S, READY_AFTER_START_S - uptime_s)
+    return left_s * (1.0 + NOT_READY_SPREAD * spread)
+
+
 class ExpectedAvailability:
     """Hold the expected time until a server can serve a call."""
 
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -126,6 +126,18 @@
         ).error
 
 
+class TestNotReady:
+    """Callers come back once the control hosts have a leader again."""
+
+    def test_callers_of_a_host_that_has_just_started_are_sent_away_for_longer(self):
+        """Guards against callers whose only retry comes before the configuration."""
+        early = waiting.not_ready_retry_after_s(0.1, 0.0)
+        assert early == pytest.approx(waiting.READY_AFTER_START_S - 0.1)
+        late = waiting.not_ready_retry_after_s(30.0, 0.0)
+        assert late == waiting.MIN_NOT_READY_RETRY_AFTER_S
+        assert waiting.not_ready_retry_after_s(0.1, 1.0) > early
+
+
 class TestStallTimeouts:
     """A stalled server times out early enough for a retry, if one is allowed."""
 
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -125,6 +125,7 @@
         )
         self.dialect = TestDialect()
         self.entry_count = 1
+        self.started_at = clock.now()
         self.meter = fleethost.NullMeter()
         self.stops_at = None
         self.crashes = crashes.CrashTracker("h", self.facts, self.facts.merge)
@@ -146,6 +147,9 @@
     def take_turn(self, announcement, max_wait_s):
         return serverlimits.Turn(True, 0.0)
 
+    def spread(self):
+        return 0.0
+
     def expected_availability(self, call, now, turn_wait_s=None):
         return waiting.ExpectedAvailability(None)
 
