--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 PYTHON ?= python3
 VENV ?= .venv
 SEED ?= 1
+JOBS ?= 4
 BIN = $(VENV)/bin
 READY = $(VENV)/.kumquatproxy-installed
 
@@ -15,7 +16,7 @@
 	$(BIN)/python -m kumquatproxy demo
 
 test: $(READY)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(JOBS) --dist loadfile
 
 measure: $(READY)
 	$(BIN)/python -m kumquatproxy bench all
