End a link as closed if its hello arrives together with its close

Cause: a hello that arrives in the same read as the close is answered although the link is closing already. The exception is neither of those that a link ends with, so its end was recorded without an error, and the host was not dialled again before the next send.

Change: a link that is not open ends with ConnectionResetError. Test: test_hello_that_arrives_with_the_close_of_its_link_is_not_answered, fails before.

--- a/kumquatproxy/membership/link.py
+++ b/kumquatproxy/membership/link.py
@@ -254,6 +254,8 @@
             self._owner.opened(self)
 
     def _send(self, message):
+        if self._protocol.state is not State.OPEN:
+            raise ConnectionResetError("the other host closed the link")
         self._protocol.send_binary(wire.encode(message))
 
     def _send_refusal(self, sock, error):
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -243,6 +243,30 @@
     assert reason in b.link_errors[0].detail
 
 
+def test_hello_that_arrives_with_the_close_of_its_link_is_not_answered(
+    start_endpoint, monkeypatch
+):
+    """Guards against an exception that ends the greenlet of the link."""
+    failures = []
+    original = link.Link.run
+
+    def run(self, *arguments):
+        try:
+            original(self, *arguments)
+        except Exception as error:
+            failures.append(error)
+
+    monkeypatch.setattr(link.Link, "run", run)
+    b = start_endpoint("h-b")
+    raw = RawClient(b.address)
+    first = hello.Initiator(IDENTITY, "h-b", b"c" * 16).make_hello()
+    raw.protocol.send_binary(wire.encode(first))
+    raw.protocol.send_close(frames.CloseCode.GOING_AWAY)
+    raw.sock.sendall(b"".join(raw.protocol.data_to_send()))
+    wait_until(lambda: not b.transport._links)
+    assert failures == [] and b.transport.connected() == []
+
+
 def test_a_replayed_hello_is_refused(start_endpoint):
     b = start_endpoint("h-b")
     dialler = hello.Initiator(IDENTITY, "h-b", b"n" * 16)
