Check idle connections without a limit of descriptors

Read in the diff: select() cannot watch descriptors above 1,023, so that a stop of a host with many open connections would have failed at the first idle one. poll() can. A client that closes its connection at that moment does not end the stop either.

Test: test_stop_handles_connections_with_high_descriptors, fails before.

--- a/kumquatproxy/httpapi.py
+++ b/kumquatproxy/httpapi.py
@@ -220,9 +220,14 @@
 
     def end_if_idle(self):
         """End the connection unless a request is being served or has arrived."""
-        if self.is_serving or select.select([self.socket], [], [], 0)[0]:
+        poller = select.poll()
+        poller.register(self.socket, select.POLLIN)
+        if self.is_serving or poller.poll(0):
             return
-        self.socket.shutdown(socket.SHUT_RD)
+        try:
+            self.socket.shutdown(socket.SHUT_RD)
+        except OSError:
+            pass  # the client has closed the connection
 
     def log_request(self):
         pass
--- a/tests/test_httpapi.py
+++ b/tests/test_httpapi.py
@@ -1,5 +1,6 @@
 """Tests of the planned stop of the HTTP server that serves callers and operators."""
 
+import os
 import socket
 import time
 
@@ -92,6 +93,19 @@
     assert read_until_close(sock) == b""
 
 
+def test_stop_handles_connections_with_high_descriptors(server):
+    """Guards against a limit of 1,024 descriptors in the check for idle ones."""
+    files = [open(os.devnull) for _ in range(1100)]
+    sock = connect(server, b"")
+    gevent.sleep(0.05)
+    (handler,) = server._server.open_handlers
+    assert handler.socket.fileno() > 1024
+    handler.end_if_idle()
+    assert read_until_close(sock) == b""
+    for file in files:
+        file.close()
+
+
 def test_stop_ends_at_its_timeout_beside_an_answer_that_takes_longer(server):
     sock = connect(server, REQUEST)
     gevent.sleep(0.01)
