Log the pauses that servers ask for, and count them

A server that turns a request away with 503 may name in Retry-After for how long it wants nothing from that host. No log line and no metric held it, so "nobody reads it" could not be told from "calls under way are sent all the same" and "the owner's orders and reports are sent".

Change: the dialect reads Retry-After (seconds, whole or decimal, or a date against the Date header); gateway/requestedpauses writes a line with the request id when a pause begins or cannot be read; the gauge servers.paused counts them, at entry hosts and, for orders and reports, at control hosts. No decision reads it yet.

--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -26,7 +26,7 @@
     streamrecords,
     turns,
 )
-from kumquatproxy.gateway import serverlimits, streamorigins
+from kumquatproxy.gateway import requestedpauses, serverlimits, streamorigins
 
 GROUP = "control"
 # Streams whose origin is kept, 1,800 begun a second for a minute; about 20 MB.
@@ -125,6 +125,7 @@
         self._facts = factexchange.ControlFacts()
         self._turn_giver = turns.TurnGiver(self._facts.table)
         self.limits = serverlimits.ServerLimits(self._facts.table, self._facts.publish)
+        self.pauses = requestedpauses.RequestedPauses()
         self._server_log = logs.Log("member")
         self._link_address_by_id: dict[
             str, str
@@ -188,6 +189,7 @@
             "servers.limited": serverlimits.limited_count(
                 self._facts.table, clock.now()
             ),
+            "servers.paused": self.pauses.count(clock.now()),
         }
 
     def add_seeds(self, host_ids: list[str]) -> None:
@@ -388,6 +390,7 @@
         if now >= self._next_expiry_at:
             self._next_expiry_at = now + EXPIRE_INTERVAL_S
             self._streams.expire(now)
+            self.pauses.expire(now)
             self._version_history.expire(now)
         if now >= self._next_versions_at:
             self._next_versions_at = now + VERSION_INTERVAL_S
--- a/kumquatproxy/fleet/engineclient.py
+++ b/kumquatproxy/fleet/engineclient.py
@@ -4,7 +4,12 @@
 
 from kumquatproxy import clock, logs
 from kumquatproxy.fleet import engineorders
-from kumquatproxy.gateway import backendconnections, calls, serverlimits
+from kumquatproxy.gateway import (
+    backendconnections,
+    calls,
+    requestedpauses,
+    serverlimits,
+)
 
 CALL_TIMEOUT_S = 1.0
 CONNECTION_IDLE_TIMEOUT_S = 5.0
@@ -14,11 +19,16 @@
 class EngineClient:
     """Send orders and request reports over pooled connections to engines."""
 
-    __slots__ = ("_dialect", "_limits", "_log", "links")
+    __slots__ = ("_dialect", "_log", "_trackers", "links")
 
-    def __init__(self, dialect, limits: serverlimits.ServerLimits):
+    def __init__(
+        self,
+        dialect,
+        limits: serverlimits.ServerLimits,
+        pauses: requestedpauses.RequestedPauses,
+    ):
         self._dialect = dialect
-        self._limits = limits
+        self._trackers = (limits, pauses)
         self._log = logs.Log("order")
         self.links = backendconnections.ConnectionPool()
 
@@ -76,7 +86,8 @@
                 body = link.read_body()
                 is_reusable = True
                 if not head.is_wrong_server:
-                    self._limits.record_answer(announcement, head, sent_at, clock.now())
+                    for tracker in self._trackers:
+                        tracker.record_answer(announcement, head, sent_at, clock.now())
                 return head, body
         except (OSError, backendconnections.BackendError) as error:
             self._log.write_limited(
--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -30,6 +30,7 @@
     forwarding,
     reachability,
     relay,
+    requestedpauses,
     retrybudget,
     serverlimits,
     serverselection,
@@ -87,6 +88,7 @@
         self.brittle = brittleservers.BrittleServers(
             self.host_id, self._facts.table, self._facts.publish
         )
+        self.pauses = requestedpauses.RequestedPauses()
         self._turn_client = turns.TurnClient(self.send_message)
         self.server_selector = serverselection.ServerSelector(
             host_settings.host.data_centre,
@@ -215,6 +217,7 @@
             "servers.limited": serverlimits.limited_count(
                 self._facts.table, clock.now()
             ),
+            "servers.paused": self.pauses.count(clock.now()),
             "prompts.rejected": self.crashes.parts.blamed_count(clock.now()),
             "repetitions.rejected": self.crashes.calls.blamed_count(clock.now()),
         }
@@ -562,6 +565,7 @@
             self._streams.expire(now)
             self.limits.expire(now)
             self.brittle.expire(now)
+            self.pauses.expire(now)
         if now >= self._next_versions_at:
             self._next_versions_at = now + VERSION_INTERVAL_S
             streamrecords.record_versions(self._streams.history, self.table.all(), now)
--- a/kumquatproxy/gateway/calls.py
+++ b/kumquatproxy/gateway/calls.py
@@ -158,6 +158,8 @@
         "is_wrong_server",
         "load",
         "names_limit",
+        "names_pause",
+        "pause_s",
         "refusals_per_s",
         "request_limit",
         "status",
@@ -175,6 +177,10 @@
         # None if it names no limit, or one that cannot be read.
         self.request_limit: float | None = None
         self.names_limit = False
+        # Seconds for which the server wants no requests from this host; None if it
+        # names none, or a time that cannot be read.
+        self.pause_s: float | None = None
+        self.names_pause = False
         # Refusals a second after which a server of this service falls over; None if any
         # number of them does no harm.
         self.refusals_per_s: float | None = None
--- a/kumquatproxy/gateway/framing.py
+++ b/kumquatproxy/gateway/framing.py
@@ -4,6 +4,7 @@
 because parsers that disagree on it allow request smuggling.
 """
 
+import email.utils
 import re
 
 import h11
@@ -97,6 +98,23 @@
     return float(text) if _DECIMAL.fullmatch(text) else None
 
 
+def retry_after_s(headers) -> float | None:
+    """Return the seconds in the Retry-After header of a response, None without any.
+
+    A date there counts from the Date header, so that the local clock does not matter.
+    """
+    text = header(headers, b"retry-after").decode("latin-1").strip()
+    seconds = decimal(text)
+    if seconds is not None:
+        return seconds
+    try:
+        date = header(headers, b"date").decode("latin-1")
+        until, since = map(email.utils.parsedate_to_datetime, (text, date))
+        return max(0.0, (until - since).total_seconds())
+    except (TypeError, ValueError, OverflowError):
+        return None
+
+
 def has_explicit_end(headers) -> bool:
     """Return whether the end of a response body differs from a lost connection."""
     return bool(
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -421,7 +421,11 @@
         if attempt.head is None:
             head = self._read_matching_head(call, attempt, read, timeouts)
             if not head.is_wrong_server and not attempt.is_forwarded:
-                for tracker in (self._host.limits, self._host.brittle):
+                for tracker in (
+                    self._host.limits,
+                    self._host.brittle,
+                    self._host.pauses,
+                ):
                     tracker.record_answer(
                         attempt.announcement, head, attempt.sent_at, clock.now()
                     )
--- a/kumquatproxy/platform/callformat.py
+++ b/kumquatproxy/platform/callformat.py
@@ -19,6 +19,7 @@
 BRITTLE = b"server-brittle"  # refusals a second after which a server falls over
 LAST_EVENT_ID = b"last-event-id"
 RESUMES = b"resumes"
+RETRY_AFTER = b"retry-after"  # seconds, from a server and to callers
 
 # Headers of a caller that are not forwarded; the entry host sets some of them itself.
 NOT_FORWARDED_HEADERS = frozenset(
@@ -111,6 +112,8 @@
         head.load = _server_load(_header_text(headers, LOAD))
         head.names_limit = bool(framing.header(headers, LIMIT))
         head.request_limit = framing.decimal(_header_text(headers, LIMIT))
+        head.names_pause = bool(framing.header(headers, RETRY_AFTER))
+        head.pause_s = framing.retry_after_s(headers)
         head.refusals_per_s = framing.decimal(_header_text(headers, BRITTLE))
         return head
 
--- a/tests/fleet/test_limitedorders.py
+++ b/tests/fleet/test_limitedorders.py
@@ -14,7 +14,7 @@
     orderissuer,
     servers,
 )
-from kumquatproxy.gateway import calls, serverlimits, sharedfacts
+from kumquatproxy.gateway import calls, requestedpauses, serverlimits, sharedfacts
 
 RATE = 8.0
 SPAN_S = 2.0
@@ -50,6 +50,7 @@
     def __init__(self):
         table = sharedfacts.FactTable()
         self.limits = serverlimits.ServerLimits(table, table.merge)
+        self.pauses = requestedpauses.RequestedPauses()
         self.book = serverlimits.TurnBook(0.0)
         self.leads = True
 
--- a/tests/fleet/test_replicas.py
+++ b/tests/fleet/test_replicas.py
@@ -15,7 +15,7 @@
     servers,
     serviceconfig,
 )
-from kumquatproxy.gateway import serverlimits, sharedfacts
+from kumquatproxy.gateway import requestedpauses, serverlimits, sharedfacts
 
 LOAD_S = 4.0
 MODELS = [
@@ -75,6 +75,7 @@
     def __init__(self):
         self.table = servers.ServerTable()
         facts = sharedfacts.FactTable()
+        self.pauses = requestedpauses.RequestedPauses()
         self.limits = serverlimits.ServerLimits(facts, facts.merge)
         self.pushes = []
 
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -18,6 +18,7 @@
     framing,
     reachability,
     relay,
+    requestedpauses,
     retrybudget,
     serverlimits,
     serverselection,
@@ -116,6 +117,7 @@
         self.facts = sharedfacts.FactTable()
         self.brittle = brittleservers.BrittleServers("h", self.facts, self.facts.merge)
         self.limits = serverlimits.ServerLimits(self.facts, self.facts.merge)
+        self.pauses = requestedpauses.RequestedPauses()
         self.server_selector = serverselection.ServerSelector(
             "a", self.table, FirstItemRandom(), self.limits, self.brittle
         )
