--- a/tests/soak/cuttablehost.py
+++ b/tests/soak/cuttablehost.py
@@ -1,5 +1,8 @@
 """Run an entry host that can be cut off from all backend servers.
 
+``SOAK_HOST_IP`` is the address from which it connects to servers, which tell hosts
+apart by it.
+
 ``SOAK_CUT_FILE`` names a file; while it exists, its text says how the host is cut off:
 ``hang`` (nothing arrives on old and new connections), ``reset`` (old connections end,
 new ones are refused) or ``refuse`` (old connections go on, new ones are refused).
@@ -23,9 +26,10 @@
 class Cut:
     """Cut off the connections to the ports of backend servers."""
 
-    def __init__(self, path, ports):
+    def __init__(self, path, ports, host_ip):
         self._path = path
         self._ports = ports
+        self._source = (host_ip, 0)
         self._mode = ""
         self._socks = weakref.WeakSet()
         self._silent_ends = []
@@ -40,7 +44,7 @@
             raise TimeoutError("timed out")
         if self._mode:
             raise ConnectionRefusedError(111, "Connection refused")
-        sock = self._connect(address, timeout)
+        sock = self._connect(address, timeout, source_address=self._source)
         self._socks.add(sock)
         return sock
 
@@ -72,7 +76,7 @@
     """Start the host with a greenlet that cuts it off."""
     path = pathlib.Path(os.environ["SOAK_CUT_FILE"])
     ports = {int(port) for port in os.environ["SOAK_SERVER_PORTS"].split(",")}
-    cut = Cut(path, ports)
+    cut = Cut(path, ports, os.environ["SOAK_HOST_IP"])
     gevent.socket.create_connection = cut.connect
     gevent.spawn(cut.run)
     return cli.main()
--- a/tests/soak/fakeservers.py
+++ b/tests/soak/fakeservers.py
@@ -3,7 +3,7 @@
 They fall silent for a while and go on, and refuse requests when their slots are taken.
 They crash when they begin to answer a request with a deadly prompt part, or the one
 request that is deadly. Brittle ones fall over if they refuse too much. In need they
-name a limit of requests a second, and record what they get.
+name a limit of requests a second, or ask hosts to pause, and record what they get.
 """
 
 import collections
@@ -95,6 +95,34 @@
         return None
 
 
+class PauseRecord:
+    """Record the pauses that one lifetime of a server asks for, and what it gets."""
+
+    def __init__(self):
+        self.arrivals = []  # (time, request id, address of the host)
+        self.asked = []  # (time, request id, address of the host, seconds)
+
+    def find_excesses(self, host_of, settle_s=0.5, allowed=2):
+        """Return the pauses in which a host sent more than a few requests.
+
+        ``host_of(request_id, address, time)`` is None for hosts that do not count. Each
+        pause is returned as (host, time of the answer, seconds, number of requests).
+        """
+        arrived_at_by_host = collections.defaultdict(list)
+        for at, request_id, address in self.arrivals:
+            arrived_at_by_host[host_of(request_id, address, at)].append(at)
+        excesses = []
+        for asked_at, request_id, address, seconds in self.asked:
+            host = host_of(request_id, address, asked_at)
+            count = sum(
+                asked_at + settle_s < at < asked_at + seconds
+                for at in arrived_at_by_host[host]
+            )
+            if host is not None and count > allowed:
+                excesses.append((host, asked_at, seconds, count))
+        return excesses
+
+
 def prompt_headers(parts):
     """Return the headers of a request for a model, whose prompt has these parts."""
     return {
@@ -150,6 +178,8 @@
         self._refusals = collections.deque()  # (time, request id)
         self.limit = None  # LimitRecord while the server names a limit
         self.limits = []  # all of them
+        self.pauses = PauseRecord()
+        self.paused_until = 0.0
         self._rng = rng  # None for a server that never falls silent
         self._on_crash = on_crash
         self._crash_rng = rng or random.Random(name)
@@ -191,6 +221,10 @@
             self.limit.ends_at = time.monotonic()
         self.limit = None
 
+    def begin_pause(self, seconds):
+        """Turn requests away for a time, and name the rest of it each time."""
+        self.paused_until = time.monotonic() + seconds
+
     def crash(self, down_s, cause):
         """Break off all requests, and start again at the same address later."""
         if self._is_down:
@@ -204,6 +238,7 @@
     def _start_again(self):
         self.born_ms += 1
         self.end_limit()
+        self.paused_until = 0.0
         self._running = 0
         self._sequence = itertools.count(1)
         self.open_listener()
@@ -263,6 +298,15 @@
             self.limit.arrivals.append((time.monotonic(), request_id))
             self.limit.told_by_id[request_id] = time.monotonic()
             headers.append(("Server-Limit", f"{self.limit.rate:g}"))
+        now, address = time.monotonic(), environ["REMOTE_ADDR"]
+        self.pauses.arrivals.append((now, request_id, address))
+        if now < self.paused_until:
+            left_s = round(self.paused_until - now, 3)
+            self.pauses.asked.append((now, request_id, address, left_s))
+            headers.append(("Kumquatproxy-Not-Executed", "1"))
+            headers.append(("Retry-After", f"{left_s:.3f}"))
+            start_response("503 Paused", headers)
+            return
         if self._running >= self.slots:
             self._record_refusal(request_id)
             headers.append(("Kumquatproxy-Not-Executed", "1"))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -133,6 +133,7 @@
                     **os.environ,
                     "PYTHONPATH": os.getcwd(),
                     "SOAK_CUT_FILE": str(self.cut_file),
+                    "SOAK_HOST_IP": self.ip,
                     "SOAK_SERVER_PORTS": f"{SERVER_PORT},{SERVER_PROXY_PORT}",
                 },
             )
