Send nothing to a server in the pause that it asked this host for

Cause: hosts took every refusal for "full at this moment". Nothing read Retry-After of a server; after a 503 it was left alone for 0.1 s and then selected again, by new calls, retries and calls that waited. Class: what a server asks for in an answer is not known where calls to it are decided, so each path has to be closed by itself.

Change: one tracker (gateway/requestedpauses) is asked by the selection of servers, hence by first choices, retries, resumed streams, forwarded calls, calls that wait and the check for an alternative to a silent server, and once more right before a call is sent, after connecting and after the wait for a turn. Such a call is withheld: not sent, not counted again in the retry budget, no failure of the server, and the connection goes back to the pool. The owner of orders keeps to it as well: orders and reports wait for the end or are left out, a load goes on after it, and the engine stays a holder of its models. If all servers of a call pause, it waits only for an end that leaves time to serve it, else it is rejected at once with that time and a spread.

--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -125,7 +125,7 @@
         self._facts = factexchange.ControlFacts()
         self._turn_giver = turns.TurnGiver(self._facts.table)
         self.limits = serverlimits.ServerLimits(self._facts.table, self._facts.publish)
-        self.pauses = requestedpauses.RequestedPauses()
+        self.pauses = requestedpauses.RequestedPauses(self._rng)
         self._server_log = logs.Log("member")
         self._link_address_by_id: dict[
             str, str
--- a/kumquatproxy/fleet/engineclient.py
+++ b/kumquatproxy/fleet/engineclient.py
@@ -19,7 +19,7 @@
 class EngineClient:
     """Send orders and request reports over pooled connections to engines."""
 
-    __slots__ = ("_dialect", "_log", "_trackers", "links")
+    __slots__ = ("_dialect", "_log", "_pauses", "_trackers", "links")
 
     def __init__(
         self,
@@ -29,6 +29,7 @@
     ):
         self._dialect = dialect
         self._trackers = (limits, pauses)
+        self._pauses = pauses
         self._log = logs.Log("order")
         self.links = backendconnections.ConnectionPool()
 
@@ -79,6 +80,9 @@
                     CALL_TIMEOUT_S,
                 )
                 sent_at = clock.now()
+                if self._pauses.left_s(announcement, sent_at) > 0.0:
+                    is_reusable = True
+                    return None
                 link.send(method, target, headers, body)
                 head: calls.ResponseHead = link.read_head(
                     self._dialect.parse_response_head
--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -88,7 +88,7 @@
         self.brittle = brittleservers.BrittleServers(
             self.host_id, self._facts.table, self._facts.publish
         )
-        self.pauses = requestedpauses.RequestedPauses()
+        self.pauses = requestedpauses.RequestedPauses(self._rng, self._schedule_wakeup)
         self._turn_client = turns.TurnClient(self.send_message)
         self.server_selector = serverselection.ServerSelector(
             host_settings.host.data_centre,
@@ -96,6 +96,7 @@
             self._rng,
             self.limits,
             self.brittle,
+            self.pauses,
         )
         bounds = host_settings.bounds
         self.budget = retrybudget.RetryBudget(
--- a/kumquatproxy/fleet/orderissuer.py
+++ b/kumquatproxy/fleet/orderissuer.py
@@ -33,7 +33,8 @@
 LOAD_CHECK_INTERVAL_S = 1.5
 # Share of a server's limit that polls use. Orders and reports count like calls.
 POLL_SHARE = 0.25
-# Longest wait of an order or a report for its turn at a server with a limit.
+# Longest wait of an order or a report for its turn at a server with a limit, or for the
+# end of a pause.
 MAX_TURN_WAIT_S = 10.0
 # Timeout of an unload, which waits until the calls of its model have ended.
 UNLOAD_TIMEOUT_S = 20.0
@@ -277,7 +278,7 @@
 
     def _verify(self, state):
         """Ask an engine for a report; without an answer it is no holder until one."""
-        if not self._refresh(state):
+        if not self._refresh(state) and not self._is_paused(state):
             state.is_unreachable = True
             self._log.write(
                 clock.now(),
@@ -334,8 +335,25 @@
             return POLL_INTERVAL_S
         return max(POLL_INTERVAL_S, 1.0 / (POLL_SHARE * rate))
 
+    def _is_paused(self, state):
+        return self._host.pauses.left_s(state.announcement, clock.now()) > 0.0
+
+    def _await_pause(self, state):
+        """Wait while the engine wants a pause; return whether it has ended."""
+        left_s = self._host.pauses.left_s(state.announcement, clock.now())
+        if left_s > MAX_TURN_WAIT_S:
+            return False
+        if left_s > 0.0:
+            gevent.sleep(left_s)
+        return True
+
     def _await_turn(self, state):
-        """Wait for a turn if the server has a limit; return whether it was given."""
+        """Wait until the engine takes a request; return whether it does.
+
+        It may want a pause, or name a limit.
+        """
+        if not self._await_pause(state):
+            return False
         now = clock.now()
         if self._host.limits.rate(state.announcement, now) is None:
             return True
@@ -345,14 +363,20 @@
         gevent.sleep(turn.wait_s)
         return True
 
+    def _delay_retry(self, state):
+        """Leave an engine alone for a time, at least until the end of its pause."""
+        now = clock.now()
+        pause_left_s = self._host.pauses.left_s(state.announcement, now)
+        state.retry_at = now + max(ENGINE_RETRY_S, pause_left_s)
+
     def _refresh(self, state):
         if not self._await_turn(state):
-            state.retry_at = clock.now() + ENGINE_RETRY_S
+            self._delay_retry(state)
             return False
         report = self._client.report(state.announcement)
         self._host.meter.order("report", "failed" if report is None else "answered")
         if report is None:
-            state.retry_at = clock.now() + ENGINE_RETRY_S
+            self._delay_retry(state)
             return False
         state.apply_report(report)
         return True
@@ -360,7 +384,7 @@
     def _resynchronise(self, state):
         """Read the order count again, from a report recent enough to be reliable."""
         state.invalidate_order_count()
-        state.retry_at = clock.now() + ENGINE_RETRY_S
+        self._delay_retry(state)
         gevent.sleep(MAX_REPORT_AGE_S)
         if self._refresh(state):
             state.retry_at = 0.0
@@ -410,12 +434,15 @@
         while (left_s := expected_at - clock.now()) > check_interval_s:
             gevent.sleep(check_interval_s)
             # One answer may be lost while the load goes on.
-            if not self._refresh(state) and not self._refresh(state):
-                return False
+            if not any(self._refresh(state) for _ in range(2)):
+                if not self._is_paused(state):
+                    return False
         gevent.sleep(max(0.0, left_s))
         while clock.now() < deadline:
             gevent.sleep(self._poll_interval_s(state, clock.now()))
             if not self._refresh(state):
+                if self._is_paused(state):
+                    continue
                 return False
             # What follows cannot end sooner, and entry hosts are told so.
             state.loading_until = max(state.loading_until, clock.now() + then_s)
--- a/kumquatproxy/gateway/calls.py
+++ b/kumquatproxy/gateway/calls.py
@@ -139,12 +139,21 @@
     # have executed the call.
     LOST = "lost"
     SILENT = "silent"  # sent, no data within the timeout
+    # Selected, but not sent because the server asked for a pause meanwhile.
+    WITHHELD = "withheld"
     SUPERSEDED = "superseded"  # an earlier silent attempt went on before a response
     BROKEN = "broken"  # not used; a stream that ends early has the outcome LOST
 
 
 # Outcomes after which the call was certainly not executed.
-NOT_EXECUTED = frozenset((Outcome.NOT_CONNECTED, Outcome.NOT_RUN, Outcome.WRONG_SERVER))
+NOT_EXECUTED = frozenset(
+    (
+        Outcome.NOT_CONNECTED,
+        Outcome.NOT_RUN,
+        Outcome.WITHHELD,
+        Outcome.WRONG_SERVER,
+    )
+)
 
 
 class ResponseHead(records.Record):
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -7,7 +7,6 @@
 import gevent.event
 
 from kumquatproxy import clock, errors, logs
-from kumquatproxy.fleet import servers
 from kumquatproxy.gateway import (
     attempts,
     backendconnections,
@@ -46,6 +45,10 @@
     """Report that the deadline of a call has passed."""
 
 
+class NotSendableError(Exception):
+    """Report that a server may not be sent the call it was selected for any more."""
+
+
 class FallbackResumedError(Exception):
     """Report that a silent server went on before another one accepted the call."""
 
@@ -274,7 +277,7 @@
             return False
         if turn.wait_s > 0.0:
             gevent.sleep(turn.wait_s)
-        return announcement.state is servers.ServerState.READY
+        return self._host.server_selector.may_send(announcement, clock.now())
 
     def _expected_availability(self, call, progress, now):
         turn_wait_s = self._host.server_selector.least_turn_wait_s(
@@ -285,7 +288,14 @@
         # This also requests an adapter that is missing.
         expected_availability = self._host.expected_availability(call, now, turn_wait_s)
         if call.software_version is None:
-            return expected_availability
+            pause_left_s = self._host.server_selector.pause_left_s(
+                call, progress.excluded_lifetimes, now
+            )
+            if pause_left_s is None:
+                return expected_availability
+            return waiting.after_pause(
+                expected_availability, pause_left_s, self._host.spread()
+            )
         return self._host.server_selector.expected_for_begun_stream(
             call, progress.excluded_lifetimes, now
         )
@@ -310,6 +320,7 @@
                     call, attempt.announcement
                 )
                 attempt.link = self._connect(call, attempt)
+                self._check_sendable(attempt)
                 self._send(call, attempt, progress)
             self._receive(call, attempt, progress, connection)
         except (OSError, backendconnections.BackendError, ValueError) as error:
@@ -326,6 +337,9 @@
             elif not is_refused:
                 # Only sending has a timeout beside a fallback.
                 attempt.detail = "the call was not read within the timeout"
+        except NotSendableError:
+            attempt.detail = "the server wants no calls since it was selected"
+            attempt.outcome = calls.Outcome.WITHHELD
         except FallbackResumedError:
             attempt.detail = "the server of an earlier attempt went on"
             attempt.outcome = calls.Outcome.SUPERSEDED
@@ -384,6 +398,16 @@
             self._host.paths.record_connected(announcement)
         return link
 
+    def _check_sendable(self, attempt):
+        """Raise NotSendableError if the selected server may not be sent a call now."""
+        if attempt.is_forwarded or self._host.server_selector.may_send(
+            attempt.announcement, clock.now()
+        ):
+            return
+        link, attempt.link = attempt.link, None
+        self.links.release(link)
+        raise NotSendableError
+
     def _send(self, call, attempt, progress):
         left_s = call.deadline - clock.now()
         if left_s < MIN_REMAINING_S:
@@ -634,6 +658,7 @@
         elif attempt.outcome is calls.Outcome.NOT_CONNECTED:
             health.record_failure(now, is_unreachable=True)
         elif attempt.outcome not in (
+            calls.Outcome.WITHHELD,
             calls.Outcome.WRONG_SERVER,
             calls.Outcome.SUPERSEDED,
         ):
@@ -669,7 +694,9 @@
                 return progress.return_to_fallback()
             self._reserve_retry(call, progress)
             return next_attempt
-        if outcome in calls.NOT_EXECUTED:
+        if outcome is calls.Outcome.WITHHELD:
+            progress.has_reserved_retry = True  # the next one is counted already
+        elif outcome in calls.NOT_EXECUTED:
             progress.unexecuted_attempts += 1
         else:
             progress.possible_executions += 1
@@ -686,6 +713,7 @@
         if not attempt.is_forwarded and outcome in (
             calls.Outcome.NOT_RUN,
             calls.Outcome.NOT_CONNECTED,
+            calls.Outcome.WITHHELD,
         ):
             # The same server may accept the call later.
             progress.excluded_lifetimes.discard(attempt.announcement.lifetime)
--- a/kumquatproxy/gateway/serverselection.py
+++ b/kumquatproxy/gateway/serverselection.py
@@ -13,6 +13,7 @@
     calls,
     health,
     prefixcache,
+    requestedpauses,
     serverlimits,
     waiting,
 )
@@ -113,10 +114,12 @@
         rng,
         limits: serverlimits.ServerLimits,
         brittle: brittleservers.BrittleServers,
+        pauses: requestedpauses.RequestedPauses,
     ):
         self.table = table
         self._limits = limits
         self._brittle = brittle
+        self._pauses = pauses
         self.prefix_cache = prefixcache.PrefixCacheTracker()
         # A lifetime identifies one run of a server: (instance id, time of its start).
         self.views_by_lifetime: dict[tuple, ServerView] = {}
@@ -154,6 +157,8 @@
             view = self.view(announcement)
             if not view.health.is_usable(now):
                 continue
+            if self._pauses.usable_in_s(announcement, now) > 0.0:
+                continue
             if not self._brittle.admits(
                 announcement, len(view.in_flight_calls), view.running, now
             ):
@@ -188,7 +193,10 @@
         """
         return min(
             (
-                self._limits.turn_wait_s(announcement, now)
+                max(
+                    self._limits.turn_wait_s(announcement, now),
+                    self._pauses.usable_in_s(announcement, now),
+                )
                 for announcement in self.table.ready(call.service, now)
                 if announcement.lifetime not in excluded
                 and self._can_serve(call, announcement)
@@ -197,6 +205,26 @@
             default=None,
         )
 
+    def pause_left_s(self, call: calls.Call, excluded, now: float) -> float | None:
+        """Return the time until the first pause of servers for a call ends.
+
+        None if one of them has not asked for a pause, or if there is no such server.
+        """
+        waits_s = [
+            self._pauses.usable_in_s(announcement, now)
+            for announcement in self.table.ready(call.service, now)
+            if announcement.lifetime not in excluded
+            and self._can_serve(call, announcement)
+        ]
+        return min(waits_s, default=0.0) or None
+
+    def may_send(self, announcement: servers.Announcement, now: float) -> bool:
+        """Return whether a call may still be sent to the server selected for it."""
+        return (
+            announcement.state is servers.ServerState.READY
+            and self._pauses.left_s(announcement, now) <= 0.0
+        )
+
     def expected_for_begun_stream(
         self, call: calls.Call, excluded, now: float
     ) -> waiting.ExpectedAvailability:
@@ -217,6 +245,7 @@
             max(
                 self.view(announcement).health.usable_in_s(now),
                 self._limits.turn_wait_s(announcement, now),
+                self._pauses.usable_in_s(announcement, now),
             )
             for announcement in ready
             if self._can_serve(call, announcement)
@@ -277,6 +306,7 @@
             )
             tokens = max(0, call.need.prompt_tokens - cached_tokens)
             self.prefix_cache.record(announcement.instance_id, call.need)
+        self._pauses.record_start(announcement)
         in_flight_call = InFlightCall(announcement.instance_id, tokens)
         self.view(announcement).in_flight_calls[in_flight_call] = None
         return in_flight_call
--- a/tests/fleet/test_serverpaths.py
+++ b/tests/fleet/test_serverpaths.py
@@ -12,6 +12,7 @@
     brittleservers,
     forwarding,
     reachability,
+    requestedpauses,
     serverlimits,
     serverselection,
     sharedfacts,
@@ -38,6 +39,7 @@
             rng,
             serverlimits.ServerLimits(self.facts, publish),
             brittleservers.BrittleServers("h", self.facts, publish),
+            requestedpauses.RequestedPauses(rng),
         )
         reach = reachability.Reachability()
         offers = forwarding.Forwarding("h", "h:1", self.facts, publish, reach)
