Keep to the pauses of servers in the requests stack, for calls and orders

A 503 of a backend server with Retry-After was a refusal like any other: the next call, the retry of the same call (as the last resort also at servers that were tried), queued calls and orders went there at once.

Change: requests/serverpauses keeps the pauses of one host by address. The exchange with a server, which all drivers use, records them at each answer and sends nothing in a pause, whatever selected the server before; the connection goes back to the pool and the breaker stays closed. Routing leaves such servers out, also as the last resort; the calls queued for one are routed again when it asks for a pause; if no other server can take a call, it is refused at once with the rest of the pause and a spread as Retry-After. Placement control uses the same record, as its orders come from the same host. A new incarnation starts without a pause. A refusal by another data centre's entry host concerns one call and is none.

Calls of this stack do not wait for the end of a short pause.

--- a/kumquatproxy/placement/placementcontrol.py
+++ b/kumquatproxy/placement/placementcontrol.py
@@ -66,7 +66,9 @@
         self._registered_voters: configstate.Voters | None = None
         self._plan_at = now
         self._submitted_term = 0
-        self._driver = drivers.OpenAIDriver(exchanges.ConnectionPool())
+        self._driver = drivers.OpenAIDriver(
+            exchanges.ConnectionPool(context.dispatcher.pauses)
+        )
         self._demand_load_budget = placementplan.DemandLoadBudget(
             DEMAND_LOAD_LIMIT, DEMAND_LOAD_INTERVAL_S, now
         )
--- a/kumquatproxy/requests/admission.py
+++ b/kumquatproxy/requests/admission.py
@@ -407,7 +407,13 @@
 
     def remove_server(self, backend_id: str) -> list[QueuedRequest]:
         """Remove a backend server; return its queued requests, to be routed again."""
-        limiter = self._limiters_by_id.pop(backend_id, None)
+        requeued = self.take_queued(backend_id)
+        self._limiters_by_id.pop(backend_id, None)
+        return requeued
+
+    def take_queued(self, backend_id: str) -> list[QueuedRequest]:
+        """Take the requests queued for a backend server, to be routed again."""
+        limiter = self._limiters_by_id.get(backend_id)
         requeued: list[QueuedRequest] = []
         while limiter is not None and limiter.queue.size:
             entry = limiter.queue.pop()
--- a/kumquatproxy/requests/admissionwait.py
+++ b/kumquatproxy/requests/admissionwait.py
@@ -17,7 +17,7 @@
     """Reason for which a wait ended, other than a refusal."""
 
     SEND = "send"  # admitted at the backend server
-    ROUTE_AGAIN = "route-again"  # the backend server was removed
+    ROUTE_AGAIN = "route-again"  # the backend server was removed or is paused
 
 
 class RefusedError(Exception):
@@ -46,6 +46,11 @@
         for entry in self._admission.remove_server(backend_id):
             self._wake(entry, WaitEnd.ROUTE_AGAIN)
 
+    def reroute(self, backend_id: str) -> None:
+        """Have the queued requests of a backend server routed again."""
+        for entry in self._admission.take_queued(backend_id):
+            self._wake(entry, WaitEnd.ROUTE_AGAIN)
+
     def admit(self, call, decision: routing.Decision, now: float) -> int | None:
         """Return the priority to send with, or None if the call is to be routed again.
 
--- a/kumquatproxy/requests/dispatch.py
+++ b/kumquatproxy/requests/dispatch.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+import math
 import random
 
 import gevent
@@ -12,7 +13,7 @@
 
 from kumquatproxy import clock, errors, logs, metrics, records
 from kumquatproxy.configuration import sheet
-from kumquatproxy.gateway import calls, stalltimeouts
+from kumquatproxy.gateway import calls, stalltimeouts, waiting
 from kumquatproxy.requests import (
     admissionwait,
     breaker,
@@ -22,6 +23,7 @@
     exchanges,
     retries,
     routing,
+    serverpauses,
     stalls,
 )
 
@@ -116,7 +118,8 @@
         self._breakers = breaker.Breakers()
         self._admission = admissionwait.BlockingAdmission()
         self._budget = retries.RetryBudget()
-        self._pool = exchanges.ConnectionPool()
+        self.pauses = serverpauses.ServerPauses(rng)
+        self._pool = exchanges.ConnectionPool(self.pauses)
         self._guard = crashguard.CrashGuard(self._pool.links)
         self._drivers_by_alias: dict[str, drivers.Driver] = {}
         self._log = logs.Log("route")
@@ -131,10 +134,14 @@
         if state is not None and state.server.incarnation < server.incarnation:
             self._breakers.remove(server.backend_id)
             self._pool.close_idle(state.server.address)
+            self.pauses.forget(state.server.address)
         self.table.update_server(server, now)
 
     def remove_server(self, backend_id: str) -> None:
         """Remove a backend server that has left or failed."""
+        state = self.table.state(backend_id)
+        if state is not None:
+            self.pauses.forget(state.server.address)
         self.table.remove_server(backend_id)
         self._breakers.remove(backend_id)
         self._admission.remove_server(backend_id)
@@ -156,6 +163,7 @@
 
         For routing, each of its services is represented by one backend server.
         """
+        self.pauses.exempt_addresses.add(address)
         for service, keys in items_by_service.items():
             backend_id = f"{data_centre}/{host_id}/{service}"
             kind = "plain" if service in self._plain_services else "engine"
@@ -407,6 +415,7 @@
 
     def _choose_other(self, call, items, history, now):
         excluded_ids = self._breakers.excluded_ids(now) | history.tried_ids
+        excluded_ids |= self._pauses_by_id(now).keys()
         if call.is_forwarded:
             excluded_ids |= self._remote_ids
         return self.table.choose(call, items, excluded_ids, now, self._rng)
@@ -488,7 +497,9 @@
     def _choose(self, call, items, history, now):
         open_breaker_ids = self._breakers.excluded_ids(now)
         # A call forwarded by another data centre must not be forwarded again.
-        forbidden_ids = self._remote_ids if call.is_forwarded else set()
+        forbidden_ids = set(self._remote_ids) if call.is_forwarded else set()
+        pauses_by_id = self._pauses_by_id(now)
+        forbidden_ids |= pauses_by_id.keys()
         # Fall back to servers that have an open breaker or were already tried: they may
         # be the only ones with the model.
         refusals = []
@@ -502,8 +513,28 @@
             if isinstance(decision, routing.Decision):
                 return decision
             refusals.append(decision)
+        holders = self.table.holders(items, pauses_by_id)
+        if holders:
+            left_s = min(pauses_by_id[backend_id] for backend_id in holders)
+            left_s += self._rng.random() * waiting.PAUSE_RETURN_SPREAD_S
+            refusals[0] = routing.Refusal(
+                errors.ErrorKind.OVERLOADED,
+                "the backend servers that can take the call have asked for a pause",
+                math.ceil(left_s),
+            )
         raise self._refusal_error(call, refusals[0], history, now)
 
+    def _pauses_by_id(self, now):
+        """Return for how long to leave servers alone that have asked for a pause."""
+        waits_s = self.pauses.unusable_addresses(now)
+        if not waits_s:
+            return {}
+        return {
+            backend_id: waits_s[address]
+            for backend_id, address in self.table.addresses()
+            if address in waits_s
+        }
+
     def _end_attempt(self, call, state, result):
         attempt, state.attempt = state.attempt, None
         if attempt is not None:
@@ -536,6 +567,8 @@
         self.table.record_finish(backend_id, call, outcome, now)
         self._breakers.record_finish(backend_id, result, now, self._rng)
         if attempt.is_limited:
+            if self.pauses.left_s(attempt.server.address, now) > 0.0:
+                self._admission.reroute(backend_id)
             self._admission.record_finish(backend_id, call, outcome, now)
 
     def _next_attempt(self, call, items, state, error, failure, min_attempt_s):
--- a/kumquatproxy/requests/exchanges.py
+++ b/kumquatproxy/requests/exchanges.py
@@ -7,7 +7,7 @@
 
 from kumquatproxy import clock
 from kumquatproxy.gateway import backendconnections, calls
-from kumquatproxy.requests import retries
+from kumquatproxy.requests import retries, serverpauses
 
 CONNECT_TIMEOUT_S = 1.0
 MIN_WAIT_S = 0.001  # a timer of 0 would fire before the read checks the socket
@@ -59,12 +59,16 @@
 
 
 class ConnectionPool:
-    """Pool of idle connections by backend address."""
+    """Pool of idle connections by backend address.
 
-    __slots__ = ("links",)
+    Nothing is sent to an address in a pause that its server has asked for.
+    """
 
-    def __init__(self):
+    __slots__ = ("links", "pauses")
+
+    def __init__(self, pauses: serverpauses.ServerPauses):
         self.links = backendconnections.ConnectionPool()
+        self.pauses = pauses
 
     def open(
         self, address: str, max_idle_s: float, timeout_s: float
@@ -93,6 +97,7 @@
         "_is_complete",
         "_link",
         "_pool",
+        "_sent_at",
         "address",
         "head",
         "is_sent",
@@ -106,6 +111,7 @@
         self._body_parts: list[bytes] = []
         self.head: calls.ResponseHead | None = None
         self.is_sent = False
+        self._sent_at = 0.0
         timeout_s = min(CONNECT_TIMEOUT_S, timeout.limit_s)
         try:
             self._link = pool.open(address, max_idle_s, timeout_s)
@@ -127,6 +133,13 @@
 
     def send(self, method, path, headers, body, timeout) -> None:
         """Send a request; this cannot be continued after a timeout."""
+        self._sent_at = clock.now()
+        if self._pool.pauses.left_s(self.address, self._sent_at) > 0.0:
+            self._keep_unused()
+            raise CallFailedError(
+                retries.Failure.REFUSED, f"{self.address} has asked for a pause"
+            )
+        self._pool.pauses.record_start(self.address)
         fields = [(name.lower(), value) for name, value in headers]
         fields = [
             field for field in fields if field[0] not in ("host", "content-length")
@@ -140,6 +153,10 @@
                 self._link.send(method.encode(), target, fields, body or b"")
         self.is_sent = True
 
+    def _keep_unused(self):
+        """Let the connection be pooled, as nothing was sent on it."""
+        self._is_complete = True
+
     def read_head(self, timeout) -> calls.ResponseHead:
         """Return the head of the answer."""
         link = self._link
@@ -148,6 +165,9 @@
                 self.head = timeout.read(
                     link, lambda: link.read_head(calls.ResponseHead)
                 )
+            self._pool.pauses.record_answer(
+                self.address, self.head, self._sent_at, clock.now()
+            )
         return self.head
 
     def read_part(self, timeout) -> bytes | None:
--- a/kumquatproxy/requests/routing.py
+++ b/kumquatproxy/requests/routing.py
@@ -375,6 +375,20 @@
         candidates = Candidates(pool, items, (), 0.0)
         return any(candidates.allows(state) for state in pool.local + pool.remote)
 
+    def addresses(self) -> list[tuple[str, str]]:
+        """Return the ids and addresses of all backend servers."""
+        states = self._states_by_id.items()
+        return [(backend_id, state.server.address) for backend_id, state in states]
+
+    def holders(self, items, backend_ids) -> list[str]:
+        """Return those of some backend servers that have all items loaded."""
+        return [
+            backend_id
+            for backend_id in backend_ids
+            if not self._states_by_id[backend_id].leaving
+            and self._states_by_id[backend_id].items.issuperset(items)
+        ]
+
     def _smallest_pool(self, items):
         smallest = None
         for item in items:
