Reject a resumed stream that may have outlasted the memory of versions

What can happen, found by reading: the time for which versions are remembered ends at 120 s, and the window that hosts ask for was cut to it. A stream of a route with a timeout over 57 s whose origin has been forgotten went on at the one version seen since, though a version that has gone may still have been running it.

Change: the window is not cut, and a report on a longer window than versions are remembered is not complete, so such a stream is rejected. Messages do not change; a control host of the landing before cuts nothing itself, so it may still call its report on a longer window complete.

Evidence: test_stream_that_outlasts_the_memory_of_versions_is_not_taken_for_the_only_one failed before.

--- a/kumquatproxy/fleet/streamrecords.py
+++ b/kumquatproxy/fleet/streamrecords.py
@@ -84,7 +84,7 @@
         Ask the control hosts if this host did not begin the stream.
         """
         services = [target.service for target in call.route.targets]
-        window_s = streamorigins.kept_s(call.route.timeout_s)
+        window_s = streamorigins.resumable_s(call.route.timeout_s)
         origin = self.table.find(call.resumed_id, now)
         reports = [self.history.report(services, window_s, now)]
         if origin is None:
--- a/kumquatproxy/gateway/streamorigins.py
+++ b/kumquatproxy/gateway/streamorigins.py
@@ -20,9 +20,14 @@
 MAX_CONTACT_GAP_S = 2.0
 
 
-def kept_s(timeout_s: float) -> float:
+def resumable_s(timeout_s: float) -> float:
     """Return how long a stream of a route with this timeout may last and be resumed."""
-    return min(MAX_KEPT_S, KEPT_TIMEOUTS * timeout_s + KEPT_MARGIN_S)
+    return KEPT_TIMEOUTS * timeout_s + KEPT_MARGIN_S
+
+
+def kept_s(timeout_s: float) -> float:
+    """Return how long the origin of a stream of such a route is kept."""
+    return min(MAX_KEPT_S, resumable_s(timeout_s))
 
 
 class Origin(records.Record):
@@ -117,9 +122,13 @@
         self._seen_at_by_key[(service, software_version)] = now
 
     def report(self, services, window_s: float, now: float) -> VersionReport:
-        """Return the versions of services in a window that ends now."""
+        """Return the versions of services in a window that ends now.
+
+        It is not complete for a longer window than versions are remembered.
+        """
         is_complete = (
-            self._contact_since is not None
+            window_s <= MAX_KEPT_S
+            and self._contact_since is not None
             and now - self._contact_at <= MAX_CONTACT_GAP_S
             and now - self._contact_since >= window_s
         )
--- a/tests/gateway/test_streamorigins.py
+++ b/tests/gateway/test_streamorigins.py
@@ -133,3 +133,22 @@
 def test_streams_are_kept_for_two_timeouts_of_the_route_within_bounds():
     assert streamorigins.kept_s(4.0) == 13.0
     assert streamorigins.kept_s(600.0) == streamorigins.MAX_KEPT_S
+
+
+def test_stream_that_outlasts_the_memory_of_versions_is_not_taken_for_the_only_one():
+    """Guards against joining it from two versions when its own one has been forgotten.
+
+    Servers of a version that has gone may still run a stream of a slow route.
+    """
+    history = streamorigins.VersionHistory()
+    table = streamorigins.OriginTable(10)
+    timeout_s, began_at, ends_at = 200.0, 500.0, 690.0
+    table.record("r", V1, streamorigins.kept_s(timeout_s), began_at)
+    for now in range(int(ends_at) + 1):
+        history.record_contact(float(now))
+        history.record("s", "v1" if now < began_at + 20.0 else "v2", float(now))
+        history.expire(float(now))
+    window_s = streamorigins.resumable_s(timeout_s)
+    known = table.find("r", ends_at)
+    reports = [history.report(["s"], window_s, ends_at)]
+    assert streamorigins.required_origin(known, "s", ["s"], reports) is None
