Tell a refusal that a server writes once more from the answer to the next call

Cause: an answer counts for a call if it bears the call's id, and a host that sends a refused call to the same server again uses the same id, often on the same connection; a refusal without an id counted for any call. Orders to engines have no ids at all. Class: an answer is attributed by what it says, though the connection has carried another request of which it may be the answer.

Change: a connection knows the ids of the calls that its server refused on it and is not taken for these calls again; one on which a refusal came without an id ends. A refusal without an id on a connection that has carried another call promises nothing: it is skipped like any late answer, and the call's own is awaited (from an entry host that took a forwarded call it still counts). The client for orders ends a connection after any refusal.

Ruled out: copies that arrive before the next request is sent (the connection counts as readable and is closed, as before), copies with the id of another call (skipped, as before).

--- a/kumquatproxy/fleet/engineclient.py
+++ b/kumquatproxy/fleet/engineclient.py
@@ -13,7 +13,7 @@
 
 CALL_TIMEOUT_S = 1.0
 CONNECTION_IDLE_TIMEOUT_S = 5.0
-REFUSAL_STATUSES = (400, 404)
+MIN_REFUSAL_STATUS = 400
 
 
 class EngineClient:
@@ -88,7 +88,9 @@
                     self._dialect.parse_response_head
                 )
                 body = link.read_body()
-                is_reusable = True
+                # Answers have no ids here, so a refusal that the engine writes once
+                # more would seem to be the answer to the next order.
+                is_reusable = head.status < MIN_REFUSAL_STATUS
                 if not head.is_wrong_server:
                     for tracker in self._trackers:
                         tracker.record_answer(announcement, head, sent_at, clock.now())
--- a/kumquatproxy/gateway/backendconnections.py
+++ b/kumquatproxy/gateway/backendconnections.py
@@ -19,6 +19,8 @@
 # passed, because the server may close it when the timeout ends.
 KEEP_ALIVE_USABLE_FRACTION = 0.5
 MAX_IDLE_PER_SERVER = 16
+# A connection ends after so many refusals on it, whose ids are kept.
+MAX_REFUSALS = 32
 KEEP_ALIVE_TIMEOUT_KEY = b"timeout="
 # Detects connections that were cut without a TCP reset.
 TCP_USER_TIMEOUT_MS = 4000
@@ -55,6 +57,7 @@
         "instance_id",
         "is_fully_sent",
         "is_reusable",
+        "refused_ids",
     )
 
     def __init__(self, instance_id: str, address: str, timeout_s: float):
@@ -74,6 +77,18 @@
         self.idle_since = 0.0
         self.had_earlier_call = False  # whether an earlier call used the connection
         self.is_fully_sent = False
+        # Request ids of the calls that the server refused. It may write a refusal once
+        # more, which seems new if its call is sent on the connection again.
+        self.refused_ids: set[str] = set()
+
+    def record_refusal(self, request_id: str, has_id: bool) -> None:
+        """Record that the server refused a call, and whether it named the call's id.
+
+        Without an id, a copy cannot be told from the refusal of a later call.
+        """
+        self.refused_ids.add(request_id)
+        if not has_id or len(self.refused_ids) >= MAX_REFUSALS:
+            self.is_reusable = False
 
     def send(self, method: bytes, target: bytes, headers, body: bytes) -> None:
         """Write a request; stop if the server responds before it has read the body."""
@@ -257,25 +272,46 @@
         self.opened_count = 0  # connections opened since the start
 
     def acquire(
-        self, instance_id: str, address: str, max_idle_s: float, timeout_s: float
+        self,
+        instance_id: str,
+        address: str,
+        max_idle_s: float,
+        timeout_s: float,
+        request_id: str = "",
     ):
-        """Return an idle or new connection; raise OSError if connecting fails."""
-        idle_links = self._idle_by_id.get(instance_id)
+        """Return an idle or new connection; raise OSError if connecting fails.
+
+        It is not one on which the server has refused a call with this ``request_id``.
+        """
         now = clock.now()
-        while idle_links:
+        link = self._take_idle(instance_id, max_idle_s, request_id, now)
+        if link is not None:
+            link.had_earlier_call = True
+            return link
+        self.opened_count += 1
+        return BackendConnection(instance_id, address, timeout_s)
+
+    def _take_idle(self, instance_id, max_idle_s, request_id, now):
+        idle_links = self._idle_by_id.get(instance_id)
+        skipped_links = []
+        found = None
+        while idle_links and found is None:
             link = idle_links.pop()
             if link.is_fit_for_reuse(now, max_idle_s):
-                link.had_earlier_call = True
-                return link
+                if request_id in link.refused_ids:
+                    skipped_links.append(link)
+                else:
+                    found = link
             # With a maximum of 0 the caller wants a new connection; the idle one is
             # kept for other calls.
-            if max_idle_s > 0.0:
+            elif max_idle_s > 0.0:
                 link.close()
             else:
                 idle_links.appendleft(link)
                 break
-        self.opened_count += 1
-        return BackendConnection(instance_id, address, timeout_s)
+        if idle_links is not None:
+            idle_links.extend(skipped_links)
+        return found
 
     def release(self, link: BackendConnection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -386,7 +386,11 @@
         timeout_s = min(backendconnections.CONNECT_TIMEOUT_S, max(0.01, left_s))
         try:
             link = self.links.acquire(
-                announcement.instance_id, announcement.address, max_idle_s, timeout_s
+                announcement.instance_id,
+                announcement.address,
+                max_idle_s,
+                timeout_s,
+                call.request_id,
             )
         except OSError as error:
             # Shortly before the deadline there is no time to connect.
@@ -462,6 +466,9 @@
                     wrong if head.is_wrong_server else calls.Outcome.NOT_RUN
                 )
                 attempt.detail = f"refused with {head.status}"
+                if not attempt.is_forwarded:
+                    has_id = bool(head.echoed_id)
+                    attempt.link.record_refusal(call.request_id, has_id)
                 if progress.fallback is None:
                     body = self._read_body(attempt, read, timeouts)
                     if attempt.is_forwarded:
@@ -557,12 +564,15 @@
                 timeouts.initial_s,
                 lambda: link.read_head(self._host.dialect.parse_response_head),
             )
-            is_matching = head.echoed_id == call.request_id
-            if is_matching or (head.is_not_executed and not head.echoed_id):
+            if head.echoed_id == call.request_id:
                 return head
-            if not head.echoed_id:
+            is_own = attempt.is_forwarded or not link.had_earlier_call
+            if head.is_not_executed and not head.echoed_id and is_own:
+                return head
+            if not head.echoed_id and not head.is_not_executed:
                 raise backendconnections.BackendError("the response has no request id")
-            # This is a late response to an earlier call; the expected one follows it.
+            # This is a late response to an earlier call; the expected one follows it. A
+            # refusal without an id may be one, too.
             attempt.is_discarding = True
 
     def _read_body(self, attempt, read, timeouts):
