End connections to servers after a refusal in the requests stack

Its servers echo no ids, so the copy of a refusal on a kept connection was the answer to the next call: that call was retried or refused as "not executed" while the engine ran it.

Change: a connection whose server has answered 404, 429 or 503, the statuses that say "not executed", is not used again. The price is a new connection for each such refusal.

--- a/kumquatproxy/requests/drivers.py
+++ b/kumquatproxy/requests/drivers.py
@@ -16,9 +16,6 @@
 LAST_EVENT = b"data: [DONE]"
 _ERROR_MEMBER = b'"error"'
 
-# Engines answer 404 for a model that is no longer loaded, and 429 or 503 when full.
-_NOT_EXECUTED_STATUSES = frozenset((404, 429, 503))
-
 _ORDER_ANSWERS_BY_STATUS = {200: "accepted", 202: "accepted", 507: "refused"}
 _JSON_HEADERS = [("Content-Type", "application/json")]
 _NOT_COPIED_HEADERS = frozenset(
@@ -137,7 +134,7 @@
         if not self._exchange.is_sent:
             self._send(timeout)
         status = self._exchange.read_head(timeout).status
-        is_refused = status in _NOT_EXECUTED_STATUSES
+        is_refused = status in exchanges.NOT_EXECUTED_STATUSES
         if status == 200 or not (self._is_stream or is_refused or status >= 500):
             return
         try:
--- a/kumquatproxy/requests/exchanges.py
+++ b/kumquatproxy/requests/exchanges.py
@@ -13,6 +13,8 @@
 MIN_WAIT_S = 0.001  # a timer of 0 would fire before the read checks the socket
 # The server may be about to close a connection that was idle for longer.
 MAX_IDLE_S = 10.0
+# Engines answer 404 for a model that is no longer loaded, and 429 or 503 when full.
+NOT_EXECUTED_STATUSES = frozenset((404, 429, 503))
 
 
 class CallFailedError(Exception):
@@ -165,6 +167,10 @@
                 self.head = timeout.read(
                     link, lambda: link.read_head(calls.ResponseHead)
                 )
+            if self.head.status in NOT_EXECUTED_STATUSES:
+                # Answers have no ids here, so a refusal that the server writes once
+                # more would seem to be the answer to the next call.
+                link.is_reusable = False
             self._pool.pauses.record_answer(
                 self.address, self.head, self._sent_at, clock.now()
             )
