Relay only events of a stream, and go on only with a stream

Cause, two faults of one class (what follows the beginning of a stream was taken for its continuation without asking whether it is one): - The splitter took everything up to an empty line for an event. A head ends with an empty line, so the copy of a refusal that a server writes into a stream without a length, or into a chunk or an unfinished event, was relayed. - The answer of the next server counted as the rest of the stream if its status was 200. One with another media type was relayed, or, if empty, ended the stream as complete.

Change: an event consists of comments and known fields (the dialect names its own ones), and its lines end in one way. At the first one that does not, the events before it are relayed and the attempt counts as lost, so the stream goes on at the next server or stays incomplete. A resumed stream goes on only with status 200 and the media type that began it. The requests stack uses the same check, and takes no other media type than text/event-stream for a stream.

A server that uses fields of its own in events needs them in its dialect (Dialect.event_fields).

--- a/kumquatproxy/gateway/attempts.py
+++ b/kumquatproxy/gateway/attempts.py
@@ -9,6 +9,7 @@
     backendconnections,
     calls,
     eventstream,
+    framing,
     serverselection,
 )
 
@@ -71,6 +72,12 @@
         self.body: bytes = body
 
 
+def media_type(head: calls.ResponseHead) -> bytes:
+    """Return the type of a response without its parameters, or b''."""
+    value = framing.header(head.headers, b"content-type")
+    return value.partition(b";")[0].strip().lower()
+
+
 class Progress:
     """Hold the state of a call across its attempts."""
 
@@ -83,6 +90,7 @@
         "has_response_begun",
         "last_event_id",
         "possible_executions",
+        "stream_type",
         "unexecuted_attempts",
         "waited_s",
     )
@@ -96,6 +104,7 @@
         self.has_reserved_retry = False  # counted in the retry budget, not yet used
         self.has_response_begun = False  # the caller has received a head
         self.last_event_id = ""  # of the last event the caller has received
+        self.stream_type = b""  # media type of the response that has begun
         self.unexecuted_attempts = 0
         # Attempts that have ended or were left, and may have executed the call.
         self.possible_executions = 0
@@ -116,9 +125,14 @@
     def accepts(self, head: calls.ResponseHead) -> bool:
         """Return whether a response replaces the fallback."""
         if self.has_response_begun:
-            return head.status == calls.STREAM_STATUS
+            return self.continues(head)
         return head.status < calls.MIN_SERVER_ERROR_STATUS
 
+    def continues(self, head: calls.ResponseHead) -> bool:
+        """Return whether a response can go on with the stream that has begun."""
+        is_same_type = media_type(head) == self.stream_type
+        return head.status == calls.STREAM_STATUS and is_same_type
+
     def keep_silent(self, attempt: Attempt) -> None:
         """Keep a silent attempt as the fallback; it counts as left."""
         self.fallback = attempt
--- a/kumquatproxy/gateway/dialects.py
+++ b/kumquatproxy/gateway/dialects.py
@@ -14,6 +14,9 @@
 class Dialect:
     """Translate between the wire format of a deployment and internal records."""
 
+    # Fields of events in streams, in addition to those that all servers use.
+    event_fields: frozenset[bytes] = frozenset()
+
     def read_call(self, call: calls.Call) -> None:
         """Set the fields of a call from its headers; raise ProxyError if invalid."""
         raise NotImplementedError
--- a/kumquatproxy/gateway/eventstream.py
+++ b/kumquatproxy/gateway/eventstream.py
@@ -6,6 +6,7 @@
 _ID_FIELD = re.compile(rb"^id:[ ]?(.*?)\r?$", re.MULTILINE)
 _END_MARKERS = (b"data: [DONE]", b"data:[DONE]")
 MAX_EVENT_BYTES = 1024 * 1024
+EVENT_FIELDS = frozenset((b"data", b"event", b"id", b"retry"))
 
 
 class EventSplitter:
@@ -50,6 +51,26 @@
         return rest
 
 
+def count_sound(events, other_fields: frozenset[bytes] = frozenset()) -> int:
+    """Return how many events there are before the first one that is none.
+
+    An error that a server writes into its stream ends with an empty line, as an event
+    does. Its lines are no fields or comments, or end in another way than those before.
+    """
+    for index, (event, _) in enumerate(events):
+        if not _is_event(event, other_fields):
+            return index
+    return len(events)
+
+
+def _is_event(event, other_fields):
+    pair_count = event.count(b"\r\n")
+    if pair_count and event.count(b"\r") + event.count(b"\n") != 2 * pair_count:
+        return False
+    names = {line.partition(b":")[0] for line in event.splitlines()}
+    return names <= EVENT_FIELDS | other_fields | {b""}
+
+
 def _is_ignorable(line):
     return not line or line.startswith(b":") or bytes(line) in _END_MARKERS
 
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -16,6 +16,7 @@
     crashingcalls,
     crashrecorder,
     enginepriority,
+    eventstream,
     forwarding,
     framing,
     serverlimits,
@@ -484,7 +485,9 @@
             attempt.head = head
             self._end_fallback(call, progress)
         is_stream = call.route.mode is calls.Mode.STREAM
-        if is_stream and attempt.head.status == calls.STREAM_STATUS:
+        if progress.has_response_begun and not progress.continues(attempt.head):
+            attempt.detail = f"response {attempt.head.status} to a resumed stream"
+        elif is_stream and attempt.head.status == calls.STREAM_STATUS:
             self._relay_stream(call, attempt, progress, connection, timeouts, read)
         else:
             body = self._read_body(attempt, read, timeouts)
@@ -586,9 +589,6 @@
     def _relay_or_reject_response(self, call, attempt, progress, connection, body):
         # On an early return the outcome stays LOST; the call is then retried or fails.
         head = attempt.head
-        if progress.has_response_begun:
-            attempt.detail = f"response {head.status} to a resumed stream"
-            return
         is_error = head.status >= calls.MIN_SERVER_ERROR_STATUS
         if is_error and self._may_retry(call, progress):
             attempt.detail = f"the server responded with {head.status}"
@@ -610,7 +610,9 @@
             part = read(limit_s, attempt.link.read_part)
             if part is None:
                 break
-            events = attempt.splitter.add(part)
+            received = attempt.splitter.add(part)
+            sound = eventstream.count_sound(received, self._host.dialect.event_fields)
+            events = received[:sound]
             if events:
                 in_flight_call.has_first_event = True
                 attempt.first_event_at = attempt.first_event_at or clock.now()
@@ -619,6 +621,10 @@
                     # Before the event, because the host may be killed after it.
                     self._host.record_origin(call)
                 self._relay_events(progress, connection, attempt.head, events)
+            if sound < len(received):
+                raise backendconnections.BackendError(
+                    "the stream has lines that belong to no event"
+                )
         attempt.is_response_read = True
         self._relay_stream_end(progress, connection, attempt)
         attempt.outcome = calls.Outcome.ANSWERED
@@ -646,6 +652,7 @@
         if not progress.has_response_begun:
             connection.start_response(head.status, _response_headers(head))
             progress.has_response_begun = True
+            progress.stream_type = attempts.media_type(head)
 
     def _relay_events(self, progress, connection, head, events):
         self._start_response(progress, connection, head)
--- a/kumquatproxy/platform/callformat.py
+++ b/kumquatproxy/platform/callformat.py
@@ -15,6 +15,7 @@
 SEAL = b"kumquatproxy-response-seal"  # marks a complete answer; its value is not read
 NOT_EXECUTED = b"kumquatproxy-not-executed"
 LOAD = b"kumquatproxy-server-load"
+WEIGHT_VERSIONS = b"kumquatproxy-weight-versions"  # also a field of events
 LIMIT = b"server-limit"  # requests a second from all hosts together
 BRITTLE = b"server-brittle"  # refusals a second after which a server falls over
 LAST_EVENT_ID = b"last-event-id"
@@ -46,6 +47,8 @@
 class PlatformDialect(dialects.Dialect):
     """Translate the platform's headers and bodies."""
 
+    event_fields = frozenset((WEIGHT_VERSIONS,))
+
     def read_call(self, call: calls.Call) -> None:
         """Set the fields of a call from its headers."""
         call.request_id = _header_text(call.headers, REQUEST_ID)
--- a/kumquatproxy/requests/drivers.py
+++ b/kumquatproxy/requests/drivers.py
@@ -7,7 +7,7 @@
 import orjson
 
 from kumquatproxy import clock, records, registry
-from kumquatproxy.gateway import eventstream
+from kumquatproxy.gateway import eventstream, framing
 from kumquatproxy.requests import exchanges, retries
 
 DRIVERS = registry.Registry("driver")
@@ -133,7 +133,10 @@
         """Send the request if needed, and return once the engine has accepted it."""
         if not self._exchange.is_sent:
             self._send(timeout)
-        status = self._exchange.read_head(timeout).status
+        head = self._exchange.read_head(timeout)
+        status = head.status
+        if status == 200 and self._is_stream:
+            self._check_type(head)
         is_refused = status in exchanges.NOT_EXECUTED_STATUSES
         if status == 200 or not (self._is_stream or is_refused or status >= 500):
             return
@@ -149,6 +152,16 @@
             f"{self._exchange.address} answered with status {status}: {detail}",
         ) from None
 
+    def _check_type(self, head):
+        """Raise CallFailedError if an answer to a stream names another media type."""
+        value = framing.header(head.headers, b"content-type")
+        media_type = value.partition(b";")[0].strip().lower()
+        if media_type not in (b"", b"text/event-stream"):
+            raise exchanges.CallFailedError(
+                retries.Failure.FAILED,
+                f"{self._exchange.address} answered a stream with {media_type!r:.100}",
+            )
+
     def read_reply(self, timeout: exchanges.ExtendableTimeout) -> BackendReply:
         """Return the complete answer of an accepted call."""
         head = self._exchange.read_head(timeout)
@@ -174,12 +187,15 @@
                     "closed the stream before its last event"
                 )
             try:
-                events = [event for event, _ in self._splitter.add(part)]
+                received = self._splitter.add(part)
             except ValueError as error:
                 raise self._exchange.lost_error(
                     f"sent an invalid event: {error}"
                 ) from None
-            events = self._take_tokens(events)
+            sound = eventstream.count_sound(received)
+            events = self._take_tokens([event for event, _ in received[:sound]])
+            if sound < len(received) and not self._error:
+                self._error = "lines that belong to no event"
             if events:
                 return events
 
