Send nothing new to a server that says in an answer that it leaves

Change: gateway/leavingservers marks the lifetime in the host's server table at the first such answer, with a log line and the gauge servers.leaving, and tells the others by a short-lived fact. Control hosts push the mark as they push committed ones, so entry hosts of the landing before obey it too, and the planner of models counts the server as leaving; a mark that is committed later is pushed again, as its acknowledgement promises that all hosts know. A heartbeat of the same lifetime that says ready changes nothing. The check right before a call is sent now asks the table: it looked at the announcement that was selected, which a heartbeat may have replaced meanwhile, so a call that had waited for its turn could go to a server that was draining.

Bytes: one fact of about 60 bytes for each server that leaves, to each host at once and then each second for 30 s to those that want details; with 10 of 600 servers leaving at a time 600 bytes a second for a host, and 228 KB/s over the two control hosts that serve 380 hosts with details.

--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -26,7 +26,12 @@
     streamrecords,
     turns,
 )
-from kumquatproxy.gateway import requestedpauses, serverlimits, streamorigins
+from kumquatproxy.gateway import (
+    leavingservers,
+    requestedpauses,
+    serverlimits,
+    streamorigins,
+)
 
 GROUP = "control"
 # Streams whose origin is kept, 1,800 begun a second for a minute; about 20 MB.
@@ -126,6 +131,9 @@
         self._turn_giver = turns.TurnGiver(self._facts.table)
         self.limits = serverlimits.ServerLimits(self._facts.table, self._facts.publish)
         self.pauses = requestedpauses.RequestedPauses(self._rng)
+        self.leaving = leavingservers.LeavingServers(
+            self._mark_leaving, self._facts.publish
+        )
         self._server_log = logs.Log("member")
         self._link_address_by_id: dict[
             str, str
@@ -324,7 +332,13 @@
         self.publisher.merge(received.message, now)
 
     def _on_facts(self, received, now):
-        self._facts.receive(received.message, now)
+        self.leaving.handle_facts(self._facts.receive(received.message, now), now)
+
+    def _mark_leaving(self, instance_id, born_ms, now):
+        """Mark a server that has said in an answer that it leaves."""
+        sends = self.publisher.mark_leaving(instance_id, born_ms, now)
+        self._send_all(sends or [])
+        return sends is not None
 
     def _on_turn_wanted(self, received, now):
         member = self.replication.member
--- a/kumquatproxy/fleet/engineclient.py
+++ b/kumquatproxy/fleet/engineclient.py
@@ -7,6 +7,7 @@
 from kumquatproxy.gateway import (
     backendconnections,
     calls,
+    leavingservers,
     requestedpauses,
     serverlimits,
 )
@@ -26,9 +27,10 @@
         dialect,
         limits: serverlimits.ServerLimits,
         pauses: requestedpauses.RequestedPauses,
+        leaving: leavingservers.LeavingServers,
     ):
         self._dialect = dialect
-        self._trackers = (limits, pauses)
+        self._trackers = (limits, pauses, leaving)
         self._pauses = pauses
         self._log = logs.Log("order")
         self.links = backendconnections.ConnectionPool()
--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -28,6 +28,7 @@
     calls,
     crashes,
     forwarding,
+    leavingservers,
     reachability,
     relay,
     requestedpauses,
@@ -89,6 +90,9 @@
             self.host_id, self._facts.table, self._facts.publish
         )
         self.pauses = requestedpauses.RequestedPauses(self._rng, self._schedule_wakeup)
+        self.leaving = leavingservers.LeavingServers(
+            self._mark_leaving, self._facts.publish
+        )
         self._turn_client = turns.TurnClient(self.send_message)
         self.server_selector = serverselection.ServerSelector(
             host_settings.host.data_centre,
@@ -218,6 +222,7 @@
             "servers.limited": serverlimits.limited_count(
                 self._facts.table, clock.now()
             ),
+            "servers.leaving": self.table.leaving_count(),
             "servers.paused": self.pauses.count(clock.now()),
             "prompts.rejected": self.crashes.parts.blamed_count(clock.now()),
             "repetitions.rejected": self.crashes.calls.blamed_count(clock.now()),
@@ -424,11 +429,20 @@
             self.crashes.confirm_ended(announcement, now)
         streamrecords.record_versions(self._streams.history, announcements, now)
         for instance_id, born_ms, state in message.marks:
-            if self.table.mark(instance_id, born_ms, servers.ServerState(state)):
-                self.relay.links.close_server(instance_id)
+            self._mark(instance_id, born_ms, servers.ServerState(state))
         publishing.refresh_heartbeats(self.table, message.alive, now)
         self._schedule_wakeup()
 
+    def _mark(self, instance_id, born_ms, state):
+        """Mark a server as leaving or gone; return whether that is new."""
+        if not self.table.mark(instance_id, born_ms, state):
+            return False
+        self.relay.links.close_server(instance_id)
+        return True
+
+    def _mark_leaving(self, instance_id, born_ms, now):
+        return self._mark(instance_id, born_ms, servers.ServerState.LEAVING)
+
     def _renew_if_incomplete(self, host_id, push, now):
         """Ask for the full state if a push names servers that no push described.
 
@@ -446,6 +460,7 @@
         facts = self._facts.receive(sender, message, now)
         if facts:
             self.crashes.handle_facts(facts, now)
+            self.leaving.handle_facts(facts, now)
             if any(fact.kind == forwarding.CUT_HOST for fact in facts):
                 self.paths.exchange_offers(now)
             self._schedule_wakeup()
--- a/kumquatproxy/fleet/factexchange.py
+++ b/kumquatproxy/fleet/factexchange.py
@@ -12,6 +12,7 @@
     crashingcalls,
     crashingparts,
     forwarding,
+    leavingservers,
     serverlimits,
     sharedfacts,
 )
@@ -26,6 +27,7 @@
     crashingcalls,
     crashingparts,
     forwarding,
+    leavingservers,
     serverlimits,
 )
 
@@ -96,10 +98,14 @@
         if merged is not None:
             self._changed[merged.kind, merged.key] = merged
 
-    def receive(self, message: fleetmessages.SharedFacts, now: float) -> None:
-        """Merge the facts of another host."""
-        for fact in merge_all(self.table, message, now):
+    def receive(
+        self, message: fleetmessages.SharedFacts, now: float
+    ) -> list[sharedfacts.Fact]:
+        """Merge the facts of another host; return those that are new."""
+        facts = merge_all(self.table, message, now)
+        for fact in facts:
             self._changed[fact.kind, fact.key] = fact
+        return facts
 
     def greet(self, host_id: str, now: float) -> list[wire.Send]:
         """Return the messages for a new subscriber; the only one may hold no facts."""
--- a/kumquatproxy/fleet/meters.py
+++ b/kumquatproxy/fleet/meters.py
@@ -20,6 +20,7 @@
     "streams.known": ("{stream}", "Streams whose software version is kept"),
     "facts.known": ("{fact}", "Short-lived facts shared by hosts, such as crashes"),
     "servers.limited": ("{server}", "Servers that have named a limit of requests"),
+    "servers.leaving": ("{server}", "Servers that leave and get no new calls"),
     "servers.paused": ("{server}", "Servers that have asked this host for a pause"),
     "prompts.rejected": ("{set}", "Sets of prompt parts that crash servers"),
     "services.cut_off": ("{service}", "Services without a server this host reaches"),
--- a/kumquatproxy/fleet/orderissuer.py
+++ b/kumquatproxy/fleet/orderissuer.py
@@ -59,7 +59,9 @@
         super().__init__(TICK_INTERVAL_S)
         self._host = host
         self._log = logs.Log("place")
-        self._client = engineclient.EngineClient(host.dialect, host.limits, host.pauses)
+        self._client = engineclient.EngineClient(
+            host.dialect, host.limits, host.pauses, host.leaving
+        )
         self._fence = 0  # of the ownership held, 0 if this host is not the owner
         self._may_order_from = 0.0
         self._last_owner = ""
--- a/kumquatproxy/fleet/publishing.py
+++ b/kumquatproxy/fleet/publishing.py
@@ -46,6 +46,7 @@
         "_next_hosts_at",
         "_own_heartbeats_by_id",
         "_own_id",
+        "_uncommitted_marks",
         "_unpublished_marks",
         "content",
         "subscribers_by_id",
@@ -61,6 +62,8 @@
         self._own_id = own_id
         self._changed_ids: dict[str, None] = {}
         self._unpublished_marks: list[list] = []
+        # Lifetimes of servers that have said themselves that they leave.
+        self._uncommitted_marks: set[tuple[str, int]] = set()
         self._own_heartbeats_by_id: dict[str, tuple[int, float]] = {}
         self._next_alive_at = 0.0
         self._next_hosts_at = 0.0
@@ -125,11 +128,34 @@
             self._changed_ids[announcement.instance_id] = None
 
     def mark(self, instance_id: str, born_ms: int, state, now: float) -> list:
-        """Apply a committed mark and return the messages that publish it."""
-        if not self.table.mark(instance_id, born_ms, state):
+        """Apply a committed mark and return the messages that publish it.
+
+        One that was applied before it was committed is published again, because hosts
+        that have missed it must know it now.
+        """
+        lifetime = (instance_id, born_ms)
+        is_new = self.table.mark(instance_id, born_ms, state)
+        if not is_new and lifetime not in self._uncommitted_marks:
             return []
+        self._uncommitted_marks.discard(lifetime)
+        return self._mark_sends(lifetime, state, now)
+
+    def mark_leaving(
+        self, instance_id: str, born_ms: int, now: float
+    ) -> list[wire.Send] | None:
+        """Apply the mark of a server that has said in an answer that it leaves.
+
+        Return the messages that publish it, or None if it is known.
+        """
+        leaving = servers.ServerState.LEAVING
+        if not self.table.mark(instance_id, born_ms, leaving):
+            return None
+        self._uncommitted_marks.add((instance_id, born_ms))
+        return self._mark_sends((instance_id, born_ms), leaving, now)
+
+    def _mark_sends(self, lifetime, state, now):
         push = fleetmessages.ServersPush(
-            alive=[], marks=[[instance_id, born_ms, state.value]], servers=[]
+            alive=[], marks=[[*lifetime, state.value]], servers=[]
         )
         return [wire.Send(name, push) for name in self._live_subscriber_ids(now)]
 
--- a/kumquatproxy/fleet/servers.py
+++ b/kumquatproxy/fleet/servers.py
@@ -236,6 +236,19 @@
         recent = [server for server in known if now - server.heard_at < SILENT_AFTER_S]
         return [server.announcement for server in recent or known]
 
+    def leaving_count(self) -> int:
+        """Return the number of known servers that leave."""
+        return sum(server.state is ServerState.LEAVING for server in self.all())
+
+    def takes_calls(self, announcement: Announcement) -> bool:
+        """Return whether the announced lifetime of a server still takes new calls."""
+        known = self.get(announcement.instance_id)
+        return (
+            known is not None
+            and known.lifetime == announcement.lifetime
+            and known.state is ServerState.READY
+        )
+
     def get(self, instance_id: str) -> Announcement | None:
         """Return the newest announcement of a server, or None."""
         known = self.known_by_id.get(instance_id)
--- a/kumquatproxy/gateway/calls.py
+++ b/kumquatproxy/gateway/calls.py
@@ -162,6 +162,7 @@
     __slots__ = (
         "echoed_id",
         "headers",
+        "is_leaving",
         "is_not_executed",
         "is_sealed",
         "is_wrong_server",
@@ -181,6 +182,7 @@
         self.is_not_executed = False
         self.is_sealed = False  # has the checksum of a complete response
         self.is_wrong_server = False
+        self.is_leaving = False  # the server takes no new calls
         self.load: ServerLoad | None = None
         # Requests a second that the server takes from all hosts together at present;
         # None if it names no limit, or one that cannot be read.
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -454,6 +454,7 @@
                     self._host.limits,
                     self._host.brittle,
                     self._host.pauses,
+                    self._host.leaving,
                 ):
                     tracker.record_answer(
                         attempt.announcement, head, attempt.sent_at, clock.now()
--- a/kumquatproxy/gateway/serverselection.py
+++ b/kumquatproxy/gateway/serverselection.py
@@ -221,7 +221,7 @@
     def may_send(self, announcement: servers.Announcement, now: float) -> bool:
         """Return whether a call may still be sent to the server selected for it."""
         return (
-            announcement.state is servers.ServerState.READY
+            self.table.takes_calls(announcement)
             and self._pauses.left_s(announcement, now) <= 0.0
         )
 
--- a/kumquatproxy/platform/callformat.py
+++ b/kumquatproxy/platform/callformat.py
@@ -18,6 +18,7 @@
 WEIGHT_VERSIONS = b"kumquatproxy-weight-versions"  # also a field of events
 LIMIT = b"server-limit"  # requests a second from all hosts together
 BRITTLE = b"server-brittle"  # refusals a second after which a server falls over
+LEAVING = b"server-leaving"  # "1" in all answers of a server that leaves
 LAST_EVENT_ID = b"last-event-id"
 RESUMES = b"resumes"
 RETRY_AFTER = b"retry-after"  # seconds, from a server and to callers
@@ -113,6 +114,7 @@
         head.is_not_executed = bool(framing.header(headers, NOT_EXECUTED))
         head.is_sealed = bool(framing.header(headers, SEAL))
         head.load = _server_load(_header_text(headers, LOAD))
+        head.is_leaving = _header_text(headers, LEAVING) == "1"
         head.names_limit = bool(framing.header(headers, LIMIT))
         head.request_limit = framing.decimal(_header_text(headers, LIMIT))
         head.names_pause = bool(framing.header(headers, RETRY_AFTER))
--- a/tests/fleet/test_engineclient.py
+++ b/tests/fleet/test_engineclient.py
@@ -5,7 +5,12 @@
 import rawservers
 
 from kumquatproxy.fleet import engineclient, engineorders, servers
-from kumquatproxy.gateway import requestedpauses, serverlimits, sharedfacts
+from kumquatproxy.gateway import (
+    leavingservers,
+    requestedpauses,
+    serverlimits,
+    sharedfacts,
+)
 from kumquatproxy.platform import callformat
 
 CONFLICT = b"HTTP/1.1 409 Busy\r\nContent-Length: 0\r\n\r\n"
@@ -31,6 +36,7 @@
         callformat.PlatformDialect(),
         serverlimits.ServerLimits(facts, facts.merge),
         requestedpauses.RequestedPauses(random.Random(1)),
+        leavingservers.LeavingServers(lambda *_: False, facts.merge),
     )
     order = engineorders.Order(engineorders.Action.LOAD, "m")
     outcomes = [client.order(announcement, order, "h", 1) for _ in range(2)]
--- a/tests/fleet/test_fleet_core.py
+++ b/tests/fleet/test_fleet_core.py
@@ -158,6 +158,17 @@
         assert send.message.marks == [["i-1", 100, "leaving"]]
         assert publisher.mark("i-1", 100, LEAVING, 0.0) == []
 
+    def test_mark_that_is_known_is_published_again_when_it_is_committed(self):
+        """Guards against a leave that is acknowledged while a host has missed it."""
+        publisher = publishing.Publisher("c1", servers.ServerTable())
+        publisher.subscribe("e1", subscription(), 0.0)
+        publisher.record_heartbeat(announcement(), 0.0)
+        assert len(publisher.mark_leaving("i-1", 100, 0.0)) == 1
+        assert publisher.mark_leaving("i-1", 100, 0.0) is None
+        (send,) = publisher.mark("i-1", 100, LEAVING, 1.0)
+        assert send.message.marks == [["i-1", 100, "leaving"]]
+        assert publisher.mark("i-1", 100, LEAVING, 1.0) == []
+
     def test_subscriber_without_details_gets_no_server_changes(self, publisher):
         """Eight control hosts may send the same changes, and two of them are enough."""
         publisher.subscribe("e1", subscription(has_details=False), 0.0)
--- a/tests/fleet/test_limitedorders.py
+++ b/tests/fleet/test_limitedorders.py
@@ -16,7 +16,13 @@
     orderissuer,
     servers,
 )
-from kumquatproxy.gateway import calls, requestedpauses, serverlimits, sharedfacts
+from kumquatproxy.gateway import (
+    calls,
+    leavingservers,
+    requestedpauses,
+    serverlimits,
+    sharedfacts,
+)
 
 RATE = 8.0
 SPAN_S = 2.0
@@ -52,6 +58,7 @@
     def __init__(self):
         table = sharedfacts.FactTable()
         self.limits = serverlimits.ServerLimits(table, table.merge)
+        self.leaving = leavingservers.LeavingServers(lambda *_: False, table.merge)
         self.pauses = requestedpauses.RequestedPauses(random.Random(1))
         self.book = serverlimits.TurnBook(0.0)
         self.leads = True
--- a/tests/fleet/test_pausedengines.py
+++ b/tests/fleet/test_pausedengines.py
@@ -19,7 +19,12 @@
     orderissuer,
     servers,
 )
-from kumquatproxy.gateway import requestedpauses, serverlimits, sharedfacts
+from kumquatproxy.gateway import (
+    leavingservers,
+    requestedpauses,
+    serverlimits,
+    sharedfacts,
+)
 from kumquatproxy.platform import callformat
 
 REPORT = (
@@ -56,6 +61,7 @@
         table = sharedfacts.FactTable()
         self.dialect = callformat.PlatformDialect()
         self.limits = serverlimits.ServerLimits(table, table.merge)
+        self.leaving = leavingservers.LeavingServers(lambda *_: False, table.merge)
         self.pauses = requestedpauses.RequestedPauses(random.Random(1))
 
 
@@ -136,7 +142,10 @@
 
     announcement = state.announcement
     late = engineclient.EngineClient(
-        issuer._host.dialect, issuer._host.limits, issuer._host.pauses
+        issuer._host.dialect,
+        issuer._host.limits,
+        issuer._host.pauses,
+        issuer._host.leaving,
     )
     late.links = SlowPool()
     task = gevent.spawn(late.report, announcement)
--- a/tests/fleet/test_replicas.py
+++ b/tests/fleet/test_replicas.py
@@ -15,7 +15,12 @@
     servers,
     serviceconfig,
 )
-from kumquatproxy.gateway import requestedpauses, serverlimits, sharedfacts
+from kumquatproxy.gateway import (
+    leavingservers,
+    requestedpauses,
+    serverlimits,
+    sharedfacts,
+)
 
 LOAD_S = 4.0
 MODELS = [
@@ -75,6 +80,7 @@
     def __init__(self):
         self.table = servers.ServerTable()
         facts = sharedfacts.FactTable()
+        self.leaving = leavingservers.LeavingServers(lambda *_: False, facts.merge)
         self.pauses = requestedpauses.RequestedPauses(random.Random(1))
         self.limits = serverlimits.ServerLimits(facts, facts.merge)
         self.pushes = []
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -16,6 +16,7 @@
     dialects,
     forwarding,
     framing,
+    leavingservers,
     reachability,
     relay,
     requestedpauses,
@@ -71,6 +72,7 @@
         head.is_not_executed = bool(framing.header(headers, b"x-not-run"))
         head.is_sealed = bool(framing.header(headers, b"x-seal"))
         head.is_wrong_server = status == 421
+        head.is_leaving = framing.header(headers, b"x-leaving") == b"1"
         head.names_pause = bool(framing.header(headers, b"retry-after"))
         head.pause_s = framing.retry_after_s(headers)
         return head
@@ -119,6 +121,9 @@
         self.facts = sharedfacts.FactTable()
         self.brittle = brittleservers.BrittleServers("h", self.facts, self.facts.merge)
         self.limits = serverlimits.ServerLimits(self.facts, self.facts.merge)
+        self.leaving = leavingservers.LeavingServers(
+            self.mark_leaving, self.facts.merge
+        )
         self.pauses = requestedpauses.RequestedPauses(FirstItemRandom())
         self.server_selector = serverselection.ServerSelector(
             "a", self.table, FirstItemRandom(), self.limits, self.brittle, self.pauses
@@ -136,6 +141,9 @@
         self.peer_token = forwarding.token("key")
         self.paths = FakePaths(self.table)
 
+    def mark_leaving(self, instance_id, born_ms, now):
+        return self.table.mark(instance_id, born_ms, servers.ServerState.LEAVING)
+
     def version(self):
         return 1
 
--- a/tests/soak/fakeservers.py
+++ b/tests/soak/fakeservers.py
@@ -98,11 +98,12 @@
 
 
 class PauseRecord:
-    """Record the pauses that one lifetime of a server asks for, and what it gets."""
+    """Record what one lifetime of a server asks hosts for, and what it gets."""
 
     def __init__(self):
         self.arrivals = []  # (time, request id, address of the host)
         self.asked = []  # (time, request id, address of the host, seconds)
+        self.left = []  # the same without seconds, of answers that say that it leaves
 
     def find_excesses(self, host_of, settle_s=0.5, allowed=2):
         """Return the pauses in which a host sent more than a few requests.
@@ -124,6 +125,20 @@
                 excesses.append((host, asked_at, seconds, count))
         return excesses
 
+    def find_late(self, host_of, drain_s=2.0):
+        """Return how many requests came too long after that, by host."""
+        left_at_by_host = {}
+        for at, request_id, address in self.left:
+            host = host_of(request_id, address, at)
+            left_at_by_host[host] = min(at, left_at_by_host.get(host, math.inf))
+        left_at_by_host.pop(None, None)
+        late_hosts = []
+        for at, request_id, address in self.arrivals:
+            host = host_of(request_id, address, at)
+            if at > left_at_by_host.get(host, math.inf) + drain_s:
+                late_hosts.append(host)
+        return collections.Counter(late_hosts)
+
 
 def make_refusal(request_id):
     """Return a refusal as a server writes it."""
@@ -210,6 +225,7 @@
         self.limit = None  # LimitRecord while the server names a limit
         self.limits = []  # all of them
         self.paused_until = 0.0
+        self.is_leaving = False  # said in all answers, but not in heartbeats
         self.pauses = PauseRecord()  # of this lifetime
         self.all_pauses = [self.pauses]
         self._rng = rng  # None for a server that never falls silent
@@ -258,6 +274,15 @@
         """Turn requests away for a time, and name the rest of it each time."""
         self.paused_until = time.monotonic() + seconds
 
+    def begin_lifetime(self):
+        """Begin a lifetime that neither leaves nor wants a pause; runs go on."""
+        self.born_ms += 1
+        self.paused_until = 0.0
+        self.is_leaving = False
+        self.pauses = PauseRecord()
+        self.all_pauses.append(self.pauses)
+        self._sequence = itertools.count(1)
+
     def crash(self, down_s, cause):
         """Break off all requests, and start again at the same address later."""
         if self._is_down:
@@ -269,13 +294,9 @@
         gevent.spawn_later(down_s, self._start_again)
 
     def _start_again(self):
-        self.born_ms += 1
+        self.begin_lifetime()
         self.end_limit()
-        self.paused_until = 0.0
-        self.pauses = PauseRecord()
-        self.all_pauses.append(self.pauses)
         self._running = 0
-        self._sequence = itertools.count(1)
         self.open_listener()
         self._is_down = False
 
@@ -335,6 +356,9 @@
             self.limit.told_by_id[request_id] = time.monotonic()
             headers.append(("Server-Limit", f"{self.limit.rate:g}"))
         self.pauses.arrivals.append((arrived_at, request_id, address))
+        if self.is_leaving:
+            self.pauses.left.append((time.monotonic(), request_id, address))
+            headers.append(("Server-Leaving", "1"))
         left_s = round(self.paused_until - time.monotonic(), 3)
         if left_s > 0.0:
             asked = (time.monotonic(), request_id, address, left_s)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -438,8 +438,17 @@
             for other in paused:
                 other.begin_pause(self.rng.uniform(*PAUSE_BOUNDS_S))
 
+    def leave_at_times(self):
+        """Let servers say in their answers that they leave, and start anew later."""
+        while time.monotonic() < self.ends_at:
+            gevent.sleep(self.rng.uniform(0.5, 2.0))
+            server = self.rng.choice(self.servers)
+            server.is_leaving = True
+            gevent.sleep(self.rng.uniform(2.5, 5.0))
+            server.begin_lifetime()
+
     def check_pauses(self):
-        """Check that hosts in touch left servers alone in the pauses they asked for."""
+        """Check that hosts in touch left servers alone that paused or were leaving."""
         exchanges_by_id = {exchange.request_id: exchange for exchange in self.exchanges}
         faults = [fault for fault in self.disturbances if not fault.is_crash]
 
@@ -452,6 +461,11 @@
         for server in self.servers:
             for pauses in server.all_pauses:
                 self.asked_pauses += len(pauses.asked)
+                if late := pauses.find_late(host_of):
+                    self.record_violation(
+                        f"{server.name} got requests after it said that it leaves: "
+                        f"{dict(late)}"
+                    )
                 for host, _, seconds, count in pauses.find_excesses(host_of):
                     self.record_violation(
                         f"{server.name} got {count} requests from {host} in a pause of "
@@ -684,6 +698,8 @@
                 tasks.append(gevent.spawn(self.cut_paths))
             if self.seed % 3 == 1:
                 tasks.append(gevent.spawn(self.ask_for_pauses))
+            if self.seed % 3 == 2:
+                tasks.append(gevent.spawn(self.leave_at_times))
             if self.seed % 4 in (1, 2):
                 tasks.append(gevent.spawn(self.name_limits))
             for _ in range(2):
--- a/tests/soak/test_pausedservers.py
+++ b/tests/soak/test_pausedservers.py
@@ -82,6 +82,18 @@
     assert run.excesses() == {}
 
 
+def test_leaving_server_gets_no_requests_whatever_its_heartbeats_say(run):
+    leaving = run.fleet.servers[0]
+    leaving.is_leaving = True
+    run.send_for(4.0)
+    assert leaving.pauses.left
+    late = leaving.pauses.find_late(lambda request_id, address, at: address, 0.5)
+    assert not late
+    leaving.begin_lifetime()
+    run.send_for(2.0)
+    assert leaving.pauses.arrivals
+
+
 def test_paused_servers_get_no_requests_if_all_of_them_pause(run):
     for _ in range(2):
         for server in run.fleet.servers:
