Believe a refusal without an id on a connection that has carried no other call

Found while reading the change, not seen by callers: a connection that a probe had opened counted as one that an earlier call had used, so the first refusal on it without an id was skipped, and its call waited for another answer until the deadline. A connection now counts the requests sent on it.

Evidence: test_refusal_without_an_id_is_believed_on_a_connection_without_other_calls waits in vain with the earlier condition; written with the change, the earlier condition was not run against it.

--- a/kumquatproxy/gateway/backendconnections.py
+++ b/kumquatproxy/gateway/backendconnections.py
@@ -58,6 +58,7 @@
         "is_fully_sent",
         "is_reusable",
         "refused_ids",
+        "request_count",
     )
 
     def __init__(self, instance_id: str, address: str, timeout_s: float):
@@ -75,7 +76,8 @@
         self.is_reusable = True  # whether another call may follow
         self.has_ended = False  # the server has closed it, as far as is known
         self.idle_since = 0.0
-        self.had_earlier_call = False  # whether an earlier call used the connection
+        self.had_earlier_call = False  # whether it was used or kept before
+        self.request_count = 0  # requests sent
         self.is_fully_sent = False
         # Request ids of the calls that the server refused. It may write a refusal once
         # more, which seems new if its call is sent on the connection again.
@@ -102,6 +104,7 @@
         except h11.LocalProtocolError as error:
             raise InvalidRequestError(str(error)) from None
         self.is_fully_sent = False
+        self.request_count += 1
         view = memoryview(data)
         while view:
             count = self._send_some(view)
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -570,7 +570,7 @@
             )
             if head.echoed_id == call.request_id:
                 return head
-            is_own = attempt.is_forwarded or not link.had_earlier_call
+            is_own = attempt.is_forwarded or link.request_count == 1
             if head.is_not_executed and not head.echoed_id and is_own:
                 return head
             if not head.echoed_id and not head.is_not_executed:
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -197,7 +197,7 @@
     """
     backends = [rawservers.RawServer(responses) for responses in responses_by_server]
     host = FakeHost(*(backend.address for backend in backends))
-    tested_relay = relay.Relay(host)
+    tested_relay = host.relay = relay.Relay(host)
     limits = serviceconfig.Limits
     server = callers.CallerServer("127.0.0.1:0", tested_relay.serve, limits)
     server.start()
--- a/tests/gateway/test_repeatedrefusals.py
+++ b/tests/gateway/test_repeatedrefusals.py
@@ -12,7 +12,7 @@
 import test_relay
 
 from kumquatproxy.fleet import serviceconfig
-from kumquatproxy.gateway import callers, framing, relay
+from kumquatproxy.gateway import backendconnections, callers, framing, relay
 
 ID = b"X-Id: %s\r\n"
 REFUSAL = b"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n%sContent-Length: 0\r\n\r\n"
@@ -111,3 +111,21 @@
             data, _ = test_relay.send_request(address, b"once", wait_s=0.3)
             assert data.startswith(b"HTTP/1.1 200") and data.endswith(body)
     assert backend.connections == 1
+
+
+def test_refusal_without_an_id_is_believed_on_a_connection_without_other_calls():
+    """Guards against a wait for another answer on one that a probe has opened."""
+    answers = [REFUSAL % b""]
+    with test_relay.running_relay(answers, [test_relay.make_response()]) as (
+        address,
+        backends,
+        host,
+    ):
+        server = host.table.all()[0]
+        link = backendconnections.BackendConnection(
+            server.instance_id, server.address, 1.0
+        )
+        host.relay.links.release(link)
+        data = send(address, b"once")
+    assert data.endswith(b"ok")
+    assert [backend.connections for backend in backends] == [1, 1]
