Let calls wait for an adapter at a server that is not paused

Only servers without the model are left out now when it is asked whether all of them pause.

Evidence: TestPausedServers, case (("1",), "a1"), which the earlier condition fails by construction (it looked at servers with the adapter only); not run against it.

--- a/kumquatproxy/gateway/serverselection.py
+++ b/kumquatproxy/gateway/serverselection.py
@@ -174,17 +174,24 @@
         return candidates
 
     def _can_serve(self, call, announcement):
+        need = call.need
+        if not self._has_model(call, announcement):
+            return False
+        if need is None:
+            return True
+        adapters = self.adapters_by_id.get(announcement.instance_id, ())
+        return not need.adapter or need.key() in adapters
+
+    def _has_model(self, call, announcement):
+        """Return whether a server can serve a call once it has the adapter."""
         if not _has_version(call, announcement):
             return False
         need = call.need
         if need is None:
             return True
-        if not announcement.has_model(need.model):
-            return False
         if need.model in self.leaving_models_by_id.get(announcement.instance_id, ()):
             return False
-        adapters = self.adapters_by_id.get(announcement.instance_id, ())
-        return not need.adapter or need.key() in adapters
+        return announcement.has_model(need.model)
 
     def least_turn_wait_s(self, call: calls.Call, excluded, now: float) -> float | None:
         """Return the least wait for a turn at a server that can serve a call.
@@ -208,13 +215,14 @@
     def pause_left_s(self, call: calls.Call, excluded, now: float) -> float | None:
         """Return the time until the first pause of servers for a call ends.
 
-        None if one of them has not asked for a pause, or if there is no such server.
+        None if one of them has not asked for a pause, even if it still needs an adapter
+        to be loaded, or if there is no such server.
         """
         waits_s = [
             self._pauses.usable_in_s(announcement, now)
             for announcement in self.table.ready(call.service, now)
             if announcement.lifetime not in excluded
-            and self._can_serve(call, announcement)
+            and self._has_model(call, announcement)
         ]
         return min(waits_s, default=0.0) or None
 
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -271,6 +271,60 @@
         assert len(selected_ids) == 4
 
 
+class TestPausedServers:
+    """Calls wait for the end of a pause only if no other server can take them."""
+
+    def make(self, *paused_names):
+        models = [["m", 1, []]]
+        announcements = [make_server(name, models=models) for name in ("1", "2")]
+        selector = make_chooser(*announcements)
+        selector.adapters_by_id = {"1": frozenset(["m/a1"])}
+        head = calls.ResponseHead(503, [])
+        head.names_pause, head.pause_s = True, 3.0
+        for announcement in announcements:
+            if announcement.instance_id in paused_names:
+                selector._pauses.record_answer(announcement, head, 0.0, 0.0)
+        return selector
+
+    @pytest.mark.parametrize(
+        ("paused_names", "adapter", "is_pause"),
+        [
+            (("1",), "", False),
+            (("1",), "a1", False),  # it can be loaded at the other server
+            (("1", "2"), "", True),
+            (("1", "2"), "a1", True),
+            ((), "a2", False),
+        ],
+    )
+    def test_pause_counts_if_all_servers_with_the_model_pause(
+        self, paused_names, adapter, is_pause
+    ):
+        call = make_call(deadline=9.0)
+        call.service, call.need = "s", calls.ModelNeed("m", adapter)
+        left_s = self.make(*paused_names).pause_left_s(call, (), 1.0)
+        assert (left_s is not None) is is_pause
+        if is_pause:
+            assert 2.0 <= left_s <= 2.0 + requestedpauses.MAX_RETURN_SPREAD_S
+
+    @pytest.mark.parametrize(
+        ("deadline", "waits"), [(2.4, False), (2.6, True), (9.0, True)]
+    )
+    def test_call_waits_for_an_end_that_leaves_time_to_serve_it(self, deadline, waits):
+        policy = waiting.WaitPolicy(make_call(deadline=deadline), 0.0)
+        expected = waiting.after_pause(waiting.ExpectedAvailability(None), 2.0, 1.0)
+        error = policy.decide(SERVICE, expected, 0.0).error
+        assert (error is None) is waits
+        if not waits:
+            spread_s = waiting.PAUSE_RETURN_SPREAD_S
+            assert error.retry_after_s == pytest.approx(2.0 + spread_s)
+
+    def test_load_under_way_is_waited_for_if_it_ends_sooner(self):
+        policy = waiting.WaitPolicy(make_call(deadline=2.0), 0.0)
+        coming = waiting.ExpectedAvailability(1.0)
+        expected = waiting.after_pause(coming, 5.0, 0.0)
+        assert policy.decide(SERVICE, expected, 0.0).error is None
+
+
 class TestBegunStream:
     """A stream that has events goes on at servers of its software version only."""
 
