Read Retry-After only if it is there, and keep few uncommitted marks

Each answer without the header was tried as a date, which raises and catches an exception; marks of leaving servers that are never committed were kept as long as the host runs. No behaviour changes. The outcome "withheld" says now that the server may also leave.

--- a/kumquatproxy/fleet/publishing.py
+++ b/kumquatproxy/fleet/publishing.py
@@ -150,6 +150,11 @@
         leaving = servers.ServerState.LEAVING
         if not self.table.mark(instance_id, born_ms, leaving):
             return None
+        self._uncommitted_marks = {
+            lifetime
+            for lifetime in self._uncommitted_marks
+            if self.table.get(lifetime[0]) is not None
+        }
         self._uncommitted_marks.add((instance_id, born_ms))
         return self._mark_sends((instance_id, born_ms), leaving, now)
 
--- a/kumquatproxy/gateway/calls.py
+++ b/kumquatproxy/gateway/calls.py
@@ -139,7 +139,7 @@
     # have executed the call.
     LOST = "lost"
     SILENT = "silent"  # sent, no data within the timeout
-    # Selected, but not sent because the server asked for a pause meanwhile.
+    # Selected, but not sent because the server leaves or pauses since.
     WITHHELD = "withheld"
     SUPERSEDED = "superseded"  # an earlier silent attempt went on before a response
     BROKEN = "broken"  # not used; a stream that ends early has the outcome LOST
--- a/kumquatproxy/gateway/framing.py
+++ b/kumquatproxy/gateway/framing.py
@@ -104,6 +104,8 @@
     A date there counts from the Date header, so that the local clock does not matter.
     """
     text = header(headers, b"retry-after").decode("latin-1").strip()
+    if not text:
+        return None
     seconds = decimal(text)
     if seconds is not None:
         return seconds
