Forget the ended pauses of servers in the requests stack

Found while reading the change; callers saw nothing. An address that had once asked for a pause was kept and looked at for each later call. The test of a server that is used again asserts now that nothing is kept; it failed without the change by construction (the table was never pruned; not run).

--- a/kumquatproxy/gateway/requestedpauses.py
+++ b/kumquatproxy/gateway/requestedpauses.py
@@ -120,6 +120,10 @@
         pause = self._pauses_by_lifetime.get(announcement.lifetime)
         return 0.0 if pause is None else max(0.0, pause.resumes_at - now)
 
+    def knows(self, announcement) -> bool:
+        """Return whether a pause of a server, or the ramp after it, is not forgotten."""
+        return announcement.lifetime in self._pauses_by_lifetime
+
     def count(self, now: float) -> int:
         """Return the number of servers that this host leaves alone at present."""
         pauses = self._pauses_by_lifetime.values()
--- a/kumquatproxy/requests/serverpauses.py
+++ b/kumquatproxy/requests/serverpauses.py
@@ -34,7 +34,6 @@
         if address in self.exempt_addresses or (server is None and not asks):
             return
         if server is None:
-            self._pauses.expire(now)
             lifetime = next(self._lifetimes)
             server = servers.Announcement(address, "", address, "", lifetime)
             self._servers_by_address[address] = server
@@ -57,6 +56,12 @@
         """Return the times after which further requests may go to paused servers."""
         if not self._servers_by_address:
             return {}
+        self._pauses.expire(now)
+        self._servers_by_address = {
+            address: server
+            for address, server in self._servers_by_address.items()
+            if self._pauses.knows(server)
+        }
         waits_s = {
             address: self._pauses.usable_in_s(server, now)
             for address, server in self._servers_by_address.items()
--- a/tests/requests/test_serverpauses.py
+++ b/tests/requests/test_serverpauses.py
@@ -85,6 +85,8 @@
     with pytest.raises(errors.ProxyError):
         complete(dispatcher, target)
     gevent.sleep(0.4)
+    assert dispatcher.pauses.unusable_addresses(clock.now() + 2.0) == {}
+    assert not dispatcher.pauses._servers_by_address
     assert complete(dispatcher, target).body == b"ok" and len(engines[0].heads) == 2
 
 
