--- a/kumquatproxy/gateway/requestedpauses.py
+++ b/kumquatproxy/gateway/requestedpauses.py
@@ -121,7 +121,7 @@
         return 0.0 if pause is None else max(0.0, pause.resumes_at - now)
 
     def knows(self, announcement) -> bool:
-        """Return whether a pause of a server, or the ramp after it, is not forgotten."""
+        """Return whether a pause of a server, or its ramp, is not forgotten yet."""
         return announcement.lifetime in self._pauses_by_lifetime
 
     def count(self, now: float) -> int:
