Read the media type of a body in one place

The same lines stood in the gateway and in the requests stack. No behaviour changes; the tests of errors in streams and all of tests/gateway and tests/requests pass.

--- a/kumquatproxy/gateway/attempts.py
+++ b/kumquatproxy/gateway/attempts.py
@@ -72,12 +72,6 @@
         self.body: bytes = body
 
 
-def media_type(head: calls.ResponseHead) -> bytes:
-    """Return the type of a response without its parameters, or b''."""
-    value = framing.header(head.headers, b"content-type")
-    return value.partition(b";")[0].strip().lower()
-
-
 class Progress:
     """Hold the state of a call across its attempts."""
 
@@ -130,7 +124,7 @@
 
     def continues(self, head: calls.ResponseHead) -> bool:
         """Return whether a response can go on with the stream that has begun."""
-        is_same_type = media_type(head) == self.stream_type
+        is_same_type = framing.media_type(head.headers) == self.stream_type
         return head.status == calls.STREAM_STATUS and is_same_type
 
     def keep_silent(self, attempt: Attempt) -> None:
--- a/kumquatproxy/gateway/framing.py
+++ b/kumquatproxy/gateway/framing.py
@@ -88,6 +88,12 @@
     return b""
 
 
+def media_type(headers) -> bytes:
+    """Return the media type of a body without its parameters, or b''."""
+    value = header(headers, b"content-type")
+    return value.partition(b";")[0].strip().lower()
+
+
 def number(text: str) -> int | None:
     """Return a decimal number of at most 18 ASCII digits, or None."""
     return int(text) if _NUMBER.fullmatch(text) else None
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -653,7 +653,7 @@
         if not progress.has_response_begun:
             connection.start_response(head.status, _response_headers(head))
             progress.has_response_begun = True
-            progress.stream_type = attempts.media_type(head)
+            progress.stream_type = framing.media_type(head.headers)
 
     def _relay_events(self, progress, connection, head, events):
         self._start_response(progress, connection, head)
--- a/kumquatproxy/requests/drivers.py
+++ b/kumquatproxy/requests/drivers.py
@@ -154,8 +154,7 @@
 
     def _check_type(self, head):
         """Raise CallFailedError if an answer to a stream names another media type."""
-        value = framing.header(head.headers, b"content-type")
-        media_type = value.partition(b";")[0].strip().lower()
+        media_type = framing.media_type(head.headers)
         if media_type not in (b"", b"text/event-stream"):
             raise exchanges.CallFailedError(
                 retries.Failure.FAILED,
--- a/tests/gateway/test_leavingservers.py
+++ b/tests/gateway/test_leavingservers.py
@@ -93,13 +93,9 @@
 
 
 def test_call_that_connects_is_sent_to_another_server(monkeypatch):
-    class SlowConnection(backendconnections.BackendConnection):
-        def __init__(self, instance_id, address, timeout_s):
-            super().__init__(instance_id, address, timeout_s)
-            if instance_id == "i-0":
-                gevent.sleep(0.2)
-
-    monkeypatch.setattr(backendconnections, "BackendConnection", SlowConnection)
+    monkeypatch.setattr(
+        backendconnections, "BackendConnection", test_relay.SlowConnection
+    )
     answers = [test_relay.make_response()]
     with test_relay.running_relay([OK], answers) as (address, backends, host):
         gevent.spawn_later(0.1, say_leaving, host)
--- a/tests/gateway/test_pausedcalls.py
+++ b/tests/gateway/test_pausedcalls.py
@@ -128,13 +128,9 @@
 
     @pytest.fixture(autouse=True)
     def slow_connections(self, monkeypatch):
-        class SlowConnection(backendconnections.BackendConnection):
-            def __init__(self, instance_id, address, timeout_s):
-                super().__init__(instance_id, address, timeout_s)
-                if instance_id == "i-0":
-                    gevent.sleep(0.2)
-
-        monkeypatch.setattr(backendconnections, "BackendConnection", SlowConnection)
+        monkeypatch.setattr(
+            backendconnections, "BackendConnection", test_relay.SlowConnection
+        )
 
     def test_call_is_sent_to_another_server(self):
         """The connection is kept, and the server does not count as failing."""
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -9,6 +9,7 @@
 from kumquatproxy import clock
 from kumquatproxy.fleet import fleethost, servers, serviceconfig
 from kumquatproxy.gateway import (
+    backendconnections,
     brittleservers,
     callers,
     calls,
@@ -188,6 +189,15 @@
         return 0.0
 
 
+class SlowConnection(backendconnections.BackendConnection):
+    """Take a time to connect to the first server."""
+
+    def __init__(self, instance_id, address, timeout_s):
+        super().__init__(instance_id, address, timeout_s)
+        if instance_id == "i-0":
+            gevent.sleep(0.2)
+
+
 @contextlib.contextmanager
 def running_relay(*responses_by_server):
     """Run backend servers behind a caller server.
