Read TROUBLE in the folder of each case

The switch was read in lib/ only, so nothing in a case's folder showed what it does. What is played stays as it is.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """Answers whose body has no end take entry hosts beyond their memory."""
 
 import itertools
+import os
 import pathlib
 import random
 import sys
@@ -207,4 +208,5 @@
     return []
 
 
-casemain.run(play)
+# With TROUBLE=0 the same is played without the disturbance.
+casemain.run(play, os.environ.get("TROUBLE", "1") != "0")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,6 @@
 """Heartbeats with a field of another type end the processes of control hosts."""
 
+import os
 import pathlib
 import sys
 import threading
@@ -128,4 +129,5 @@
     return []
 
 
-casemain.run(play)
+# With TROUBLE=0 the same is played without the disturbance.
+casemain.run(play, os.environ.get("TROUBLE", "1") != "0")
--- a/review/lib/casemain.py
+++ b/review/lib/casemain.py
@@ -19,12 +19,11 @@
     raise CannotRun("ended by a signal")
 
 
-def run(play, **options):
+def run(play, has_trouble, **options):
     """Play a case in a deployment; ``play`` returns the breaks of the rule as texts."""
     signal.signal(signal.SIGTERM, _end)
     folder = pathlib.Path(sys.argv[0]).resolve().parent
     record = fleet.Record(folder / "record.txt")
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"trouble: {'yes' if has_trouble else 'no'}")
     deployment = None
     code = NOT_RUN
