Bound the memory that a host holds for messages in transit

Cause: what one message may take was limited or not, but never what all of them take together. Relay._read_body collected answers, refusals and late answers without a limit; bodies of requests are kept for a repeat, 4 MiB times 2,000 connections; whole answers were copied three times while a slow caller took them; the control address had 8 MB times 4,096 connections; the event loop stood still while a server sent faster than the host read, so that the deadline did not end the call either.

A request without room gets 503 memory-full at once, before its body arrives. Large messages leave a quarter to small ones. An answer is held up to 256 KiB, then relayed no faster than the caller takes it, and not replaced any more; an error without a length is given up. Refusals, late answers and reports have limits of their own. Reading yields to other greenlets after 16 KiB. Both stacks use the budget. Metrics memory.held and memory.rejections tell it from other ends of processes.

--- a/kumquatproxy/errors.py
+++ b/kumquatproxy/errors.py
@@ -20,6 +20,7 @@
     BODY_TOO_LARGE = "body-too-large"
     HEADER_TOO_LARGE = "header-too-large"
     TOO_MANY_CONNECTIONS = "too-many-connections"
+    MEMORY_FULL = "memory-full"
     VERSION_CONFLICT = "version-conflict"
     DOES_NOT_FIT = "does-not-fit"
     KEY_IN_PROGRESS = "key-in-progress"
@@ -74,6 +75,7 @@
     ErrorKind.BODY_TOO_LARGE: Answer(413, "The body is too large"),
     ErrorKind.HEADER_TOO_LARGE: Answer(431, "The headers are too large"),
     ErrorKind.TOO_MANY_CONNECTIONS: Answer(503, "Too many open connections", "no", 2),
+    ErrorKind.MEMORY_FULL: Answer(503, "The host has no memory to spare", "no", 1),
     # "Number" in the title is the version of the sheet or configuration.
     ErrorKind.VERSION_CONFLICT: Answer(409, "Another configuration has this number"),
     ErrorKind.DOES_NOT_FIT: Answer(422, "A listed model does not fit"),
--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -148,7 +148,9 @@
         self._configuration: serviceconfig.Configuration | None = None
         self.order_issuer = orderissuer.OrderIssuer(self)
         application = controlapis.CONTROL_APIS.get(host_settings.dialect.name)(self)
-        self._server = httpapi.Server(host_settings.control.api, application)
+        self._server = httpapi.Server(
+            host_settings.control.api, application, budget=self.memory
+        )
 
     def _open_member(self, now):
         folder = datafolder.DataFolder(self.settings.host.data_folder)
--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -150,15 +150,18 @@
             self._schedule_wakeup,
         )
         self._callers = callers.CallerServer(
-            host_settings.entry.callers, self.relay.serve, self._limits
+            host_settings.entry.callers, self.relay.serve, self._limits, self.memory
         )
         self._peer_callers: callers.CallerServer | None = None
         if host_settings.entry.peers:
             self._peer_callers = callers.CallerServer(
-                host_settings.entry.peers, self.relay.serve_forwarded, self._limits
+                host_settings.entry.peers,
+                self.relay.serve_forwarded,
+                self._limits,
+                self.memory,
             )
         self._readiness = httpapi.Server(
-            host_settings.entry.readiness, Readiness(self.is_ready)
+            host_settings.entry.readiness, Readiness(self.is_ready), budget=self.memory
         )
 
     def start(self) -> None:
--- a/kumquatproxy/fleet/fleethost.py
+++ b/kumquatproxy/fleet/fleethost.py
@@ -5,7 +5,7 @@
 import secrets
 import typing
 
-from kumquatproxy import clock, httpapi, logs, tasks
+from kumquatproxy import clock, httpapi, logs, memorybudget, tasks
 from kumquatproxy.fleet import fleetmessages, fleetsettings
 from kumquatproxy.gateway import dialects
 from kumquatproxy.membership import hello, link, transport
@@ -52,6 +52,7 @@
         host = host_settings.host
         self.settings = host_settings
         self.host_id: str = host.id
+        self.memory = memorybudget.MemoryBudget(host.memory_mb)
         self.dialect = dialects.load(
             host_settings.dialect.name, host_settings.dialect.module
         )
@@ -76,7 +77,7 @@
         meters = importlib.import_module("kumquatproxy.fleet.meters")
         self.meter = meters.Meter(self.gauges)
         application = meters.MeterApplication(self.meter)
-        self.meter_server = httpapi.Server(address, application)
+        self.meter_server = httpapi.Server(address, application, budget=self.memory)
 
     def start(self) -> None:
         """Start the links and this task; raise OSError if the address is taken."""
@@ -101,7 +102,11 @@
 
     def gauges(self) -> dict[str, float]:
         """Return the values of the gauges by name."""
-        return {"log.dropped": logs.dropped_lines()}
+        return {
+            "log.dropped": logs.dropped_lines(),
+            "memory.held": self.memory.held_bytes,
+            "memory.rejections": self.memory.rejections,
+        }
 
     def _on_message(self, sender, message):
         self.tell(ReceivedMessage(sender, message))
--- a/kumquatproxy/fleet/fleetsettings.py
+++ b/kumquatproxy/fleet/fleetsettings.py
@@ -1,6 +1,6 @@
 """Settings of an entry host or a control host of a fleet, read from an INI file."""
 
-from kumquatproxy import options, settings
+from kumquatproxy import memorybudget, options, settings
 
 Option = options.Option
 
@@ -27,6 +27,13 @@
         "forms_group", "bool", False, help="whether the fleet starts for the first time"
     ),
     Option("metrics", "text", "", help="IP:port of the metrics; empty for none"),
+    Option(
+        "memory_mb",
+        "float",
+        memorybudget.DEFAULT_MEMORY_MB,
+        low=64.0,
+        help="memory that the process may use; messages in transit get a third",
+    ),
 ]
 ENTRY_OPTIONS = [
     Option("callers", "text", "", help="IP:port for callers"),
--- a/kumquatproxy/fleet/meters.py
+++ b/kumquatproxy/fleet/meters.py
@@ -16,6 +16,8 @@
 GAUGES = {
     "calls.in_flight": ("{call}", "Calls of callers that are being served"),
     "calls.waiting": ("{call}", "Calls that wait for a backend server"),
+    "memory.held": ("By", "Bytes of messages in transit that this host holds"),
+    "memory.rejections": ("{message}", "Messages for which there was no memory"),
     "servers.known": ("{server}", "Backend servers that this host knows"),
     "streams.known": ("{stream}", "Streams whose software version is kept"),
     "facts.known": ("{fact}", "Short-lived facts shared by hosts, such as crashes"),
--- a/kumquatproxy/gateway/attempts.py
+++ b/kumquatproxy/gateway/attempts.py
@@ -4,6 +4,7 @@
 server has accepted the call, because that one may refuse it or break off.
 """
 
+from kumquatproxy import memorybudget
 from kumquatproxy.fleet import servers
 from kumquatproxy.gateway import (
     backendconnections,
@@ -22,11 +23,12 @@
 
     __slots__ = (
         "announcement",
-        "body_parts",
+        "body",
         "candidate_count",
         "detail",
         "first_event_at",
         "head",
+        "holding",
         "in_flight_call",
         "is_discarding",
         "is_forwarded",
@@ -40,7 +42,13 @@
     )
 
     def __init__(
-        self, announcement, candidate_count, lowest_delay_s, now, is_forwarded=False
+        self,
+        announcement,
+        candidate_count,
+        lowest_delay_s,
+        now,
+        budget: memorybudget.MemoryBudget,
+        is_forwarded=False,
     ):
         self.announcement: servers.Announcement = announcement
         self.is_forwarded: bool = is_forwarded  # to another host, not to a server
@@ -55,7 +63,8 @@
         self.in_flight_call: serverselection.InFlightCall | None = None
         self.head: calls.ResponseHead | None = None  # of a response to be relayed
         self.first_event_at: float | None = None  # of a stream
-        self.body_parts: list[bytes] = []
+        self.body = bytearray()  # received so far, of a response that is held
+        self.holding = memorybudget.Holding(budget)  # covers the body or stream data
         self.splitter = eventstream.EventSplitter()
         self.is_discarding = False  # reads the rest of a response to an earlier call
         self.is_response_read = False  # to its end
@@ -80,6 +89,7 @@
         "error_response",
         "excluded_lifetimes",
         "fallback",
+        "has_body_begun",
         "has_reserved_retry",
         "has_response_begun",
         "last_event_id",
@@ -97,6 +107,8 @@
         self.error_response: ErrorResponse | None = None
         self.has_reserved_retry = False  # counted in the retry budget, not yet used
         self.has_response_begun = False  # the caller has received a head
+        # Parts of a body that is no stream follow, so no other response can.
+        self.has_body_begun = False
         self.last_event_id = ""  # of the last event the caller has received
         self.stream_type = b""  # media type of the response that has begun
         self.unexecuted_attempts = 0
@@ -105,6 +117,11 @@
         self.excluded_lifetimes: set[tuple] = set()  # server runs not to be tried
         self.waited_s = 0.0
 
+    def release_memory(self) -> None:
+        """Stop counting what the attempts hold, as the call has ended."""
+        for attempt in self.attempts:
+            attempt.holding.release()
+
     def may_have_executed(self) -> bool:
         """Return whether a server may have executed the call or may still do so."""
         return any(
--- a/kumquatproxy/gateway/backendconnections.py
+++ b/kumquatproxy/gateway/backendconnections.py
@@ -1,10 +1,10 @@
 """Pooled HTTP/1.1 connections to backend servers, each with one call at a time."""
 
 import collections
-import collections.abc
 import select
 import socket
 
+import gevent
 import gevent.select
 import gevent.socket
 import h11
@@ -22,6 +22,14 @@
 # A connection ends after so many refusals on it, whose ids are kept.
 MAX_REFUSALS = 32
 KEEP_ALIVE_TIMEOUT_KEY = b"timeout="
+# Longest body that is read only in order to use its connection again.
+MAX_UNUSED_BODY_BYTES = 64 * 1024
+# Longest answer to a report request or an order.
+MAX_ENGINE_BODY_BYTES = 256 * 1024
+# A server that sends as fast as this host reads must not keep the other greenlets, nor
+# the timers, from running.
+YIELD_INTERVAL_BYTES = framing.READ_BYTES
+MIN_COUNTED_BYTES = 512  # as short parts take as much time as long ones
 # Detects connections that were cut without a TCP reset.
 TCP_USER_TIMEOUT_MS = 4000
 
@@ -38,11 +46,6 @@
     """Report that a server sent no data within the timeout."""
 
 
-def join_parts(read_part: collections.abc.Callable[[], bytes | None]) -> bytes:
-    """Join the parts of a body that ``read_part`` returns until it returns None."""
-    return b"".join(iter(read_part, None))
-
-
 class BackendConnection:
     """Send calls and read responses on one connection to a backend server."""
 
@@ -51,6 +54,7 @@
         "_keep_alive_s",
         "_parser",
         "_sock",
+        "_unyielded_bytes",
         "had_earlier_call",
         "has_ended",
         "idle_since",
@@ -72,6 +76,7 @@
         self._buffer = bytearray()
         self._parser = framing.new_connection(h11.CLIENT)
         self._keep_alive_s = DEFAULT_KEEP_ALIVE_S
+        self._unyielded_bytes = 0  # read since other greenlets last could run
         self.instance_id: str = instance_id
         self.is_reusable = True  # whether another call may follow
         self.has_ended = False  # the server has closed it, as far as is known
@@ -97,23 +102,29 @@
         self._parser = framing.new_connection(h11.CLIENT)
         try:
             request = h11.Request(method=method, target=target, headers=headers)
-            data = self._parser.send(request)
+            parts = [self._parser.send(request)]
             if body:
-                data += self._parser.send(h11.Data(data=body))
-            data += self._parser.send(h11.EndOfMessage())
+                parts.append(self._parser.send(h11.Data(data=body)))
+            parts.append(self._parser.send(h11.EndOfMessage()))
         except h11.LocalProtocolError as error:
             raise InvalidRequestError(str(error)) from None
         self.is_fully_sent = False
         self.request_count += 1
+        if all(self._send_part(part) for part in framing.join_small(parts)):
+            self.is_fully_sent = True
+        else:
+            # The server still expects the rest of the body on this connection.
+            self.is_reusable = False
+
+    def _send_part(self, data):
+        """Write a part of a request; return False if a response arrived first."""
         view = memoryview(data)
         while view:
             count = self._send_some(view)
             if count == 0:
-                # The server still expects the rest of the body on this connection.
-                self.is_reusable = False
-                return
+                return False
             view = view[count:]
-        self.is_fully_sent = True
+        return True
 
     def _send_some(self, view):
         """Return the number of bytes written, 0 if a response arrived first."""
@@ -132,6 +143,7 @@
         Raise BackendError if it is malformed, or OSError if the connection fails.
         """
         while True:
+            self._yield_if_due()
             end = framing.find_head_end(self._buffer)
             if end < 0:
                 if len(self._buffer) > framing.MAX_HEAD_BYTES:
@@ -171,13 +183,26 @@
             raise BackendError(str(error)) from None
 
     def _receive(self):
-        data = self._sock.recv(framing.READ_BYTES)
+        data = self._recv()
         if not data:
             raise BackendError("the server closed the connection")
         self._buffer += data
 
+    def _recv(self):
+        data = self._sock.recv(framing.READ_BYTES)
+        self._unyielded_bytes += len(data)
+        return data
+
+    def _yield_if_due(self):
+        """Let other greenlets run once enough was read; call this before reading."""
+        self._unyielded_bytes += MIN_COUNTED_BYTES
+        if self._unyielded_bytes >= YIELD_INTERVAL_BYTES:
+            self._unyielded_bytes = 0
+            gevent.sleep(0)
+
     def read_part(self) -> bytes | None:
         """Return the next bytes of the response body, or None after its end."""
+        self._yield_if_due()
         while True:
             data = bytes(self._buffer)
             self._buffer.clear()
@@ -189,7 +214,7 @@
                 return None
             if event is not h11.NEED_DATA:
                 raise BackendError("the response body is incomplete")
-            data = self._sock.recv(framing.READ_BYTES)
+            data = self._recv()
             try:
                 self._parser.receive_data(data)
             except h11.RemoteProtocolError as error:
@@ -212,8 +237,18 @@
                     raise
 
     def read_body(self) -> bytes:
-        """Return the rest of the body; raise BackendError if it is truncated."""
-        return join_parts(self.read_part)
+        """Return the rest of the body of an engine's answer to this host.
+
+        Raise BackendError if it is truncated or longer than MAX_ENGINE_BODY_BYTES.
+        """
+        body = bytearray()
+        while (part := self.read_part()) is not None:
+            body += part
+            if len(body) > MAX_ENGINE_BODY_BYTES:
+                raise BackendError(
+                    f"the body is longer than {MAX_ENGINE_BODY_BYTES} bytes"
+                )
+        return bytes(body)
 
     def _clear_reusable_if_unfinished(self):
         if self._parser.trailing_data[0] or self._parser.our_state is not h11.DONE:
@@ -223,8 +258,11 @@
 
     def discard_response(self) -> None:
         """Discard a late response to an earlier call; the expected one follows it."""
-        while self.read_part() is not None:
-            continue
+        size = 0
+        while (part := self.read_part()) is not None:
+            size += len(part)
+            if size > MAX_UNUSED_BODY_BYTES:
+                raise BackendError("a late response is too long to be discarded")
         rest = self._parser.trailing_data[0]
         self._parser = framing.new_connection(h11.CLIENT)
         # h11 parses a response only after a request. The request below only sets the
--- a/kumquatproxy/gateway/callers.py
+++ b/kumquatproxy/gateway/callers.py
@@ -9,7 +9,7 @@
 import h11
 import orjson
 
-from kumquatproxy import clock, errors, logs
+from kumquatproxy import clock, errors, logs, memorybudget
 from kumquatproxy.gateway import calls, framing
 
 MAX_CONNECTIONS = 2000
@@ -40,6 +40,7 @@
         "_buffer",
         "_caller",
         "_greenlet",
+        "_holding",
         "_is_head_request",
         "_is_idle",
         "_is_peer_closed",
@@ -50,11 +51,13 @@
         "is_closing",
     )
 
-    def __init__(self, sock, caller: str = ""):
+    def __init__(self, sock, caller: str, budget: memorybudget.MemoryBudget):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock = sock
         self._caller = caller  # IP address
         self._buffer = bytearray()
+        # Covers the buffer and the request that is read or served.
+        self._holding = memorybudget.Holding(budget)
         self._parser = framing.new_connection(h11.SERVER)
         self._is_peer_closed = False  # the caller has closed its side
         self._watcher: gevent.Greenlet | None = None
@@ -67,6 +70,7 @@
     def read_call(self, limits) -> calls.Call:
         """Return the next request; raise ConnectionClosed, or ProxyError if invalid."""
         self._is_head_request = False
+        self._holding.resize(len(self._buffer))
         head = self._read_head(limits)
         arrived_at = clock.now()
         framing.check_head(head, is_request=True)
@@ -79,7 +83,7 @@
         length = framing.header(request.headers, b"content-length")
         if length and int(length) > limits.body_bytes:
             raise _too_large(limits.body_bytes)
-        body = self._read_body(limits.body_bytes)
+        body = self._read_body(limits.body_bytes, int(length or 0))
         return calls.Call(
             request.method,
             request.target,
@@ -102,9 +106,10 @@
         if not self._buffer:
             self._is_idle = True
             try:
-                self._receive(limits.idle_timeout_s)
+                size = self._receive(limits.idle_timeout_s)
             finally:
                 self._is_idle = False
+            self._hold(size)
         with gevent.Timeout(limits.head_timeout_s, _client_timeout("head")):
             while True:
                 # RFC 9112 lets a server ignore empty lines before the request line.
@@ -120,10 +125,13 @@
                         errors.ErrorKind.HEADER_TOO_LARGE,
                         f"the request head is larger than {limits.head_bytes} bytes",
                     )
-                self._receive(None)
+                self._hold(self._receive(None))
 
     def _receive(self, timeout_s):
-        """Read into the buffer; raise ConnectionClosed if closed or timed out."""
+        """Read into the buffer and return the number of bytes.
+
+        Raise ConnectionClosed if the caller has closed or the time is over.
+        """
         if self._is_peer_closed or self.ignores_new_data:
             raise ConnectionClosed
         try:
@@ -134,6 +142,15 @@
         if not data:
             raise ConnectionClosed
         self._buffer += data
+        return len(data)
+
+    def _hold(self, size):
+        """Count further bytes of a request; raise ProxyError if there is no room."""
+        if not self._holding.grow(size):
+            raise errors.ProxyError(
+                errors.ErrorKind.MEMORY_FULL,
+                "the host holds as many bytes of other messages as it may",
+            )
 
     def close_if_idle(self) -> None:
         """Close the connection if it waits for a request.
@@ -157,32 +174,39 @@
         self._greenlet.kill(calls.HostStoppingError, block=False)
         return self._greenlet
 
-    def _read_body(self, limit_bytes):
+    def _read_body(self, limit_bytes, length):
+        """Return the body; ``length`` is that in the head, 0 without one.
+
+        A body whose length is known is counted before it arrives, so that it is not
+        refused after most of it has been sent.
+        """
+        self._hold(max(0, length - len(self._buffer)))
         if self._parser.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             self._write(self._parser.send(continue_response))
-        parts = []
-        size = 0
+        body = bytearray()
         data = bytes(self._buffer)
         self._buffer.clear()
         event = self._feed(data)
         while not isinstance(event, h11.EndOfMessage):
             if event is h11.NEED_DATA:
                 with gevent.Timeout(BODY_IDLE_S, _client_timeout("body")):
-                    self._receive(None)
+                    size = self._receive(None)
+                if not length:
+                    self._hold(size)
                 data = bytes(self._buffer)
                 self._buffer.clear()
                 event = self._feed(data)
                 continue
             if not isinstance(event, h11.Data):
                 raise _invalid_request("the request body is incomplete")
-            parts.append(event.data)
-            size += len(event.data)
-            if size > limit_bytes:
+            body += event.data
+            if len(body) > limit_bytes:
                 raise _too_large(limit_bytes)
             event = self._feed(b"")
         self._buffer += self._parser.trailing_data[0]
-        return b"".join(parts)
+        self._holding.resize(len(body) + len(self._buffer))
+        return bytes(body)
 
     def watch_for_disconnect(self, on_disconnect: Callable[[], None]) -> None:
         """Call ``on_disconnect`` if the caller closes before the response ends."""
@@ -200,6 +224,9 @@
                 return
             if not self.ignores_new_data:
                 self._buffer += data
+                if not self._holding.grow(len(data)):
+                    self._holding.resize(self._holding.size + len(data))
+                    return
 
     def stop_watching(self) -> None:
         """Stop watching for a disconnect and keep the data received meanwhile."""
@@ -236,10 +263,12 @@
         if self.is_closing:
             headers.append((b"connection", b"close"))
         response = h11.Response(status_code=status, headers=headers, reason=b"")
-        data = self._parser.send(response)
+        parts = [self._parser.send(response)]
         if body and not self._is_head_request:
-            data += self._parser.send(h11.Data(data=body))
-        self._write(data + self._parser.send(h11.EndOfMessage()))
+            parts.append(self._parser.send(h11.Data(data=body)))
+        parts.append(self._parser.send(h11.EndOfMessage()))
+        for data in framing.join_small(parts):
+            self._write(data)
 
     def reject_request(self, error: errors.ProxyError) -> None:
         """Write an error response to an invalid request and close the connection."""
@@ -296,6 +325,7 @@
         """Stop watching and close the socket."""
         self.stop_watching()
         self._sock.close()
+        self._holding.release()
 
 
 def problem(error: errors.ProxyError):
@@ -327,13 +357,21 @@
     """Accept connections of callers and serve the requests of each one in turn.
 
     ``serve(call, connection)`` handles one request. ``limits()`` returns the request
-    limits of the current configuration.
+    limits of the current configuration. Requests are counted in ``budget``; one for
+    which it has no room is refused.
     """
 
-    def __init__(self, address: str, serve, limits):
+    def __init__(
+        self,
+        address: str,
+        serve,
+        limits,
+        budget: memorybudget.MemoryBudget | None = None,
+    ):
         host, _, port = address.rpartition(":")
         self._serve = serve
         self._limits = limits
+        self._budget = budget or memorybudget.MemoryBudget()
         self._log = logs.Log("caller")
         # True while a request of the connection is being served.
         self._is_serving_by_connection: dict[CallerConnection, bool] = {}
@@ -402,8 +440,28 @@
         gevent.joinall(interrupted, timeout=ABORT_TIMEOUT_S)
         self._server.stop(timeout=0)
 
+    def _serve_request(self, connection):
+        """Read a request and serve it; it is not kept while the connection is idle."""
+        try:
+            call = connection.read_call(self._limits())
+        except errors.ProxyError as error:
+            self._log.write_limited(clock.now(), error.kind.value, str(error))
+            connection.reject_request(error)
+            raise ConnectionClosed from None
+        except ConnectionClosed:
+            if connection.ignores_new_data:
+                connection.shut_down_and_drain()
+            raise
+        self._is_serving_by_connection[connection] = True
+        connection.is_closing = self._is_keep_alive_disabled
+        try:
+            self._serve(call, connection)
+        finally:
+            self._is_serving_by_connection[connection] = False
+            connection.stop_watching()
+
     def _handle(self, sock, address):
-        connection = CallerConnection(sock, address[0])
+        connection = CallerConnection(sock, address[0], self._budget)
         self._is_serving_by_connection[connection] = False
         try:
             self._serve_requests(connection)
@@ -419,23 +477,7 @@
 
     def _serve_requests(self, connection):
         while True:
-            try:
-                call = connection.read_call(self._limits())
-            except errors.ProxyError as error:
-                self._log.write_limited(clock.now(), error.kind.value, str(error))
-                connection.reject_request(error)
-                return
-            except ConnectionClosed:
-                if connection.ignores_new_data:
-                    connection.shut_down_and_drain()
-                return
-            self._is_serving_by_connection[connection] = True
-            connection.is_closing = self._is_keep_alive_disabled
-            try:
-                self._serve(call, connection)
-            finally:
-                self._is_serving_by_connection[connection] = False
-                connection.stop_watching()
+            self._serve_request(connection)
             if not connection.is_reusable():
                 return
             if self._is_closed and not connection.has_received_data():
--- a/kumquatproxy/gateway/eventstream.py
+++ b/kumquatproxy/gateway/eventstream.py
@@ -3,6 +3,7 @@
 import re
 
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_MAX_PARTIAL_END = len(b"\r\n\r")
 _ID_FIELD = re.compile(rb"^id:[ ]?(.*?)\r?$", re.MULTILINE)
 _END_MARKERS = (b"data: [DONE]", b"data:[DONE]")
 MAX_EVENT_BYTES = 1024 * 1024
@@ -12,19 +13,23 @@
 class EventSplitter:
     """Buffer received bytes and split them into complete events."""
 
-    __slots__ = ("_buffer",)
+    __slots__ = ("_buffer", "_searched_bytes")
 
     def __init__(self):
         self._buffer = bytearray()
+        self._searched_bytes = 0  # at the start of the buffer, without an event's end
 
     def add(self, data: bytes) -> list[tuple[bytes, str]]:
         """Return the events that are now complete, each with its id or ''."""
         self._buffer += data
         events = []
         while True:
-            end = _EVENT_END.search(self._buffer)
+            end = _EVENT_END.search(self._buffer, self._searched_bytes)
             if end is None:
+                # The last bytes may be the first ones of an event's end.
+                self._searched_bytes = max(0, len(self._buffer) - _MAX_PARTIAL_END)
                 break
+            self._searched_bytes = 0
             event = bytes(self._buffer[: end.end()])
             del self._buffer[: end.end()]
             events.append((event, event_id(event)))
@@ -32,6 +37,11 @@
             raise ValueError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
         return events
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the size of the incomplete event."""
+        return len(self._buffer)
+
     @property
     def has_partial_event(self) -> bool:
         """Return whether the buffer holds an incomplete event."""
@@ -48,6 +58,7 @@
             return b""
         rest = bytes(self._buffer)
         self._buffer.clear()
+        self._searched_bytes = 0
         return rest
 
 
--- a/kumquatproxy/gateway/forwarding.py
+++ b/kumquatproxy/gateway/forwarding.py
@@ -36,6 +36,7 @@
 LOCAL_REFUSALS = frozenset(
     (
         errors.ErrorKind.HOST_CUT_OFF,
+        errors.ErrorKind.MEMORY_FULL,
         errors.ErrorKind.NOT_FOUND,
         errors.ErrorKind.NOT_READY,
         errors.ErrorKind.STOPPING,
--- a/kumquatproxy/gateway/framing.py
+++ b/kumquatproxy/gateway/framing.py
@@ -14,7 +14,8 @@
 MAX_HEAD_BYTES = 64 * 1024
 # Larger than any head, so that the configured limit applies and not that of h11.
 MAX_H11_EVENT_BYTES = 2 * MAX_HEAD_BYTES
-READ_BYTES = 64 * 1024
+READ_BYTES = 16 * 1024
+MAX_JOINED_BYTES = 64 * 1024
 
 HOP_BY_HOP = frozenset(
     (
@@ -145,6 +146,13 @@
     return [(key, value) for key, value in headers if key not in dropped]
 
 
+def join_small(parts: list[bytes]) -> list[bytes]:
+    """Join the parts of a message for one send, unless that would copy much data."""
+    if sum(map(len, parts)) > MAX_JOINED_BYTES:
+        return [part for part in parts if part]
+    return [b"".join(parts)]
+
+
 def new_connection(role) -> h11.Connection:
     """Return an h11 parser for the role h11.CLIENT or h11.SERVER."""
     return h11.Connection(our_role=role, max_incomplete_event_size=MAX_H11_EVENT_BYTES)
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -6,7 +6,7 @@
 import gevent
 import gevent.event
 
-from kumquatproxy import clock, errors, logs
+from kumquatproxy import clock, errors, logs, memorybudget
 from kumquatproxy.gateway import (
     attempts,
     backendconnections,
@@ -37,6 +37,11 @@
 RESPONSE_MARGIN_S = 0.005
 # A call fails after more than this many attempts that certainly did not execute it.
 MAX_UNEXECUTED_ATTEMPTS = 6
+# A longer body is relayed as it arrives, so that the caller's pace limits what is read.
+MAX_HELD_BYTES = 256 * 1024
+# Copies of the newest data of a stream while the caller takes it: as received, as
+# events, joined, and framed.
+STREAM_COPIES = 4
 OVERLOADED_RETRY_AFTER_S = 0.5
 # Statuses that tell a caller that the call was not executed.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
@@ -105,6 +110,7 @@
             self._end_with_error(call, progress, connection, internal_error)
         finally:
             self._end_fallback(call, progress)
+            progress.release_memory()
             self._host.crashes.end_call(call, clock.now())
 
     def _prepare(self, call):
@@ -213,7 +219,11 @@
                 self._check_blame(call)
                 self._count_in_budget(call, progress)
                 attempt = attempts.Attempt(
-                    announcement, len(candidates), candidates[0].delay_s, now
+                    announcement,
+                    len(candidates),
+                    candidates[0].delay_s,
+                    now,
+                    self._host.memory,
                 )
                 progress.attempts.append(attempt)
                 return attempt
@@ -243,6 +253,7 @@
             len(candidates),
             0.0,
             now,
+            self._host.memory,
             is_forwarded=True,
         )
         progress.attempts.append(attempt)
@@ -472,8 +483,13 @@
                     has_id = bool(head.echoed_id)
                     attempt.link.record_refusal(call.request_id, has_id)
                 if progress.fallback is None:
-                    body = self._read_body(attempt, read, timeouts)
-                    if attempt.is_forwarded:
+                    body = self._read_body(
+                        attempt,
+                        read,
+                        timeouts,
+                        backendconnections.MAX_UNUSED_BODY_BYTES,
+                    )
+                    if attempt.is_forwarded and body is not None:
                         _check_refusal(attempt, head, body)
                 return
             if not head.is_sealed or not _is_unencoded(head):
@@ -491,7 +507,10 @@
         elif is_stream and attempt.head.status == calls.STREAM_STATUS:
             self._relay_stream(call, attempt, progress, connection, timeouts, read)
         else:
-            body = self._read_body(attempt, read, timeouts)
+            body = self._read_body(attempt, read, timeouts, MAX_HELD_BYTES)
+            if body is None:
+                self._relay_in_parts(attempt, progress, connection, read)
+                return
             self._relay_or_reject_response(call, attempt, progress, connection, body)
 
     def _read(self, call, attempt, progress, limit_s, receive):
@@ -579,13 +598,42 @@
             # refusal without an id may be one, too.
             attempt.is_discarding = True
 
-    def _read_body(self, attempt, read, timeouts):
+    def _read_body(self, attempt, read, timeouts, max_bytes):
+        """Return the body, or None if there is more of it than can be held."""
         while True:
             part = read(timeouts.initial_s, attempt.link.read_part)
             if part is None:
                 attempt.is_response_read = True
-                return b"".join(attempt.body_parts)
-            attempt.body_parts.append(part)
+                return bytes(attempt.body)
+            attempt.body += part
+            if len(attempt.body) > max_bytes or not attempt.holding.grow(len(part)):
+                attempt.holding.resize(len(attempt.body))
+                return None
+
+    def _relay_in_parts(self, attempt, progress, connection, read):
+        """Relay a response that is too long to be held, no faster than it is taken.
+
+        An error response without a length is not relayed, as it may have no end.
+        """
+        head = attempt.head
+        length = framing.header(head.headers, b"content-length")
+        if head.status >= calls.MIN_SERVER_ERROR_STATUS and not length:
+            raise backendconnections.BackendError(
+                f"the body of the response {head.status} is too long to be held"
+            )
+        headers = _response_headers(head)
+        if length:
+            headers.append((b"content-length", length))
+        progress.has_response_begun = progress.has_body_begun = True
+        connection.start_response(head.status, headers)
+        part, attempt.body = bytes(attempt.body), bytearray()
+        while part is not None:
+            attempt.holding.resize(len(part))
+            connection.write_body(part)
+            part = read(None, attempt.link.read_part)
+        attempt.is_response_read = True
+        attempt.outcome = calls.Outcome.ANSWERED
+        connection.end_response()
 
     def _relay_or_reject_response(self, call, attempt, progress, connection, body):
         # On an early return the outcome stays LOST; the call is then retried or fails.
@@ -612,6 +660,7 @@
             if part is None:
                 break
             received = attempt.splitter.add(part)
+            self._hold_stream(attempt, len(part))
             sound = eventstream.count_sound(received, self._host.dialect.event_fields)
             events = received[:sound]
             if events:
@@ -622,6 +671,7 @@
                     # Before the event, because the host may be killed after it.
                     self._host.record_origin(call)
                 self._relay_events(progress, connection, attempt.head, events)
+            self._hold_stream(attempt, 0)
             if sound < len(received):
                 raise backendconnections.BackendError(
                     "the stream has lines that belong to no event"
@@ -631,6 +681,22 @@
         attempt.outcome = calls.Outcome.ANSWERED
         connection.end_response()
 
+    def _hold_stream(self, attempt, received_bytes):
+        """Count what is held of a stream; raise BackendError for a long event.
+
+        Data that the caller does not take yet is counted beyond the budget, which
+        leaves less room for new calls.
+        """
+        partial_bytes = attempt.splitter.partial_bytes
+        growth = partial_bytes - attempt.holding.size
+        if partial_bytes > memorybudget.SMALL_BYTES and not attempt.holding.grow(
+            growth
+        ):
+            raise backendconnections.BackendError(
+                f"there is no memory for an event of over {partial_bytes} bytes"
+            )
+        attempt.holding.resize(partial_bytes + STREAM_COPIES * received_bytes)
+
     def _relay_stream_end(self, progress, connection, attempt):
         """Relay what follows the last event; raise BackendError if that is partial.
 
@@ -686,6 +752,7 @@
         """Return whether a call can be retried if a server may have executed it."""
         if (
             not call.is_repeatable
+            or progress.has_body_begun
             or progress.possible_executions + 1 >= call.max_attempts
             or progress.unexecuted_attempts > MAX_UNEXECUTED_ATTEMPTS
         ):
@@ -750,7 +817,8 @@
 
     def _check_retry(self, call, progress):
         """Raise ProxyError if a call must not be sent again."""
-        if progress.may_have_executed() and not call.is_repeatable:
+        is_final = progress.has_body_begun or not call.is_repeatable
+        if progress.may_have_executed() and is_final:
             raise errors.ProxyError(
                 errors.ErrorKind.BACKEND_FAILED,
                 "the server sent no complete response",
--- a/kumquatproxy/host.py
+++ b/kumquatproxy/host.py
@@ -17,6 +17,7 @@
     errors,
     httpapi,
     logs,
+    memorybudget,
     metrics,
     settings,
 )
@@ -40,6 +41,8 @@
 CONFIGURATION_GROUP = "configuration"
 FIRST_DISK_ID = "first"  # disk id of the voters that form a new configuration group
 BYTES_PER_MB = 1_000_000
+# Request bodies of the largest size for which the memory is enough at the least.
+BODIES_IN_MEMORY = 8
 DRAIN_POLL_S = 0.05
 CLOSE_TIMEOUT_S = 5.0
 
@@ -121,11 +124,17 @@
         self._log = logs.Log("host")
         self._is_closed = False
         self.metrics = metrics.Metrics()
+        limits = host_settings.limits
+        memory_mb = max(limits.memory, BODIES_IN_MEMORY * limits.body)
+        budget = memorybudget.MemoryBudget(memory_mb)
         self.dispatcher = dispatch.Dispatcher(
-            host.data_centre, host_settings.decisions.routing, self._rng, self.metrics
+            host.data_centre,
+            host_settings.decisions.routing,
+            self._rng,
+            self.metrics,
+            budget,
         )
         counter = demandreports.DemandCounter()
-        limits = host_settings.limits
         self.entry = entry.EntryApplication(
             self.dispatcher,
             self.metrics,
@@ -143,13 +152,17 @@
             self.control, host.id, lambda: self.control.membership.own_entry.incarnation
         )
         self._entry_server = httpapi.Server(
-            host.callers, self.entry, limits.connections, limits.client_timeout
+            host.callers, self.entry, limits.connections, limits.client_timeout, budget
         )
         self._backend_server = httpapi.Server(
-            host.backend_servers, backendapi.BackendApplication(self.control)
+            host.backend_servers,
+            backendapi.BackendApplication(self.control),
+            budget=budget,
         )
         self._admin_server = httpapi.Server(
-            host.administration, admin.AdminApplication(self.control, roles_by_token)
+            host.administration,
+            admin.AdminApplication(self.control, roles_by_token),
+            budget=budget,
         )
 
     def _identity(self, key):
--- a/kumquatproxy/httpapi.py
+++ b/kumquatproxy/httpapi.py
@@ -9,7 +9,7 @@
 import gevent.pool
 import gevent.pywsgi
 
-from kumquatproxy import clock, errors
+from kumquatproxy import clock, errors, memorybudget
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_CONNECTIONS = 4096
@@ -20,6 +20,9 @@
 DRAIN_POLL_INTERVAL_S = 0.05
 READ_BLOCK_BYTES = 64 * 1024
 
+# Key of the holding that counts the messages of a request.
+HOLDING_KEY = "kumquatproxy.holding"
+
 JSON_TYPE = "application/json"
 PROBLEM_TYPE = "application/problem+json"
 
@@ -55,24 +58,38 @@
 class Request:
     """Give typed access to one WSGI request."""
 
-    __slots__ = ("environ", "method", "path")
+    __slots__ = ("environ", "holding", "method", "path")
 
     def __init__(self, environ):
         self.environ: dict = environ
         self.method: str = environ["REQUEST_METHOD"]
         self.path: str = environ["PATH_INFO"]
+        budget = memorybudget.MemoryBudget()
+        self.holding = environ.get(HOLDING_KEY) or memorybudget.Holding(budget)
 
     def header(self, name: str) -> str:
         """Return a header's value, or the empty string."""
         return self.environ.get(_environ_name(name), "")
 
+    def hold(self, size: int) -> None:
+        """Count bytes held until the request ends; raise ProxyError without room."""
+        if not self.holding.grow(size):
+            raise errors.ProxyError(
+                errors.ErrorKind.MEMORY_FULL,
+                "the host holds as many bytes of other messages as it may",
+            )
+
     def body(self, limit: int = MAX_BODY_BYTES) -> bytes:
-        """Read the body; raise ProxyError if it is too large, too slow or truncated."""
+        """Read the body; raise ProxyError if it is too large, too slow or truncated.
+
+        A body whose length is known is counted before it arrives.
+        """
         length = self.environ.get("CONTENT_LENGTH") or ""
         if length and not length.isdigit():
             raise _invalid(f"Content-Length {length[:40]!r} is not a number")
         if length and int(length) > limit:
             raise _too_large(limit)
+        self.hold(int(length) if length else 0)
         with gevent.Timeout(BODY_TIMEOUT_S, False):
             return self._read_blocks(limit, int(length) if length else None)
         raise errors.ProxyError(
@@ -82,8 +99,7 @@
 
     def _read_blocks(self, limit, length):
         stream = self.environ["wsgi.input"]
-        blocks = []
-        size = 0
+        body = bytearray()
         while True:
             try:
                 block = stream.read(READ_BLOCK_BYTES)
@@ -91,13 +107,14 @@
                 raise _invalid(f"reading the body failed: {error}") from None
             if not block:
                 break
-            blocks.append(block)
-            size += len(block)
-            if size > limit:
+            body += block
+            if length is None:
+                self.hold(len(block))
+            if len(body) > limit:
                 raise _too_large(limit)
-        if length is not None and size < length:
-            raise _invalid(f"the body is truncated: got {size} of {length} bytes")
-        return b"".join(blocks)
+        if length is not None and len(body) < length:
+            raise _invalid(f"the body is truncated: got {len(body)} of {length} bytes")
+        return bytes(body)
 
     def json(self, limit: int = MAX_BODY_BYTES) -> dict:
         """Return the body as a JSON object; raise ProxyError if it is not one."""
@@ -180,6 +197,8 @@
             reply.headers.append(("X-Request-Id", request_id))
         status = f"{reply.status} {_REASONS.get(reply.status, 'Status')}"
         if isinstance(reply.body, bytes):
+            # Forced, since the call may have been executed.
+            request.holding.resize(request.holding.size + len(reply.body))
             if reply.status not in (204, 304):
                 reply.headers.append(("Content-Length", str(len(reply.body))))
             start_response(status, reply.headers)
@@ -197,6 +216,7 @@
     def handle(self):
         self.socket.settimeout(self.client_timeout_s)
         self.server.open_handlers[self] = None
+        self.holding = memorybudget.Holding(self.server.budget)
         try:
             super().handle()
         finally:
@@ -207,6 +227,11 @@
             return super().handle_one_request()
         finally:
             self.is_serving = False
+            self.result = None  # the body is not kept while the connection is idle
+            self.holding.release()
+
+    def get_environ(self):
+        return {**super().get_environ(), HOLDING_KEY: self.holding}
 
     def read_requestline(self):
         line = super().read_requestline()
@@ -275,6 +300,7 @@
         application,
         max_connections=MAX_CONNECTIONS,
         client_timeout_s=CLIENT_TIMEOUT_S,
+        budget: memorybudget.MemoryBudget | None = None,
     ):
         host, _, port = address.rpartition(":")
         self._pool = gevent.pool.Pool(max_connections)
@@ -286,6 +312,7 @@
             log=None,
             error_log=None,
         )
+        self._server.budget = budget or memorybudget.MemoryBudget()
 
     def start(self) -> str:
         """Start accepting connections and return the bound ``IP:port``."""
--- a/kumquatproxy/membership/link.py
+++ b/kumquatproxy/membership/link.py
@@ -19,6 +19,9 @@
 """The link takes the next message from the send queue only while less than this is
 unsent, because messages in the queue can still be dropped."""
 
+# Limit of what an unknown host may send.
+MAX_HANDSHAKE_BYTES = 16 * 1024
+
 READ_EVENT = 1  # event masks of gevent's I/O watchers
 WRITE_EVENT = 2
 LINK_URI = "ws://peer/link"
@@ -69,6 +72,7 @@
         self._ping_at = clock() + timing.ping_interval_s
         self._opened_at = clock()
         self._unsent = bytearray()
+        self._handshake_bytes = 0  # received before the other host is known
         self._wake = gevent.event.Event()
         self._handshake: hello.Initiator | hello.Responder
         self._protocol: Any
@@ -208,6 +212,16 @@
                 raise _protocol_error(
                     f"no valid websocket data: {self._websocket_failure()!s:.200}"
                 )
+            self._check_handshake_size(len(data))
+
+    def _check_handshake_size(self, received_bytes):
+        if self.peer_id:
+            return
+        self._handshake_bytes += received_bytes
+        if self._handshake_bytes > MAX_HANDSHAKE_BYTES:
+            raise _protocol_error(
+                f"more than {MAX_HANDSHAKE_BYTES} bytes before the hello"
+            )
 
     def _websocket_failure(self):
         return self._protocol.parser_exc or self._protocol.handshake_exc
--- a/kumquatproxy/platform/controlapi.py
+++ b/kumquatproxy/platform/controlapi.py
@@ -13,6 +13,8 @@
 CONTROL_CHARACTER_OR_SPACE = re.compile(r"[\x00-\x20\x7f]")
 # A configuration may have hundreds of routes.
 MAX_BODY_BYTES = 8 * 1024 * 1024
+# A heartbeat lists the few models and adapters of one server.
+MAX_HEARTBEAT_BYTES = 64 * 1024
 
 
 @controlapis.CONTROL_APIS.register("platform")
@@ -29,6 +31,7 @@
             return httpapi.json_reply({})
         if request.path == READ_CONFIGURATION and request.method == "GET":
             body = self._host.read_configuration()
+            request.hold(len(body))
             return httpapi.Reply(200, body, [("Content-Type", httpapi.JSON_TYPE)])
         match = INSTANCE_CALL.fullmatch(request.path)
         if match is None or request.method != "POST":
@@ -40,8 +43,10 @@
                 "the instance id contains a control character or a space",
             )
         if action == "heartbeat":
-            self._host.heartbeat(heartbeatformat.parse(instance_id, request.body()))
+            body = request.body(MAX_HEARTBEAT_BYTES)
+            self._host.heartbeat(heartbeatformat.parse(instance_id, body))
         else:
-            born_ms = heartbeatformat.parse_deregistration(request.body())
+            body = request.body(MAX_HEARTBEAT_BYTES)
+            born_ms = heartbeatformat.parse_deregistration(body)
             self._host.mark(instance_id, born_ms, servers.ServerState.GONE)
         return httpapi.json_reply({})
--- a/kumquatproxy/requests/dispatch.py
+++ b/kumquatproxy/requests/dispatch.py
@@ -11,7 +11,7 @@
 import gevent
 import orjson
 
-from kumquatproxy import clock, errors, logs, metrics, records
+from kumquatproxy import clock, errors, logs, memorybudget, metrics, records
 from kumquatproxy.configuration import sheet
 from kumquatproxy.gateway import calls, stalltimeouts, waiting
 from kumquatproxy.requests import (
@@ -107,7 +107,14 @@
 class Dispatcher:
     """Routing state and calls in flight of one entry host."""
 
-    def __init__(self, data_centre, policy, rng, metrics_registry):
+    def __init__(
+        self,
+        data_centre,
+        policy,
+        rng,
+        metrics_registry,
+        budget: memorybudget.MemoryBudget | None = None,
+    ):
         self.table = routing.RoutingTable(data_centre, policy)
         self.in_flight = 0
         self._remote_ids_by_host: dict[str, set[str]] = {}
@@ -119,7 +126,7 @@
         self._admission = admissionwait.BlockingAdmission()
         self._budget = retries.RetryBudget()
         self.pauses = serverpauses.ServerPauses(rng)
-        self._pool = exchanges.ConnectionPool(self.pauses)
+        self._pool = exchanges.ConnectionPool(self.pauses, budget)
         self._guard = crashguard.CrashGuard(self._pool.links)
         self._drivers_by_alias: dict[str, drivers.Driver] = {}
         self._log = logs.Log("route")
--- a/kumquatproxy/requests/drivers.py
+++ b/kumquatproxy/requests/drivers.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from kumquatproxy import clock, records, registry
+from kumquatproxy import clock, memorybudget, records, registry
 from kumquatproxy.gateway import eventstream, framing
 from kumquatproxy.requests import exchanges, retries
 
@@ -187,6 +187,8 @@
                 )
             try:
                 received = self._splitter.add(part)
+                if self._splitter.partial_bytes > memorybudget.SMALL_BYTES:
+                    self._exchange.hold(self._splitter.partial_bytes)
             except ValueError as error:
                 raise self._exchange.lost_error(
                     f"sent an invalid event: {error}"
--- a/kumquatproxy/requests/exchanges.py
+++ b/kumquatproxy/requests/exchanges.py
@@ -5,7 +5,7 @@
 
 import gevent
 
-from kumquatproxy import clock
+from kumquatproxy import clock, memorybudget
 from kumquatproxy.gateway import backendconnections, calls
 from kumquatproxy.requests import retries, serverpauses
 
@@ -13,6 +13,7 @@
 MIN_WAIT_S = 0.001  # a timer of 0 would fire before the read checks the socket
 # The server may be about to close a connection that was idle for longer.
 MAX_IDLE_S = 10.0
+MAX_BODY_BYTES = 64 * 1024 * 1024  # of an answer
 # Engines answer 404 for a model that is no longer loaded, and 429 or 503 when full.
 NOT_EXECUTED_STATUSES = frozenset((404, 429, 503))
 
@@ -66,11 +67,16 @@
     Nothing is sent to an address in a pause that its server has asked for.
     """
 
-    __slots__ = ("links", "pauses")
+    __slots__ = ("budget", "links", "pauses")
 
-    def __init__(self, pauses: serverpauses.ServerPauses):
+    def __init__(
+        self,
+        pauses: serverpauses.ServerPauses,
+        budget: memorybudget.MemoryBudget | None = None,
+    ):
         self.links = backendconnections.ConnectionPool()
         self.pauses = pauses
+        self.budget = budget or memorybudget.MemoryBudget()
 
     def open(
         self, address: str, max_idle_s: float, timeout_s: float
@@ -95,7 +101,8 @@
     """Connection of a call until its answer is read; methods raise CallFailedError."""
 
     __slots__ = (
-        "_body_parts",
+        "_body",
+        "_holding",
         "_is_complete",
         "_link",
         "_pool",
@@ -110,7 +117,8 @@
         self._pool: ConnectionPool = pool
         self._is_complete = False
         # Kept here, so that reading can go on after a timeout.
-        self._body_parts: list[bytes] = []
+        self._body = bytearray()
+        self._holding = memorybudget.Holding(pool.budget)
         self.head: calls.ResponseHead | None = None
         self.is_sent = False
         self._sent_at = 0.0
@@ -188,8 +196,16 @@
         while True:
             part = self.read_part(timeout)
             if part is None:
-                return b"".join(self._body_parts)
-            self._body_parts.append(part)
+                return bytes(self._body)
+            self._body += part
+            self.hold(len(self._body))
+
+    def hold(self, size: int) -> None:
+        """Set how many bytes of the answer are held; fail if they are too many."""
+        if size > MAX_BODY_BYTES:
+            raise self.lost_error(f"sent more than {MAX_BODY_BYTES} bytes")
+        if not self._holding.grow(size - self._holding.size):
+            raise self.lost_error("sent more than there is memory for")
 
     def receive_available(self) -> bool:
         """Return whether data has arrived that was not read."""
@@ -201,6 +217,7 @@
 
     def close(self) -> None:
         """Release the connection; an incomplete call is cancelled by closing it."""
+        self._holding.release()
         if self._is_complete:
             self._pool.release(self._link)
         else:
--- a/kumquatproxy/settings.py
+++ b/kumquatproxy/settings.py
@@ -69,6 +69,14 @@
         high=1024,
         help="largest body of a request, such as 8MB",
     ),
+    Option(
+        "memory",
+        "size",
+        1024,
+        low=64,
+        help="memory that the process may use, such as 1GB, of which messages in "
+        "transit get a third; eight times `body` if that is more",
+    ),
     Option(
         "connections",
         "int",
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -6,7 +6,7 @@
 import pytest
 import rawservers
 
-from kumquatproxy import clock
+from kumquatproxy import clock, memorybudget
 from kumquatproxy.fleet import fleethost, servers, serviceconfig
 from kumquatproxy.gateway import (
     backendconnections,
@@ -141,6 +141,7 @@
         self.crashes = crashes.CrashTracker("h", self.facts, self.facts.merge)
         self.peer_token = forwarding.token("key")
         self.paths = FakePaths(self.table)
+        self.memory = memorybudget.MemoryBudget()
 
     def mark_leaving(self, instance_id, born_ms, now):
         return self.table.mark(instance_id, born_ms, servers.ServerState.LEAVING)
