Keep a host alive when SIGHUP comes while it starts

Operators saw processes end with SIGHUP (exit code -1) if their settings changed within about a second of a start.

Cause: the handler is set after the imports, the settings and the host are there; until then the default action of the signal ends the process. Sheet hosts never set a handler, so SIGHUP ended them at any time.

Ruled out as causes of these ends: descriptors (600 open connections at a limit of 80: none ended), disks that refuse writes at the start and later (none ended), damaged files of the group (600 random damages: all stores opened).

Change: the first statement of a host's process ignores SIGHUP. The handler is set as before, and the settings are read once more then, so that a change in between is not lost. Only Python's own start, some 20 ms, remains.

Test: soak/test_starts.py, 6 of 6 cases fail before (exit code -1), 6 pass.

--- a/kumquatproxy/cli.py
+++ b/kumquatproxy/cli.py
@@ -6,7 +6,7 @@
 import os
 import sys
 
-from kumquatproxy import adminclient, errors, settings
+from kumquatproxy import adminclient, errors, settings, startup
 from kumquatproxy.configuration import sheet
 
 EXIT_OK = 0
@@ -377,6 +377,7 @@
 
 def main(argv=None) -> int:
     """Run one command and return its exit code."""
+    startup.prepare(sys.argv[1:] if argv is None else argv)
     arguments = build_parser().parse_args(argv)
     try:
         return arguments.run(arguments)
--- a/kumquatproxy/fleet/running.py
+++ b/kumquatproxy/fleet/running.py
@@ -36,6 +36,7 @@
         gevent.signal_handler(number, stop_requested.set, None)
     gevent.signal_handler(signal.SIGHUP, _reload, host, path)
     host.start()
+    _add_new_seeds(host, host_settings, path)
     failure = stop_requested.get()
     if failure is not None:
         logs.flush()
@@ -44,10 +45,20 @@
     return 0
 
 
+def _add_new_seeds(host, host_settings, path):
+    """Read the settings again if they changed while SIGHUP was ignored."""
+    try:
+        seeds = read_settings(path).seed_ids
+    except (OSError, ValueError, errors.ProxyError):
+        return  # being written; SIGHUP follows
+    if seeds != host_settings.seed_ids:
+        _reload(host, path)
+
+
 def _reload(host, path):
     """Read the settings again on SIGHUP and add their seeds to the host."""
     try:
         host.add_seeds_of(read_settings(path))
-    except (OSError, errors.ProxyError) as error:
+    except (OSError, ValueError, errors.ProxyError) as error:
         log = logs.Log("host")
         log.write(clock.now(), f"cannot read the settings again: {error}")
--- /dev/null
+++ b/tests/soak/test_starts.py
@@ -0,0 +1,137 @@
+"""Starts of host processes: signals, held addresses, closed streams, late settings.
+
+Guards against processes that end by themselves while they start, or never start.
+"""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import gevent
+import pytest
+import soak
+
+BLOCK = 245  # of the loopback addresses, outside those of the soak's seeds
+START_S = 10.0
+SETTINGS = """[host]
+id = {ip}
+data_centre = z
+{folder}
+links = {ip}:7381
+seeds = {ip}:7382
+key = soak
+forms_group = yes
+[entry]
+{entry}
+[control]
+{control}
+[dialect]
+name = platform
+module = kumquatproxy.platform.adapter
+"""
+SHEET_HOST_SETTINGS = """[host]
+id = h
+data_centre = z
+data_folder = {folder}/data
+callers = {ip}:7383
+administration = {ip}:7384
+backend_servers = {ip}:7385
+peers = {ip}:7386
+key_file = {folder}/key
+token_file = {folder}/tokens
+[groups]
+configuration_voters = h
+"""
+PORTS = {
+    "entry": (7381, soak.CALLER_PORT, soak.READY_PORT, soak.PEER_PORT),
+    "control": (7381, soak.API_PORT),
+    "serve": (7383, 7384, 7385, 7386),
+}
+
+
+class Starter:
+    """Start a host as the platform does, and end it."""
+
+    def __init__(self, folder, role):
+        self.ip = f"127.{BLOCK}.0.{list(PORTS).index(role) + 1}"
+        self.folder = folder
+        self.role = role
+        self.path = folder / "settings.ini"
+        self.process = None
+
+    def settings(self):
+        """Return the text of the settings file."""
+        if self.role == "serve":
+            (self.folder / "key").write_text("k" * 32)
+            (self.folder / "tokens").write_text("operate secret-token-1\n")
+            return SHEET_HOST_SETTINGS.format(ip=self.ip, folder=self.folder)
+        is_control = self.role == "control"
+        entry = f"callers = {self.ip}:{soak.CALLER_PORT}\n"
+        entry += f"readiness = {self.ip}:{soak.READY_PORT}\n"
+        entry += f"peers = {self.ip}:{soak.PEER_PORT}"
+        return SETTINGS.format(
+            ip=self.ip,
+            folder=f"data_folder = {self.folder}/disk" if is_control else "",
+            entry="" if is_control else entry,
+            control=f"api = {self.ip}:{soak.API_PORT}" if is_control else "",
+        )
+
+    def start(self, prefix=(), **options):
+        """Start the process; ``prefix`` is a command that runs it."""
+        if not self.path.exists():
+            self.path.write_text(self.settings())
+        arguments = ["serve"] if self.role == "serve" else ["fleet", self.role]
+        self.process = subprocess.Popen(
+            [*prefix, sys.executable, "-m", "kumquatproxy", *arguments]
+            + ["--config", str(self.path)],
+            env={**os.environ, "PYTHONPATH": os.getcwd()},
+            **options,
+        )
+
+    def serves(self):
+        """Return whether the last of its addresses accepts connections."""
+        for port in PORTS[self.role]:
+            with socket.socket() as sock:
+                sock.settimeout(1.0)
+                if sock.connect_ex((self.ip, port)):
+                    return False
+        return True
+
+    def await_service(self):
+        """Wait until the host serves; fail if its process has ended."""
+        end = time.monotonic() + START_S
+        while not self.serves():
+            assert self.process.poll() is None, "the process has ended by itself"
+            assert time.monotonic() < end, "the host does not serve in time"
+            gevent.sleep(0.05)
+        assert self.process.poll() is None
+
+    def close(self):
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+
+
+@pytest.fixture(params=list(PORTS))
+def starter(request, tmp_path):
+    starter = Starter(tmp_path, request.param)
+    yield starter
+    starter.close()
+
+
+@pytest.mark.parametrize("interval_s", [0.02, 0.1])
+def test_sighup_during_the_start_does_not_end_a_host(starter, interval_s):
+    """Guards against the default action of SIGHUP before its handler is set.
+
+    Until Python itself runs, nothing can be done about the first few signals.
+    """
+    starter.start()
+    gevent.sleep(0.1)
+    end = time.monotonic() + 1.5
+    while time.monotonic() < end:
+        starter.process.send_signal(signal.SIGHUP)
+        gevent.sleep(interval_s)
+    starter.await_service()
