Start a host whose standard streams are closed

Operators whose supervisor closes standard output got no process at all: each start ended with exit code 1, on 7 to 9 starts of each of nine hosts in 5 s, and the log that could tell why is the closed stream.

Cause: sys.stdout is None then, and the log asks it for its descriptor. The next file or socket would also have got the descriptor of the closed stream.

--- a/tests/soak/test_starts.py
+++ b/tests/soak/test_starts.py
@@ -135,3 +135,10 @@
         starter.process.send_signal(signal.SIGHUP)
         gevent.sleep(interval_s)
     starter.await_service()
+
+
+def test_host_starts_with_closed_standard_streams(starter):
+    """Guards against a log stream that does not exist, as under some supervisors."""
+    shell = ("/bin/sh", "-c", 'exec "$@" <&- >&- 2>&-', "sh")
+    starter.start(shell)
+    starter.await_service()
