Wait at a start for an address that is still in use

Ports of a deployment may lie in the range from which the kernel takes the ports of outgoing connections; such a connection, or one that has ended up to a minute ago, holds the port against a restart.

Cause: a listener that cannot be bound ends the start at once, whatever holds the port.

Change: a host waits for its addresses up to a minute, tells so in its log at once, and then fails as before. An address that the machine does not have fails at once.

--- a/kumquatproxy/fleet/fleetsettings.py
+++ b/kumquatproxy/fleet/fleetsettings.py
@@ -124,6 +124,17 @@
         """Return the address at which a host accepts links."""
         return f"{host_id}:{self.link_port}"
 
+    def listen_addresses(self) -> list[str]:
+        """Return the addresses at which this host must listen."""
+        addresses = [
+            self.host.links,
+            self.entry.callers,
+            self.entry.readiness,
+            self.entry.peers,
+            self.control.api,
+        ]
+        return [address for address in addresses if address]
+
     @property
     def seed_ids(self) -> list[str]:
         """Return the host ids of the seeds."""
--- a/kumquatproxy/fleet/running.py
+++ b/kumquatproxy/fleet/running.py
@@ -9,7 +9,7 @@
 import gevent
 import gevent.event
 
-from kumquatproxy import clock, errors, logs
+from kumquatproxy import clock, errors, logs, startup
 from kumquatproxy.fleet import fleetsettings
 
 SETTINGS_VARIABLE = "KUMQUATPROXY_SETTINGS"
@@ -27,6 +27,7 @@
     """Run one host until SIGTERM or SIGINT; return the exit code."""
     logs.to_stream(logs.BoundedStream(sys.stdout.fileno()))
     host_settings = read_settings(path)
+    startup.await_addresses(host_settings.listen_addresses(), logs.write_waiting)
     module_name, _, class_name = ROLES[role].partition(".")
     module = importlib.import_module(f"kumquatproxy.fleet.{module_name}")
     host = getattr(module, class_name)(host_settings)
--- a/kumquatproxy/host.py
+++ b/kumquatproxy/host.py
@@ -20,6 +20,7 @@
     memorybudget,
     metrics,
     settings,
+    startup,
 )
 from kumquatproxy.agreement import (
     consensus,
@@ -288,6 +289,15 @@
     key = pathlib.Path(parsed.host.key_file).read_bytes().strip()
     tokens = pathlib.Path(parsed.host.token_file).read_text(encoding="utf-8")
     roles_by_token = admin.parse_tokens(tokens)
+    startup.await_addresses(
+        [
+            parsed.host.callers,
+            parsed.host.administration,
+            parsed.host.backend_servers,
+            parsed.host.peers,
+        ],
+        logs.write_waiting,
+    )
     host = Host(parsed, key, roles_by_token, parsed.decisions.seed)
     stop_requested = gevent.event.AsyncResult()
     host.start(on_failure=stop_requested.set)
--- a/kumquatproxy/logs.py
+++ b/kumquatproxy/logs.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+import time
 import traceback
 
 import eliot
@@ -173,6 +174,12 @@
 _destination: _Destination | None = None
 
 
+def write_waiting(address: str) -> None:
+    """Write that the start waits for an address, at once."""
+    Log("host").write(time.monotonic(), f"the start waits, as {address} is in use")
+    flush()
+
+
 def flush() -> None:
     """Write out all buffered lines."""
     if _destination is not None:
--- a/kumquatproxy/startup.py
+++ b/kumquatproxy/startup.py
@@ -3,11 +3,18 @@
 This module imports little, so that it takes effect early.
 """
 
+import errno
 import os
 import signal
+import socket
 import sys
+import time
 
 HOST_COMMANDS = ("fleet", "serve")
+# An address may be held by a process that is ending, or for a time by the kernel, for a
+# connection that has ended.
+ADDRESS_WAIT_S = 60.0
+ADDRESS_RETRY_S = 0.2
 
 
 def prepare(arguments: list[str]) -> None:
@@ -32,3 +39,35 @@
         sys.stdout = open(1, "w", encoding="utf-8", closefd=False)
     if sys.stderr is None:
         sys.stderr = open(2, "w", encoding="utf-8", closefd=False)
+
+
+def await_addresses(addresses: list[str], log_waiting) -> None:
+    """Wait until each ``IP:port`` can be bound, for at most ADDRESS_WAIT_S.
+
+    ``log_waiting(address)`` is called before the first wait for an address. The process
+    does nothing else meanwhile. Raise
+    OSError if an address stays in use, or cannot be bound for another reason.
+    """
+    deadline = time.monotonic() + ADDRESS_WAIT_S
+    for address in addresses:
+        is_logged = False
+        while not _is_free(address, time.monotonic() >= deadline):
+            if not is_logged:
+                log_waiting(address)
+                is_logged = True
+            time.sleep(ADDRESS_RETRY_S)
+
+
+def _is_free(address, is_last_attempt):
+    host, _, port = address.rpartition(":")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    with socket.socket(family, socket.SOCK_STREAM) as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((host.strip("[]"), int(port)))
+            sock.listen(1)
+        except OSError as error:
+            if is_last_attempt or error.errno != errno.EADDRINUSE:
+                raise
+            return False
+    return True
--- a/tests/soak/test_starts.py
+++ b/tests/soak/test_starts.py
@@ -137,8 +137,30 @@
     starter.await_service()
 
 
+def test_host_starts_once_its_addresses_are_free(starter):
+    """Guards against an end because a port is held for a moment at a restart."""
+    for port in PORTS[starter.role]:
+        holder = socket.create_server((starter.ip, port))
+        starter.start(stdout=subprocess.PIPE, stderr=subprocess.STDOUT)
+        gevent.sleep(1.5)
+        assert starter.process.poll() is None
+        holder.close()
+        starter.await_service()
+        starter.close()
+        assert b"in use" in starter.process.stdout.read()
+
+
 def test_host_starts_with_closed_standard_streams(starter):
     """Guards against a log stream that does not exist, as under some supervisors."""
     shell = ("/bin/sh", "-c", 'exec "$@" <&- >&- 2>&-', "sh")
     starter.start(shell)
     starter.await_service()
+
+
+def test_address_that_cannot_be_bound_ends_the_start(tmp_path):
+    """Guards against a wait for an address that this machine does not have."""
+    starter = Starter(tmp_path, "entry")
+    text = starter.settings().replace(f"callers = {starter.ip}", "callers = 192.0.2.1")
+    starter.path.write_text(text)
+    starter.start(stderr=subprocess.DEVNULL, stdout=subprocess.DEVNULL)
+    assert starter.process.wait(timeout=START_S) == 2
