Read the settings again if they are incomplete at a start

Cause: the file is read once, and a fault ends the process. A platform that writes the file in place, as ours says that it may change without a signal, and starts the process beside it, meets this by chance.

Change: a fleet host reads the file again for a second before it reports the faults.

Test: test_host_starts_while_its_settings_are_being_written.

--- a/kumquatproxy/fleet/running.py
+++ b/kumquatproxy/fleet/running.py
@@ -12,6 +12,8 @@
 from kumquatproxy import clock, errors, logs, startup
 from kumquatproxy.fleet import fleetsettings
 
+SETTINGS_WAIT_S = 1.0
+SETTINGS_RETRY_S = 0.1
 SETTINGS_VARIABLE = "KUMQUATPROXY_SETTINGS"
 ROLES = {"entry": "entryhost.EntryHost", "control": "controlhost.ControlHost"}
 
@@ -26,7 +28,7 @@
 def run(role: str, path: str = "") -> int:
     """Run one host until SIGTERM or SIGINT; return the exit code."""
     logs.to_stream(logs.BoundedStream(sys.stdout.fileno()))
-    host_settings = read_settings(path)
+    host_settings = _read_complete_settings(path)
     startup.await_addresses(host_settings.listen_addresses(), logs.write_waiting)
     module_name, _, class_name = ROLES[role].partition(".")
     module = importlib.import_module(f"kumquatproxy.fleet.{module_name}")
@@ -46,6 +48,18 @@
     return 0
 
 
+def _read_complete_settings(path):
+    """Read the settings; try again for a while, as the file may be being written."""
+    deadline = clock.now() + SETTINGS_WAIT_S
+    while True:
+        try:
+            return read_settings(path)
+        except (OSError, ValueError, errors.ProxyError):
+            if clock.now() >= deadline:
+                raise
+        gevent.sleep(SETTINGS_RETRY_S)
+
+
 def _add_new_seeds(host, host_settings, path):
     """Read the settings again if they changed while SIGHUP was ignored."""
     try:
--- a/tests/soak/test_starts.py
+++ b/tests/soak/test_starts.py
@@ -157,6 +157,18 @@
     starter.await_service()
 
 
+@pytest.mark.parametrize("starter", ["entry", "control"], indirect=True)
+@pytest.mark.parametrize("size", [0, 100])
+def test_host_starts_while_its_settings_are_being_written(starter, size):
+    """Guards against an end because a start overtakes the writing of the file."""
+    text = starter.settings()
+    starter.path.write_text(text[:size])
+    starter.start()
+    gevent.sleep(0.9)
+    starter.path.write_text(text)
+    starter.await_service()
+
+
 def test_address_that_cannot_be_bound_ends_the_start(tmp_path):
     """Guards against a wait for an address that this machine does not have."""
     starter = Starter(tmp_path, "entry")
