Reject unknown streams where not all voters have answered

Cause: a stream of unknown origin goes on if a complete report names one version only, and the host's own report counted. It stays complete for 3.6 s after the cut, and no time at all would be a proof.

Ruled out: a host that stood still (SIGSTOP) asks once it runs again; no stream was joined in that case, before or after.

Change: such a stream goes on only if every voter of the control group answered the question about it. A server has announced itself to a control host before a stream can begin on it. Streams of known origin are not concerned.

The test of an unknown stream with one version now lets the voters answer, as the host needs that; a second one checks the rejection without them.

--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -111,6 +111,7 @@
         self.stops_at: float | None = None  # when remaining calls are aborted
         self._control_ids: set[str] = set(host_settings.seed_ids)
         self._leader = ""
+        self._voter_ids: set[str] = set()  # hosts of the control group's voters
         self._next_subscribe_at = now
         self._next_report_at = now
         self._next_expiry_at = now
@@ -371,7 +372,8 @@
         Raise ProxyError if they are unknown and could differ.
         """
         now = clock.now()
-        required = self._streams.required_origin(call, self._live_control_ids(now), now)
+        live_ids = self._live_control_ids(now)
+        required = self._streams.required_origin(call, live_ids, self._voter_ids, now)
         if required is None:
             raise errors.ProxyError(
                 errors.ErrorKind.NO_BACKEND_SERVER,
@@ -491,6 +493,7 @@
         self.entry_count = max(1, message.entry_count)
         self.brittle.host_count = self.paths.host_count = self.entry_count
         self._control_ids.update(host_id for host_id, _ in message.hosts)
+        self._voter_ids = set(message.voters) or self._voter_ids
         if message.leader:
             self._leader = message.leader
 
--- a/kumquatproxy/fleet/streamrecords.py
+++ b/kumquatproxy/fleet/streamrecords.py
@@ -77,21 +77,27 @@
         gevent.sleep(0)
 
     def required_origin(
-        self, call: calls.Call, live_ids: set[str], now: float
+        self, call: calls.Call, live_ids: set[str], voter_ids: set[str], now: float
     ) -> streamorigins.Origin | None:
         """Return where a resumed stream must go on, None if it must be rejected.
 
-        Ask the control hosts if this host did not begin the stream.
+        Ask the control hosts if this host did not begin the stream. Without an answer
+        of each voter, an unknown stream is rejected.
         """
         services = [target.service for target in call.route.targets]
         window_s = streamorigins.resumable_s(call.route.timeout_s)
         origin = self.table.find(call.resumed_id, now)
         reports = [self.history.report(services, window_s, now)]
+        answered_ids: set[str] = set()
         if origin is None:
             lookup = self._look_up(call.resumed_id, services, window_s, live_ids)
             origin = lookup.origin
             reports += lookup.reports
-        return streamorigins.required_origin(origin, call.service, services, reports)
+            answered_ids = lookup.answered_ids
+        has_all_answers = bool(voter_ids) and voter_ids <= answered_ids
+        return streamorigins.required_origin(
+            origin, call.service, services, reports, has_all_answers
+        )
 
     def _look_up(self, stream_id, services, window_s, live_ids):
         if len(stream_id) > streamorigins.MAX_ID_LENGTH:
--- a/kumquatproxy/gateway/streamorigins.py
+++ b/kumquatproxy/gateway/streamorigins.py
@@ -154,11 +154,12 @@
     The first known origin settles it, or the answers of all ``awaited_ids``.
     """
 
-    __slots__ = ("_awaited_ids", "origin", "reports")
+    __slots__ = ("_awaited_ids", "answered_ids", "origin", "reports")
 
     def __init__(self, awaited_ids):
         self.origin: Origin | None = None
         self.reports: list[VersionReport] = []
+        self.answered_ids: set[str] = set()
         self._awaited_ids: set[str] = set(awaited_ids)
 
     @property
@@ -171,6 +172,7 @@
     ) -> None:
         """Add the answer of a control host; the origin is None if it knows none."""
         self._awaited_ids.discard(sender)
+        self.answered_ids.add(sender)
         self.reports.append(report)
         if self.origin is None:
             self.origin = origin
@@ -181,14 +183,19 @@
     service: str,
     services: list[str],
     reports: list[VersionReport],
+    has_all_answers: bool,
 ) -> Origin | None:
     """Return where a resumed stream must go on, or None if it must be rejected.
 
     ``service`` was drawn among the ``services`` of the route. A stream of unknown
-    ``origin`` goes on there if only one version can have begun it.
+    ``origin`` goes on there if only one version can have begun it. All voters must
+    have answered for that: a new version may be known only to hosts that are out of
+    reach, and what this host knows may be out of date without its noticing.
     """
     if origin is not None:
         return origin if origin.service in services else None
+    if not has_all_answers:
+        return None
     versions = {version for report in reports for version in report.versions}
     if len(versions) != 1 or not any(report.is_complete for report in reports):
         return None
--- a/tests/fleet/test_entryhost.py
+++ b/tests/fleet/test_entryhost.py
@@ -286,12 +286,27 @@
         assert caught.value.status == 503 and caught.value.executed == "no"
 
     def test_unknown_stream_goes_on_if_only_one_version_serves(self, host, sent):
-        self.receive_server(host, "127.0.0.2")
-        gevent.spawn(self.answer, host, "127.0.0.2", None, ["v1"])
+        voter_ids = ["127.0.0.2", "127.0.0.3"]
+        for voter_id in voter_ids:
+            receive(host, fleetmessages.ControlHosts(1, [], "", voter_ids), voter_id)
+            self.receive_server(host, voter_id)
+            gevent.spawn(self.answer, host, voter_id, None, ["v1"])
         resumed = make_stream_call("r1", "3", "r2")
         host.restore_origin(resumed)
         assert resumed.software_version == "v1"
 
+    def test_unknown_stream_is_rejected_at_a_host_that_reaches_not_all_voters(
+        self, host, sent
+    ):
+        """Guards against a host cut off while servers of a new version join."""
+        voter_ids = ["127.0.0.2", "127.0.0.3"]
+        receive(host, fleetmessages.ControlHosts(1, [], "", voter_ids), "127.0.0.2")
+        self.receive_server(host, "127.0.0.2")
+        gevent.spawn(self.answer, host, "127.0.0.2", None, ["v1"])
+        with pytest.raises(errors.ProxyError) as caught:
+            host.restore_origin(make_stream_call("r1", "3", "r2"))
+        assert caught.value.status == 503 and caught.value.executed == "no"
+
     def test_lookup_ends_without_any_answer(self, host, sent):
         self.receive_server(host, "127.0.0.2")
         with pytest.raises(errors.ProxyError):
--- a/tests/fleet/test_streamschedules.py
+++ b/tests/fleet/test_streamschedules.py
@@ -218,7 +218,7 @@
         entries = [entry for entry in self.entries if entry.is_up]
         if not entries:
             return
-        entry = self.rng.choice(entries)
+        entry = self.pick_to_resume(entries)
         origin = entry.table.find(stream_id, self.now)
         lookup = streamorigins.Lookup(entry.live_controls())
         if origin is None:
@@ -229,6 +229,9 @@
         arguments = (entry, entry.lifetime, stream_id, origin, lookup, versions, left)
         self.at(streamrecords.LOOKUP_TIMEOUT_S, self.decide, *arguments)
 
+    def pick_to_resume(self, entries):
+        return self.rng.choice(entries)
+
     def receive_query(self, control, entry, stream_id):
         control.record_versions()
         window_s = streamorigins.kept_s(TIMEOUT_S)
@@ -249,7 +252,11 @@
         window_s = streamorigins.kept_s(TIMEOUT_S)
         reports = [entry.history.report([SERVICE], window_s, self.now), *lookup.reports]
         required = streamorigins.required_origin(
-            origin or lookup.origin, SERVICE, [SERVICE], reports
+            origin or lookup.origin,
+            SERVICE,
+            [SERVICE],
+            reports,
+            lookup.answered_ids >= {control.name for control in self.controls},
         )
         is_served = versions[0] in self.servers.values()
         self.resumptions += is_served
@@ -270,6 +277,53 @@
         return sum(len(set(versions)) > 1 for versions in self.streams)
 
 
+class ReleaseWorld(World):
+    """Cut off one host while servers of a new version join, and nothing else.
+
+    Streams begin on them through other hosts, break off, and are taken up there.
+    """
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.out_of_step = []
+        self.loss = 0.0
+
+    def change_servers(self):
+        """Let servers stay."""
+
+    def inject_fault(self):
+        # Hosts have seen one version only for as long as a stream can last.
+        self.at(self.rng.uniform(15.0, 25.0), self.release)
+
+    def release(self):
+        self.out_of_step = [self.rng.choice(self.entries)]
+        self.out_of_step[0].cut_until = self.now + self.rng.uniform(1.0, 6.0)
+        self.at(self.rng.uniform(0.05, 0.5), self.join)
+
+    def join(self):
+        number = next(self._numbers)
+        self.servers[f"i{number}"] = f"v{number}"
+        for _ in range(10):
+            self.at(self.rng.uniform(0.1, 1.5), self.begin)
+
+    def interrupt(self, entry, stream_id, versions, left):
+        if left:
+            delay_s = self.rng.uniform(0.02, 0.8)
+            self.at(delay_s, self.resume, stream_id, versions, left)
+
+    def pick_to_resume(self, entries):
+        cut = [entry for entry in entries if entry in self.out_of_step]
+        return self.rng.choice(cut or entries)
+
+
+def test_no_stream_is_joined_at_a_host_that_is_out_of_step_during_a_release():
+    """Guards against a host that is cut off and trusts what it knew before."""
+    worlds = [ReleaseWorld(seed).run() for seed in range(SEEDS)]
+    assert [seed for seed, world in enumerate(worlds) if world.mixed] == []
+    assert sum(world.resumptions for world in worlds) > 10 * SEEDS
+    assert sum(world.continued for world in worlds) > SEEDS
+
+
 def test_no_stream_has_events_of_two_versions_in_random_schedules():
     """Resumptions of versions that serve go on mostly, in spite of the faults."""
     worlds = [World(seed).run() for seed in range(SEEDS)]
@@ -279,17 +333,21 @@
     assert resumptions > 10 * SEEDS and continued > 0.5 * resumptions
 
 
-def go_on_anywhere(origin, service, services, reports):
+def go_on_anywhere(origin, service, services, reports, has_all_answers):
     return streamorigins.Origin(SERVICE, None)
 
 
-def go_on_anywhere_if_unknown(origin, service, services, reports):
+def go_on_anywhere_if_unknown(origin, service, services, reports, has_all_answers):
     return origin or streamorigins.Origin(SERVICE, None)
 
 
-def trust_own_history(origin, service, services, reports):
+def trust_own_history(origin, service, services, reports, has_all_answers):
     own = streamorigins.VersionReport(True, reports[0].versions)
-    return decide(origin, service, services, [own])
+    return decide(origin, service, services, [own], True)
+
+
+def trust_any_answer(origin, service, services, reports, has_all_answers):
+    return decide(origin, service, services, reports, True)
 
 
 decide = streamorigins.required_origin
@@ -302,3 +360,9 @@
     """Guards against schedules that would pass without any check."""
     monkeypatch.setattr(streamorigins, "required_origin", replacement)
     assert any(World(seed).run().mixed for seed in range(SEEDS))
+
+
+def test_releases_break_without_the_answers_of_all_voters(monkeypatch):
+    """Guards against schedules of releases that would pass without the check."""
+    monkeypatch.setattr(streamorigins, "required_origin", trust_any_answer)
+    assert any(ReleaseWorld(seed).run().mixed for seed in range(SEEDS))
--- a/tests/gateway/test_streamorigins.py
+++ b/tests/gateway/test_streamorigins.py
@@ -100,8 +100,10 @@
 class TestRequiredOrigin:
     """A stream goes on where it began, or where it can only have begun."""
 
-    def require(self, origin, *reports, services=("s", "t")):
-        return streamorigins.required_origin(origin, "s", list(services), reports)
+    def require(self, origin, *reports, services=("s", "t"), has_all_answers=True):
+        return streamorigins.required_origin(
+            origin, "s", list(services), reports, has_all_answers
+        )
 
     def test_known_stream_goes_on_at_its_service_and_version(self):
         began = streamorigins.Origin("t", "v2")
@@ -116,6 +118,11 @@
         # A host that has just started relies on hosts that have not.
         assert self.require(None, report(is_complete=False), report("v1")) == V1
 
+    def test_unknown_stream_is_rejected_while_a_voter_has_not_answered(self):
+        """Guards against a version that is known only to hosts out of reach."""
+        assert self.require(None, report("v1"), has_all_answers=False) is None
+        assert self.require(V2, report("v1"), has_all_answers=False) == V2
+
     @pytest.mark.parametrize(
         "reports",
         [
@@ -151,4 +158,4 @@
     window_s = streamorigins.resumable_s(timeout_s)
     known = table.find("r", ends_at)
     reports = [history.report(["s"], window_s, ends_at)]
-    assert streamorigins.required_origin(known, "s", ["s"], reports) is None
+    assert streamorigins.required_origin(known, "s", ["s"], reports, True) is None
--- a/tests/soak/cuttablehost.py
+++ b/tests/soak/cuttablehost.py
@@ -1,4 +1,6 @@
-"""Run an entry host that can be cut off from all backend servers.
+"""Run an entry host that can be cut off from all backend servers, or all other hosts.
+
+``SOAK_CUT_PORTS`` lists the ports of those that it can be cut off from.
 
 ``SOAK_HOST_IP`` is the address from which it connects to servers, which tell hosts
 apart by it.
@@ -24,7 +26,7 @@
 
 
 class Cut:
-    """Cut off the connections to the ports of backend servers."""
+    """Cut off the connections to some ports."""
 
     def __init__(self, path, ports, host_ip):
         self._path = path
@@ -75,7 +77,7 @@
 def main():
     """Start the host with a greenlet that cuts it off."""
     path = pathlib.Path(os.environ["SOAK_CUT_FILE"])
-    ports = {int(port) for port in os.environ["SOAK_SERVER_PORTS"].split(",")}
+    ports = {int(port) for port in os.environ["SOAK_CUT_PORTS"].split(",")}
     cut = Cut(path, ports, os.environ["SOAK_HOST_IP"])
     gevent.socket.create_connection = cut.connect
     gevent.spawn(cut.run)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -102,6 +102,7 @@
         self.folder.mkdir()
         self.disk = self.folder / "disk"
         self.cut_file = self.folder / "cut"
+        self.cut_ports = (SERVER_PORT, SERVER_PROXY_PORT)  # if it is an entry host
         self.handle = None
         self.has_started = False
         self.started_at = 0.0
@@ -140,7 +141,7 @@
                     "PYTHONPATH": os.getcwd(),
                     "SOAK_CUT_FILE": str(self.cut_file),
                     "SOAK_HOST_IP": self.ip,
-                    "SOAK_SERVER_PORTS": f"{SERVER_PORT},{SERVER_PROXY_PORT}",
+                    "SOAK_CUT_PORTS": ",".join(map(str, self.cut_ports)),
                 },
             )
         self.has_started = True
@@ -167,7 +168,7 @@
             handle.wait()
 
     def cut(self, mode):
-        """Cut an entry host off from all backend servers, as ``cuttablehost`` says."""
+        """Cut an entry host off from ``cut_ports``, as ``cuttablehost`` says."""
         self.cut_file.write_text(mode)
 
     def heal(self):
