Check the addresses of a start right before they are used

In one run of all tests a host ended at its start because of an address in use, although it waits for its addresses. The same test ran in a second tree at that moment, at the same addresses, so that the other host took one between the check and the use: the imports of the host lay between them, 0.3 s or more.

The check now comes after the host is built, before the handlers of signals, so that SIGTERM still ends the wait. What remains is a few milliseconds.

No test shows the race itself.

--- a/kumquatproxy/fleet/running.py
+++ b/kumquatproxy/fleet/running.py
@@ -29,10 +29,12 @@
     """Run one host until SIGTERM or SIGINT; return the exit code."""
     logs.to_stream(logs.BoundedStream(sys.stdout.fileno()))
     host_settings = _read_complete_settings(path)
-    startup.await_addresses(host_settings.listen_addresses(), logs.write_waiting)
     module_name, _, class_name = ROLES[role].partition(".")
     module = importlib.import_module(f"kumquatproxy.fleet.{module_name}")
     host = getattr(module, class_name)(host_settings)
+    # So late that little can take an address between its check and its use, and before
+    # the handlers of signals, which this wait would keep from running.
+    startup.await_addresses(host_settings.listen_addresses(), logs.write_waiting)
     stop_requested = gevent.event.AsyncResult()
     host.on_failure = stop_requested.set
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/kumquatproxy/host.py
+++ b/kumquatproxy/host.py
@@ -289,6 +289,8 @@
     key = pathlib.Path(parsed.host.key_file).read_bytes().strip()
     tokens = pathlib.Path(parsed.host.token_file).read_text(encoding="utf-8")
     roles_by_token = admin.parse_tokens(tokens)
+    host = Host(parsed, key, roles_by_token, parsed.decisions.seed)
+    stop_requested = gevent.event.AsyncResult()
     startup.await_addresses(
         [
             parsed.host.callers,
@@ -298,8 +300,6 @@
         ],
         logs.write_waiting,
     )
-    host = Host(parsed, key, roles_by_token, parsed.decisions.seed)
-    stop_requested = gevent.event.AsyncResult()
     host.start(on_failure=stop_requested.set)
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stop_requested.set, None)
