Take long answers and bodies by what callers and servers can do about them

- A long 5xx answer with a length was relayed although another server could be tried; it is replaced now, and relayed only without a further attempt.
- A body that can never fit into the memory was refused with 503 and a time to come back; it is 413 now, at once.

--- a/kumquatproxy/gateway/callers.py
+++ b/kumquatproxy/gateway/callers.py
@@ -81,9 +81,10 @@
         self._is_head_request = request.method == b"HEAD"
         host = framing.header(request.headers, b"host")
         length = framing.header(request.headers, b"content-length")
-        if length and int(length) > limits.body_bytes:
-            raise _too_large(limits.body_bytes)
-        body = self._read_body(limits.body_bytes, int(length or 0))
+        limit_bytes = min(limits.body_bytes, self._holding.max_bytes)
+        if length and int(length) > limit_bytes:
+            raise _too_large(limit_bytes)
+        body = self._read_body(limit_bytes, int(length or 0))
         return calls.Call(
             request.method,
             request.target,
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -356,8 +356,10 @@
             attempt.detail = "the server of an earlier attempt went on"
             attempt.outcome = calls.Outcome.SUPERSEDED
         except DeadlineExceededError:
-            view = server_selector.view(attempt.announcement)
-            view.health.record_failure(clock.now(), False)
+            # The caller's pace may be why a long body is not at its end.
+            if not progress.has_body_begun:
+                view = server_selector.view(attempt.announcement)
+                view.health.record_failure(clock.now(), False)
             raise
         finally:
             if not is_silent:
@@ -509,7 +511,7 @@
         else:
             body = self._read_body(attempt, read, timeouts, MAX_HELD_BYTES)
             if body is None:
-                self._relay_in_parts(attempt, progress, connection, read)
+                self._relay_in_parts(call, attempt, progress, connection, read)
                 return
             self._relay_or_reject_response(call, attempt, progress, connection, body)
 
@@ -610,14 +612,16 @@
                 attempt.holding.resize(len(attempt.body))
                 return None
 
-    def _relay_in_parts(self, attempt, progress, connection, read):
+    def _relay_in_parts(self, call, attempt, progress, connection, read):
         """Relay a response that is too long to be held, no faster than it is taken.
 
-        An error response without a length is not relayed, as it may have no end.
+        An error response is not relayed if it has no length, as it may have no end, or
+        if another server may be tried.
         """
         head = attempt.head
         length = framing.header(head.headers, b"content-length")
-        if head.status >= calls.MIN_SERVER_ERROR_STATUS and not length:
+        is_error = head.status >= calls.MIN_SERVER_ERROR_STATUS
+        if is_error and (not length or self._may_retry(call, progress)):
             raise backendconnections.BackendError(
                 f"the body of the response {head.status} is too long to be held"
             )
--- a/kumquatproxy/memorybudget.py
+++ b/kumquatproxy/memorybudget.py
@@ -21,13 +21,18 @@
         self.large_bytes = 0  # of these, in holdings over SMALL_BYTES
         self.rejections = 0  # holdings that could not grow, since the start
 
+    @property
+    def max_message_bytes(self) -> int:
+        """Return the size of the largest message for which there can be room."""
+        return int(self.capacity_bytes * LARGE_SHARE)
+
     def _has_room(self, size, new_size):
         if self.held_bytes + new_size - size > self.capacity_bytes:
             return False
         if new_size <= SMALL_BYTES:
             return True
         large_bytes = self.large_bytes - _large_part(size) + new_size
-        return large_bytes <= self.capacity_bytes * LARGE_SHARE
+        return large_bytes <= self.max_message_bytes
 
 
 class Holding:
@@ -39,6 +44,11 @@
         self._budget = budget
         self.size = 0
 
+    @property
+    def max_bytes(self) -> int:
+        """Return the size beyond which there can never be room."""
+        return self._budget.max_message_bytes
+
     def grow(self, size: int) -> bool:
         """Add bytes if the budget has room for them; return whether it has."""
         new_size = self.size + size
--- a/tests/gateway/test_largeanswers.py
+++ b/tests/gateway/test_largeanswers.py
@@ -2,13 +2,14 @@
 
 import gevent
 import gevent.event
+import gevent.socket
 import pytest
 import rawservers
 import test_relay
 
 from kumquatproxy import memorybudget
-from kumquatproxy.fleet import engineclient, servers
-from kumquatproxy.gateway import backendconnections, relay
+from kumquatproxy.fleet import engineclient, servers, serviceconfig
+from kumquatproxy.gateway import backendconnections, callers, relay
 
 LARGE = b"y" * (3 * relay.MAX_HELD_BYTES)
 ENDLESS = [b"x" * 65536] * 400  # 26 MB; the relay closes long before the end
@@ -68,6 +69,47 @@
     assert data.startswith(expected)
 
 
+def test_large_error_response_is_replaced_if_another_server_may_be_tried():
+    """Guards against an error that is relayed only because it is long."""
+    failed = test_relay.make_response(LARGE, status=b"500 Failed")
+    with test_relay.running_relay([failed], [test_relay.make_response()]) as (
+        address,
+        *_,
+    ):
+        assert send_request(address, b"safe")[0].endswith(b"ok")
+    with test_relay.running_relay([failed]) as (address, *_):
+        data, _ = send_request(address, b"once")
+    assert data.startswith(b"HTTP/1.1 500") and data.endswith(LARGE)
+
+
+def test_slow_reader_of_a_large_response_is_no_fault_of_the_server():
+    """Guards against servers that seem to fail because of their callers."""
+    answers = [test_relay.make_response(b"y" * 8_000_000)]
+    with test_relay.running_relay(answers) as (address, _, host):
+        ip, _, port = address.rpartition(":")
+        sock = gevent.socket.create_connection((ip, int(port)), 1.0)
+        request = b"POST /once/x HTTP/1.1\r\nHost: a\r\nX-Id: 7\r\n"
+        sock.sendall(request + b"Content-Length: 0\r\n\r\n")
+        gevent.sleep(1.2)  # beyond the deadline of the route
+        (announcement,) = host.table.all()
+        health = host.server_selector.view(announcement).health
+        assert health.failure_rate == 0.0
+        assert host.memory.held_bytes == 0
+        sock.close()
+
+
+def test_body_beyond_the_memory_is_too_large_for_ever():
+    """Guards against callers that are told to come back in vain."""
+    limits = serviceconfig.Limits(body_bytes=10**9)
+    server = callers.CallerServer("127.0.0.1:0", lambda *_: None, lambda: limits)
+    server.start()
+    size = memorybudget.MemoryBudget().max_message_bytes + 1
+    head = b"POST /once/x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % size
+    data, _ = rawservers.exchange_bytes(server.address, head)
+    server.abort()
+    assert data.startswith(b"HTTP/1.1 413")
+
+
 @pytest.mark.parametrize("has_id", [True, False])
 def test_refusal_without_end_lets_the_call_run_elsewhere(has_id):
     """Guards against collecting the body of a refusal, which nobody uses."""
