Treat an address that cannot exist as unreachable, and count events as held only once

An address without a number as its port raised ValueError out of a connection, which the client of engines and the probe of crashed servers do not expect: addresses of servers are checked when they are announced now, those of other hosts come from facts. A sheet host kept counting a long event of a stream after it was complete, until the stream's end.

--- a/kumquatproxy/gateway/backendconnections.py
+++ b/kumquatproxy/gateway/backendconnections.py
@@ -67,7 +67,11 @@
 
     def __init__(self, instance_id: str, address: str, timeout_s: float):
         host, _, port = address.rpartition(":")
-        self._sock = gevent.socket.create_connection((host, int(port)), timeout_s)
+        try:
+            endpoint = (host, int(port))
+            self._sock = gevent.socket.create_connection(endpoint, timeout_s)
+        except (OverflowError, ValueError):
+            raise OSError(f"{address[:80]!r} is not an address") from None
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
--- a/kumquatproxy/httpapi.py
+++ b/kumquatproxy/httpapi.py
@@ -64,8 +64,9 @@
         self.environ: dict = environ
         self.method: str = environ["REQUEST_METHOD"]
         self.path: str = environ["PATH_INFO"]
-        budget = memorybudget.MemoryBudget()
-        self.holding = environ.get(HOLDING_KEY) or memorybudget.Holding(budget)
+        self.holding: memorybudget.Holding = environ.get(
+            HOLDING_KEY
+        ) or memorybudget.Holding(memorybudget.MemoryBudget())
 
     def header(self, name: str) -> str:
         """Return a header's value, or the empty string."""
--- a/kumquatproxy/requests/drivers.py
+++ b/kumquatproxy/requests/drivers.py
@@ -187,8 +187,9 @@
                 )
             try:
                 received = self._splitter.add(part)
-                if self._splitter.partial_bytes > memorybudget.SMALL_BYTES:
-                    self._exchange.hold(self._splitter.partial_bytes)
+                partial_bytes = self._splitter.partial_bytes
+                is_long = partial_bytes > memorybudget.SMALL_BYTES
+                self._exchange.hold(partial_bytes if is_long else 0)
             except ValueError as error:
                 raise self._exchange.lost_error(
                     f"sent an invalid event: {error}"
--- a/tests/gateway/test_backendconnections.py
+++ b/tests/gateway/test_backendconnections.py
@@ -128,3 +128,10 @@
     assert link.read_body() == b"no"
     assert not link.is_reusable and not link.is_fully_sent
     server.stop(timeout=0)
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1:65536", "127.0.0.1:-1", "host", "a:b"])
+def test_address_that_cannot_exist_is_unreachable(address):
+    """Guards against an error that tasks do not expect of a connection."""
+    with pytest.raises(OSError):
+        backendconnections.BackendConnection("i", address, 0.2)
