Acknowledge a configuration that is in force without a commit

Operators who sent a configuration again, because the first acknowledgement was lost, waited for a commit of the group, or got 503 from a host that reaches no majority, although that host had applied this version.

Cause: every submission was committed, though one whose version is not above the applied one changes nothing wherever it is applied.

Change: such a submission is acknowledged at once. The version that a host has applied is committed, so no host can have a lower one in force later.

--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -258,9 +258,20 @@
     def put_configuration(self, data: bytes) -> int:
         """Submit a configuration and return the version in force afterwards.
 
-        It takes effect only if its version is above the one in force.
+        It takes effect only if its version is above the one in force. One that cannot,
+        as this host has applied a higher or the same version, needs no commit: it is
+        acknowledged at once, also while this host reaches no majority.
         """
         parsed = self.dialect.parse_configuration(data)
+        applied = self.replication.machine.version
+        if parsed.version <= applied:
+            self._config_log.write(
+                clock.now(),
+                f"version {parsed.version} is submitted again",
+                submitted=parsed.version,
+                in_force=applied,
+            )
+            return applied
         command = fleetstate.PutConfiguration(
             content=fleetstate.pack(data), version=parsed.version
         )
