Limit a configuration to what its parsed form may take

Operators could lose a control host to one call: a body of 8 MB that lists empty objects took its process from 45 to 302 MB (lists) or 675 MB (objects), beyond the 296 MB of the machine, before it was refused with 400.

Cause: 72 bytes for each object of 3 bytes, and a reader of 150 bytes and more made for each of them before the first was read.

Change: 2 MB for a configuration, some 6,000 routes, in place of 8 MB; text of that size compresses to about what one message of the group can carry, so larger ones were refused later anyway. Readers are made one by one, so that the first malformed object ends the reading.

--- a/kumquatproxy/platform/configformat.py
+++ b/kumquatproxy/platform/configformat.py
@@ -1,5 +1,6 @@
 """The operator's configuration in the platform's JSON format."""
 
+import collections.abc
 import math
 
 import orjson
@@ -66,13 +67,15 @@
         """Return a boolean field."""
         return self.get(name, bool, default)
 
-    def objects(self, name: str, default=REQUIRED) -> list["Reader"]:
-        """Return a reader for each object of a list field."""
-        items = self.get(name, list, default)
-        return [
-            Reader(item, f"{name}[{index}] of {self._object_name}")
-            for index, item in enumerate(items)
-        ]
+    def objects(
+        self, name: str, default=REQUIRED
+    ) -> collections.abc.Iterator["Reader"]:
+        """Yield a reader for each object of a list field, made when it is read.
+
+        A malformed list of very many objects takes no more memory so.
+        """
+        for index, item in enumerate(self.get(name, list, default)):
+            yield Reader(item, f"{name}[{index}] of {self._object_name}")
 
     def has(self, name: str) -> bool:
         """Return whether a field is present and not null."""
@@ -91,12 +94,11 @@
         raise invalid(f"the configuration is not JSON: {error}") from None
     reader = Reader(decoded, "the configuration")
     version = reader.integer("version")
-    services = reader.objects("services")
-    routes = reader.objects("routes")
+    services = [_service(service) for service in reader.objects("services")]
     configuration = serviceconfig.Configuration(
         version,
-        [_route(route) for route in routes],
-        [_service(service) for service in services],
+        [_route(route) for route in reader.objects("routes")],
+        services,
         _limits(reader.object("limits", {})),
     )
     # The count before services with the same name were merged.
--- a/kumquatproxy/platform/controlapi.py
+++ b/kumquatproxy/platform/controlapi.py
@@ -11,8 +11,9 @@
 INSTANCE_CALL = re.compile(r"/-/instances/([^/]+)/(heartbeat|deregister)")
 # The id becomes the value of a header, which must not contain these characters.
 CONTROL_CHARACTER_OR_SPACE = re.compile(r"[\x00-\x20\x7f]")
-# A configuration may have hundreds of routes.
-MAX_BODY_BYTES = 8 * 1024 * 1024
+# A configuration may have thousands of routes. Parsed, one of many empty objects takes
+# 25 times its size.
+MAX_BODY_BYTES = 2 * 1024 * 1024
 # A heartbeat lists the few models and adapters of one server.
 MAX_HEARTBEAT_BYTES = 64 * 1024
 
--- a/tests/soak/test_memory.py
+++ b/tests/soak/test_memory.py
@@ -243,6 +243,24 @@
     check_entry(fleet, 300, send_and_stop, address, upgrade + frame, 4, None)
 
 
+@pytest.mark.parametrize("unit", [b"[],", b"{},", b'"abc",', b'{"":{}},'])
+def test_malformed_configurations_keep_to_the_memory(fleet, unit):
+    """Guards against a body that takes many times its size when it is parsed."""
+    process = fleet.controls[0]
+    peak = PeakMemory(process)
+    address = f"{process.ip}:{soak.API_PORT}"
+    for size in (BODY_BYTES // 2, 2 * BODY_BYTES):
+        head, end = b'{"version":1,"services":[],"routes":[', b"0]}"
+        body = head + unit * ((size - 64) // len(unit)) + end
+        arguments = ("POST", "/-/config/replace", body, 5.0)
+        calls = [gevent.spawn(callerclient.call, address, *arguments) for _ in range(8)]
+        gevent.joinall(calls)
+        statuses = {call.value[0] for call in calls if call.value}
+        assert statuses <= {0, 400, 413, 503}
+    assert process.is_running()
+    assert peak.read_mb() < MEMORY_MB
+
+
 @pytest.mark.parametrize("path", [b"/-/config/replace", b"/-/instances/i-9/heartbeat"])
 def test_unfinished_bodies_at_a_control_host_keep_to_the_memory(fleet, path):
     """Guards against control hosts that end because of their own address."""
