Bound what a host remembers of names that callers choose

Change: requests for adapters are forgotten after their 0.15 s once there are 1,000; a part with an id over 64 characters, and those after it, are not remembered. The header itself is passed on unchanged.

Tests: test_requests_for_adapters_are_forgotten and test_prompt_parts_with_long_ids_are_not_remembered, without the bounds before.

--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -51,6 +51,8 @@
 CONTROL_HOST_TIMEOUT_S = 1.6
 # An unanswered request for an adapter is repeated after this time.
 ADAPTER_RETRY_S = 0.15
+# Requests for adapters that are remembered before the expired ones are forgotten.
+MAX_REQUESTED_ADAPTERS = 1000
 # Time that a swap of models takes in addition to the load.
 SWAP_OVERHEAD_S = 0.5
 # A load that has not ended this long after it should have is not waited for.
@@ -336,6 +338,13 @@
             or not self._leader
         ):
             return
+        if len(self._requested_at_by_key) >= MAX_REQUESTED_ADAPTERS:
+            # Callers choose the names, so their number is not limited otherwise.
+            self._requested_at_by_key = {
+                other_key: requested_at
+                for other_key, requested_at in self._requested_at_by_key.items()
+                if now - requested_at < ADAPTER_RETRY_S
+            }
         self._requested_at_by_key[key] = now
         message = fleetmessages.AdapterWanted(
             adapter=call.need.adapter,
--- a/kumquatproxy/gateway/calls.py
+++ b/kumquatproxy/gateway/calls.py
@@ -7,6 +7,8 @@
 
 STREAM_STATUS = 200  # of a response that is a stream
 MIN_SERVER_ERROR_STATUS = 500
+# Callers choose the ids, and hosts remember many.
+MAX_PART_ID_LENGTH = 64
 
 
 class Mode(enum.Enum):
--- a/kumquatproxy/platform/callformat.py
+++ b/kumquatproxy/platform/callformat.py
@@ -170,7 +170,7 @@
     for pair in filter(None, text.split(",")):
         part_id, _, tokens_text = pair.strip().partition(":")
         tokens = framing.number(tokens_text)
-        if tokens is None:
+        if tokens is None or len(part_id) > calls.MAX_PART_ID_LENGTH:
             return parts
         parts.append(calls.PromptPart(part_id, tokens))
     return parts
--- a/tests/fleet/test_entryhost.py
+++ b/tests/fleet/test_entryhost.py
@@ -331,3 +331,17 @@
             self.receive_server(host, f"127.0.0.{number}")
         host._subscribe(now)
         assert sum(message.has_details for message in subscriptions.values()) == 2
+
+
+def test_requests_for_adapters_are_forgotten(host, monkeypatch):
+    """Guards against memory that callers fill with names of adapters."""
+    monkeypatch.setattr(host, "send_message", lambda *_: None)
+    host._leader = "127.0.0.2"
+    call = make_stream_call("r1", "", "")
+    call.service = "s"
+    count = 5 * entryhost.MAX_REQUESTED_ADAPTERS
+    for number in range(count):
+        call.need = calls.ModelNeed("m", f"a{number}")
+        host._request_adapter(call, number / 1000)
+    assert len(host._requested_at_by_key) <= entryhost.MAX_REQUESTED_ADAPTERS
+    assert ("s", f"m/a{count - 1}") in host._requested_at_by_key
--- a/tests/platform/test_platform.py
+++ b/tests/platform/test_platform.py
@@ -363,3 +363,10 @@
     assert sent[b"last-event-id"] == b"3"
     assert sent[b"kumquatproxy-prompt-prefix"] == b"aa:1,bb:2"
     assert not {b"kumquatproxy-expect-instance", b"kumquatproxy-hold"} & set(sent)
+
+
+def test_prompt_parts_with_long_ids_are_not_remembered():
+    """Guards against memory that callers fill with ids."""
+    sound = "a" * calls.MAX_PART_ID_LENGTH
+    parts = callformat._prompt_parts(f"{sound}:5,{sound}b:7,c:9")
+    assert [part.part_id for part in parts] == [sound]
