Unload models that the configuration dropped before a load

Cause: EngineView counts the memory of a resident model by the size that the configuration lists, so a model that is not listed any more counted as nothing.

Ruled out: to keep the sizes of earlier versions. A control host that was started again or joined later does not know them, and the owner can be any.

Change: the models that are not listed are unloaded first, all of them, before any load; nobody asks for them any more, so this costs no call. No limit of time: without a load they stay, as before.

What remains: a model whose listed size changes while it is resident counts with the new size.

--- a/kumquatproxy/fleet/engineviews.py
+++ b/kumquatproxy/fleet/engineviews.py
@@ -39,8 +39,15 @@
         self.long_load_model: str = long_load_model
         self.in_flight: int = in_flight  # calls at the engine
 
+    def unlisted_models(self, engine) -> list[str]:
+        """Return the models here that the configuration does not list any more."""
+        return sorted(self.models - engine.models_by_name.keys())
+
     def free_mb(self, engine) -> float:
-        """Return the memory that is left beside models and reserved adapter slots."""
+        """Return the memory left beside listed models and reserved adapter slots.
+
+        The memory that models take is unknown once they are not listed any more.
+        """
         models_by_name = engine.models_by_name
         used_mb = sum(
             models_by_name[name].memory_mb
@@ -50,15 +57,19 @@
         return engine.memory_mb - self.adapters_mb - used_mb
 
     def select_victims(self, engine, memory_mb: float, candidates) -> list[str] | None:
-        """Return the first candidates that together free enough memory, or None."""
+        """Return models that together free enough memory, or None.
+
+        These are all that the configuration does not list any more, then the first of
+        the candidates.
+        """
         models_by_name = engine.models_by_name
         free_mb = self.free_mb(engine)
-        victims: list[str] = []
+        victims = self.unlisted_models(engine)
         for name in candidates:
             if free_mb >= memory_mb:
                 break
-            victims.append(name)
             if name in models_by_name:
+                victims.append(name)
                 free_mb += models_by_name[name].memory_mb
         return victims if free_mb >= memory_mb else None
 
--- a/tests/fleet/test_modelplan.py
+++ b/tests/fleet/test_modelplan.py
@@ -1,5 +1,7 @@
 """Model swaps planned for typical traffic patterns."""
 
+import random
+
 from kumquatproxy.fleet import engineviews, fleetdemand, modelplan, serviceconfig
 
 MODELS = [serviceconfig.Model(f"m{index}", 70_000, 5.0, 1.2, 0.6) for index in range(8)]
@@ -139,3 +141,35 @@
     loaded = {"m0": NOW - 0.5}
     views = [view("1", ["m0"], loaded_at_by_model=loaded)]
     assert plan_swaps(views, demand(m1=(0.5, 0.05)), memory_mb=75_000) == []
+
+
+def test_model_that_is_not_listed_any_more_is_unloaded_before_a_load():
+    """Guards against an order beyond the memory after a configuration drops a model."""
+    views = [view("1", ["m0", "m1", "dropped"])]
+    fleet_demand = demand(m0=(5.0, 0.4), m5=(0.2, 0.01))
+    fleet_demand.unavailable_s("s", "m5", False, NOW - modelplan.REDUCED_COST_AFTER_S)
+    (swap,) = plan_swaps(views, fleet_demand)
+    assert swap.load == "m5" and swap.unload == ["dropped"]
+
+
+def test_no_engine_is_overloaded_whatever_models_a_configuration_drops():
+    """Random residents of which some are not listed, and sizes that nobody knows."""
+    rng = random.Random(44)
+    engine = service().engine
+    for _ in range(500):
+        sizes_by_name = {model.name: model.memory_mb for model in MODELS}
+        dropped = {f"d{number}": rng.choice((20_000, 70_000)) for number in range(3)}
+        sizes_by_name.update(dropped)
+        residents = []
+        for name in rng.sample(sorted(sizes_by_name), len(sizes_by_name)):
+            taken_mb = sum(sizes_by_name[resident] for resident in residents)
+            if taken_mb + sizes_by_name[name] <= engine.memory_mb:
+                residents.append(name)
+        candidates = rng.sample(residents, len(residents))
+        tested = view("1", residents)
+        victims = tested.select_victims(engine, 70_000, candidates)
+        if victims is None:
+            continue
+        left = [name for name in residents if name not in victims]
+        assert sum(sizes_by_name[name] for name in left) + 70_000 <= engine.memory_mb
+        assert not dropped.keys() & set(left)
