End a swap with the lifetime of its engine

Cause: the greenlet of a swap keeps the state of the lifetime that it began with. The table forgets the state, not the task; a report of the next lifetime then counted for the old one, so that the precondition of the order held. The same held for a swap of an ownership that was lost and taken again.

Change: a state that leaves the table is superseded. A task of a superseded state asks for no report and sends no order.

Ruled out: to compare order counts only, since the next lifetime counts from 0 and passes the old count again.

What remains: an engine that came back and has not sent a heartbeat yet is still taken for the earlier lifetime; its report then counts fewer orders and is not used.

--- a/kumquatproxy/fleet/engines.py
+++ b/kumquatproxy/fleet/engines.py
@@ -14,6 +14,7 @@
         "adapters_requested_at",
         "announcement",
         "has_task",
+        "is_superseded",
         "is_unconfirmed",
         "is_unreachable",
         "loaded_at_by_model",
@@ -30,6 +31,9 @@
         self.report: engineorders.EngineReport | None = None
         self.order_count: int | None = None  # accepted by the engine, None if unknown
         self.has_task = False  # a greenlet sends it orders or requests
+        # The lifetime has ended, or another owner may have given orders since. A task
+        # that was begun before must send nothing more.
+        self.is_superseded = False
         # A model order was accepted, and no report shows its completion yet.
         self.is_unconfirmed = False
         # Calls wait for its models, and it did not answer when asked for a report.
@@ -165,7 +169,13 @@
         for lifetime in [
             known for known in self.states_by_lifetime if known not in live
         ]:
-            del self.states_by_lifetime[lifetime]
+            self.states_by_lifetime.pop(lifetime).is_superseded = True
+
+    def clear(self) -> None:
+        """Remove all states, as the engines may have got orders of another owner."""
+        for state in self.states_by_lifetime.values():
+            state.is_superseded = True
+        self.states_by_lifetime.clear()
 
     def all(self) -> list[EngineState]:
         """Return the states of all engines."""
--- a/kumquatproxy/fleet/orderissuer.py
+++ b/kumquatproxy/fleet/orderissuer.py
@@ -138,7 +138,7 @@
             return
         self._fence = term
         self._may_order_from = now
-        self.table.states_by_lifetime.clear()
+        self.table.clear()
         if not answer.previous_host_id:
             self._prefetcher = prefetching.Prefetcher(now)
         if answer.previous_host_id not in ("", self._host.host_id):
@@ -378,6 +378,8 @@
         if not self._await_turn(state):
             self._delay_retry(state)
             return False
+        if state.is_superseded:
+            return False  # the report of the lifetime that followed is not its own
         report = self._client.report(state.announcement)
         self._host.meter.order("report", "failed" if report is None else "answered")
         if report is None:
@@ -460,13 +462,13 @@
         return False
 
     def _send(self, state, order):
-        """Send an order if this host is allowed to give orders.
+        """Send an order if this host may give orders to this lifetime of the engine.
 
         Return whether the engine accepted it or already is in the requested state.
         """
         if state.order_count is None or not self._await_turn(state):
             return False
-        if not self.may_order(clock.now()):
+        if state.is_superseded or not self.may_order(clock.now()):
             return False
         order.expected_count = state.order_count
         outcome = self._client.order(
--- a/tests/fleet/test_limitedorders.py
+++ b/tests/fleet/test_limitedorders.py
@@ -12,6 +12,7 @@
 from kumquatproxy.fleet import (
     engineorders,
     engines,
+    engineviews,
     fleethost,
     orderissuer,
     servers,
@@ -122,3 +123,35 @@
     with gevent.Timeout(SPAN_S, False):
         issuer._execute(state, order, 0.0, 60.0)
     assert len(issuer._client.requested_at) >= SPAN_S / orderissuer.POLL_INTERVAL_S - 2
+
+
+@pytest.mark.parametrize("end", ["lifetime", "ownership"])
+def test_swap_ends_with_the_lifetime_of_its_engine(issuer, state, end):
+    """Guards against a swap that goes on after a pause and overloads the next one."""
+    announcement = state.announcement
+    issuer.table.states_by_lifetime[announcement.lifetime] = state
+    swap = engineviews.Swap("i-1", "m", ["n"], 0.1, False)
+    orders = []
+
+    def order(announcement, order, owner_id, fence):
+        orders.append(order.key())
+        return engineorders.OrderOutcome.ACCEPTED
+
+    issuer._client.order = order
+    issuer._push_placement = lambda now: None
+    issuer._host.pauses.left_s = lambda announcement, now: pause_s
+    pause_s = 0.0
+    task = gevent.spawn(issuer._swap, state, swap, 1.0, clock.now())
+    gevent.sleep(orderissuer.ROUTE_AWAY_S + 0.05)
+    assert orders == ["n"]
+    pause_s = 0.4
+    gevent.sleep(0.2)
+    if end == "lifetime":
+        later = servers.Announcement("i-1", "s", "10.0.0.1:80", "a", 2, 1, 4)
+        issuer.table.synchronise([later])
+    else:
+        issuer.table.clear()
+    pause_s = 0.0
+    issuer._client.report = lambda announcement: engineorders.EngineReport([], [], 1)
+    task.join(timeout=3.0)
+    assert task.ready() and orders == ["n"]
