--- a/tests/soak/test_memory.py
+++ b/tests/soak/test_memory.py
@@ -27,7 +27,7 @@
 NEIGHBOUR_INTERVAL_S = 0.1
 # Share of the other requests that are answered at a host that is under load.
 MIN_ANSWERED = 0.9
-BLOCK_BYTES = b"x" * 65536
+DATA_BLOCK = b"x" * 65536
 
 HEADS = {
     "ok": b"HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nok",
@@ -76,15 +76,15 @@
             fields = b"Kumquatproxy-Request-Id: other\r\n"
         if kind == "large":
             sock.sendall(HEADS[kind] % (fields, BODY_BYTES))
-            for _ in range(BODY_BYTES // len(BLOCK_BYTES)):
-                sock.sendall(BLOCK_BYTES)
+            for _ in range(BODY_BYTES // len(DATA_BLOCK)):
+                sock.sendall(DATA_BLOCK)
             return
         if kind == "chunks":
             fields += b"Transfer-Encoding: chunked\r\n"
         template = HEADS.get(kind, HEADS["events" if kind == "event" else "body"])
         sock.sendall(template % fields if template else b"")
         if kind != "ok":
-            part = PARTS.get(kind, BLOCK_BYTES)
+            part = PARTS.get(kind, DATA_BLOCK)
             while True:
                 sock.sendall(part)
 
@@ -143,13 +143,17 @@
 
 
 def send_and_stop(address, data, parts=1, takes_all=True):
-    """Send data and leave the connection open, reading slowly or not at all."""
+    """Send data and leave the connection open.
+
+    ``parts`` counts the data and the blocks after it. ``takes_all`` is False for a
+    caller that reads slowly, and None for one that does not read.
+    """
     sock = gevent.socket.create_connection(address, 2.0)
     with contextlib.suppress(OSError):
         sock.settimeout(LOAD_S)
         for _ in range(parts):
             sock.sendall(data)
-            data = BLOCK_BYTES
+            data = DATA_BLOCK
     end = time.monotonic() + LOAD_S
     with contextlib.suppress(OSError):
         while takes_all is not None and time.monotonic() < end:
@@ -220,7 +224,7 @@
     """Guards against bodies of callers, or of other hosts, that add up."""
     address = (fleet.entries[0].ip, port)
     request = request_head(b"/once/ok/x", BODY_BYTES)
-    parts = BODY_BYTES // len(BLOCK_BYTES)
+    parts = BODY_BYTES // len(DATA_BLOCK)
     check_entry(fleet, 120, send_and_stop, address, request, parts, None)
 
 
@@ -267,7 +271,7 @@
     process = fleet.controls[0]
     address = (process.ip, soak.API_PORT)
     peak = PeakMemory(process)
-    parts = BODY_BYTES // len(BLOCK_BYTES)
+    parts = BODY_BYTES // len(DATA_BLOCK)
     request = request_head(path, BODY_BYTES)
     run_load(fleet, 120, send_and_stop, address, request, parts, None)
     assert process.is_running()
--- a/tests/soak/test_starts.py
+++ b/tests/soak/test_starts.py
@@ -92,7 +92,7 @@
         )
 
     def serves(self):
-        """Return whether the last of its addresses accepts connections."""
+        """Return whether all of its addresses accept connections."""
         for port in PORTS[self.role]:
             with socket.socket() as sock:
                 sock.settimeout(1.0)
