Let a store write again after its full disk has room

Cause: a store whose failed write could not be removed, as the disk refused to shorten the file or to sync that, called itself failed for the rest of the process. So did one that could not remove a new segment. With each disk that was full in turn, one more voter stopped acknowledging for good, and with the second one no change was committed any more.

Change: the end of the log is cleaned up before the next write, which is retried each second as after any other failure. Nothing is written before that has succeeded, since only the last segment may end in a torn write.

Before: the four new tests fail (two of the disk store by what fails, one of a segment, one of three members whose disks are full in turn: no write within 20 s). After: they pass.

--- a/kumquatproxy/agreement/diskstore.py
+++ b/kumquatproxy/agreement/diskstore.py
@@ -60,7 +60,7 @@
         self._directory = pathlib.Path(directory)
         self._segment_bytes: int = segment_bytes
         self._sync = sync
-        self._failed = False
+        self._must_repair = False  # the end of the log could not be cleaned up
         self._segment_descriptor = -1
         self._highest_index_by_segment: dict[int, int] = {}
         self._lock_descriptor = durablefiles.lock_directory(self._directory)
@@ -160,16 +160,14 @@
         """Make ``persist`` durable with one sync of the log.
 
         A snapshot is synced before it, in its own file. Raise ProxyError, of kind
-        DISK_FULL if there is no space. The log on disk is then unchanged, a snapshot
-        may already be written, and the call can be repeated unless the unsynced batch
-        could not be removed.
+        DISK_FULL if there is no space. A snapshot may already be written then, and the
+        call can be repeated. What a failed write has left at the end of the log is
+        removed before anything else is written.
         """
-        if self._failed:
-            raise errors.ProxyError(
-                errors.ErrorKind.INTERNAL, "the store failed and must be reopened"
-            )
         if persist.is_empty():
             return
+        if self._must_repair:
+            self._repair()
         if persist.snapshot is not None:
             self._write_snapshot(persist.snapshot)
         if persist.hard_state or persist.entries or persist.reset:
@@ -200,17 +198,32 @@
             )
             self._sync(self._segment_descriptor)
         except OSError as error:
-            self._truncate_unsynced_batch()
+            self._must_repair = True
+            with contextlib.suppress(errors.ProxyError):
+                self._repair()
             raise durablefiles.storage_error(error, "writing the log failed") from error
         self._segment_size_bytes += len(data)
 
-    def _truncate_unsynced_batch(self):
-        """Remove a batch that was not synced; if that fails, the store is unusable."""
+    def _repair(self):
+        """Remove a batch that was not synced, and a segment that was not opened.
+
+        Only the last segment may end in a torn write, so nothing may be written before
+        this has succeeded. Raise ProxyError if it fails.
+        """
+        next_path = _file_path(
+            self._directory, _SEGMENT_PREFIX, self._segment_number + 1
+        )
         try:
+            if next_path.exists():
+                next_path.unlink()
+                durablefiles.sync_directory(self._directory)
             os.ftruncate(self._segment_descriptor, self._segment_size_bytes)
-            os.fsync(self._segment_descriptor)
-        except OSError:
-            self._failed = True
+            self._sync(self._segment_descriptor)
+        except OSError as error:
+            raise durablefiles.storage_error(
+                error, "cleaning up the end of the log failed"
+            ) from error
+        self._must_repair = False
 
     def _write_snapshot(self, snapshot):
         path = _file_path(self._directory, _SNAPSHOT_PREFIX, snapshot.index)
@@ -229,12 +242,11 @@
         try:
             durablefiles.replace_file(path, header)
         except OSError:
-            # The batch is durable, and the next one tries to rotate again. If the new
-            # segment exists in spite of the error it must be removed, because only the
-            # last segment may end in a torn write.
-            with contextlib.suppress(OSError):
-                path.unlink(missing_ok=True)
-            self._failed = path.exists()
+            # The batch is durable, and the next one tries to rotate again. The new
+            # segment may exist in spite of the error.
+            self._must_repair = True
+            with contextlib.suppress(errors.ProxyError):
+                self._repair()
             return
         os.close(self._segment_descriptor)
         self._segment_number += 1
--- a/tests/test_diskstore.py
+++ b/tests/test_diskstore.py
@@ -158,6 +158,57 @@
     assert len(reopen(tmp_path).state.entries) == 8
 
 
+@pytest.mark.parametrize("failing", ["ftruncate", "fsync"])
+def test_store_is_usable_again_after_its_failed_write_could_not_be_removed(
+    tmp_path, monkeypatch, failing
+):
+    """A disk without room may also refuse to shorten a file, or to sync that."""
+    store = create_store(tmp_path)
+    real_write = os.pwrite
+
+    def raise_no_space(*arguments):
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    def write_half_and_fail(descriptor, data, offset):
+        real_write(descriptor, data[: len(data) // 2], offset)
+        raise_no_space()
+
+    monkeypatch.setattr(os, "pwrite", write_half_and_fail)
+    monkeypatch.setattr(os, failing, raise_no_space)
+    monkeypatch.setattr(store, "_sync", os.fsync)
+    for _ in range(2):
+        with pytest.raises(errors.ProxyError) as caught:
+            store.append(make_batch(7, 2))
+        assert caught.value.kind is errors.ErrorKind.DISK_FULL
+    monkeypatch.undo()
+    store.append(make_batch(7, 2))
+    store.append(make_batch(9, 1))
+    store.close()
+    assert len(reopen(tmp_path).state.entries) == 9
+
+
+def test_store_is_usable_again_after_a_new_segment_could_not_be_removed(
+    tmp_path, monkeypatch
+):
+    create_store(tmp_path, 0).close()
+    store = diskstore.DiskStore(tmp_path, segment_bytes=50)
+    real_sync, real_unlink = durablefiles.sync_directory, pathlib.Path.unlink
+
+    def raise_no_space(*arguments, **options):
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    monkeypatch.setattr(durablefiles, "sync_directory", raise_no_space)
+    monkeypatch.setattr(pathlib.Path, "unlink", raise_no_space)
+    store.append(make_batch(1, 2))
+    with pytest.raises(errors.ProxyError, match="disk-full"):
+        store.append(make_batch(3, 2))
+    monkeypatch.setattr(durablefiles, "sync_directory", real_sync)
+    monkeypatch.setattr(pathlib.Path, "unlink", real_unlink)
+    store.append(make_batch(3, 2))
+    store.close()
+    assert len(reopen(tmp_path).state.entries) == 4
+
+
 def test_earlier_snapshot_is_kept_when_the_disk_is_full(tmp_path, monkeypatch):
     store = create_store(tmp_path)
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -1,5 +1,6 @@
 """Replication task of a member: commits, restarts, full disks, answers to proposers."""
 
+import contextlib
 import errno
 import os
 import random
@@ -184,6 +185,39 @@
     assert pending.get(timeout=TIMEOUT_S) is True
 
 
+def test_commands_are_committed_after_all_disks_were_full_in_turn(members, monkeypatch):
+    """None of the disks had room to remove what a failed write had left."""
+    real_truncate = os.ftruncate
+    full_paths = set()
+
+    def truncate(descriptor, size):
+        path = os.readlink(f"/proc/self/fd/{descriptor}")
+        if any(path.startswith(full_path) for full_path in full_paths):
+            raise OSError(errno.ENOSPC, "No space left on device")
+        real_truncate(descriptor, size)
+
+    monkeypatch.setattr(os, "ftruncate", truncate)
+    for value, host in enumerate(HOSTS):
+        task = members.tasks_by_host[host]
+        members.full_hosts.add(host)
+        full_paths.add(str(members.directory / host))
+        members.wait_for(lambda task=task: not has_room(members, task))
+        members.full_hosts.clear()
+        full_paths.clear()
+        members.wait_for(lambda task=task: task.storage_error is None)
+        assert write(members.leader(), value) is True
+    for task in members.tasks_by_host.values():
+        members.wait_for(lambda task=task: task.machine.value == len(HOSTS) - 1)
+
+
+def has_room(members, task):
+    """Return whether the store of a member takes writes, after one more command."""
+    with contextlib.suppress(errors.ProxyError):
+        leader = members.leader()
+        leader.submit(registermachine.RegisterCall(["write", -1], b""), 0.05)
+    return task.storage_error is None
+
+
 def test_follower_refuses_a_command_with_not_leader(members):
     leader = members.leader()
     follower = next(
