Keep a host of a sheet running while its disk is full

Change: a version is in force first and stored then; the store tries again each second, as does a voter whose disk has no room for its group. Other errors of a store still end the process.

Before: the new test fails with OSError 28 out of the control task. After: it passes; the host follows the sheet, stores it and joins its group once there is room.

--- a/kumquatproxy/control.py
+++ b/kumquatproxy/control.py
@@ -23,6 +23,7 @@
     configurationgroup,
     sheet_fit,
     versionmessages,
+    versionstore,
 )
 from kumquatproxy.configuration import sheet as sheets
 from kumquatproxy.membership import (
@@ -111,7 +112,6 @@
         self.leaving_ids: set[str] = set()
         self._entry: entry.EntryApplication = dependencies.entry
         self._transport = dependencies.transport
-        self._save_configuration = dependencies.save_configuration
         self._demand_counter: demandreports.DemandCounter = dependencies.demand_counter
         self._metrics = dependencies.metrics
         self._claim_clock: tuple[int, claims.LeaderClock] | None = None
@@ -123,6 +123,9 @@
         self._log = logs.Log("control")
         self._member_log = logs.Log("member")
         self._config_log = logs.Log("config")
+        self._version_store = versionstore.VersionStore(
+            dependencies.save_configuration, self._config_log
+        )
         if dependencies.stored_version is not None:
             stored = dependencies.stored_version
             self._adopt(stored.number, stored.content, now)
@@ -200,6 +203,7 @@
         self._process_outputs(self.peers.tick(now), now)
         self._process_outputs(self.proposals.tick(now), now)
         self._publish(now)
+        self._version_store.tick(now)
         self._tick_summaries(now)
         self._expire_servers(now)
         self._send_demand(now)
@@ -243,8 +247,8 @@
                 )
 
     def _on_adopted(self, adopted, now):
-        self._save_configuration(adopted.number, adopted.content)
         self._adopt(adopted.number, adopted.content, now)
+        self._version_store.store(adopted.number, adopted.content, now)
 
     def _adopt(self, revision, data, now):
         self.content = configurationgroup.decode_content(data)
--- a/kumquatproxy/placement/placementcontrol.py
+++ b/kumquatproxy/placement/placementcontrol.py
@@ -24,6 +24,8 @@
 IDLE_PLAN_INTERVAL_S = 4.0  # changes of servers or sheet trigger a plan immediately
 GROUP_TICK_INTERVAL_S = 0.1
 ORDER_TIMEOUT_S = 5.0
+JOIN_RETRY_S = 1.0  # after the disk has failed
+STORAGE_ERRORS = (errors.ErrorKind.DISK_FULL, errors.ErrorKind.INTERNAL)
 DEMAND_LOAD_LIMIT = 20  # loads that only serve demand, in one plan
 DEMAND_LOAD_INTERVAL_S = 600.0  # no effect: no load is subtracted
 MAX_DECISIONS = 500
@@ -64,6 +66,8 @@
             self._host_id, self._data_centre, identity, self._voters, now
         )
         self._registered_voters: configstate.Voters | None = None
+        self._join_at = now
+        self._log_was_lost = False  # of the group before the registered one
         self._plan_at = now
         self._submitted_term = 0
         self._driver = drivers.OpenAIDriver(
@@ -107,7 +111,8 @@
             return
         self._registered_voters = voters
         self._leave_group(now)
-        self._join_group(voters, now, log_was_lost=registered_voters is not None)
+        self._log_was_lost = registered_voters is not None
+        self._join_group(voters, now)
 
     def _leave_group(self, now):
         self._end_ownership(now, "a new voter set is registered")
@@ -115,7 +120,8 @@
             self.replication.stop()
             self.replication = None
 
-    def _join_group(self, voters, now, log_was_lost):
+    def _join_group(self, voters, now):
+        """Join the group of a voter set; the next attempt is due if that fails."""
         group = f"{GROUP_PREFIX}{self._data_centre}:{voters.base_fence}"
         # Any other identity starts without a voter set and waits to be admitted.
         is_registered_voter = self._identity in voters.voters
@@ -127,10 +133,18 @@
         settings = groupsettings.GroupSettings(
             group, self._identity, hosts, admitted_hosts=self._voters
         )
-        store = self._store_factory(group, self._identity, state)
+        try:
+            store = self._store_factory(group, self._identity, state)
+        except OSError as error:
+            self._postpone_joining(group, error, now)
+            return
+        except errors.ProxyError as error:
+            if error.kind not in STORAGE_ERRORS:
+                raise
+            self._postpone_joining(group, error, now)
+            return
         member = consensus.Member(settings, store.state, self._rng, now)
         machine = placementstate.PlacementState(voters.base_fence)
-        self._log_was_lost = log_was_lost
         self.replication = replication.Replication(
             member,
             store,
@@ -141,6 +155,10 @@
         self.replication.start()
         self._log.write(now, f"joined {group} as {self._identity}")
 
+    def _postpone_joining(self, group, error, now):
+        self._join_at = now + JOIN_RETRY_S
+        self._log.write(now, f"cannot join {group}, retrying: {error}")
+
     def request_plan(self, now: float) -> None:
         """Request a plan at the next tick, because its inputs have changed."""
         self._plan_at = now
@@ -157,6 +175,12 @@
         """Form the group, take ownership, plan and issue orders, as each is due."""
         if not self.is_voter:
             return
+        if (
+            self.replication is None
+            and self._registered_voters is not None
+            and now >= self._join_at
+        ):
+            self._join_group(self._registered_voters, now)
         self._tick_formation(now)
         if self.replication is None:
             return
