--- a/tests/soak/fakeservers.py
+++ b/tests/soak/fakeservers.py
@@ -202,6 +202,7 @@
     bears_refusals = None  # a second; the server says so and falls over beyond it
     close_share = 0.0  # of the answers after which the connection is closed
     refusal_share = 0.0  # of the requests that are refused, each refusal twice
+    early_share = 0.0  # of the requests that are refused before their body is read
     error_share = 0.0  # of the events after which a refusal ends the stream
 
     def __init__(
@@ -347,6 +348,10 @@
         headers = [("Kumquatproxy-Request-Id", request_id)]
         if self._crash_rng.random() < self.close_share:
             headers.append(("Connection", "close"))
+        if self._crash_rng.random() < self.early_share:
+            headers.append(("Kumquatproxy-Not-Executed", "1"))
+            start_response("503 Full", headers)
+            return
         environ["wsgi.input"].read()
         self.executions.received_ids.add(request_id)
         if self.executions.teams is not None:
--- a/tests/soak/serverprocess.py
+++ b/tests/soak/serverprocess.py
@@ -26,6 +26,7 @@
 LEAVING_S = 5.0
 QUEUE_LENGTH = 4  # requests that wait for a slot; others are refused at once
 CLOSE_SHARE = 0.03
+EARLY_SHARE = 0.03
 
 
 class EventLog(fakeservers.ExecutionCounter):
@@ -66,6 +67,7 @@
 
     close_share = CLOSE_SHARE
     refusal_share = soak.REPEATED_REFUSALS
+    early_share = EARLY_SHARE
     waiting = 0
 
     def _answer(self, environ, start_response):
