Reject calls that a stopping host may not see through

Late calls are those whose body arrives slowly or which stand behind another call on a connection. A request whose rest arrived while the host interrupted the others got no answer.

Change: a call that no server has got yet is rejected at once with 503, told not to have run, if the host stops before it may have ended. Once the host accepts no connections, that is its whole time for a call that must not be repeated; else the time within which it should be answered. A request that is being received at the end gets 503 as well.

--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -152,6 +152,7 @@
         self.standstill = standstill.Standstill()
         self.is_stopping = False
         self.stops_at: float | None = None  # when remaining calls are aborted
+        self.is_accepting = True  # connections, from callers and other hosts
         self._control_ids: set[str] = set(host_settings.seed_ids)
         self._leader = ""
         self._voter_ids: set[str] = set()  # hosts of the control group's voters
@@ -247,6 +248,7 @@
         for caller_server in caller_servers:
             caller_server.disable_keep_alive()
         gevent.sleep(BALANCER_SETTLE_S)
+        self.is_accepting = False
         for caller_server in caller_servers:
             caller_server.stop_accepting()
         # Idle connections count as well, as a request may be arriving on them.
--- a/kumquatproxy/gateway/callers.py
+++ b/kumquatproxy/gateway/callers.py
@@ -44,6 +44,7 @@
         "_is_head_request",
         "_is_idle",
         "_is_peer_closed",
+        "_is_reading",
         "_parser",
         "_sock",
         "_watcher",
@@ -64,11 +65,19 @@
         self._greenlet = gevent.getcurrent()
         self._is_head_request = False
         self._is_idle = False  # waits for the first bytes of a request
+        self._is_reading = False  # waits for a request, or for the rest of one
         self.ignores_new_data = False  # serve only what was received before
         self.is_closing = False  # close after the current response
 
     def read_call(self, limits) -> calls.Call:
         """Return the next request; raise ConnectionClosed, or ProxyError if invalid."""
+        self._is_reading = True
+        try:
+            return self._read_call(limits)
+        finally:
+            self._is_reading = False
+
+    def _read_call(self, limits):
         self._is_head_request = False
         self._holding.resize(len(self._buffer))
         head = self._read_head(limits)
@@ -177,6 +186,16 @@
         self._greenlet.kill(calls.HostStoppingError, block=False)
         return self._greenlet
 
+    def interrupt_reading(self) -> gevent.Greenlet | None:
+        """Reject the request that is being received; return the greenlet.
+
+        Return None if none has begun to arrive.
+        """
+        if self._is_idle or not self._is_reading:
+            return None
+        self._greenlet.kill(_stopping_error(), block=False)
+        return self._greenlet
+
     def _read_body(self, limit_bytes, length):
         """Return the body; ``length`` is that in the head, 0 without one.
 
@@ -362,6 +381,12 @@
     )
 
 
+def _stopping_error():
+    return errors.ProxyError(
+        errors.ErrorKind.STOPPING, "the host stops before the request has arrived"
+    )
+
+
 def _client_timeout(part):
     return errors.ProxyError(
         errors.ErrorKind.SLOW_CLIENT, f"the request {part} was not received in time"
@@ -392,6 +417,7 @@
         self._is_serving_by_connection: dict[CallerConnection, bool] = {}
         self._is_keep_alive_disabled = False
         self._is_closed = False
+        self._is_ending = False  # serves no further request
         self._server = gevent.server.StreamServer(
             (host, int(port)),
             self._handle,
@@ -447,18 +473,25 @@
         self._is_keep_alive_disabled = True
         self._is_closed = True
         self._server.close()
+        self._is_ending = True
         interrupted = [
             connection.interrupt_call()
-            for connection, is_serving in self._is_serving_by_connection.items()
             if is_serving
+            else connection.interrupt_reading()
+            for connection, is_serving in self._is_serving_by_connection.items()
         ]
-        gevent.joinall(interrupted, timeout=ABORT_TIMEOUT_S)
+        gevent.joinall(
+            [greenlet for greenlet in interrupted if greenlet is not None],
+            timeout=ABORT_TIMEOUT_S,
+        )
         self._server.stop(timeout=0)
 
     def _serve_request(self, connection):
         """Read a request and serve it; it is not kept while the connection is idle."""
         try:
             call = connection.read_call(self._limits())
+            if self._is_ending:
+                raise _stopping_error()
         except errors.ProxyError as error:
             self._log.write_limited(clock.now(), error.kind.value, str(error))
             connection.reject_request(error)
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -21,6 +21,7 @@
     serverlimits,
     stalltimeouts,
     standstill,
+    stopping,
     teamrecords,
     teams,
     waiting,
@@ -217,6 +218,7 @@
             self._check_team(call)
             self._check_blame(call)
             now = clock.now()
+            self._check_stop(call, progress, now)
             hold_s = self._host.standstill.hold_s(now)
             if hold_s > 0.0:
                 if progress.fallback is not None:
@@ -277,6 +279,14 @@
             self._host.load_policy.begin_wait(call, self._host.spread)
             self._host.wait_for_change(decision.wait_s)
 
+    def _check_stop(self, call, progress, now):
+        """Raise ProxyError for a call that the host may not see through."""
+        if progress.has_response_begun or progress.may_have_executed():
+            return
+        error = stopping.check(call, self._host.stops_at, self._host.is_accepting, now)
+        if error is not None:
+            raise error
+
     def _check_load(self, call, outlook, progress, has_waited, now):
         """Return how long to hold a call; raise ProxyError if it is rejected."""
         state = waiting.CallState(
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -15,6 +15,7 @@
     serverselection,
     sharedfacts,
     stalltimeouts,
+    stopping,
     waiting,
 )
 
@@ -35,6 +36,28 @@
     return new_call
 
 
+@pytest.mark.parametrize(
+    ("mode", "left_s", "is_accepting", "is_rejected"),
+    [
+        (calls.Mode.UNSAFE, 1.9, False, True),
+        (calls.Mode.UNSAFE, 2.0, False, False),
+        (calls.Mode.UNSAFE, 1.9, True, False),
+        (calls.Mode.UNSAFE, 0.4, True, True),
+        (calls.Mode.STREAM, 1.9, False, True),
+        (calls.Mode.SAFE, 0.4, False, True),
+        (calls.Mode.SAFE, 0.6, False, False),
+    ],
+)
+def test_stopping_host_rejects_calls_that_it_may_not_see_through(
+    mode, left_s, is_accepting, is_rejected
+):
+    """Calls with 2 s to live come late in a planned stop."""
+    late_call = make_call(mode, objective_s=0.5)
+    error = stopping.check(late_call, left_s, is_accepting, 0.0)
+    assert (error is not None) == is_rejected
+    assert stopping.check(late_call, None, True, 0.0) is None
+
+
 def make_need(tokens=2000, model="m", adapter="", parts=()):
     return calls.ModelNeed(model, adapter, tokens, 100, 100, parts)
 
--- a/tests/gateway/test_lostanswers.py
+++ b/tests/gateway/test_lostanswers.py
@@ -358,3 +358,46 @@
         call.need = calls.ModelNeed(f"{number}" + "m" * 15_000)
         host.record_arrival(call)
     host._report(clock.now())
+
+
+HALF_REQUEST = (
+    b"POST /once/x HTTP/1.1\r\nHost: a\r\nX-Id: 7\r\nContent-Length: 4\r\n\r\nab"
+)
+
+
+def test_request_completed_at_the_end_of_a_stop_is_not_passed_on():
+    """Guards against a call that is sent while the calls before it are interrupted."""
+    busy = [2.0, test_relay.make_response()]
+    with test_relay.running_relay([busy, busy]) as (_, (backend,), host):
+        with call_in_flight(host, b"once") as (server, _):
+            sock = connect(server.address)
+            sock.sendall(HALF_REQUEST)
+            gevent.sleep(0.05)
+            server.stop_accepting()
+            loop = gevent.get_hub().loop
+            loop.run_callback(gevent.spawn, sock.sendall, b"cd")
+            server.abort()
+            data = receive_all(sock, 1.0)
+    assert len(backend.heads) == 1
+    assert data.startswith(b"HTTP/1.1 503") and b'"executed":"no"' in data
+
+
+def test_unrepeatable_request_that_outlasts_the_stop_is_rejected_at_once():
+    """Guards against a call that is taken late and interrupted at the end."""
+    with test_relay.running_relay([test_relay.make_response()] * 3) as (
+        _,
+        (backend,),
+        host,
+    ):
+        with call_in_flight(host, b"once") as (server, _):
+            sock = connect(server.address)
+            sock.sendall(HALF_REQUEST)
+            gevent.sleep(0.05)
+            server.stop_accepting()
+            host.is_accepting = False
+            host.stops_at = clock.now() + 0.4  # the route allows 0.8 s
+            sock.sendall(b"cd")
+            data = receive_all(sock, 0.2)
+    assert len(backend.heads) == 1  # of the call in flight
+    assert data.startswith(b"HTTP/1.1 503") and b'"executed":"no"' in data
+    assert b"retry-after: " in data.lower()
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -149,6 +149,7 @@
         self.started_at = clock.now()
         self.meter = fleethost.NullMeter()
         self.stops_at = None
+        self.is_accepting = True
         self.crashes = crashes.CrashTracker("h", self.facts, self.facts.merge)
         self.peer_token = forwarding.token("key")
         self.paths = FakePaths(self.table)
