Answer the requests of a sheet's host that its stop interrupts

A request that had not ended within drain_timeout was cut without an answer, also one that must not be repeated.

Change: at the end of the drain each such request gets 502, executed unknown, and one that has not arrived as a whole 503, executed no. A stream that has begun still ends as incomplete.

Before: both new tests fail (closed without an answer). After: they pass.

--- a/kumquatproxy/httpapi.py
+++ b/kumquatproxy/httpapi.py
@@ -18,6 +18,7 @@
 # Time that open connections have for one more request once their server closes.
 IDLE_GRACE_S = 1.0
 DRAIN_POLL_INTERVAL_S = 0.05
+INTERRUPT_TIMEOUT_S = 0.2  # for the error responses to interrupted requests
 READ_BLOCK_BYTES = 64 * 1024
 
 # Key of the holding that counts the messages of a request.
@@ -91,8 +92,14 @@
         if length and int(length) > limit:
             raise _too_large(limit)
         self.hold(int(length) if length else 0)
-        with gevent.Timeout(BODY_TIMEOUT_S, False):
-            return self._read_blocks(limit, int(length) if length else None)
+        try:
+            with gevent.Timeout(BODY_TIMEOUT_S, False):
+                return self._read_blocks(limit, int(length) if length else None)
+        except HostStoppingError:
+            raise errors.ProxyError(
+                errors.ErrorKind.STOPPING,
+                "the host stops before the request has arrived",
+            ) from None
         raise errors.ProxyError(
             errors.ErrorKind.SLOW_CLIENT,
             f"the body did not arrive within {BODY_TIMEOUT_S} s",
@@ -195,6 +202,13 @@
             reply = self.answer(request, clock.now())
         except errors.ProxyError as error:
             reply = problem_reply(error)
+        except HostStoppingError:
+            reply = problem_reply(
+                errors.ProxyError(
+                    errors.ErrorKind.RESULT_UNKNOWN,
+                    "the host stops before the request has ended",
+                )
+            )
         request_id = request.header("X-Request-Id")
         if request_id:
             reply.headers.append(("X-Request-Id", request_id))
@@ -220,8 +234,11 @@
         self.socket.settimeout(self.client_timeout_s)
         self.server.open_handlers[self] = None
         self.holding = memorybudget.Holding(self.server.budget)
+        self._greenlet = gevent.getcurrent()
         try:
             super().handle()
+        except HostStoppingError:
+            pass  # the request had not arrived, or its answer had begun
         finally:
             del self.server.open_handlers[self]
 
@@ -246,6 +263,11 @@
             headers = [*headers, ("Connection", "close")]
         return super().start_response(status, headers, exc_info)
 
+    def interrupt(self):
+        """Raise HostStoppingError in the greenlet of the connection; return it."""
+        self._greenlet.kill(HostStoppingError, block=False)
+        return self._greenlet
+
     def end_if_idle(self):
         """End the connection unless a request is being served or has arrived."""
         poller = select.poll()
@@ -261,7 +283,7 @@
         pass
 
     def handle_error(self, exc_type, value, traceback):
-        if issubclass(exc_type, BrokenAnswerError):
+        if issubclass(exc_type, BrokenAnswerError | HostStoppingError):
             self.close_connection = True
             return
         super().handle_error(exc_type, value, traceback)
@@ -276,6 +298,10 @@
     """Abort a streamed reply so that the client sees it as incomplete."""
 
 
+class HostStoppingError(Exception):
+    """Report that the host stops before a request has ended."""
+
+
 class _WsgiServer(gevent.pywsgi.WSGIServer):
     """Keep track of the open connections, so that a stop can wait for them."""
 
@@ -325,7 +351,8 @@
     def drain(self, timeout_s: float) -> None:
         """Stop accepting connections, and wait until the open ones have ended.
 
-        Each ends with its next answer, or without one after ``IDLE_GRACE_S``.
+        Each ends with its next answer, or without one after ``IDLE_GRACE_S``. Requests
+        that have not ended after ``timeout_s`` seconds get an error response.
         """
         self._server.is_draining = True
         self._server.accept_pending()
@@ -337,6 +364,8 @@
                 for handler in list(self._server.open_handlers):
                     handler.end_if_idle()
             gevent.sleep(DRAIN_POLL_INTERVAL_S)
+        interrupted = [handler.interrupt() for handler in self._server.open_handlers]
+        gevent.joinall(interrupted, timeout=INTERRUPT_TIMEOUT_S)
 
     def stop(self, timeout_s: float) -> None:
         """Stop, waiting at most ``timeout_s`` seconds for open connections."""
--- a/tests/test_httpapi.py
+++ b/tests/test_httpapi.py
@@ -111,3 +111,23 @@
     gevent.sleep(0.01)
     server.drain(0.1)
     assert sock.fileno() >= 0
+
+
+def test_request_in_flight_at_the_end_of_a_stop_gets_an_error_response(server):
+    """Guards against a closed connection for a call that may have been executed."""
+    sock = connect(server, REQUEST)
+    gevent.sleep(0.01)
+    server.drain(0.1)
+    data = read_until_close(sock)
+    assert data.startswith(b"HTTP/1.1 502") and b'"executed": "unknown"' in data
+    assert b"\r\nConnection: close\r\n" in data
+
+
+def test_request_that_is_incomplete_at_the_end_of_a_stop_is_rejected(server):
+    """Guards against an unknown outcome for a call that nobody has executed."""
+    sock = connect(server, REQUEST[:-1])
+    gevent.sleep(0.01)
+    server.drain(0.1)
+    server.stop(0.1)
+    data = read_until_close(sock)
+    assert data.startswith(b"HTTP/1.1 503") and b'"executed": "no"' in data
