--- a/tests/soak/test_memory.py
+++ b/tests/soak/test_memory.py
@@ -38,12 +38,17 @@
     "events": b"HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n\r\n",
     "head": b"HTTP/1.1 200 OK\r\n%sX-Long: ",
     "interim": b"",
+    # The block of data goes on in a trailer, in the extension of a chunk, in its size.
+    "trailer": b"HTTP/1.1 200 OK\r\n%s\r\n2\r\nok\r\n0\r\nX-Long: ",
+    "extension": b"HTTP/1.1 200 OK\r\n%s\r\n2;x=",
+    "size": b"HTTP/1.1 200 OK\r\n%s\r\n",
 }
 PARTS = {
     "events": b"id: 1\ndata: x\n\n" * 4096,
     "event": b"data: x\n" * 8192,
     "interim": b"HTTP/1.1 103 Early Hints\r\n\r\n" * 2048,
     "chunks": b"1\r\nx\r\n" * 8192,
+    "size": b"0" * 65536,
 }
 
 
@@ -79,7 +84,7 @@
             for _ in range(BODY_BYTES // len(DATA_BLOCK)):
                 sock.sendall(DATA_BLOCK)
             return
-        if kind == "chunks":
+        if kind in ("chunks", "trailer", "extension", "size"):
             fields += b"Transfer-Encoding: chunked\r\n"
         template = HEADS.get(kind, HEADS["events" if kind == "event" else "body"])
         sock.sendall(template % fields if template else b"")
@@ -201,6 +206,9 @@
         "event",
         "head",
         "interim",
+        "trailer",
+        "extension",
+        "size",
     ],
 )
 def test_answers_without_end_keep_to_the_memory(fleet, kind):
