Name the build in the first log line, and count late responses

The record of the broken promises does not tell which landing ran, and the log of a host not whether a server wrote an earlier refusal once more: two hypotheses could not be told apart from it.

A response to an earlier call that is discarded is logged with both ids, once a second at most, and counted in the gauge responses.late.

--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -5,7 +5,7 @@
 
 import gevent
 
-from kumquatproxy import clock, entrychecks, errors, httpapi, logs
+from kumquatproxy import build, clock, entrychecks, errors, httpapi, logs
 from kumquatproxy.agreement import (
     consensus,
     datafolder,
@@ -224,6 +224,7 @@
         self._host_log.write(
             clock.now(),
             f"{self.settings.host.name or self.host_id} started",
+            build=build.digest(),
             identity=self.replication.member.settings.identity,
             revision=self.replication.machine.version,
         )
--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -10,7 +10,7 @@
 import gevent
 import gevent.event
 
-from kumquatproxy import clock, errors, httpapi, logs, wire
+from kumquatproxy import build, clock, errors, httpapi, logs, wire
 from kumquatproxy.fleet import (
     allotments,
     factexchange,
@@ -227,7 +227,9 @@
             caller_server.start()
         self._start_operator_servers()
         self._host_log.write(
-            clock.now(), f"{self.settings.host.name or self.host_id} started"
+            clock.now(),
+            f"{self.settings.host.name or self.host_id} started",
+            build=build.digest(),
         )
 
     def _caller_servers(self):
@@ -274,6 +276,7 @@
             **super().gauges(),
             **self.load_policy.gauges(),
             "calls.in_flight": self._in_flight_count(),
+            "responses.late": self.relay.late_responses,
             "services.cut_off": len(self.paths.cut_services()),
             "calls.waiting": len(self._waiting_calls),
             "servers.known": len(self.table.all()),
--- a/kumquatproxy/fleet/meters.py
+++ b/kumquatproxy/fleet/meters.py
@@ -17,6 +17,7 @@
 GAUGES = {
     "calls.in_flight": ("{call}", "Calls of callers that are being served"),
     "calls.waiting": ("{call}", "Calls that wait for a backend server"),
+    "responses.late": ("{response}", "Responses to earlier calls that were discarded"),
     "memory.held": ("By", "Bytes of messages in transit that this host holds"),
     "memory.rejections": ("{message}", "Messages for which there was no memory"),
     "servers.known": ("{server}", "Backend servers that this host knows"),
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -75,6 +75,7 @@
         self._host = host
         self._log = logs.Log("call")
         self.refusals = teamrecords.RefusalBook(keeps_refusals)
+        self.late_responses = 0  # that were discarded, since the start
         self.links = backendconnections.ConnectionPool()
         self._crashes = crashrecorder.CrashRecorder(host, self.links)
 
@@ -714,6 +715,19 @@
             # This is a late response to an earlier call; the expected one follows it. A
             # refusal without an id may be one, too.
             attempt.is_discarding = True
+            self._record_late_response(call, attempt, head)
+
+    def _record_late_response(self, call, attempt, head):
+        self.late_responses += 1
+        self._log.write_limited(
+            clock.now(),
+            "late-response",
+            f"{attempt.announcement.instance_id} sent a response to an earlier call",
+            request_id=call.request_id,
+            earlier_id=head.echoed_id,
+            status=head.status,
+            is_refusal=head.is_not_executed,
+        )
 
     def _read_body(self, attempt, read, timeouts, max_bytes):
         """Return the body, or None if there is more of it than can be held."""
--- a/tests/gateway/test_repeatedrefusals.py
+++ b/tests/gateway/test_repeatedrefusals.py
@@ -106,11 +106,12 @@
     """An answer to an earlier call precedes it, so it may belong to that one."""
     odd = REFUSAL % b""
     answers = [test_relay.make_response(), odd + test_relay.make_response(b"2nd")]
-    with test_relay.running_relay(answers) as (address, (backend,), _):
+    with test_relay.running_relay(answers) as (address, (backend,), host):
         for body in (b"ok", b"2nd"):
             data, _ = test_relay.send_request(address, b"once", wait_s=0.3)
             assert data.startswith(b"HTTP/1.1 200") and data.endswith(body)
     assert backend.connections == 1
+    assert host.relay.late_responses == 1
 
 
 def test_refusal_without_an_id_is_believed_on_a_connection_without_other_calls():
