Let a stopping host serve calls whose objective is long

A call with an objective of 6 s was refused in the last 6 s of a stop, though it most likely ends in time and its caller can take it up elsewhere. The margin that waiting has, 1 s, is enough there.

--- a/kumquatproxy/gateway/stopping.py
+++ b/kumquatproxy/gateway/stopping.py
@@ -23,7 +23,7 @@
         return None
     needed_s = call.deadline - now
     if call.is_repeatable or is_accepting:
-        needed_s = min(needed_s, call.route.objective_s)
+        needed_s = min(needed_s, call.route.objective_s, waiting.STOP_MARGIN_S)
     if needed_s <= stops_at - now:
         return None
     return errors.ProxyError(
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -58,6 +58,13 @@
     assert stopping.check(late_call, None, True, 0.0) is None
 
 
+def test_stopping_host_serves_calls_whose_objective_is_longer_than_the_stop():
+    """Guards against refusals of calls that most likely end in time."""
+    patient_call = make_call(deadline=15.0, objective_s=6.0)
+    assert stopping.check(patient_call, 5.0, True, 0.0) is None
+    assert stopping.check(patient_call, 0.9, True, 0.0) is not None
+
+
 def make_need(tokens=2000, model="m", adapter="", parts=()):
     return calls.ModelNeed(model, adapter, tokens, 100, 100, parts)
 
