Store a host's new identity before its damaged log is deleted

Found while the full disks were traced: a control host with a damaged store deleted it, then wrote its new identity. With a full disk that write failed and the process ended; started again, it had its old identity and no log, and could vote a second time in a term.

Change: the identity comes first, and the host waits for room as it does for other errors of the disk.

--- a/kumquatproxy/agreement/datafolder.py
+++ b/kumquatproxy/agreement/datafolder.py
@@ -45,16 +45,17 @@
         return incarnation
 
     def delete_member_state(self, group: str) -> None:
-        """Delete the state of one group and generate a new disk id.
+        """Generate a new disk id and delete the state of one group; raise OSError.
 
-        The new disk id changes the identity of this host in all groups.
+        The new disk id changes the identity of this host in all groups. It is written
+        first, since a member that lost its log must not vote under its old identity.
         """
         if self.path is None:
             return
+        self.write(DISK_ID_FILE, secrets.token_hex(8).encode())
         directory = self.path / group
         for path in sorted(directory.glob("*")):
             path.unlink()
-        self.write(DISK_ID_FILE, secrets.token_hex(8).encode())
 
     def disk_id(self) -> str:
         """Return the id of this disk; without a folder each call returns a new one."""
--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -92,28 +92,29 @@
     """Open the store; discard a damaged one, so that the host joins the group again."""
     while True:
         try:
-            return open_store(host_settings, folder)
-        except errors.ProxyError as error:
-            if error.kind is not errors.ErrorKind.LOG_DAMAGED:
-                log.write(
-                    clock.now(),
-                    f"cannot open the store of the group, retrying: {error}",
-                )
-                gevent.sleep(STORAGE_RETRY_S)
-                continue
-            log.write(
-                clock.now(),
-                f"discarding the damaged store and rejoining the group: {error}",
-            )
-            folder.delete_member_state(GROUP)
-            host_settings.host.replace(forms_group=False)
-        except OSError as error:
+            return _open_store_unless_damaged(host_settings, folder, log)
+        except (errors.ProxyError, OSError) as error:
             log.write(
                 clock.now(), f"cannot open the store of the group, retrying: {error}"
             )
             gevent.sleep(STORAGE_RETRY_S)
 
 
+def _open_store_unless_damaged(host_settings, folder, log):
+    try:
+        return open_store(host_settings, folder)
+    except errors.ProxyError as error:
+        if error.kind is not errors.ErrorKind.LOG_DAMAGED:
+            raise
+        log.write(
+            clock.now(),
+            f"discarding the damaged store and rejoining the group: {error}",
+        )
+    folder.delete_member_state(GROUP)
+    host_settings.host.replace(forms_group=False)
+    return open_store(host_settings, folder)
+
+
 class MarkCommitted:
     """Tell that the group has committed the mark of a server."""
 
