--- a/tests/soak/starvedfleet.py
+++ b/tests/soak/starvedfleet.py
@@ -4,8 +4,9 @@
 
 ``python tests/soak/starvedfleet.py --seeds 10 [--cores 2] [--seconds 30]`` checks, by
 what callers and servers saw, that no request that must not be repeated ran twice or
-after it was refused, that repeats stay within the budget, and that servers that leave
-get nothing later than ``DRAIN_S`` after that was acknowledged. With even seeds callers
+after it was refused, that none that reached a server ends without an answer, that
+repeats stay within the budget, and that servers that leave get nothing later than
+``DRAIN_S`` after that was acknowledged. With even seeds callers
 have keys of teams, and what ``teamcallers`` says holds besides. It uses the product in
 the current folder, so that earlier commits can be compared.
 """
@@ -214,9 +215,13 @@
             row for log in logs_by_number for row in log if row[1] not in HEADER_EVENTS
         )
         runs = collections.Counter(key for _, event, key in events if event == "run")
+        arrived_ids = {key for _, event, key in events if event == "arrived"}
         violations = []
         for exchange in self.exchanges:
             count = runs[exchange.request_id]
+            is_unanswered = exchange.end is callerclient.End.UNANSWERED
+            if is_unanswered and exchange.request_id in arrived_ids:
+                violations.append(f"LOST {exchange.request_id} reached a server")
             if self.mode_by_id[exchange.request_id] != "once":
                 continue
             if count > 1:
