--- a/tests/soak/test_plannedstops.py
+++ b/tests/soak/test_plannedstops.py
@@ -16,7 +16,7 @@
 import soak
 import test_cuthosts
 
-BLOCK = 240  # of the loopback addresses, outside those of the soak's seeds
+BLOCK = 243  # of the loopback addresses, outside those of the soak's seeds
 KEPT, UPLOADS, PIPES = 12, 24, 8  # connections of callers, by how these use them
 GRACE_S = 8.0
 BYTE_INTERVAL_S = 0.3
