--- a/review/standins/fleetkit.py
+++ b/review/standins/fleetkit.py
@@ -11,6 +11,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
 import time
@@ -315,3 +316,14 @@
         if len(data) < size + 2:
             return body + data[:size], False
         body, data = body + data[:size], data[size + 2 :]
+
+
+def reset(sock):
+    """Close a socket as the kernel does for a process that has crashed."""
+    try:
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass
+    sock.close()
--- a/review/standins/runners.py
+++ b/review/standins/runners.py
@@ -25,6 +25,7 @@
         self.models = options.get("models", [])
         # Of the connections to the runner; links have small windows.
         self.window_bytes = options.get("window_bytes")
+        self.version = options.get("version", "v1")  # of its software
         self.state = "ready"
         self.sequence = 0
         self.is_closed = False
@@ -58,7 +59,7 @@
             "backend": self.service,
             "address": f"{self.address[0]}:{self.address[1]}",
             "zone": "zone-a",
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": self.state,
             "cold_left_ms": 0,
