--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,9 +1,8 @@
-"""A request crashes each runner that runs it; all processes are killed once."""
+"""All control processes are killed and come back; later an entry process ends."""
 
 import os
 import pathlib
 import sys
-import threading
 import time
 
 import fleetkit
@@ -13,114 +12,54 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-DEADLY_PATH = "/notes/deadly"
-EVENT_S = 0.1
-EVENTS_BEFORE_CRASH = 6
-BACK_S = 2.0
+STREAMS = 24  # the rule needs twelve
+EVENTS = 57
+EVENT_S = 0.24  # the route allows pauses of 400 ms
 TIMEOUT_S = 15.0
+CORE_DOWN_S = 0.5  # the pages allow a second
 STABILITY_WINDOW_S = 3.0
-COUNTED_CRASHES = 3  # of the rule
-ALLOWED = 3  # of the rule
-REPEAT_S = 1.0
-FIRST_REPEATS = 12
-LATER_REPEATS = 9
+TRIES = 3
 
 
-class CrashingRunner(streams.StreamRunner):
-    """Crash in the stream of the deadly request, and come back as a new lifetime."""
-
-    lock = threading.Lock()
-
-    def __init__(self, *arguments, **options):
-        self.connections = set()
-        self.is_down = False
-        super().__init__(*arguments, **options)
-
-    def _serve(self, sock):
-        with self.lock:
-            self.connections.add(sock)
-        try:
-            super()._serve(sock)
-        finally:
-            with self.lock:
-                self.connections.discard(sock)
-
-    def announce_once(self, number=0):
-        """Send a heartbeat unless the runner is down."""
-        return self.is_down or super().announce_once(number)
-
-    def answer(self, sock, method, path, headers, body):
-        """Run one request; the deadly one ends the runner."""
-        expected = headers.get("kumquatproxy-expect-instance", self.name)
-        if path != DEADLY_PATH or expected != self.name:
-            super().answer(sock, method, path, headers, body)
-            return
-        request_id = headers.get("kumquatproxy-request-id", "")
-        self.record.write("deadly", runner=self.name, id=request_id)
-        lines = [
-            "HTTP/1.1 200 OK",
-            f"Kumquatproxy-Request-Id: {request_id}",
-            f"Kumquatproxy-Response-Seal: seal-{request_id}",
-            "Content-Type: text/event-stream",
-            "Transfer-Encoding: chunked",
-        ]
-        sock.sendall("\r\n".join([*lines, "", ""]).encode())
-        first = int(headers.get("last-event-id") or 0) + 1
-        for number in range(first, first + EVENTS_BEFORE_CRASH):
-            time.sleep(EVENT_S)
-            event = f"id: {number}\ndata: event {number}\n\n".encode()
-            sock.sendall(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-        self.crash()
-
-    def crash(self):
-        """End all connections and the listener; start again after a time."""
-        self.record.write("crash", runner=self.name)
-        self.is_down = True
-        fleetkit.reset(self._listener)
-        with self.lock:
-            connections = list(self.connections)
-        for sock in connections:
-            fleetkit.reset(sock)
-        threading.Timer(BACK_S, self._start_again).start()
-        raise OSError("crashed")
-
-    def _start_again(self):
-        if self.is_closed:
+def take_part(stream, addresses, started_at):
+    """Begin a stream at one entry process and go on at the other if it breaks off."""
+    first, second = addresses
+    stream.try_once(first, TIMEOUT_S)
+    for _ in range(TRIES):
+        left_s = started_at + TIMEOUT_S - time.monotonic()
+        if stream.is_complete or left_s <= 0.5 or not stream.numbers:
             return
-        self.born_ms = int(time.time() * 1000)
-        self.sequence = 0
-        self.open()
-        self.is_down = False
-        self.record.write("back", runner=self.name)
+        status, retry_after_s = stream.try_once(second, left_s)
+        if status == 503:
+            # Requesters honour it up to a third of the time that they have left.
+            time.sleep(min(retry_after_s, left_s / 3))
 
 
-def repeat(addresses, count, offset, record):
-    """Send the deadly request again and again, at one machine and the next."""
-    for number in range(count):
-        stream = streams.Stream(f"deadly-{offset + number}", DEADLY_PATH, record)
-        stream.try_once(addresses[number % len(addresses)], 3.5)
-        time.sleep(REPEAT_S)
+def begin_new(stream, address):
+    """Begin a new stream."""
+    stream.try_once(address, TIMEOUT_S)
 
 
-def send_sound(addresses, record, ended):
-    """Send sound requests beside the deadly one."""
-    number = 0
-    while not ended.is_set():
-        number += 1
-        stream = streams.Stream(f"sound-{number}", f"/notes/{number}", record)
-        threading.Thread(
-            target=stream.try_once, args=(addresses[number % len(addresses)], 5.0)
-        ).start()
-        time.sleep(0.25)
+def restart_core(deployment, record):
+    """Kill all control processes at the same moment and start them again."""
+    for host in deployment.controls:
+        host.signal(9)
+    record.write("control processes killed")
+    time.sleep(CORE_DOWN_S)
+    for host in deployment.controls:
+        host.kill()
+        host.start()
+    record.write("control processes started")
 
 
 def run(deployment, record):
     """Play the case and return the exit status."""
+    left, kept = deployment.entries
     route = {
         **requesters.make_route("notes", "/notes/", "streaming", "desk", 2),
         "timeout_ms": int(TIMEOUT_S * 1000),
         "slo_ms": 2000,
-        "resumable": False,
+        "resumable": True,
         "gap_target_ms": 400,
     }
     for host in deployment.hosts:
@@ -130,50 +69,59 @@
     if not deployment.put_until_acknowledged(configuration):
         return 2
     requesters.start_desk(
-        deployment, record, CrashingRunner, count=5, event_count=5, event_s=EVENT_S
+        deployment,
+        record,
+        streams.StreamRunner,
+        event_count=EVENTS,
+        event_s=EVENT_S,
     )
     if not fleetkit.wait_until(
         lambda: all(deployment.is_ready(host) for host in deployment.entries), 10.0
     ):
         return 2
     time.sleep(STABILITY_WINDOW_S)
-    addresses = [deployment.callers_of(host) for host in deployment.entries]
-    ended = threading.Event()
-    sound = streams.start(send_sound, addresses, record, ended)
-    repeat(addresses, FIRST_REPEATS, 0, record)
+    addresses = [deployment.callers_of(left), deployment.callers_of(kept)]
+    resumed = [
+        streams.Stream(f"stream-{n}", f"/notes/{n}", record) for n in range(STREAMS)
+    ]
+    started_at = time.monotonic()
+    threads = [
+        streams.start(take_part, stream, addresses, started_at) for stream in resumed
+    ]
+    time.sleep(1.0)
     if HAS_TROUBLE:
-        for host in deployment.hosts:
-            host.signal(9)
-        record.write("all processes killed")
-        time.sleep(0.5)
-        for host in deployment.hosts:
-            host.kill()
-            host.start()
-        record.write("all processes started")
-    fleetkit.wait_until(
-        lambda: all(deployment.is_ready(host) for host in deployment.entries), 10.0
-    )
-    back_at = record.now()
+        restart_core(deployment, record)
+    else:
+        time.sleep(CORE_DOWN_S)
+    # The core is stable again, and the other machine in touch, a window later.
+    fleetkit.wait_until(lambda: deployment.read(deployment.controls[0])[0] == 200, 5.0)
     time.sleep(STABILITY_WINDOW_S + 0.5)
-    repeat(addresses, LATER_REPEATS, FIRST_REPEATS, record)
-    ended.set()
-    sound.join()
-    crashes = record.of("crash")
-    if len(crashes) < COUNTED_CRASHES:
-        return 2
-    counted_from = crashes[COUNTED_CRASHES - 1]["at"] + STABILITY_WINDOW_S
-    later = [e for e in record.of("deadly") if e["at"] > counted_from]
-    # Machines that were just started are not in touch.
-    later = [
-        e for e in later if not back_at - 5.0 < e["at"] < back_at + STABILITY_WINDOW_S
-    ]
+    left.signal(9)
+    record.write("entry process killed", ip=left.ip)
+    new = [streams.Stream(f"new-{n}", f"/notes/n{n}", record) for n in range(STREAMS)]
+    threads += [streams.start(begin_new, stream, addresses[1]) for stream in new]
+    for thread in threads:
+        thread.join()
+    taken_up = [s for s in resumed if len(s.statuses) > 1]
+    gone_on = [s for s in taken_up if s.is_complete]
+    begun = [s for s in new if s.numbers]
+    share = len(gone_on) / max(1, len(taken_up))
+    new_share = len(begun) / len(new)
+    is_broken = len(taken_up) >= 12 and share < 0.5 * new_share
     record.write(
         "result",
-        crashes=len(crashes),
-        reached_later=len(later),
-        broken=len(later) > ALLOWED,
+        taken_up=len(taken_up),
+        gone_on=len(gone_on),
+        out_of_order=sum(s.numbers != sorted(set(s.numbers)) for s in resumed),
+        new=len(new),
+        begun=len(begun),
+        statuses=sorted({status for s in taken_up for status in s.statuses[1:]}),
+        broken=is_broken,
     )
-    return 1 if len(later) > ALLOWED else 0
+    others = [*deployment.controls, kept]
+    if len(taken_up) < 12 or not all(host.is_running() for host in others):
+        return 2
+    return 1 if is_broken else 0
 
 
 def main():
