Show streams joined from two software versions after a runner's restart

Seen: a runner crashes and is back under its id at another version, its first heartbeat 3 s late. Streams that begin there go on at runners of the earlier version when it crashes again; 6 to 15 of 60 end as complete with events of both. Code: Relay._relay_stream records the version of the last heartbeat as that of the runner that answers, and EntryHost.with_certain_version is not asked when a stream begins.

--- a/review/standins/streams.py
+++ b/review/standins/streams.py
@@ -24,6 +24,7 @@
             super().answer(sock, method, path, headers, body)
             return
         first = int(headers.get("last-event-id") or 0) + 1
+        version = self.version
         self.record.write("run", runner=self.name, id=request_id, first=first)
         lines = [
             "HTTP/1.1 200 OK",
@@ -35,7 +36,7 @@
         sock.sendall("\r\n".join([*lines, "", ""]).encode())
         for number in range(first, self.event_count + 1):
             time.sleep(self.event_s)
-            event = f"id: {number}\ndata: event {number}\n\n".encode()
+            event = f"id: {number}\ndata: {version} event {number}\n\n".encode()
             sock.sendall(f"{len(event):x}\r\n".encode() + event + b"\r\n")
         sock.sendall(b"0\r\n\r\n")
 
@@ -48,6 +49,7 @@
         self.path = path
         self.record = record
         self.numbers = []  # of the events received
+        self.versions = []  # of the runners that wrote them
         self.is_complete = False
         self.first_id = ""  # of the try that brought the first event
         self.statuses = []
@@ -119,7 +121,9 @@
                 buffer = rest[size + 2 :]
                 while b"\n\n" in text:
                     event, _, text = text.partition(b"\n\n")
-                    number = int(event.split(b"\n")[0].removeprefix(b"id: "))
+                    id_line, data_line = event.decode().split("\n")
+                    number = int(id_line.removeprefix("id: "))
+                    self.versions.append(data_line.split(" ")[1])
                     if not self.numbers:
                         self.first_id = request_id
                     self.numbers.append(number)
