Draw the address blocks of tests in one place

Blocks follow one another in tests/soak/addressblocks.py now, so that no two users can share one, and a test fails for a module that names a block itself or uses one of another module. It failed with test_plannedstops.py as it was.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,6 +23,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 
+import addressblocks
 import callerclient
 import cuttablehost
 import fakeservers
@@ -212,7 +213,7 @@
         self.seconds = seconds
         self.rng = random.Random(seed)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        block = 10 + seed % 200
+        block = addressblocks.find_block("soak", seed)
         controls = [f"127.{block}.0.{number}" for number in (1, 2, 3)]
         entry_count = self.rng.choice((2, 2, 3, 4))
         entries = [f"127.{block}.1.{number + 1}" for number in range(entry_count)]
--- a/tests/soak/starvedfleet.py
+++ b/tests/soak/starvedfleet.py
@@ -29,13 +29,13 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 
+import addressblocks
 import callerclient
 import smallfleet
 import soak
 import teamcallers
 
 SERVER_PROCESS = str(pathlib.Path(__file__).parent / "serverprocess.py")
-BLOCK, BLOCKS = 212, 23  # of the loopback addresses, the first and their number
 SERVERS_BY_SERVICE = {"desk": 3, "talk": 5}
 SERVICE_BY_MODE = {"once": "desk", "safe": "desk", "stream": "talk"}
 MODE_WEIGHTS = (3, 2, 5)
@@ -63,7 +63,8 @@
     def __init__(self, seed, entry_count, slots=4):
         soak.TEMPLATE = TEMPLATE + BOUNDS
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"starved-{seed}-"))
-        super().__init__(self.folder, BLOCK + seed % BLOCKS, entry_count)
+        block = addressblocks.find_block("starvedfleet", seed)
+        super().__init__(self.folder, block, entry_count)
         self.rng = random.Random(seed)
         self.seed = seed
         self.server_handles = []
--- a/tests/soak/test_brittlefleet.py
+++ b/tests/soak/test_brittlefleet.py
@@ -7,13 +7,14 @@
 import random
 import time
 
+import addressblocks
 import callerclient
 import gevent
 import smallfleet
 import soak
 import test_cuthosts
 
-BLOCK = 246  # of the loopback addresses, outside those of the soak's seeds
+BLOCK = addressblocks.find_block("test_brittlefleet")
 SERVERS, SLOTS = 4, 2
 BEARS_REFUSALS = 6
 SECONDS = 10.0
--- a/tests/soak/test_crashingprompts.py
+++ b/tests/soak/test_crashingprompts.py
@@ -10,6 +10,7 @@
 import signal
 import time
 
+import addressblocks
 import callerclient
 import fakeservers
 import gevent
@@ -17,7 +18,7 @@
 import smallfleet
 import soak
 
-BLOCK = 241  # of the loopback addresses, outside those of the soak's seeds
+BLOCK = addressblocks.find_block("test_crashingprompts")
 SERVERS = 5
 # The limits of the rule: requests with the part that reach servers later than the
 # window after the fifth crash.
--- a/tests/soak/test_cuthosts.py
+++ b/tests/soak/test_cuthosts.py
@@ -7,6 +7,7 @@
 import random
 import time
 
+import addressblocks
 import callerclient
 import cuttablehost
 import gevent
@@ -14,7 +15,6 @@
 import smallfleet
 import soak
 
-BLOCK = 242  # of the loopback addresses, outside those of the soak's seeds
 SERVERS = 4
 CUT_S = 8.0
 REQUESTS_PER_S = 20.0
@@ -25,7 +25,8 @@
 @pytest.fixture(params=cuttablehost.MODES)
 def cut_run(request, tmp_path):
     """Cut two of four entry hosts; return the exchanges with each entry host."""
-    block = BLOCK + cuttablehost.MODES.index(request.param)
+    number = cuttablehost.MODES.index(request.param)
+    block = addressblocks.find_block("test_cuthosts", number)
     fleet = smallfleet.Fleet(tmp_path, block, entry_count=4)
     rng = random.Random(27)
     exchanges_by_ip = {entry.ip: [] for entry in fleet.entries}
--- a/tests/soak/test_cutlinks.py
+++ b/tests/soak/test_cutlinks.py
@@ -7,13 +7,14 @@
 import random
 import time
 
+import addressblocks
 import callerclient
 import gevent
 import smallfleet
 import soak
 import test_cuthosts
 
-BLOCK = 239  # of the loopback addresses, outside those of the soak's seeds
+BLOCK = addressblocks.find_block("test_cutlinks")
 REQUESTS_PER_S = 40.0
 CUT_S = 4.0
 DRAIN_S = 2.0  # from the acknowledgement on, for hosts in touch
--- a/tests/soak/test_faultyservers.py
+++ b/tests/soak/test_faultyservers.py
@@ -7,13 +7,14 @@
 import random
 import time
 
+import addressblocks
 import callerclient
 import fakeservers
 import gevent
 import smallfleet
 import test_cuthosts
 
-BLOCK = 251  # of the loopback addresses, outside those of the soak's seeds
+BLOCK = addressblocks.find_block("test_faultyservers")
 SECONDS = 10.0
 REQUESTS_PER_S = 60.0
 
--- a/tests/soak/test_limitedservers.py
+++ b/tests/soak/test_limitedservers.py
@@ -9,13 +9,14 @@
 import random
 import time
 
+import addressblocks
 import gevent
 import pytest
 import smallfleet
 import soak
 import test_crashingprompts
 
-BLOCK = 247  # of the loopback addresses, outside those of the soak's seeds
+BLOCK = addressblocks.find_block("test_limitedservers")
 RATES = (1.0, 2.5)
 LIMITED_S = 14.0
 CALLS_PER_S = 30.0
--- a/tests/soak/test_memory.py
+++ b/tests/soak/test_memory.py
@@ -7,6 +7,7 @@
 import pathlib
 import time
 
+import addressblocks
 import callerclient
 import fakeservers
 import gevent
@@ -19,7 +20,7 @@
 
 from kumquatproxy import memorybudget
 
-BLOCK = 250  # of the loopback addresses, outside those of the soak's seeds
+BLOCK = addressblocks.find_block("test_memory")
 MEMORY_MB = memorybudget.DEFAULT_MEMORY_MB  # the settings name no other limit
 BODY_BYTES = 4 * 1024 * 1024  # max_body_bytes of the platform's example
 LOAD_S = 3.0
--- a/tests/soak/test_oddentries.py
+++ b/tests/soak/test_oddentries.py
@@ -8,6 +8,7 @@
 import json
 import random
 
+import addressblocks
 import callerclient
 import fakeservers
 import gevent
@@ -16,7 +17,7 @@
 import smallfleet
 import soak
 
-BLOCK = 252  # of the loopback addresses, outside those of the soak's seeds
+BLOCK = addressblocks.find_block("test_oddentries")
 # Servers that odd heartbeats announce at a time, so that plans see each of them.
 ODD_SERVERS = 60
 MODELS = ("m", "m1", "m2")
--- a/tests/soak/test_pausedservers.py
+++ b/tests/soak/test_pausedservers.py
@@ -8,13 +8,14 @@
 import random
 import time
 
+import addressblocks
 import callerclient
 import gevent
 import pytest
 import smallfleet
 import test_cuthosts
 
-BLOCK = 248  # of the loopback addresses, outside those of the soak's seeds
+BLOCK = addressblocks.find_block("test_pausedservers")
 SERVERS = 3
 PAUSE_S = 3.0
 REQUESTS_PER_S = 60.0
--- a/tests/soak/test_plannedstops.py
+++ b/tests/soak/test_plannedstops.py
@@ -8,6 +8,7 @@
 import signal
 import time
 
+import addressblocks
 import callerclient
 import fakeservers
 import gevent
@@ -16,7 +17,7 @@
 import soak
 import test_cuthosts
 
-BLOCK = 243  # of the loopback addresses, outside those of the soak's seeds
+BLOCK = addressblocks.find_block("test_plannedstops")
 KEPT, UPLOADS, PIPES = 12, 24, 8  # connections of callers, by how these use them
 GRACE_S = 8.0
 BYTE_INTERVAL_S = 0.3
--- a/tests/soak/test_rejoinedstreams.py
+++ b/tests/soak/test_rejoinedstreams.py
@@ -8,12 +8,13 @@
 import random
 import signal
 
+import addressblocks
 import fakeservers
 import gevent
 import pytest
 import test_streamresumption
 
-BLOCK = 249  # of the loopback addresses, outside those of the soak's seeds
+BLOCK = addressblocks.find_block("test_rejoinedstreams")
 STREAMS = 40
 TAKE_UPS = 3  # of a caller
 VERSIONS = ("v1", "v2", "v3")
--- a/tests/soak/test_releases.py
+++ b/tests/soak/test_releases.py
@@ -6,12 +6,13 @@
 
 import signal
 
+import addressblocks
 import gevent
 import pytest
 import soak
 import test_streamresumption
 
-BLOCK = 253  # of the loopback addresses, outside those of the soak's seeds
+BLOCK = addressblocks.find_block("test_releases")
 STREAMS = 30
 # Until a host may conclude that only one version can have begun a stream.
 WINDOW_S = 10.0
--- a/tests/soak/test_resubmission.py
+++ b/tests/soak/test_resubmission.py
@@ -3,12 +3,13 @@
 import signal
 import time
 
+import addressblocks
 import callerclient
 import pytest
 import smallfleet
 import soak
 
-BLOCK = 238  # of the loopback addresses, outside those of the soak's seeds
+BLOCK = addressblocks.find_block("test_resubmission")
 AT_ONCE_S = 0.5
 PATH = "/-/config/replace"
 
--- a/tests/soak/test_starts.py
+++ b/tests/soak/test_starts.py
@@ -10,12 +10,13 @@
 import sys
 import time
 
+import addressblocks
 import gevent
 import gevent.socket
 import pytest
 import soak
 
-BLOCK = 245  # of the loopback addresses, outside those of the soak's seeds
+BLOCK = addressblocks.find_block("test_starts")
 START_S = 10.0
 PYTHON_START_S = 0.1  # of processor time
 SETTINGS = """[host]
--- a/tests/soak/test_streamresumption.py
+++ b/tests/soak/test_streamresumption.py
@@ -8,6 +8,7 @@
 import signal
 import time
 
+import addressblocks
 import fakeservers
 import gevent
 import gevent.socket
@@ -15,7 +16,7 @@
 import smallfleet
 import soak
 
-BLOCK = 240  # of the loopback addresses, outside those of the soak's seeds
+BLOCK = addressblocks.find_block("test_streamresumption")
 STREAMS = 20
 # Longest time for a rejection without a wait, with a lookup at other hosts.
 AT_ONCE_S = 0.35
