Send origins of streams again to control hosts that have restarted

A kill at the same moment is not needed: an upgrade of the control hosts one after the other does it.

Cause: an entry host sent the origin of a stream once, and the control hosts kept it in memory only. After their restart nobody outside of the entry host knew it, so nobody at all once that host ended.

Evidence: the new `stream:` line of an entry host that rejects a stream. On the code before, in all four cases of the test: origin null, all three voters have answered, versions v1 and v2, no complete report. So the origin was forgotten; links that are not back yet and servers without a recent heartbeat are excluded.

A control host asks each new subscriber that knows the message, and an entry host sends the origins of its own streams to the control hosts that are to keep them, once for each of their starts, in parts. A restored origin never replaces another one. So a restarted keeper knows what it would know without the restart, as long as the entry host lives until then.

Cost: 28 bytes and about 3 us a stream at the receiver; a restart costs a control host 0.1, 0.3 and 1.0 MB at 30, 100 and 300 hosts (calculated from 4.7 streams a second at each entry host). Hosts of the landing before get none of the new messages, and beside them streams are lost as before.

--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -26,6 +26,7 @@
     heartbeatages,
     modelwants,
     orderissuer,
+    originexchange,
     proposing,
     publishing,
     regionalpublisher,
@@ -150,8 +151,8 @@
         self._next_expiry_at = now
         self._next_versions_at = now
         self._heard_at_by_id: dict[str, float] = {}  # of the other control hosts
-        # Origins of streams that began at entry hosts. They are kept in memory only: a
-        # stream lasts seconds, and other control hosts have its origin too.
+        # Origins of streams that began at entry hosts. They are kept in memory only, as
+        # streams last seconds; entry hosts send them again to a host that restarts.
         self._streams = streamorigins.OriginTable(MAX_STREAMS)
         self._version_history = streamorigins.VersionHistory()
         self._facts = factexchange.ControlFacts()
@@ -437,6 +438,9 @@
         if is_new and heartbeatages.asks_for_ages(received.message.session):
             greeting = heartbeatages.HeartbeatAges(ages=[], number=0)
             self.send_message(received.sender, greeting)
+        if is_new and originexchange.sends_origins(received.message.session):
+            wanted = originexchange.OriginsWanted(session=self._session)
+            self.send_message(received.sender, wanted)
         if received.message.kind == fleetmessages.CONTROL:
             self._delegate_peers.record(received.sender, received.message.session)
             self._link_address_by_id[received.sender] = received.message.address
@@ -562,6 +566,10 @@
         origin = streamorigins.Origin(message.service, message.software_version)
         self._streams.record(message.stream_id, origin, message.kept_s, now)
 
+    def _on_stream_origins(self, received, now):
+        for stream_id, origin, left_s in originexchange.from_message(received.message):
+            self._streams.restore(stream_id, origin, left_s, now)
+
     def _on_stream_query(self, received, now):
         query = received.message
         self._record_versions(now)
@@ -720,6 +728,7 @@
     fleetmessages.PartsWanted: ControlHost._on_parts_wanted,
     fleetmessages.PartsAnswer: ControlHost._on_parts_answer,
     fleetmessages.StreamBegun: ControlHost._on_stream_begun,
+    originexchange.StreamOrigins: ControlHost._on_stream_origins,
     fleetmessages.StreamQuery: ControlHost._on_stream_query,
     heartbeatages.HeartbeatAgesWanted: ControlHost._on_heartbeat_ages_wanted,
     regionmessages.Renewal: ControlHost._on_renewal,
--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -22,6 +22,7 @@
     heartbeatages,
     hostcount,
     modelwants,
+    originexchange,
     publishing,
     regionalsubscription,
     regionmessages,
@@ -110,6 +111,7 @@
             self._session = modelwants.mark_session(session)
             self._wants = modelwants.WantSender()
         self._session = heartbeatages.mark_session(self._session)
+        self._session = originexchange.mark_session(self._session)
         self.started_at = now
         self.configuration: typing.Any = None  # serviceconfig.Configuration
         self.table = servers.ServerTable()
@@ -520,12 +522,16 @@
         if not call.is_repeatable:
             return
         now = clock.now()
+        self._streams.record(call, self._origin_keeper_ids(now), now)
+
+    def _origin_keeper_ids(self, now):
+        """Return the control hosts that keep the origins of this host's streams."""
         host_ids = self._streams.host_ids
         ranked_ids = sorted(
             self._live_control_ids(now) & host_ids or host_ids,
             key=lambda host_id: _rendezvous_hash(self.host_id, host_id),
         )
-        self._streams.record(call, ranked_ids, now)
+        return ranked_ids[: streamrecords.RECORD_HOST_COUNT]
 
     def restore_origin(self, call: calls.Call) -> None:
         """Set the service and version of a resumed stream to those that it began at.
@@ -598,6 +604,9 @@
         if isinstance(message.message, fleetmessages.StreamQueryAnswer):
             self._streams.receive(message.sender, message.message)
             return
+        if isinstance(message.message, originexchange.OriginsWanted):
+            self._streams.sender.request(message.sender, message.message.session)
+            return
         if isinstance(message.message, heartbeatages.HeartbeatAges):
             self._heartbeats.receive(message.sender, message.message, now)
             return
@@ -887,6 +896,8 @@
         if now >= self._next_report_at:
             self._report(now)
         self._facts.tick(now)
+        for send in self._streams.tick(self._origin_keeper_ids(now), now):
+            self.send_message(send.to, send.message)
         self.allotments.tick(now)
         if self.configuration is not None:
             self.paths.tick(self.configuration.services_by_name, now)
--- /dev/null
+++ b/kumquatproxy/fleet/originexchange.py
@@ -0,0 +1,142 @@
+"""Origins of streams that are sent again to control hosts that have restarted.
+
+Control hosts keep origins in memory only. One that starts asks its subscribers, and
+the entry hosts send the origins of the streams that they began, a part with each tick.
+"""
+
+from kumquatproxy import entrychecks, wire
+from kumquatproxy.gateway import streamorigins
+
+# Part of the session of a host that sends origins again. Hosts of earlier builds only
+# compare sessions, and would close the link on the messages below.
+ORIGINS_MARK = "+origins"
+# About 20 KB with ids of a common length, 70 KB with the longest ones.
+MAX_STREAMS_PER_MESSAGE = 500
+
+
+@wire.register("origins-wanted")
+class OriginsWanted(wire.Message):
+    """Ask a subscriber for the origins of the streams that it began earlier."""
+
+    __slots__ = ("session",)
+    session: str  # of the asking host; changes at each of its starts
+
+
+@wire.register("stream-origins")
+class StreamOrigins(wire.Message):
+    """Send origins of streams to a control host that has asked for them."""
+
+    __slots__ = ("origins", "streams")
+    origins: list  # [service, software version]
+    streams: list  # [stream id, index in origins, seconds that it may be resumed]
+
+
+def mark_session(session: str) -> str:
+    """Return the session of a host that sends origins again."""
+    return ORIGINS_MARK + session
+
+
+def sends_origins(session: str) -> bool:
+    """Return whether a subscriber with this session sends origins again."""
+    return ORIGINS_MARK in session
+
+
+def to_message(
+    streams: list[tuple[str, streamorigins.Origin, float]],
+) -> StreamOrigins:
+    """Return the message with streams of (id, origin, seconds left)."""
+    indices: dict[streamorigins.Origin, int] = {}
+    entries = [
+        [stream_id, indices.setdefault(origin, len(indices)), round(left_s, 3)]
+        for stream_id, origin, left_s in streams
+    ]
+    origins = [[origin.service, origin.software_version] for origin in indices]
+    return StreamOrigins(origins=origins, streams=entries)
+
+
+def from_message(
+    message: StreamOrigins,
+) -> list[tuple[str, streamorigins.Origin, float]]:
+    """Return (id, origin, seconds left) of a message without the malformed entries."""
+    if not isinstance(message.origins, list) or not isinstance(message.streams, list):
+        return []
+    origins = [
+        streamorigins.Origin(*fields) if _is_origin(fields) else None
+        for fields in message.origins
+    ]
+    return [
+        (entry[0], origin, entry[2])
+        for entry in message.streams
+        if _is_stream(entry, len(origins)) and (origin := origins[entry[1]]) is not None
+    ]
+
+
+def _is_origin(fields):
+    is_pair = isinstance(fields, list) and len(fields) == 2
+    return is_pair and all(map(entrychecks.is_text, fields))
+
+
+def _is_stream(entry, origin_count):
+    return (
+        isinstance(entry, list)
+        and len(entry) == 3
+        and isinstance(entry[0], str)
+        and entrychecks.is_integer(entry[1])
+        and entry[1] < origin_count
+        and entrychecks.is_duration(entry[2])
+    )
+
+
+class OriginSender:
+    """Send the origins of a table to the control hosts that ask and are to keep them.
+
+    Each start of such a host gets them once, and again if it was not to keep them for a
+    while.
+    """
+
+    __slots__ = (
+        "_asking_session_by_id",
+        "_served_session_by_id",
+        "_table",
+        "_unsent_ids_by_host",
+    )
+
+    def __init__(self, table: streamorigins.OriginTable):
+        self._table = table
+        self._asking_session_by_id: dict[str, str] = {}
+        self._served_session_by_id: dict[str, str] = {}
+        self._unsent_ids_by_host: dict[str, list[str]] = {}
+
+    def request(self, host_id: str, session: str) -> None:
+        """Record that a control host has asked."""
+        self._asking_session_by_id[host_id] = session
+
+    def tick(self, keeper_ids: set[str], now: float) -> list[wire.Send]:
+        """Return the messages that are due to the hosts that are to keep origins."""
+        for host_id in self._served_session_by_id.keys() - keeper_ids:
+            del self._served_session_by_id[host_id]
+            self._unsent_ids_by_host.pop(host_id, None)
+        for host_id in keeper_ids & self._asking_session_by_id.keys():
+            session = self._asking_session_by_id[host_id]
+            if self._served_session_by_id.get(host_id) != session:
+                self._served_session_by_id[host_id] = session
+                self._unsent_ids_by_host[host_id] = self._table.ids()
+        return [
+            wire.Send(host_id, to_message(streams))
+            for host_id in list(self._unsent_ids_by_host)
+            if (streams := self._take_streams(host_id, now))
+        ]
+
+    def _take_streams(self, host_id, now):
+        """Return (id, origin, seconds left) of the next streams, the newest first."""
+        unsent_ids = self._unsent_ids_by_host[host_id]
+        streams: list[tuple[str, streamorigins.Origin, float]] = []
+        while unsent_ids and len(streams) < MAX_STREAMS_PER_MESSAGE:
+            stream_id = unsent_ids.pop()
+            origin = self._table.find(stream_id, now)
+            if origin is not None:
+                left_s = self._table.time_left_s(stream_id, now)
+                streams.append((stream_id, origin, left_s))
+        if not unsent_ids:
+            del self._unsent_ids_by_host[host_id]
+        return streams
--- a/kumquatproxy/fleet/streamrecords.py
+++ b/kumquatproxy/fleet/streamrecords.py
@@ -3,7 +3,8 @@
 import gevent
 import gevent.event
 
-from kumquatproxy.fleet import fleetmessages, servers
+from kumquatproxy import logs, wire
+from kumquatproxy.fleet import fleetmessages, originexchange, servers
 from kumquatproxy.gateway import calls, streamorigins
 
 MAX_OWN_STREAMS = 20_000
@@ -42,11 +43,13 @@
 
     def __init__(self, broadcast):
         self.table = streamorigins.OriginTable(MAX_OWN_STREAMS)
+        self.sender = originexchange.OriginSender(self.table)
         self.history = streamorigins.VersionHistory()
         # Control hosts of a build that knows these messages. Others would close the
         # link on the first one.
         self.host_ids: set[str] = set()
         self._broadcast = broadcast
+        self._log = logs.Log("stream")
         # By the stream's id and the services of the route.
         self._pending_by_key: dict[tuple, PendingLookup] = {}
 
@@ -58,8 +61,8 @@
             else:
                 self.host_ids.discard(sender)
 
-    def record(self, call: calls.Call, ranked_ids: list[str], now: float) -> None:
-        """Remember the origin of a stream and send it to the first of some hosts."""
+    def record(self, call: calls.Call, keeper_ids: list[str], now: float) -> None:
+        """Remember the origin of a stream and send it to the hosts that keep it."""
         kept_s = streamorigins.kept_s(call.route.timeout_s)
         origin = streamorigins.Origin(call.service, call.software_version)
         self.table.record(call.stream_id, origin, kept_s, now)
@@ -71,7 +74,7 @@
             software_version=origin.software_version,
             stream_id=call.stream_id,
         )
-        self._broadcast(ranked_ids[:RECORD_HOST_COUNT], message)
+        self._broadcast(keeper_ids, message)
         # Lets the greenlets of the links send the message before the caller gets the
         # event.
         gevent.sleep(0)
@@ -95,9 +98,23 @@
             reports += lookup.reports
             answered_ids = lookup.answered_ids
         has_all_answers = bool(voter_ids) and voter_ids <= answered_ids
-        return streamorigins.required_origin(
+        required = streamorigins.required_origin(
             origin, call.service, services, reports, has_all_answers
         )
+        if required is None:
+            self._log.write_limited(
+                now,
+                "unknown" if origin is None else "elsewhere",
+                "a stream cannot go on, as its origin is unknown or no target",
+                request_id=call.request_id,
+                resumes=call.resumed_id,
+                origin=origin and [origin.service, origin.software_version],
+                answered=sorted(answered_ids),
+                voters=sorted(voter_ids),
+                versions=[report.versions for report in reports],
+                complete_reports=sum(report.is_complete for report in reports),
+            )
+        return required
 
     def _look_up(self, stream_id, services, window_s, live_ids):
         if len(stream_id) > streamorigins.MAX_ID_LENGTH:
@@ -130,6 +147,10 @@
         if pending.lookup.is_settled:
             pending.settled.set()
 
+    def tick(self, keeper_ids: list[str], now: float) -> list[wire.Send]:
+        """Return the messages with origins for hosts that have restarted."""
+        return self.sender.tick(set(keeper_ids), now)
+
     def expire(self, now: float) -> None:
         """Remove what can no longer be needed."""
         self.table.expire(now)
--- a/kumquatproxy/gateway/streamorigins.py
+++ b/kumquatproxy/gateway/streamorigins.py
@@ -69,11 +69,34 @@
         origin = self._shared_origins.setdefault(origin, origin)
         self._entries_by_id[stream_id] = (origin, now + min(kept_s, MAX_KEPT_S))
 
+    def restore(
+        self, stream_id: str, origin: Origin, left_s: float, now: float
+    ) -> None:
+        """Remember an origin that another host has sent again.
+
+        It may be out of date, so it never replaces another origin nor ends earlier.
+        """
+        known = self.find(stream_id, now)
+        is_newer = known is None or (
+            known == origin and left_s > self.time_left_s(stream_id, now)
+        )
+        if is_newer and left_s > 0.0:
+            self.record(stream_id, origin, left_s, now)
+
     def find(self, stream_id: str, now: float) -> Origin | None:
         """Return the origin of a stream, or None if it is unknown."""
         origin, expires_at = self._entries_by_id.get(stream_id, (None, 0.0))
         return origin if now < expires_at else None
 
+    def time_left_s(self, stream_id: str, now: float) -> float:
+        """Return how long a stream is still remembered, in seconds."""
+        _, expires_at = self._entries_by_id.get(stream_id, (None, 0.0))
+        return max(0.0, expires_at - now)
+
+    def ids(self) -> list[str]:
+        """Return the ids of the streams, the oldest first."""
+        return list(self._entries_by_id)
+
     def expire(self, now: float) -> None:
         """Remove the streams that can no longer be resumed."""
         expired_ids = [
--- a/tests/fleet/test_controlhost.py
+++ b/tests/fleet/test_controlhost.py
@@ -11,6 +11,7 @@
     fleetmessages,
     fleetsettings,
     fleetstate,
+    originexchange,
     proposing,
     servers,
     serviceconfig,
@@ -179,3 +180,33 @@
     assert lease_count() == 0
     subscribe(host, "127.0.0.4", delegations.mark_session("t", 2), now)
     assert lease_count() == 1
+
+
+def subscribe_entry(host, sender, session):
+    message = fleetmessages.Subscribe("", False, fleetmessages.ENTRY, session, 0)
+    host.handle(fleethost.ReceivedMessage(sender, message), clock.now())
+
+
+def test_only_hosts_that_send_origins_again_are_asked_once_for_each_link(
+    tmp_path, monkeypatch
+):
+    """Guards against links that close, as earlier builds refuse unknown messages."""
+    host = controlhost.ControlHost(fleetsettings.parse(SETTINGS % tmp_path), seed=1)
+    asked_ids = []
+    monkeypatch.setattr(
+        host,
+        "send_message",
+        lambda host_id, message: (
+            asked_ids.append(host_id)
+            if isinstance(message, originexchange.OriginsWanted)
+            else None
+        ),
+    )
+    new_session = originexchange.mark_session("s+facts")
+    for _ in range(2):
+        subscribe_entry(host, "127.0.0.8", "s+facts")
+        subscribe_entry(host, "127.0.0.9", new_session)
+    assert asked_ids == ["127.0.0.9"]
+    host.handle(controlhost.LinkOpened("127.0.0.9"), clock.now())
+    subscribe_entry(host, "127.0.0.9", new_session)
+    assert asked_ids == ["127.0.0.9"] * 2
--- /dev/null
+++ b/tests/fleet/test_originexchange.py
@@ -0,0 +1,106 @@
+"""Origins of streams that are sent again to control hosts that have restarted."""
+
+import pytest
+
+from kumquatproxy import wire
+from kumquatproxy.fleet import originexchange
+from kumquatproxy.gateway import streamorigins
+
+V1 = streamorigins.Origin("s", "v1")
+V2 = streamorigins.Origin("s", "v2")
+
+
+@pytest.fixture
+def table():
+    table = streamorigins.OriginTable(10_000)
+    table.record("a", V1, 30.0, 0.0)
+    table.record("b", V2, 40.0, 1.0)
+    return table
+
+
+@pytest.fixture
+def sender(table):
+    return originexchange.OriginSender(table)
+
+
+def streams_to(sends, host_id):
+    """Return (id, origin, seconds left) of the messages to a host."""
+    return [
+        stream
+        for send in sends
+        if send.to == host_id
+        for stream in originexchange.from_message(
+            wire.decode(wire.encode(send.message))
+        )
+    ]
+
+
+def test_a_restarted_host_gets_what_is_left_and_others_get_nothing(sender):
+    sender.request("c1", "x")
+    sends = sender.tick({"c1", "c2"}, 10.0)
+    assert streams_to(sends, "c1") == [("b", V2, 31.0), ("a", V1, 20.0)]
+    assert streams_to(sends, "c2") == []
+
+
+def test_a_host_gets_origins_once_for_each_start(sender):
+    """Guards against the whole table with each link that opens."""
+    sender.request("c1", "x")
+    assert sender.tick({"c1"}, 1.0)
+    sender.request("c1", "x")
+    assert sender.tick({"c1"}, 2.0) == []
+    sender.request("c1", "y")
+    assert sender.tick({"c1"}, 3.0)
+
+
+def test_a_host_gets_origins_when_it_is_to_keep_them(sender, table):
+    """Guards against streams whose keepers were replaced by one that knows none."""
+    sender.request("c1", "x")
+    assert sender.tick({"c2"}, 1.0) == []
+    assert sender.tick({"c1"}, 1.0)
+    assert sender.tick({"c2"}, 2.0) == []
+    table.record("c", V1, 30.0, 3.0)
+    assert "c" in {stream[0] for stream in streams_to(sender.tick({"c1"}, 4.0), "c1")}
+
+
+def test_expired_streams_are_not_sent(sender):
+    sender.request("c1", "x")
+    assert [stream[0] for stream in streams_to(sender.tick({"c1"}, 35.0), "c1")] == [
+        "b"
+    ]
+    sender.request("c1", "y")
+    assert sender.tick({"c1"}, 50.0) == []
+
+
+def test_many_streams_are_sent_in_parts_that_fit_into_frames(sender, table):
+    """Guards against a link that is blocked by one table, or closed by its size."""
+    for number in range(1800):
+        table.record(f"{number:0128}", V1, 30.0, 0.0)
+    sender.request("c1", "x")
+    sent = []
+    for _ in range(4):
+        sends = sender.tick({"c1"}, 1.0)
+        assert len(sends) == 1
+        assert len(wire.encode(sends[0].message)) < wire.MAX_FRAME_BYTES / 2
+        sent += streams_to(sends, "c1")
+    assert sender.tick({"c1"}, 1.0) == []
+    assert len({stream[0] for stream in sent}) == 1802
+
+
+@pytest.mark.parametrize(
+    "entry",
+    [None, "a", ["a"], ["a", 1, 5.0], ["a", -1, 5.0], [7, 0, 5.0], ["a", 0, "5"]]
+    + [["a", 0, float("nan")], ["a", 0, -1.0], ["a", True, 5.0], ["a", 2, 5.0]],
+)
+def test_malformed_entries_are_dropped_and_others_are_read(entry):
+    message = originexchange.StreamOrigins(
+        origins=[["s", "v1"], ["s"]], streams=[entry, ["b", 0, 4.0]]
+    )
+    assert originexchange.from_message(message) == [("b", V1, 4.0)]
+
+
+@pytest.mark.parametrize("value", [None, 5, "text", {"a": 1}])
+def test_a_message_of_another_form_holds_no_streams(value):
+    message = originexchange.StreamOrigins(origins=value, streams=[["b", 0, 4.0]])
+    assert originexchange.from_message(message) == []
+    message = originexchange.StreamOrigins(origins=[["s", "v1"]], streams=value)
+    assert originexchange.from_message(message) == []
--- a/tests/fleet/test_streamschedules.py
+++ b/tests/fleet/test_streamschedules.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from kumquatproxy.fleet import streamrecords
+from kumquatproxy.fleet import originexchange, streamrecords
 from kumquatproxy.gateway import streamorigins
 
 SEEDS = 200
@@ -37,6 +37,7 @@
     def forget(self):
         self.lifetime += 1
         self.table = streamorigins.OriginTable(1000)
+        self.sender = originexchange.OriginSender(self.table)
         self.history = streamorigins.VersionHistory()
         self.heard_at_by_name = {}
         self.versions_by_server = {}
@@ -126,6 +127,21 @@
         for host in [*self.controls, *self.entries]:
             if host.is_up:
                 host.tick()
+        for entry in self.entries:
+            if entry.is_up:
+                self.send_origins(entry)
+
+    def send_origins(self, entry):
+        """Send origins again to control hosts that have restarted."""
+        controls_by_name = {control.name: control for control in self.controls}
+        for send in entry.sender.tick(entry.live_controls(), self.now):
+            control = controls_by_name[send.to]
+            arguments = (control, send.message)
+            self.send(entry, control, self.receive_origins, *arguments)
+
+    def receive_origins(self, control, message):
+        for stream_id, origin, left_s in originexchange.from_message(message):
+            control.table.restore(stream_id, origin, left_s, self.now)
 
     def publish(self):
         """Servers send heartbeats to one control host; it tells all other hosts."""
@@ -137,6 +153,12 @@
             for host in [*self.controls, *self.entries]:
                 if host is not control:
                     self.send(control, host, self.receive_push, control, host, servers)
+            for entry in self.entries:
+                arguments = (control.name, str(control.lifetime))
+                self.send(control, entry, self.receive_request, entry, arguments)
+
+    def receive_request(self, entry, arguments):
+        entry.sender.request(*arguments)
 
     def receive_push(self, control, host, servers):
         host.heard_at_by_name[control.name] = self.now
--- a/tests/gateway/test_streamorigins.py
+++ b/tests/gateway/test_streamorigins.py
@@ -159,3 +159,33 @@
     known = table.find("r", ends_at)
     reports = [history.report(["s"], window_s, ends_at)]
     assert streamorigins.required_origin(known, "s", ["s"], reports, True) is None
+
+
+class TestRestoredOrigins:
+    """Guards against an origin that was sent again and settles what is known better."""
+
+    def test_unknown_stream_is_restored_for_the_time_left(self):
+        table = streamorigins.OriginTable(10)
+        table.restore("a", V1, 3.0, 10.0)
+        assert table.find("a", 12.9) == V1 and table.find("a", 13.0) is None
+
+    def test_other_origin_is_kept(self):
+        table = streamorigins.OriginTable(10)
+        table.record("a", V2, 5.0, 0.0)
+        table.restore("a", V1, 60.0, 1.0)
+        assert table.find("a", 4.0) == V2 and table.find("a", 5.0) is None
+
+    def test_time_is_extended_and_never_shortened(self):
+        table = streamorigins.OriginTable(10)
+        table.record("a", V1, 5.0, 0.0)
+        table.restore("a", V1, 2.0, 1.0)
+        assert table.find("a", 4.5) == V1
+        table.restore("a", V1, 8.0, 1.0)
+        assert table.find("a", 8.5) == V1
+
+    @pytest.mark.parametrize("left_s", [0.0, 1e9])
+    def test_time_is_bounded(self, left_s):
+        table = streamorigins.OriginTable(10)
+        table.restore("a", V1, left_s, 0.0)
+        assert table.find("a", streamorigins.MAX_KEPT_S) is None
+        assert (table.find("a", 0.0) == V1) == (left_s > 0.0)
--- a/tests/soak/addressblocks.py
+++ b/tests/soak/addressblocks.py
@@ -21,6 +21,7 @@
     "test_rejoinedstreams": 1,
     "test_releases": 1,
     "test_resubmission": 1,
+    "test_restartedcontrols": 1,
     "test_starts": 1,
     "test_streamresumption": 1,
 }
--- a/tests/soak/smallfleet.py
+++ b/tests/soak/smallfleet.py
@@ -28,6 +28,7 @@
     """Run three control hosts, some entry hosts and servers of one service."""
 
     server_class = fakeservers.FakeServer
+    stream_timeout_ms = 2000
 
     def __init__(self, folder, block, entry_count=2, rng=None):
         controls = [f"127.{block}.0.{number}" for number in (1, 2, 3)]
@@ -57,7 +58,14 @@
         ]
         configuration = {
             "version": 1,
-            "routes": [*routes[:2], {**routes[2], "resumable": True}],
+            "routes": [
+                *routes[:2],
+                {
+                    **routes[2],
+                    "resumable": True,
+                    "timeout_ms": self.stream_timeout_ms,
+                },
+            ],
             "services": [{"name": "talk"}],
         }
         body = soak.json.dumps(configuration).encode()
--- a/tests/soak/test_streamresumption.py
+++ b/tests/soak/test_streamresumption.py
@@ -71,7 +71,7 @@
             "Host: soak.example",
             "Content-Length: 0",
             f"Kumquatproxy-Request-Id: {self.request_id}",
-            "Kumquatproxy-Deadline-Ms: 1900",
+            f"Kumquatproxy-Deadline-Ms: {fleet.stream_timeout_ms - 100}",
         ]
         if resumed is not None:
             lines.append(f"Resumes: {resumed.request_id}")
