Pass the origins of ended entry hosts on between control hosts

Callers that took up a stream whose entry host had ended got 503 if the control hosts were restarted one after the other in between, as in an upgrade: 0 of 24 went on, whether the entry host stayed away or was back without its memory.

Origins were sent again by the entry host that began the streams only, and the keepers forgot them one by one.

A record of an origin names the start of its entry host. A control host that asks gets from the others what belongs to no running entry host, and what belongs to one that ends later, for as long as a stream can be resumed. Entry hosts that are up send theirs themselves, so that little travels.

--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -147,6 +147,7 @@
         now = clock.now()
         centres = {host_settings.host.data_centre, *host_settings.host.data_centres}
         self._session = delegations.mark_session(self._session, len(centres))
+        self._session = originexchange.mark_session(self._session)
         self._next_subscribe_at = now
         self._next_expiry_at = now
         self._next_versions_at = now
@@ -154,6 +155,7 @@
         # Origins of streams that began at entry hosts. They are kept in memory only, as
         # streams last seconds; entry hosts send them again to a host that restarts.
         self._streams = streamorigins.OriginTable(MAX_STREAMS)
+        self._origin_relay = originexchange.OriginRelay(self._streams)
         self._version_history = streamorigins.VersionHistory()
         self._facts = factexchange.ControlFacts()
         self._turn_giver = turns.TurnGiver(self._facts.table)
@@ -444,6 +446,8 @@
         if received.message.kind == fleetmessages.CONTROL:
             self._delegate_peers.record(received.sender, received.message.session)
             self._link_address_by_id[received.sender] = received.message.address
+        else:
+            self._origin_relay.record_entry(received.sender, received.message.session)
 
     def _on_renewal(self, received, now):
         sender = received.sender
@@ -564,11 +568,16 @@
     def _on_stream_begun(self, received, now):
         message = received.message
         origin = streamorigins.Origin(message.service, message.software_version)
-        self._streams.record(message.stream_id, origin, message.kept_s, now)
+        owner = self._origin_relay.owner(received.sender)
+        self._streams.record(message.stream_id, origin, message.kept_s, now, owner)
 
     def _on_stream_origins(self, received, now):
+        owner = self._origin_relay.owner(received.sender)
         for stream_id, origin, left_s in originexchange.from_message(received.message):
-            self._streams.restore(stream_id, origin, left_s, now)
+            self._streams.restore(stream_id, origin, left_s, now, owner)
+
+    def _on_origins_wanted(self, received, now):
+        self._origin_relay.request(received.sender, received.message.session, now)
 
     def _on_stream_query(self, received, now):
         query = received.message
@@ -614,6 +623,8 @@
             self._send_all(self.region.announce(sends, machine.version))
         self._publish_marks(machine, now)
         self._subscribe(now)
+        entry_ids = self.publisher.entry_ids_heard(originexchange.SILENCE_S, now)
+        self._send_all(self._origin_relay.tick(entry_ids, now))
         if now >= self._next_expiry_at:
             self._next_expiry_at = now + EXPIRE_INTERVAL_S
             self._streams.expire(now)
@@ -728,6 +739,7 @@
     fleetmessages.PartsWanted: ControlHost._on_parts_wanted,
     fleetmessages.PartsAnswer: ControlHost._on_parts_answer,
     fleetmessages.StreamBegun: ControlHost._on_stream_begun,
+    originexchange.OriginsWanted: ControlHost._on_origins_wanted,
     originexchange.StreamOrigins: ControlHost._on_stream_origins,
     fleetmessages.StreamQuery: ControlHost._on_stream_query,
     heartbeatages.HeartbeatAgesWanted: ControlHost._on_heartbeat_ages_wanted,
--- a/kumquatproxy/fleet/originexchange.py
+++ b/kumquatproxy/fleet/originexchange.py
@@ -1,7 +1,8 @@
 """Origins of streams that are sent again to control hosts that have restarted.
 
-Control hosts keep origins in memory only. One that starts asks its subscribers, and
-the entry hosts send the origins of the streams that they began, a part with each tick.
+Control hosts keep origins in memory only. One that starts asks its subscribers. Entry
+hosts send the origins of the streams that they began, and the other control hosts those
+of entry hosts that have ended, a part with each tick.
 """
 
 from kumquatproxy import entrychecks, wire
@@ -10,13 +11,16 @@
 # Part of the session of a host that sends origins again. Hosts of earlier builds only
 # compare sessions, and would close the link on the messages below.
 ORIGINS_MARK = "+origins"
+# An entry host that has been silent for longer may have ended. Each one sends a message
+# a second, and control hosts may restart a second or two after one another.
+SILENCE_S = 2.0
 # About 20 KB with ids of a common length, 70 KB with the longest ones.
 MAX_STREAMS_PER_MESSAGE = 500
 
 
 @wire.register("origins-wanted")
 class OriginsWanted(wire.Message):
-    """Ask a subscriber for the origins of the streams that it began earlier."""
+    """Ask a subscriber for the origins that it can send again."""
 
     __slots__ = ("session",)
     session: str  # of the asking host; changes at each of its starts
@@ -87,40 +91,25 @@
     )
 
 
-class OriginSender:
-    """Send the origins of a table to the control hosts that ask and are to keep them.
-
-    Each start of such a host gets them once, and again if it was not to keep them for a
-    while.
-    """
+class Outbox:
+    """Hold the ids of the streams that are due to other hosts."""
 
-    __slots__ = (
-        "_asking_session_by_id",
-        "_served_session_by_id",
-        "_table",
-        "_unsent_ids_by_host",
-    )
+    __slots__ = ("_table", "_unsent_ids_by_host")
 
     def __init__(self, table: streamorigins.OriginTable):
         self._table = table
-        self._asking_session_by_id: dict[str, str] = {}
-        self._served_session_by_id: dict[str, str] = {}
         self._unsent_ids_by_host: dict[str, list[str]] = {}
 
-    def request(self, host_id: str, session: str) -> None:
-        """Record that a control host has asked."""
-        self._asking_session_by_id[host_id] = session
+    def add(self, host_id: str, stream_ids: list[str]) -> None:
+        """Add streams that are due to a host; the last ones are sent first."""
+        self._unsent_ids_by_host.setdefault(host_id, []).extend(stream_ids)
 
-    def tick(self, keeper_ids: set[str], now: float) -> list[wire.Send]:
-        """Return the messages that are due to the hosts that are to keep origins."""
-        for host_id in self._served_session_by_id.keys() - keeper_ids:
-            del self._served_session_by_id[host_id]
-            self._unsent_ids_by_host.pop(host_id, None)
-        for host_id in keeper_ids & self._asking_session_by_id.keys():
-            session = self._asking_session_by_id[host_id]
-            if self._served_session_by_id.get(host_id) != session:
-                self._served_session_by_id[host_id] = session
-                self._unsent_ids_by_host[host_id] = self._table.ids()
+    def discard(self, host_id: str) -> None:
+        """Send nothing more to a host."""
+        self._unsent_ids_by_host.pop(host_id, None)
+
+    def next_sends(self, now: float) -> list[wire.Send]:
+        """Return the next message for each host, with streams known at present."""
         return [
             wire.Send(host_id, to_message(streams))
             for host_id in list(self._unsent_ids_by_host)
@@ -140,3 +129,99 @@
         if not unsent_ids:
             del self._unsent_ids_by_host[host_id]
         return streams
+
+
+class OriginSender:
+    """Send the origins of an entry host to the control hosts that are to keep them.
+
+    Each start of such a host gets them once, and again if it was not to keep them for a
+    while.
+    """
+
+    __slots__ = ("_asking_session_by_id", "_outbox", "_served_session_by_id", "_table")
+
+    def __init__(self, table: streamorigins.OriginTable):
+        self._table = table
+        self._outbox = Outbox(table)
+        self._asking_session_by_id: dict[str, str] = {}
+        self._served_session_by_id: dict[str, str] = {}
+
+    def request(self, host_id: str, session: str) -> None:
+        """Record that a control host has asked."""
+        self._asking_session_by_id[host_id] = session
+
+    def tick(self, keeper_ids: set[str], now: float) -> list[wire.Send]:
+        """Return the messages that are due to the hosts that are to keep origins."""
+        for host_id in self._served_session_by_id.keys() - keeper_ids:
+            del self._served_session_by_id[host_id]
+            self._outbox.discard(host_id)
+        for host_id in keeper_ids & self._asking_session_by_id.keys():
+            session = self._asking_session_by_id[host_id]
+            if self._served_session_by_id.get(host_id) != session:
+                self._served_session_by_id[host_id] = session
+                self._outbox.add(host_id, self._table.ids())
+        return self._outbox.next_sends(now)
+
+
+class OriginRelay:
+    """Pass the origins of entry hosts that have ended on to other control hosts.
+
+    Entry hosts that are up send theirs themselves.
+    """
+
+    __slots__ = (
+        "_asked_at_by_id",
+        "_live_owners",
+        "_new_ids",
+        "_outbox",
+        "_owner_by_id",
+        "_session_by_id",
+        "_table",
+    )
+
+    def __init__(self, table: streamorigins.OriginTable):
+        self._table = table
+        self._outbox = Outbox(table)
+        self._owner_by_id: dict[str, str] = {}  # starts of entry hosts
+        self._live_owners: set[str] = set()
+        self._session_by_id: dict[str, str] = {}  # of the hosts that have asked
+        self._asked_at_by_id: dict[str, float] = {}
+        self._new_ids: set[str] = set()
+
+    def record_entry(self, host_id: str, session: str) -> None:
+        """Record the session with which an entry host subscribes."""
+        # A host that has lost a push puts a number before its session.
+        self._owner_by_id[host_id] = f"{host_id} {session.rpartition('-')[2]}"
+
+    def owner(self, host_id: str) -> str:
+        """Return the start of an entry host, empty for other hosts."""
+        return self._owner_by_id.get(host_id, "")
+
+    def request(self, host_id: str, session: str, now: float) -> None:
+        """Record that a control host has asked, once for each of its starts."""
+        if self._session_by_id.get(host_id) != session:
+            self._session_by_id[host_id] = session
+            self._asked_at_by_id[host_id] = now
+            self._new_ids.add(host_id)
+
+    def tick(self, entry_ids: set[str], now: float) -> list[wire.Send]:
+        """Return the messages that are due while these entry hosts are up."""
+        live_owners = {self.owner(host_id) for host_id in entry_ids}
+        ended = self._live_owners - live_owners
+        self._live_owners = live_owners
+        # A host that has been up for longer lacks no stream that can be resumed.
+        self._asked_at_by_id = {
+            host_id: asked_at
+            for host_id, asked_at in self._asked_at_by_id.items()
+            if now - asked_at < streamorigins.MAX_KEPT_S
+        }
+        if ended and self._asked_at_by_id.keys() - self._new_ids:
+            stream_ids = self._table.ids_of(ended)
+            for host_id in self._asked_at_by_id.keys() - self._new_ids:
+                self._outbox.add(host_id, stream_ids)
+        if self._new_ids:
+            stream_ids = self._table.ids_except(live_owners)
+            for host_id in self._new_ids:
+                self._outbox.add(host_id, stream_ids)
+            self._new_ids.clear()
+        return self._outbox.next_sends(now)
--- a/kumquatproxy/fleet/publishing.py
+++ b/kumquatproxy/fleet/publishing.py
@@ -263,6 +263,15 @@
             if self.subscribers_by_id[name].kind == fleetmessages.ENTRY
         ]
 
+    def entry_ids_heard(self, within_s: float, now: float) -> set[str]:
+        """Return the ids of the entry hosts heard from within some seconds."""
+        return {
+            name
+            for name, subscriber in self.subscribers_by_id.items()
+            if subscriber.kind == fleetmessages.ENTRY
+            and now - subscriber.heard_at < within_s
+        }
+
     def tick(self, hosts, voters, leader: str, now: float) -> list[wire.Send]:
         """Return the messages that are due."""
         self._full_pushes = None
--- a/kumquatproxy/gateway/streamorigins.py
+++ b/kumquatproxy/gateway/streamorigins.py
@@ -18,6 +18,7 @@
 MAX_SHARED_ORIGINS = 1000
 # A host without a majority of control hosts for longer may have missed a new version.
 MAX_CONTACT_GAP_S = 2.0
+_UNKNOWN = (None, 0.0, "")
 
 
 def resumable_s(timeout_s: float) -> float:
@@ -50,14 +51,22 @@
 
     def __init__(self, limit: int):
         self._limit = limit
-        self._entries_by_id: dict[str, tuple[Origin, float]] = {}
+        # Origin, end of the time, and who sends the origin again while it is up.
+        self._entries_by_id: dict[str, tuple[Origin, float, str]] = {}
         # Streams of the same service and version refer to one record, to save memory.
         self._shared_origins: dict[Origin, Origin] = {}
 
     def __len__(self):
         return len(self._entries_by_id)
 
-    def record(self, stream_id: str, origin: Origin, kept_s: float, now: float) -> None:
+    def record(
+        self,
+        stream_id: str,
+        origin: Origin,
+        kept_s: float,
+        now: float,
+        owner: str = "",
+    ) -> None:
         """Remember the origin of a stream for ``kept_s``."""
         if not 0 < len(stream_id) <= MAX_ID_LENGTH:
             return
@@ -67,10 +76,16 @@
         if len(self._shared_origins) >= MAX_SHARED_ORIGINS:
             self._shared_origins.clear()
         origin = self._shared_origins.setdefault(origin, origin)
-        self._entries_by_id[stream_id] = (origin, now + min(kept_s, MAX_KEPT_S))
+        expires_at = now + min(kept_s, MAX_KEPT_S)
+        self._entries_by_id[stream_id] = (origin, expires_at, owner)
 
     def restore(
-        self, stream_id: str, origin: Origin, left_s: float, now: float
+        self,
+        stream_id: str,
+        origin: Origin,
+        left_s: float,
+        now: float,
+        owner: str = "",
     ) -> None:
         """Remember an origin that another host has sent again.
 
@@ -81,27 +96,37 @@
             known == origin and left_s > self.time_left_s(stream_id, now)
         )
         if is_newer and left_s > 0.0:
-            self.record(stream_id, origin, left_s, now)
+            self.record(stream_id, origin, left_s, now, owner)
 
     def find(self, stream_id: str, now: float) -> Origin | None:
         """Return the origin of a stream, or None if it is unknown."""
-        origin, expires_at = self._entries_by_id.get(stream_id, (None, 0.0))
+        origin, expires_at, _ = self._entries_by_id.get(stream_id, _UNKNOWN)
         return origin if now < expires_at else None
 
     def time_left_s(self, stream_id: str, now: float) -> float:
         """Return how long a stream is still remembered, in seconds."""
-        _, expires_at = self._entries_by_id.get(stream_id, (None, 0.0))
+        _, expires_at, _ = self._entries_by_id.get(stream_id, _UNKNOWN)
         return max(0.0, expires_at - now)
 
     def ids(self) -> list[str]:
         """Return the ids of the streams, the oldest first."""
         return list(self._entries_by_id)
 
+    def ids_of(self, owners: set[str]) -> list[str]:
+        """Return the ids of the streams with one of these owners, the oldest first."""
+        entries = self._entries_by_id.items()
+        return [stream_id for stream_id, entry in entries if entry[2] in owners]
+
+    def ids_except(self, owners: set[str]) -> list[str]:
+        """Return the ids of the streams with other owners, the oldest first."""
+        entries = self._entries_by_id.items()
+        return [stream_id for stream_id, entry in entries if entry[2] not in owners]
+
     def expire(self, now: float) -> None:
         """Remove the streams that can no longer be resumed."""
         expired_ids = [
             stream_id
-            for stream_id, (_, expires_at) in self._entries_by_id.items()
+            for stream_id, (_, expires_at, _) in self._entries_by_id.items()
             if now >= expires_at
         ]
         for stream_id in expired_ids:
--- a/tests/fleet/test_modelwants.py
+++ b/tests/fleet/test_modelwants.py
@@ -164,6 +164,7 @@
         _send_all=lambda sends: None,
         region=types.SimpleNamespace(greet=lambda host_id, session: None),
         _facts=types.SimpleNamespace(greet=lambda host_id, now: []),
+        _origin_relay=types.SimpleNamespace(record_entry=lambda host_id, name: None),
         send_message=lambda host_id, message: sent.append((host_id, message)),
     )
     session = "ab" + fleetmessages.FACTS_SUFFIX
--- a/tests/fleet/test_originexchange.py
+++ b/tests/fleet/test_originexchange.py
@@ -104,3 +104,56 @@
     assert originexchange.from_message(message) == []
     message = originexchange.StreamOrigins(origins=[["s", "v1"]], streams=value)
     assert originexchange.from_message(message) == []
+
+
+class TestOriginRelay:
+    """Origins of entry hosts that have ended are passed on to restarted hosts."""
+
+    @pytest.fixture
+    def table(self):
+        return streamorigins.OriginTable(1000)
+
+    @pytest.fixture
+    def relay(self, table):
+        relay = originexchange.OriginRelay(table)
+        relay.record_entry("e1", "s1")
+        relay.record_entry("e2", "s2")
+        table.record("a", V1, 30.0, 0.0, relay.owner("e1"))
+        table.record("b", V2, 30.0, 0.0, relay.owner("e2"))
+        relay.tick({"e1", "e2"}, 0.5)
+        return relay
+
+    def test_entry_hosts_that_are_up_send_their_own(self, relay):
+        relay.request("c1", "x", 1.0)
+        assert relay.tick({"e1", "e2"}, 1.0) == []
+
+    def test_a_host_that_asks_gets_those_of_ended_hosts(self, relay):
+        relay.request("c1", "x", 1.0)
+        assert streams_to(relay.tick({"e2"}, 1.0), "c1") == [("a", V1, 29.0)]
+        assert relay.tick({"e2"}, 1.1) == []
+
+    def test_a_host_that_asked_before_gets_those_of_hosts_that_end_later(self, relay):
+        """Guards against an entry host whose end is noticed after the request."""
+        relay.request("c1", "x", 1.0)
+        relay.tick({"e1", "e2"}, 1.0)
+        assert streams_to(relay.tick({"e1"}, 3.0), "c1") == [("b", V2, 27.0)]
+        assert relay.tick(set(), streamorigins.MAX_KEPT_S + 2.0) == []
+
+    def test_a_restarted_entry_host_has_forgotten_its_streams(self, relay):
+        """Guards against trust in a host that is up under the same address again."""
+        relay.request("c1", "x", 1.0)
+        relay.tick({"e1", "e2"}, 1.0)
+        relay.record_entry("e1", "1-s1")  # asks anew, without a restart
+        assert relay.tick({"e1", "e2"}, 1.5) == []
+        relay.record_entry("e1", "s3")
+        assert streams_to(relay.tick({"e1", "e2"}, 2.0), "c1") == [("a", V1, 28.0)]
+
+    def test_what_was_passed_on_is_passed_on_again(self, relay, table):
+        """Guards against streams that are lost with the host that passed them on."""
+        table.restore("p", V1, 20.0, 1.0, relay.owner("c2"))
+        relay.request("c1", "x", 2.0)
+        assert streams_to(relay.tick({"e1", "e2"}, 2.0), "c1") == [("p", V1, 19.0)]
+        relay.request("c1", "x", 3.0)
+        assert relay.tick({"e1", "e2"}, 3.0) == []
+        relay.request("c1", "y", 4.0)
+        assert streams_to(relay.tick({"e1", "e2"}, 4.0), "c1") == [("p", V1, 17.0)]
--- a/tests/fleet/test_streamschedules.py
+++ b/tests/fleet/test_streamschedules.py
@@ -38,6 +38,8 @@
         self.lifetime += 1
         self.table = streamorigins.OriginTable(1000)
         self.sender = originexchange.OriginSender(self.table)
+        self.relay = originexchange.OriginRelay(self.table)
+        self.heard_at_by_entry = {}
         self.history = streamorigins.VersionHistory()
         self.heard_at_by_name = {}
         self.versions_by_server = {}
@@ -128,20 +130,39 @@
             if host.is_up:
                 host.tick()
         for entry in self.entries:
-            if entry.is_up:
-                self.send_origins(entry)
+            for control in self.controls:
+                if entry.is_up:
+                    arguments = (control, entry.name, str(entry.lifetime))
+                    self.send(entry, control, self.receive_subscription, *arguments)
+        for host in [*self.controls, *self.entries]:
+            if host.is_up:
+                self.send_origins(host)
+
+    def receive_subscription(self, control, name, session):
+        control.relay.record_entry(name, session)
+        control.heard_at_by_entry[name] = self.now
 
-    def send_origins(self, entry):
+    def send_origins(self, host):
         """Send origins again to control hosts that have restarted."""
         controls_by_name = {control.name: control for control in self.controls}
-        for send in entry.sender.tick(entry.live_controls(), self.now):
+        if host in self.controls:
+            live_entries = {
+                name
+                for name, heard_at in host.heard_at_by_entry.items()
+                if self.now - heard_at < originexchange.SILENCE_S
+            }
+            sends = host.relay.tick(live_entries, self.now)
+        else:
+            sends = host.sender.tick(host.live_controls(), self.now)
+        for send in sends:
             control = controls_by_name[send.to]
-            arguments = (control, send.message)
-            self.send(entry, control, self.receive_origins, *arguments)
+            arguments = (control, host, send.message)
+            self.send(host, control, self.receive_origins, *arguments)
 
-    def receive_origins(self, control, message):
+    def receive_origins(self, control, host, message):
+        owner = control.relay.owner(host.name)
         for stream_id, origin, left_s in originexchange.from_message(message):
-            control.table.restore(stream_id, origin, left_s, self.now)
+            control.table.restore(stream_id, origin, left_s, self.now, owner)
 
     def publish(self):
         """Servers send heartbeats to one control host; it tells all other hosts."""
@@ -153,12 +174,14 @@
             for host in [*self.controls, *self.entries]:
                 if host is not control:
                     self.send(control, host, self.receive_push, control, host, servers)
-            for entry in self.entries:
-                arguments = (control.name, str(control.lifetime))
-                self.send(control, entry, self.receive_request, entry, arguments)
+                    arguments = (host, control.name, str(control.lifetime))
+                    self.send(control, host, self.receive_request, *arguments)
 
-    def receive_request(self, entry, arguments):
-        entry.sender.request(*arguments)
+    def receive_request(self, host, name, session):
+        if host in self.controls:
+            host.relay.request(name, session, self.now)
+        else:
+            host.sender.request(name, session)
 
     def receive_push(self, control, host, servers):
         host.heard_at_by_name[control.name] = self.now
@@ -221,11 +244,12 @@
         self.rng.shuffle(live)
         for control in self.controls:
             if control.name in live[: streamrecords.RECORD_HOST_COUNT]:
-                arguments = (control, stream_id, origin, kept_s)
+                arguments = (control, entry, stream_id, origin, kept_s)
                 self.send(entry, control, self.receive_record, *arguments)
 
-    def receive_record(self, control, stream_id, origin, kept_s):
-        control.table.record(stream_id, origin, kept_s, self.now)
+    def receive_record(self, control, entry, stream_id, origin, kept_s):
+        owner = control.relay.owner(entry.name)
+        control.table.record(stream_id, origin, kept_s, self.now, owner)
 
     def interrupt(self, entry, stream_id, versions, left):
         if left == 0:
--- a/tests/soak/test_restartedcontrols.py
+++ b/tests/soak/test_restartedcontrols.py
@@ -114,6 +114,35 @@
     return streams
 
 
+def kill_entry(entry):
+    entry.terminate(signal.SIGKILL)
+
+
+def restart_entry(entry):
+    """Kill an entry host that knows nothing of its streams when it is back."""
+    entry.terminate(signal.SIGKILL)
+    entry.start()
+
+
+@pytest.mark.parametrize("end_entry", [kill_entry, restart_entry])
+def test_streams_go_on_elsewhere_if_their_entry_host_ends_before_an_upgrade(
+    fleet, end_entry
+):
+    """Guards against origins that only ended hosts could send again."""
+    first, other = fleet.entries
+    begun = begin(fleet, first, [None] * STREAMS)
+    end_entry(first)
+    upgrade(fleet)
+    gevent.sleep(STABILITY_WINDOW_S)
+    taken_up = begin(fleet, other, begun)
+    first.start()
+    fleet.wait_for_entry(first)
+    mixed, _ = test_streamresumption.mixed_and_finished(begun, taken_up)
+    assert mixed == 0
+    continued = sum(bool(stream.versions) for stream in taken_up)
+    assert continued > LEAST_SHARE * STREAMS
+
+
 @pytest.mark.parametrize(
     "restart", [upgrade, restart_together, restart_together_twice, kill_in_turn]
 )
