Reject answers with a status that HTTP does not have

Callers got 600, 700 and 999 of a server as its answer, with its body and checksum, also for calls that had a second attempt left; 000 to 099 became 502 before. The command line took 000 to 099 as success.

Cause: h11 accepts any status of three digits from 200 on, and nothing checked the range. Reports and orders of engines were sound.

framing.check_head now rejects such a status line on every connection to a server or another host, so that it is handled as bytes that are no response.

--- a/kumquatproxy/adminclient.py
+++ b/kumquatproxy/adminclient.py
@@ -57,10 +57,18 @@
         try:
             response = client.request(method, f"/admin/v1/{path}", data, headers)
             answer = json.loads(response.read())
-        except (OSError, ValueError) as error:
+        except (
+            OSError,
+            ValueError,
+            geventhttpclient.response.HTTPParseError,
+        ) as error:
             raise UnreachableError(f"{self._address}: {error}") from None
         finally:
             client.close()
+        if not 100 <= response.status_code < 600:
+            raise UnreachableError(
+                f"{self._address} answered with status {response.status_code}"
+            )
         if response.status_code >= 400:
             raise AdminError(response.status_code, answer)
         return answer
--- a/kumquatproxy/gateway/framing.py
+++ b/kumquatproxy/gateway/framing.py
@@ -39,6 +39,8 @@
 _REQUEST_LINE = re.compile(
     rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]{1,32} [\x21-\x7e\x80-\xff]+ HTTP/1\.[01]"
 )
+# HTTP has no statuses outside of 100 to 599.
+_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [1-5][0-9]{2}( .*)?")
 
 
 def find_head_end(data: bytes | bytearray) -> int:
@@ -54,6 +56,8 @@
         raise _invalid_request("a line of the head contains CR, LF or NUL")
     if is_request and not _REQUEST_LINE.fullmatch(lines[0]):
         raise _invalid_request("the request line is malformed")
+    if not is_request and not _STATUS_LINE.fullmatch(lines[0]):
+        raise _invalid_request("the status line is malformed or has no status of HTTP")
     values_by_name: dict[bytes, list[bytes]] = {}
     for line in lines[1:]:
         name, colon, value = line.partition(b":")
