Refuse forwarded calls of hosts with a newer configuration

A caller of an entry host without a path to servers could be served as the configuration before says, after the host had shown the newer one: a route that had moved ran at its former service.

Cause: such a host forwards calls to hosts that reach the servers. The call named its service only, and the other host, which may be cut off from the control hosts, looked up the route in its own configuration and drew one of its targets if the named service was none of them.

A forwarded call names the version of the sender. A host with an older one refuses it as not ready, before anything has run, and the sender asks the next one.

Cost: 30 bytes a forwarded call. Hosts of the landing before name no version and are served as before; as receivers they pass the header on to the server.

--- a/kumquatproxy/gateway/forwarding.py
+++ b/kumquatproxy/gateway/forwarding.py
@@ -31,7 +31,8 @@
 SERVICE = b"x-kumquatproxy-service"
 STREAM = b"x-kumquatproxy-stream"
 TEAM = b"x-kumquatproxy-team"  # only of a call that has one
-HEADERS = frozenset((KEY, CALLER, SERVICE, STREAM, TEAM))
+VERSION = b"x-kumquatproxy-version"  # of the sender's configuration
+HEADERS = frozenset((KEY, CALLER, SERVICE, STREAM, TEAM, VERSION))
 
 # Refusals after which another host may take the call.
 LOCAL_REFUSALS = frozenset(
@@ -77,12 +78,15 @@
     return rank * host_count < FORWARDERS_PER_HOST
 
 
-def headers(call: calls.Call, key_token: bytes) -> list[tuple[bytes, bytes]]:
+def headers(
+    call: calls.Call, key_token: bytes, version: int
+) -> list[tuple[bytes, bytes]]:
     """Return the headers that a forwarded call has in addition."""
     added = [
         (KEY, key_token),
         (CALLER, call.caller.encode()),
         (SERVICE, call.service.encode()),
+        (VERSION, b"%d" % version),
     ]
     if call.route.mode is calls.Mode.STREAM:
         added.append((STREAM, call.stream_id.encode("latin-1")))
@@ -96,15 +100,25 @@
     return [(name, value) for name, value in headers if name not in HEADERS]
 
 
-def read_headers(call: calls.Call, key_token: bytes) -> None:
+def read_headers(call: calls.Call, key_token: bytes, version: int) -> None:
     """Set the fields of a forwarded call and remove the headers that hosts add.
 
-    Raise ProxyError if the sender does not know the key.
+    Raise ProxyError if the sender does not know the key, or has a configuration above
+    ``version``: the call would be handled as an older one says.
     """
     if not hmac.compare_digest(framing.header(call.headers, KEY), key_token):
         raise errors.ProxyError(
             errors.ErrorKind.UNAUTHENTICATED, "the sender is no host of this fleet"
         )
+    # Hosts of earlier builds name no version.
+    sender_version = framing.header(call.headers, VERSION).decode("latin-1")
+    if (framing.number(sender_version) or 0) > version:
+        raise errors.ProxyError(
+            errors.ErrorKind.NOT_READY,
+            f"this host has version {version} of the configuration, the sender of the "
+            f"call has version {sender_version}",
+            retry_after_s=RETRY_AFTER_S,
+        )
     call.forwarded_service = framing.header(call.headers, SERVICE).decode()
     call.caller = framing.header(call.headers, CALLER).decode()
     stream_id = framing.header(call.headers, STREAM).decode("latin-1")
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -132,7 +132,8 @@
     def _prepare(self, call):
         self._host.dialect.read_call(call)
         if call.forwarded_service is not None:
-            forwarding.read_headers(call, self._host.peer_token)
+            token, version = self._host.peer_token, self._host.version()
+            forwarding.read_headers(call, token, version)
         configuration = self._host.configuration
         if configuration is None:
             raise errors.ProxyError(
@@ -553,7 +554,7 @@
             return [
                 # A caller must not speak for a host.
                 *forwarding.without_headers(relayed),
-                *forwarding.headers(call, self._host.peer_token),
+                *forwarding.headers(call, self._host.peer_token, self._host.version()),
             ]
         return dialect.forwarded_headers(
             call,
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -1,6 +1,7 @@
 """Calls of a host that reaches no server, forwarded to one that does."""
 
 import contextlib
+import copy
 
 import pytest
 import rawservers
@@ -272,3 +273,60 @@
             closing.close()
     assert len(other.heads) == 1
     assert data.count(b"data: piece") == 3 and data.endswith(b"0\r\n\r\n")
+
+
+class TestVersions:
+    """Guards against calls that another host handles as an older configuration says."""
+
+    @pytest.fixture
+    def hosts(self, monkeypatch):
+        answer = test_relay.make_response(b"done")
+        with running_hosts([answer] * 3, [answer] * 3) as (cut, sound, backends):
+            # The routes moved to "s" in the version that the other host does not have.
+            older = servers.Announcement(
+                "i-9", "before", backends[1].address, "a", 1, 1, 4
+            )
+            sound.host.table.apply_announcement(older, 0.0)
+            monkeypatch.setattr(cut.host, "version", lambda: 2)
+            yield cut, sound, backends
+
+    def move_back(self, host):
+        """Let a host have the routes of the version before."""
+        targets = [serviceconfig.Target("before", 1)]
+        routes = copy.deepcopy(host.host.configuration.routes)
+        for route in routes:
+            route.targets = targets
+        host.host.configuration = serviceconfig.Configuration(
+            1, routes, [serviceconfig.Service("s"), serviceconfig.Service("before")]
+        )
+        host.host.pick_service = lambda route: "before"
+
+    @pytest.mark.parametrize("path", [b"safe", b"once"])
+    def test_host_with_an_older_version_refuses(self, hosts, path):
+        cut, sound, backends = hosts
+        self.move_back(sound)
+        data = send(cut, path)
+        assert [backend.heads for backend in backends] == [[], []]
+        assert data.startswith(b"HTTP/1.1 503") and b'"executed":"no"' in data
+
+    @pytest.mark.parametrize("path", [b"safe", b"once"])
+    def test_host_with_the_same_version_takes_the_call_instead(self, hosts, path):
+        cut, sound, backends = hosts
+        self.move_back(sound)
+        current = Host(backends[0].address)
+        current.host.version = lambda: 2
+        try:
+            cut.use(sound.peer_address, current.peer_address)
+            data = send(cut, path)
+        finally:
+            current.close()
+        assert data.endswith(b"done") and len(backends[0].heads) == 1
+        assert forwarding.VERSION not in backends[0].heads[0].lower()
+
+    @pytest.mark.parametrize("version", [None, 1, 0])
+    def test_host_with_the_same_or_a_newer_version_serves(self, hosts, version):
+        """Hosts of earlier builds name no version."""
+        cut, sound, _ = hosts
+        sound.host.version = lambda: 1
+        cut.host.version = lambda: version or 0
+        assert send(cut, b"once").endswith(b"done")
