Suspect calls whose callers left before their server crashed

Sound streams at these servers broke off each time.

Cause: only attempts that were seen to break off were suspects of a crash. When the caller leaves, the host closes the connection itself, and the call was forgotten at that moment.

A host remembers calls that it has left at a server for 5 s. If the server crashes within that time they are suspects with the least weight, so that six crashes blame one, an answer clears it, and calls that broke off keep their precedence.

--- a/kumquatproxy/gateway/crashes.py
+++ b/kumquatproxy/gateway/crashes.py
@@ -6,6 +6,7 @@
     calls,
     crashingcalls,
     crashingparts,
+    departures,
     sharedfacts,
     suspicion,
 )
@@ -62,6 +63,7 @@
         self.calls = crashingcalls.CallJudge(host_id, table, publish)
         self._log = logs.Log("crash")
         self._pending_by_lifetime: dict[tuple, PendingCrash] = {}
+        self._departures = departures.DepartureTable()
 
     @property
     def _judges(self) -> tuple[suspicion.Judge, ...]:
@@ -118,9 +120,24 @@
             )
         return bool(suspected_parts)
 
+    def record_departure(
+        self, call: calls.Call, announcement, sent_at: float, now: float
+    ) -> None:
+        """Record that a call was left while a server was running it."""
+        if announcement.state is not servers.ServerState.READY:
+            return
+        keys = self.calls.suspected_features(call, now)
+        if keys:
+            self._departures.record(announcement, sent_at, keys, now)
+
     def confirm_crash(self, lifetime: tuple, now: float) -> None:
         """Publish the suspects at a server that has crashed."""
         pending = self._pending_by_lifetime.pop(lifetime, None)
+        broken_at = now if pending is None else pending.broken_at
+        departed = self._departures.take(lifetime, broken_at)
+        if departed is not None:
+            pending = pending or PendingCrash(departed.announcement, now)
+            self._add_departed(pending, departed)
         if pending is None:
             return
         instance_id, born_ms = lifetime
@@ -141,6 +158,14 @@
                 facts.append(judge.publish_crash(key, suspects, now))
         self.handle_facts(facts, now)
 
+    def _add_departed(self, pending, departed):
+        """Add the calls that were left, as suspects as weak as those that ran long."""
+        for _, sent_at, keys in departed.entries:
+            pending.sent_at = max(pending.sent_at, sent_at)
+            pending.suspected_calls = self.calls.add_suspect(
+                pending.suspected_calls, crashingcalls.LONG_RUNNING, keys
+            )
+
     def _crash_key(self, pending, now):
         """Return the key of a crash, the same at all hosts that see it."""
         key = lifetime_key = f"{pending.instance_id}/{pending.born_ms}"
@@ -153,9 +178,16 @@
 
     def confirm_ended(self, announcement, now: float) -> None:
         """Confirm the crash of earlier lifetimes of a server that announces itself."""
-        for lifetime, pending in list(self._pending_by_lifetime.items()):
-            if pending.is_ended_by(announcement):
-                self.confirm_crash(lifetime, now)
+        ended = {
+            lifetime
+            for lifetime, pending in self._pending_by_lifetime.items()
+            if pending.is_ended_by(announcement)
+        }
+        departed = self._departures.find_ended(announcement)
+        if departed is not None:
+            ended.add(departed)
+        for lifetime in ended:
+            self.confirm_crash(lifetime, now)
 
     def _expire_pending(self, now):
         for lifetime, pending in list(self._pending_by_lifetime.items()):
--- a/kumquatproxy/gateway/crashrecorder.py
+++ b/kumquatproxy/gateway/crashrecorder.py
@@ -41,6 +41,13 @@
             call, attempt.announcement, has_begun, now, ran_s, attempt.sent_at
         )
 
+    def record_departure(self, call: calls.Call, attempt) -> None:
+        """Record that an attempt is given up while its server may be running it."""
+        if attempt.sent_at and not (attempt.is_response_read or attempt.is_forwarded):
+            self._host.crashes.record_departure(
+                call, attempt.announcement, attempt.sent_at, clock.now()
+            )
+
     def has_crashed_server(self, call: calls.Call, attempt) -> bool:
         """Return whether a call has probably crashed a server, and record a crash.
 
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -456,6 +456,10 @@
             if not progress.has_body_begun:
                 view = server_selector.view(attempt.announcement)
                 view.health.record_failure(clock.now(), False)
+            self._crashes.record_departure(call, attempt)
+            raise
+        except calls.ResponseAbortedError:
+            self._crashes.record_departure(call, attempt)
             raise
         finally:
             if not is_silent:
@@ -491,6 +495,8 @@
         fallback.link.receive_available()
         if fallback.link.has_ended and not fallback.is_forwarded:
             self._crashes.record_break(call, fallback)
+        elif not fallback.link.has_ended:
+            self._crashes.record_departure(call, fallback)
         self._end_attempt(fallback)
 
     def _connect(self, call, attempt):
