Make room for new callers when many connections are idle

Cause: the pool of connections was full, so nothing was accepted until one ended, and idle ones keep their places for up to 15 s. Evidence: the host holds about 2,000 descriptors and 65 MB, and serves the first 2,000; with 200 kept connections the same new callers are all served.

Beyond 95% of the limit the host closes the connections that have been idle for longest until 90% are open, never one with a call in flight or a request that was not read. With nothing to close it is not ready.

--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -278,6 +278,9 @@
             **super().gauges(),
             **self.load_policy.gauges(),
             "calls.in_flight": self._in_flight_count(),
+            "connections.open": sum(
+                server.open_count for server in self._caller_servers()
+            ),
             "responses.late": self.relay.late_responses,
             "services.cut_off": len(self.paths.cut_services()),
             "calls.waiting": len(self._waiting_calls),
@@ -989,7 +992,7 @@
 
     def is_ready(self) -> bool:
         """Return whether the load balancer may send callers here."""
-        if self.configuration is None or self.is_stopping:
+        if self.configuration is None or self.is_stopping or self._callers.is_full:
             return False
         return not self.paths.is_useless(clock.now())
 
--- a/kumquatproxy/fleet/meters.py
+++ b/kumquatproxy/fleet/meters.py
@@ -16,6 +16,7 @@
 # are those above the rate limit and those that stdout did not accept in time.
 GAUGES = {
     "calls.in_flight": ("{call}", "Calls of callers that are being served"),
+    "connections.open": ("{connection}", "Open connections of callers and hosts"),
     "calls.waiting": ("{call}", "Calls that wait for a backend server"),
     "responses.late": ("{response}", "Responses to earlier calls that were discarded"),
     "memory.held": ("By", "Bytes of messages in transit that this host holds"),
--- a/kumquatproxy/gateway/callers.py
+++ b/kumquatproxy/gateway/callers.py
@@ -1,6 +1,12 @@
 """HTTP/1.1 server for callers: strict parsing of requests, writing of responses."""
 
+import array
+import contextlib
+import fcntl
+import heapq
+import select
 import socket
+import termios
 from collections.abc import Callable
 
 import gevent
@@ -13,6 +19,12 @@
 from kumquatproxy.gateway import calls, framing
 
 MAX_CONNECTIONS = 2000
+# Beyond this share of the connections, idle ones are closed so that others find room.
+CROWDED_SHARE = 0.95
+ROOMY_SHARE = 0.9
+# Callers that have just connected or been answered often send a request at once.
+MIN_IDLE_S = 1.0
+MAKE_ROOM_INTERVAL_S = 0.1
 # Timeout for the next bytes of a request body.
 BODY_IDLE_S = 5.0
 # Timeout of a write without progress; the deadline of the call limits the whole one.
@@ -48,6 +60,7 @@
         "_parser",
         "_sock",
         "_watcher",
+        "idle_since",
         "ignores_new_data",
         "is_closing",
     )
@@ -66,6 +79,7 @@
         self._is_head_request = False
         self._is_idle = False  # waits for the first bytes of a request
         self._is_reading = False  # waits for a request, or for the rest of one
+        self.idle_since: float | None = None  # None while it is not idle
         self.ignores_new_data = False  # serve only what was received before
         self.is_closing = False  # close after the current response
 
@@ -117,10 +131,12 @@
     def _read_head(self, limits):
         if not self._buffer:
             self._is_idle = True
+            self.idle_since = clock.now()
             try:
                 size = self._receive(limits.idle_timeout_s)
             finally:
                 self._is_idle = False
+                self.idle_since = None
             self._hold(size)
         with gevent.Timeout(limits.head_timeout_s, _client_timeout("head")):
             while True:
@@ -173,6 +189,23 @@
         if self._is_idle:
             self._greenlet.throw(ConnectionClosed)
 
+    def close_if_unused(self) -> None:
+        """Close the connection if it waits for a request and none has arrived.
+
+        This runs as a callback of the event loop.
+        """
+        unread = array.array("i", [0])
+        with contextlib.suppress(OSError):
+            fcntl.ioctl(self._sock.fileno(), termios.FIONREAD, unread)
+        if not unread[0]:
+            self.close_if_idle()
+
+    def has_caller_left(self) -> bool:
+        """Return whether the caller has closed its side, without a wait."""
+        poll = select.poll()
+        poll.register(self._sock.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def ignore_new_data(self) -> None:
         """Keep what has been received, and discard all data from now on."""
         self.ignores_new_data = True
@@ -418,11 +451,13 @@
         self._is_keep_alive_disabled = False
         self._is_closed = False
         self._is_ending = False  # serves no further request
+        self._limit = MAX_CONNECTIONS
+        self._room_maker: gevent.Greenlet | None = None
         self._server = gevent.server.StreamServer(
             (host, int(port)),
             self._handle,
             backlog=BACKLOG,
-            spawn=gevent.pool.Pool(MAX_CONNECTIONS),
+            spawn=gevent.pool.Pool(self._limit),
         )
 
     @property
@@ -445,6 +480,38 @@
         """Return the number of open connections, including idle ones."""
         return len(self._is_serving_by_connection)
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether no connection is accepted until another one ends."""
+        return self.open_count >= self._limit
+
+    def _make_room(self):
+        """Close the connections that have been idle for longest, while many are open.
+
+        This goes on without new connections, which are not accepted at the limit.
+        """
+        while self.open_count > CROWDED_SHARE * self._limit and not self._is_closed:
+            now = clock.now()
+            idle = [
+                (connection.idle_since, number, connection)
+                for number, connection in enumerate(self._is_serving_by_connection)
+                if connection.idle_since is not None
+                and now - connection.idle_since >= MIN_IDLE_S
+            ]
+            surplus = self.open_count - int(ROOMY_SHARE * self._limit)
+            loop = gevent.get_hub().loop
+            for _, _, connection in heapq.nsmallest(surplus, idle):
+                loop.run_callback(connection.close_if_unused)
+            self._log.write_limited(
+                now,
+                "crowded",
+                f"closing idle connections, as {self.open_count} of {self._limit} "
+                "are open",
+                idle=len(idle),
+            )
+            gevent.sleep(MAKE_ROOM_INTERVAL_S)
+        self._room_maker = None
+
     def disable_keep_alive(self) -> None:
         """Close each connection after the response to the next request read from it."""
         self._is_keep_alive_disabled = True
@@ -490,6 +557,9 @@
         """Read a request and serve it; it is not kept while the connection is idle."""
         try:
             call = connection.read_call(self._limits())
+            # Callers give up while their connection waits to be accepted.
+            if self._room_maker is not None and connection.has_caller_left():
+                raise ConnectionClosed
             if self._is_ending:
                 raise _stopping_error()
         except errors.ProxyError as error:
@@ -511,6 +581,9 @@
     def _handle(self, sock, address):
         connection = CallerConnection(sock, address[0], self._budget)
         self._is_serving_by_connection[connection] = False
+        is_crowded = self.open_count > CROWDED_SHARE * self._limit
+        if is_crowded and self._room_maker is None:
+            self._room_maker = gevent.spawn(self._make_room)
         try:
             self._serve_requests(connection)
         except (
