Keep the evidence on crashes on the disks of control hosts

Cause: what hosts know of crashes was kept in memory only. A host that restarts is told by the others; nobody is left when all end.

A control host writes the facts of the kinds that are evidence on crashes to a file, in a thread and at most once a second, when they have changed, and adds what has not ended at its start. The greeting tells its subscribers, as before. A damaged file is ignored, and a disk that refuses is tried again.

--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -1,6 +1,7 @@
 """Control host: a member of the control group that publishes the fleet's state."""
 
 import secrets
+import time
 import zlib
 
 import gevent
@@ -19,6 +20,7 @@
     controlapis,
     delegations,
     factexchange,
+    factstore,
     fleethost,
     fleetmessages,
     fleetsettings,
@@ -157,7 +159,10 @@
         self._streams = streamorigins.OriginTable(MAX_STREAMS)
         self._origin_relay = originexchange.OriginRelay(self._streams)
         self._version_history = streamorigins.VersionHistory()
+        self._folder = datafolder.DataFolder(host_settings.host.data_folder)
         self._facts = factexchange.ControlFacts()
+        self._fact_store = factstore.FactStore(self._folder)
+        self._fact_store.load(self._facts.table, now, time.time())
         self._turn_giver = turns.TurnGiver(self._facts.table)
         self._allotment_giver = allotments.AllotmentGiver(
             host_settings.bounds, len(centres)
@@ -201,8 +206,7 @@
         )
 
     def _open_member(self, now):
-        folder = datafolder.DataFolder(self.settings.host.data_folder)
-        store = open_store_or_rejoin(self.settings, folder, self._host_log)
+        store = open_store_or_rejoin(self.settings, self._folder, self._host_log)
         group = groupsettings.GroupSettings(
             GROUP,
             store.identity,
@@ -490,7 +494,9 @@
         self.publisher.merge(received.message, now, relays)
 
     def _on_facts(self, received, now):
-        self.leaving.handle_facts(self._facts.receive(received.message, now), now)
+        facts = self._facts.receive(received.message, now)
+        self._fact_store.record(self._facts.table, facts)
+        self.leaving.handle_facts(facts, now)
 
     def _mark_leaving(self, instance_id, born_ms, now):
         """Mark a server that has said in an answer that it leaves."""
@@ -648,6 +654,7 @@
         self._send_all(self.region.condense(sends, self._is_current(now), now))
         self.region.tick(leader, now)
         self._send_all(self._facts.tick(self.publisher.fact_subscribers(now), now))
+        self._fact_store.tick(self._facts.table, now, time.time())
         logs.flush()
 
     def _apply_configuration(self, machine, now):
--- a/kumquatproxy/gateway/sharedfacts.py
+++ b/kumquatproxy/gateway/sharedfacts.py
@@ -44,6 +44,8 @@
     max_travel_s = 0.5
     # The host that observes it repeats it with a new time while it holds.
     is_renewed = False
+    # Whether control hosts keep it on their disks.
+    is_durable = False
 
     def merge(self, known: Fact, new: Fact) -> Fact:
         """Return ``known`` if the other one adds nothing, else the merged fact."""
@@ -101,6 +103,10 @@
         """Return whether the hosts that observe facts of a known kind renew them."""
         return self._kinds_by_alias[kind].is_renewed
 
+    def is_durable(self, kind: str) -> bool:
+        """Return whether control hosts keep facts of a kind on their disks."""
+        return self.knows_kind(kind) and self._kinds_by_alias[kind].is_durable
+
     def has_kind(self, kind: str) -> bool:
         """Return whether there may be facts of a kind in force."""
         return bool(self._facts_by_key_by_kind[kind])
--- a/kumquatproxy/gateway/suspicion.py
+++ b/kumquatproxy/gateway/suspicion.py
@@ -40,6 +40,7 @@
     max_count = 32
     max_kept_s = 300.0
     max_suspects = 8
+    is_durable = True
 
     def merge(self, known, new):
         """Return the fact with the suspects of both, as far as they fit."""
@@ -66,6 +67,7 @@
 
     max_count = 200
     max_kept_s = 300.0
+    is_durable = True
 
 
 class BlameFacts(sharedfacts.FactKind):
@@ -76,6 +78,7 @@
 
     max_count = 32
     max_kept_s = MAX_HOLD_S + TRIAL_S
+    is_durable = True
 
     def merge(self, known, new):
         """Return the later rejection; all hosts agree on the host of the trial."""
