Subscribe at control hosts as soon as a link to them opens

Cause, as read in the code: control hosts subscribed at each other once a second, and a restarted one asks for origins when it gets a subscription. If the last keeper restarted within that second, nobody knew the origins.

A control host now subscribes 0.15 s after a link to another one has opened, as entry hosts do. It costs one subscription for each control host and link.

--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -53,6 +53,8 @@
 # Time since the last message of another control host after which it is out of contact.
 # Each one sends a message a second.
 CONTACT_TIMEOUT_S = 1.6
+# Two hosts often dial each other at the same time; one subscription is for both links.
+LINKS_OPEN_S = 0.15
 INITIAL_DISK_ID = "first"  # of the voters that form the group
 ELECTION_TIMEOUT_S = 0.8
 HEARTBEAT_INTERVAL_S = 0.15
@@ -417,6 +419,11 @@
         if isinstance(message, LinkOpened):
             self.publisher.renew(message.host_id)
             self.region.forget(message.host_id)
+            if message.host_id in self._other_host_ids():
+                # It may have restarted, and asks its subscribers what it has forgotten.
+                self._next_subscribe_at = min(
+                    self._next_subscribe_at, now + LINKS_OPEN_S
+                )
             return
         if isinstance(message, HeartbeatReceived):
             self.publisher.record_heartbeat(message.announcement, now)
--- a/tests/fleet/test_controlhost.py
+++ b/tests/fleet/test_controlhost.py
@@ -210,3 +210,29 @@
     host.handle(controlhost.LinkOpened("127.0.0.9"), clock.now())
     subscribe_entry(host, "127.0.0.9", new_session)
     assert asked_ids == ["127.0.0.9"] * 2
+
+
+def test_control_host_subscribes_soon_once_a_link_to_another_one_opens(
+    tmp_path, monkeypatch
+):
+    """Guards against a restarted host that learns a second later whom to ask."""
+    host = controlhost.ControlHost(fleetsettings.parse(SETTINGS % tmp_path), seed=1)
+    sent = []
+    monkeypatch.setattr(
+        host, "send_message", lambda host_id, message: sent.append((host_id, message))
+    )
+
+    def subscribed_ids():
+        ids = {to for to, one in sent if isinstance(one, fleetmessages.Subscribe)}
+        sent.clear()
+        return ids
+
+    now = clock.now()
+    host.tick(now)
+    subscribed_ids()
+    host.handle(controlhost.LinkOpened("127.0.0.9"), now)  # of an entry host
+    host.tick(now + 0.2)
+    assert subscribed_ids() == set()
+    host.handle(controlhost.LinkOpened("127.0.0.3"), now + 0.2)
+    host.tick(now + 0.4)
+    assert subscribed_ids() == {"127.0.0.3", "127.0.0.4"}
