Separate the choice of idle connections, and read odd evidence safely

The loop that makes room for callers gets the connections to close from a function with the time as an argument, and a failure in it no longer keeps later crowds from starting it again. A stored fact with a key of another type no longer ends the start of a control host (two more cases in fleet/test_factstore).

--- a/kumquatproxy/fleet/factstore.py
+++ b/kumquatproxy/fleet/factstore.py
@@ -35,7 +35,9 @@
         """Add the facts that were written before this start and have not ended."""
         try:
             data = self._folder.read(FACTS_FILE)
-            facts = _decode(data, now, wall_s) if data else []
+            for fact in _decode(data, now, wall_s) if data else ():
+                if table.is_durable(fact.kind):
+                    table.merge(fact, now)
         except (
             OSError,
             TypeError,
@@ -44,10 +46,6 @@
             cbor2.CBORError,
         ) as error:
             self._log.write(now, f"the stored evidence cannot be read: {error!r:.200}")
-            return
-        for fact in facts:
-            if table.is_durable(fact.kind):
-                table.merge(fact, now)
 
     def record(
         self, table: sharedfacts.FactTable, facts: list[sharedfacts.Fact]
--- a/kumquatproxy/gateway/callers.py
+++ b/kumquatproxy/gateway/callers.py
@@ -485,32 +485,42 @@
         """Return whether no connection is accepted until another one ends."""
         return self.open_count >= self._limit
 
+    @property
+    def _is_crowded(self):
+        return self.open_count > CROWDED_SHARE * self._limit
+
     def _make_room(self):
-        """Close the connections that have been idle for longest, while many are open.
+        """Close idle connections while many are open.
 
         This goes on without new connections, which are not accepted at the limit.
         """
-        while self.open_count > CROWDED_SHARE * self._limit and not self._is_closed:
-            now = clock.now()
-            idle = [
-                (connection.idle_since, number, connection)
-                for number, connection in enumerate(self._is_serving_by_connection)
-                if connection.idle_since is not None
-                and now - connection.idle_since >= MIN_IDLE_S
-            ]
-            surplus = self.open_count - int(ROOMY_SHARE * self._limit)
-            loop = gevent.get_hub().loop
-            for _, _, connection in heapq.nsmallest(surplus, idle):
-                loop.run_callback(connection.close_if_unused)
-            self._log.write_limited(
-                now,
-                "crowded",
-                f"closing idle connections, as {self.open_count} of {self._limit} "
-                "are open",
-                idle=len(idle),
-            )
-            gevent.sleep(MAKE_ROOM_INTERVAL_S)
-        self._room_maker = None
+        loop = gevent.get_hub().loop
+        try:
+            while self._is_crowded and not self._is_closed:
+                now = clock.now()
+                surplus = self.open_count - int(ROOMY_SHARE * self._limit)
+                connections = self._longest_idle(surplus, now)
+                for connection in connections:
+                    loop.run_callback(connection.close_if_unused)
+                self._log.write_limited(
+                    now,
+                    "crowded",
+                    f"closing {len(connections)} idle connections, as "
+                    f"{self.open_count} of {self._limit} are open",
+                )
+                gevent.sleep(MAKE_ROOM_INTERVAL_S)
+        finally:
+            self._room_maker = None
+
+    def _longest_idle(self, count, now):
+        """Return the connections that have been idle for longest, at most ``count``."""
+        idle = [
+            (connection.idle_since, number, connection)
+            for number, connection in enumerate(self._is_serving_by_connection)
+            if connection.idle_since is not None
+            and now - connection.idle_since >= MIN_IDLE_S
+        ]
+        return [connection for _, _, connection in heapq.nsmallest(count, idle)]
 
     def disable_keep_alive(self) -> None:
         """Close each connection after the response to the next request read from it."""
@@ -581,8 +591,7 @@
     def _handle(self, sock, address):
         connection = CallerConnection(sock, address[0], self._budget)
         self._is_serving_by_connection[connection] = False
-        is_crowded = self.open_count > CROWDED_SHARE * self._limit
-        if is_crowded and self._room_maker is None:
+        if self._is_crowded and self._room_maker is None:
             self._room_maker = gevent.spawn(self._make_room)
         try:
             self._serve_requests(connection)
--- a/tests/fleet/test_factstore.py
+++ b/tests/fleet/test_factstore.py
@@ -3,6 +3,7 @@
 Guards against a request that crashes as many servers again after a restart of all.
 """
 
+import cbor2
 import gevent
 import pytest
 import test_controlhost
@@ -77,7 +78,17 @@
 
 
 @pytest.mark.parametrize(
-    "data", [b"", b"\xff", b"\x00", b"\x82\x01", b"\x82\x61x\x80", b"\x82\x01\x81\x01"]
+    "data",
+    [
+        b"",
+        b"\xff",
+        b"\x00",
+        b"\x82\x01",
+        b"\x82\x61x\x80",
+        b"\x82\x01\x81\x01",
+        cbor2.dumps([WALL_S, [[crashingcalls.CRASHING_CALLS, 7, [], 0.0, 9.0]]]),
+        cbor2.dumps([WALL_S, [[[], "k", [], 0.0, 9.0]]]),
+    ],
 )
 def test_damaged_file_is_ignored(folder, data):
     folder.write(factstore.FACTS_FILE, data)
