Bound what is sent again by bytes for each tick

An entry host sent up to 500 streams a tick to each of three control hosts. With ids of 128 bytes, which callers choose, that is 70 KB each in 50 ms: 34 Mbit/s, so configurations and marks would wait behind them on a link of 5 or 10 Mbit/s.

All origins that a host sends in a tick now have 8 KB at an entry host and 32 KB at a control host, whatever the ids and the number of receivers. Control hosts look for ended entry hosts four times a second, so that many ends at once take few scans of the table.

Test: test_many_streams_are_sent_in_parts_of_a_bounded_size replaces the one of the number of streams, with a lower bound, and test_many_ends_at_once_take_few_scans.

--- a/kumquatproxy/fleet/originexchange.py
+++ b/kumquatproxy/fleet/originexchange.py
@@ -14,8 +14,14 @@
 # An entry host that has been silent for longer may have ended. Each one sends a message
 # a second, and control hosts may restart a second or two after one another.
 SILENCE_S = 2.0
-# About 20 KB with ids of a common length, 70 KB with the longest ones.
-MAX_STREAMS_PER_MESSAGE = 500
+# Interval at which the ends of entry hosts are looked for, as each one takes a scan of
+# the table.
+END_CHECK_INTERVAL_S = 0.25
+# Bytes to all hosts together in a tick of 50 ms. At an entry host it is a quarter of a
+# link of 5 Mbit/s; links of control hosts are faster.
+ENTRY_BYTES_PER_TICK = 8 * 1024
+CONTROL_BYTES_PER_TICK = 32 * 1024
+STREAM_BYTES = 13  # of a stream in a message, beside its id
 
 
 @wire.register("origins-wanted")
@@ -94,38 +100,46 @@
 class Outbox:
     """Hold the ids of the streams that are due to other hosts."""
 
-    __slots__ = ("_table", "_unsent_ids_by_host")
+    __slots__ = ("_limit_bytes", "_table", "_unsent_ids_by_host")
 
-    def __init__(self, table: streamorigins.OriginTable):
+    def __init__(self, table: streamorigins.OriginTable, limit_bytes: int):
         self._table = table
+        self._limit_bytes = limit_bytes  # of a tick
         self._unsent_ids_by_host: dict[str, list[str]] = {}
 
     def add(self, host_id: str, stream_ids: list[str]) -> None:
         """Add streams that are due to a host; the last ones are sent first."""
-        self._unsent_ids_by_host.setdefault(host_id, []).extend(stream_ids)
+        if stream_ids:
+            unsent_ids = self._unsent_ids_by_host.setdefault(host_id, [])
+            unsent_ids.extend(stream_ids)
 
     def discard(self, host_id: str) -> None:
         """Send nothing more to a host."""
         self._unsent_ids_by_host.pop(host_id, None)
 
     def next_sends(self, now: float) -> list[wire.Send]:
-        """Return the next message for each host, with streams known at present."""
-        return [
-            wire.Send(host_id, to_message(streams))
-            for host_id in list(self._unsent_ids_by_host)
-            if (streams := self._take_streams(host_id, now))
-        ]
-
-    def _take_streams(self, host_id, now):
+        """Return the messages of one tick, with streams that are known at present."""
+        sends = []
+        host_ids = list(self._unsent_ids_by_host)
+        for host_id in host_ids:
+            share_bytes = self._limit_bytes // len(host_ids)
+            streams = self._take_streams(host_id, share_bytes, now)
+            if streams:
+                sends.append(wire.Send(host_id, to_message(streams)))
+        return sends
+
+    def _take_streams(self, host_id, limit_bytes, now):
         """Return (id, origin, seconds left) of the next streams, the newest first."""
         unsent_ids = self._unsent_ids_by_host[host_id]
         streams: list[tuple[str, streamorigins.Origin, float]] = []
-        while unsent_ids and len(streams) < MAX_STREAMS_PER_MESSAGE:
+        size = 0
+        while unsent_ids and size < limit_bytes:
             stream_id = unsent_ids.pop()
             origin = self._table.find(stream_id, now)
             if origin is not None:
                 left_s = self._table.time_left_s(stream_id, now)
                 streams.append((stream_id, origin, left_s))
+                size += len(stream_id) + STREAM_BYTES
         if not unsent_ids:
             del self._unsent_ids_by_host[host_id]
         return streams
@@ -142,7 +156,7 @@
 
     def __init__(self, table: streamorigins.OriginTable):
         self._table = table
-        self._outbox = Outbox(table)
+        self._outbox = Outbox(table, ENTRY_BYTES_PER_TICK)
         self._asking_session_by_id: dict[str, str] = {}
         self._served_session_by_id: dict[str, str] = {}
 
@@ -173,6 +187,7 @@
         "_asked_at_by_id",
         "_live_owners",
         "_new_ids",
+        "_next_check_at",
         "_outbox",
         "_owner_by_id",
         "_session_by_id",
@@ -181,12 +196,13 @@
 
     def __init__(self, table: streamorigins.OriginTable):
         self._table = table
-        self._outbox = Outbox(table)
+        self._outbox = Outbox(table, CONTROL_BYTES_PER_TICK)
         self._owner_by_id: dict[str, str] = {}  # starts of entry hosts
         self._live_owners: set[str] = set()
         self._session_by_id: dict[str, str] = {}  # of the hosts that have asked
         self._asked_at_by_id: dict[str, float] = {}
-        self._new_ids: set[str] = set()
+        self._new_ids: set[str] = set()  # hosts that have asked since the last check
+        self._next_check_at = float("-inf")
 
     def record_entry(self, host_id: str, session: str) -> None:
         """Record the session with which an entry host subscribes."""
@@ -206,7 +222,13 @@
 
     def tick(self, entry_ids: set[str], now: float) -> list[wire.Send]:
         """Return the messages that are due while these entry hosts are up."""
-        live_owners = {self.owner(host_id) for host_id in entry_ids}
+        if self._new_ids or now >= self._next_check_at:
+            self._next_check_at = now + END_CHECK_INTERVAL_S
+            self._check({self.owner(host_id) for host_id in entry_ids}, now)
+        return self._outbox.next_sends(now)
+
+    def _check(self, live_owners, now):
+        """Add what is due to the hosts that have asked."""
         ended = self._live_owners - live_owners
         self._live_owners = live_owners
         # A host that has been up for longer lacks no stream that can be resumed.
@@ -215,13 +237,13 @@
             for host_id, asked_at in self._asked_at_by_id.items()
             if now - asked_at < streamorigins.MAX_KEPT_S
         }
-        if ended and self._asked_at_by_id.keys() - self._new_ids:
+        earlier_ids = self._asked_at_by_id.keys() - self._new_ids
+        if ended and earlier_ids:
             stream_ids = self._table.ids_of(ended)
-            for host_id in self._asked_at_by_id.keys() - self._new_ids:
+            for host_id in earlier_ids:
                 self._outbox.add(host_id, stream_ids)
         if self._new_ids:
             stream_ids = self._table.ids_except(live_owners)
             for host_id in self._new_ids:
                 self._outbox.add(host_id, stream_ids)
             self._new_ids.clear()
-        return self._outbox.next_sends(now)
--- a/tests/fleet/test_originexchange.py
+++ b/tests/fleet/test_originexchange.py
@@ -71,19 +71,23 @@
     assert sender.tick({"c1"}, 50.0) == []
 
 
-def test_many_streams_are_sent_in_parts_that_fit_into_frames(sender, table):
-    """Guards against a link that is blocked by one table, or closed by its size."""
+@pytest.mark.parametrize("id_length", [4, 128])
+@pytest.mark.parametrize("host_ids", [{"c1"}, {"c1", "c2", "c3"}])
+def test_many_streams_are_sent_in_parts_of_a_bounded_size(
+    sender, table, id_length, host_ids
+):
+    """Guards against a slow link on which other messages wait behind one table."""
     for number in range(1800):
-        table.record(f"{number:0128}", V1, 30.0, 0.0)
-    sender.request("c1", "x")
+        table.record(f"{number:0{id_length}}", V1, 30.0, 0.0)
+    for host_id in host_ids:
+        sender.request(host_id, "x")
     sent = []
-    for _ in range(4):
-        sends = sender.tick({"c1"}, 1.0)
-        assert len(sends) == 1
-        assert len(wire.encode(sends[0].message)) < wire.MAX_FRAME_BYTES / 2
+    while sends := sender.tick(host_ids, 1.0):
+        size = sum(len(wire.encode(send.message)) for send in sends)
+        assert size < 1.2 * originexchange.ENTRY_BYTES_PER_TICK
         sent += streams_to(sends, "c1")
-    assert sender.tick({"c1"}, 1.0) == []
-    assert len({stream[0] for stream in sent}) == 1802
+    assert len(sent) == len({stream[0] for stream in sent}) == 1802
+    assert [stream[0] for stream in sent[:1]] == [f"{1799:0{id_length}}"]
 
 
 @pytest.mark.parametrize(
@@ -139,6 +143,20 @@
         assert streams_to(relay.tick({"e1"}, 3.0), "c1") == [("b", V2, 27.0)]
         assert relay.tick(set(), streamorigins.MAX_KEPT_S + 2.0) == []
 
+    def test_many_ends_at_once_take_few_scans(self, relay, monkeypatch):
+        """Guards against a scan of the table for each of many hosts that end."""
+        scans = []
+        monkeypatch.setattr(
+            streamorigins.OriginTable,
+            "ids_of",
+            lambda _, owners: scans.append(owners) or [],
+        )
+        relay.request("c1", "x", 1.0)
+        relay.tick({"e1", "e2"}, 1.0)
+        for number in range(20):
+            relay.tick({"e2"} if number < 10 else set(), 2.0 + 0.01 * number)
+        assert len(scans) <= 2
+
     def test_a_restarted_entry_host_has_forgotten_its_streams(self, relay):
         """Guards against trust in a host that is up under the same address again."""
         relay.request("c1", "x", 1.0)
