Weigh a call that was left more once it has been a suspect

A call that was left and was a suspect at an earlier crash has the weight of one that broke off, so four crashes blame it. An answer clears it as before.

--- a/kumquatproxy/gateway/crashes.py
+++ b/kumquatproxy/gateway/crashes.py
@@ -159,11 +159,11 @@
         self.handle_facts(facts, now)
 
     def _add_departed(self, pending, departed):
-        """Add the calls that were left, as suspects as weak as those that ran long."""
+        """Add the calls that were left to the suspects of a crash."""
         for _, sent_at, keys in departed.entries:
             pending.sent_at = max(pending.sent_at, sent_at)
             pending.suspected_calls = self.calls.add_suspect(
-                pending.suspected_calls, crashingcalls.LONG_RUNNING, keys
+                pending.suspected_calls, self.calls.departed_grade(keys), keys
             )
 
     def _crash_key(self, pending, now):
--- a/kumquatproxy/gateway/crashingcalls.py
+++ b/kumquatproxy/gateway/crashingcalls.py
@@ -56,10 +56,18 @@
 
     def add_suspect(self, suspects, grade, features):
         """Return the suspects with one more; repeated ones take precedence."""
-        if not self._watched_features.isdisjoint(features):
+        if self._is_repeated(features):
             grade += REPEATED
         return super().add_suspect(suspects, grade, features)
 
+    def departed_grade(self, features: list[str]) -> int:
+        """Return the grade of a call that was left before the crash of its server."""
+        return RUNNING if self._is_repeated(features) else LONG_RUNNING
+
+    def _is_repeated(self, features):
+        """Return whether a call was a suspect at an earlier crash."""
+        return not self._watched_features.isdisjoint(features)
+
     def description(self, features):
         """Return which call is blamed, as in the log lines of its attempts."""
         return f"are repetitions of {' '.join(features)}"
