Show which facts survive restarts of all control hosts, and odd statuses more

Statuses that HTTP does not have: a begun stream does not go on with such an answer; an unsafe call gets 502 with `executed` unknown, the failure rate of its server rises, and nothing is taken for a crash.

--- a/tests/fleet/test_factexchange.py
+++ b/tests/fleet/test_factexchange.py
@@ -4,6 +4,8 @@
 them is cut off from servers and all others renew their offers of help.
 """
 
+import pytest
+
 from kumquatproxy.fleet import factexchange, fleetmessages
 from kumquatproxy.gateway import forwarding, sharedfacts
 
@@ -77,3 +79,94 @@
     (greeting,) = factexchange.to_messages([], 0.1)
     host.receive("c2", greeting, 0.1)
     assert sent == []
+
+
+class Fleet:
+    """Wire entry hosts and control hosts, whose messages arrive at once."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.controls = {f"c{number}": factexchange.ControlFacts() for number in "123"}
+        self.entries = {f"e{number}": self.make_entry() for number in "12"}
+        self.run(1.0)
+
+    def make_entry(self):
+        return factexchange.EntryFacts(self.broadcast)
+
+    def broadcast(self, host_ids, message):
+        for host_id in host_ids:
+            self.controls[host_id].receive(message, self.now)
+
+    def open_links(self, entry_ids, control_ids):
+        for entry_id in entry_ids:
+            entry = self.entries[entry_id]
+            for control_id in control_ids:
+                entry.reopen(control_id)
+                for send in self.controls[control_id].greet(entry_id, self.now):
+                    entry.receive(control_id, send.message, self.now)
+
+    def run(self, seconds):
+        self.open_links(self.entries, self.controls)
+        for _ in range(round(seconds / 0.05)):
+            self.now += 0.05
+            subscribers = [(entry_id, True) for entry_id in self.entries]
+            for control_id, control in self.controls.items():
+                for send in control.tick(subscribers, self.now):
+                    entry = self.entries[send.to]
+                    entry.receive(control_id, send.message, self.now)
+            for entry in self.entries.values():
+                entry.tick(self.now)
+
+    def restart_controls(self, control_ids):
+        for control_id in control_ids:
+            self.controls[control_id] = factexchange.ControlFacts()
+        self.open_links(self.entries, control_ids)
+
+    def restart_entry(self, entry_id):
+        self.entries[entry_id] = self.make_entry()
+        self.open_links([entry_id], self.controls)
+
+    def knows(self, kind):
+        """Return whether each host knows a fact."""
+        hosts = [*self.controls.values(), *self.entries.values()]
+        return [host.table.get(kind, "key", self.now) is not None for host in hosts]
+
+
+def restart_together(fleet):
+    fleet.restart_controls(list(fleet.controls))
+
+
+def restart_in_turn(fleet):
+    for control_id in list(fleet.controls):
+        fleet.restart_controls([control_id])
+        fleet.run(0.3)
+
+
+LASTING_KINDS = [
+    alias
+    for alias in sharedfacts.FACT_KINDS.aliases()
+    if not sharedfacts.FACT_KINDS.get(alias).is_renewed
+]
+
+
+@pytest.mark.parametrize("kind", LASTING_KINDS)
+@pytest.mark.parametrize("observer_ends", [False, True])
+@pytest.mark.parametrize(
+    "restarts", [[restart_together], [restart_together] * 2, [restart_in_turn]]
+)
+def test_facts_are_known_after_all_control_hosts_have_restarted(
+    kind, observer_ends, restarts
+):
+    """Guards against facts that only hosts that have restarted could tell again."""
+    fleet = Fleet()
+    value = [["h", 1, ["f"]]] if kind.endswith("-crash") else [1, fleet.now, ["f"]]
+    fact = sharedfacts.Fact(kind, "key", value, fleet.now, fleet.now + 60.0)
+    fleet.entries["e1"].publish(fact, fleet.now)
+    fleet.run(0.2)
+    assert all(fleet.knows(kind))
+    if observer_ends:
+        fleet.restart_entry("e1")
+    for restart in restarts:
+        restart(fleet)
+    fleet.run(0.2)
+    assert all(fleet.knows(kind))
--- a/tests/gateway/test_invalidstatuses.py
+++ b/tests/gateway/test_invalidstatuses.py
@@ -10,7 +10,7 @@
 import test_forwarding
 import test_relay
 
-from kumquatproxy import adminclient
+from kumquatproxy import adminclient, clock
 from kumquatproxy.fleet import engineclient, engineorders, servers
 from kumquatproxy.gateway import (
     leavingservers,
@@ -119,6 +119,44 @@
     test_cutheads.assert_failed(data)
 
 
+@pytest.mark.parametrize("status", STATUSES)
+def test_stream_does_not_go_on_with_such_an_answer(status):
+    """Guards against events of such an answer, and a stream that seems to be whole."""
+    begun = test_relay.make_stream(1, 2, ends=False)
+    odd = with_status(test_relay.make_stream(3, 4), status)
+    with test_relay.running_relay([begun, None], [odd, None]) as (
+        address,
+        backends,
+        _,
+    ):
+        for backend in backends:
+            backend.closes = True
+        data, was_closed = test_relay.send_request(address, b"stream", wait_s=4.0)
+    assert b"last-event-id: 2" in backends[1].heads[0].lower()
+    assert test_relay.make_event(2) in data and test_relay.make_event(3) not in data
+    assert was_closed and not data.endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize("status", STATUSES)
+def test_unsafe_call_is_not_promised_anything_and_the_health_of_its_server_falls(
+    status,
+):
+    """Guards against "not run" for a call that may have run, and against a crash."""
+    server = answering(status)
+    try:
+        with test_cutheads.running_relay(server) as (address, host):
+            data = test_cutheads.send_request(address, b"once")
+            (announcement,) = host.table.all()
+            health = host.server_selector.view(announcement).health
+            facts = host.facts.all(clock.now())
+    finally:
+        server.close()
+    assert data.startswith(b"HTTP/1.1 502") and b'"executed":"unknown"' in data
+    assert server.requests == 1
+    assert health.failure_rate > 0.0 and health.ejected_until == 0.0
+    assert facts == []
+
+
 @pytest.mark.parametrize("status", STATUSES)
 def test_answer_of_a_sheet_service_is_a_failure(status):
     server = answering(status)
--- a/tests/soak/test_restartedcontrols.py
+++ b/tests/soak/test_restartedcontrols.py
@@ -140,7 +140,10 @@
     mixed, _ = test_streamresumption.mixed_and_finished(begun, taken_up)
     assert mixed == 0
     continued = sum(bool(stream.versions) for stream in taken_up)
-    assert continued > LEAST_SHARE * STREAMS
+    assert continued > LEAST_SHARE * STREAMS, [
+        (len(first.versions), second.status, len(second.versions))
+        for first, second in zip(begun, taken_up)
+    ]
 
 
 @pytest.mark.parametrize(
