Log what came of an acknowledged configuration

An operator who got 200 for a configuration and 503 for each read could not tell why: one line for all submissions, none for a read that finds nothing.

The line of a submission now says whether the version is in force, ignored below another one, or acknowledged while none is in force, and whether it was written to the log of the group (is_committed). A read that finds no version is logged with the leader that answered.

--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -350,29 +350,45 @@
         parsed = self.dialect.parse_configuration(data)
         applied = self.replication.machine.version
         if parsed.version <= applied:
-            self._config_log.write(
-                clock.now(),
-                f"version {parsed.version} is submitted again",
-                submitted=parsed.version,
-                in_force=applied,
-            )
+            self._log_submission(parsed.version, applied, is_committed=False)
             return applied
         command = fleetstate.PutConfiguration(
             content=fleetstate.pack(data), version=parsed.version
         )
         answer = self.proposer.commit(command, COMMIT_TIMEOUT_S)
+        self._log_submission(parsed.version, answer.version, is_committed=True)
+        return answer.version
+
+    def _log_submission(self, version, in_force, is_committed):
+        """Log an acknowledged version and what came of it.
+
+        ``is_committed`` tells whether it was written to the log of the group, which is
+        not needed if it cannot take effect.
+        """
+        if not in_force:
+            outcome = "no version is in force"
+        elif version == in_force:
+            outcome = "it is in force"
+        else:
+            outcome = f"ignored, as version {in_force} is in force"
         self._config_log.write(
             clock.now(),
-            f"version {parsed.version} is submitted",
-            submitted=parsed.version,
-            in_force=answer.version,
+            f"version {version} is acknowledged, {outcome}",
+            submitted=version,
+            in_force=in_force,
+            is_committed=is_committed,
         )
-        return answer.version
 
     def read_configuration(self) -> bytes:
         """Return the committed configuration; raise ProxyError if it cannot be read."""
         answer = self.proposer.commit(fleetstate.ReadConfiguration(), COMMIT_TIMEOUT_S)
         if not answer.version:
+            self._config_log.write_limited(
+                clock.now(),
+                "read without a version",
+                "the log of the group holds no version to read",
+                leader=self._leader(),
+            )
             raise errors.ProxyError(
                 errors.ErrorKind.NOT_READY, "there is no configuration yet"
             )
--- a/tests/fleet/test_controlhost.py
+++ b/tests/fleet/test_controlhost.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kumquatproxy import clock, errors, tasks
+from kumquatproxy import clock, errors, logs, tasks
 from kumquatproxy.agreement import voterset
 from kumquatproxy.fleet import (
     controlhost,
@@ -236,3 +236,35 @@
     host.handle(controlhost.LinkOpened("127.0.0.3"), now + 0.2)
     host.tick(now + 0.4)
     assert subscribed_ids() == {"127.0.0.3", "127.0.0.4"}
+
+
+PUT_TEXT = b'{"version": %d, "routes": [], "services": []}'
+
+
+@pytest.fixture
+def logged(monkeypatch):
+    """Return the lines that hosts write, as (sentence, fields)."""
+    lines = []
+    monkeypatch.setattr(
+        logs.Log,
+        "write",
+        lambda self, now, sentence, **fields: lines.append((sentence, fields)),
+    )
+    return lines
+
+
+@pytest.mark.parametrize(
+    ("in_force", "outcome"),
+    [(7, "it is in force"), (9, "ignored, as version 9 is in force")],
+)
+def test_log_tells_what_came_of_an_acknowledged_version(
+    host, monkeypatch, logged, in_force, outcome
+):
+    """Guards against an acknowledgement whose effect operators cannot tell."""
+    answer = fleetstate.ConfigurationPut(is_same=False, version=in_force)
+    monkeypatch.setattr(proposing.Proposer, "commit", lambda *arguments: answer)
+    assert host.put_configuration(PUT_TEXT % 7) == in_force
+    assert logged[-1] == (
+        f"version 7 is acknowledged, {outcome}",
+        {"submitted": 7, "in_force": in_force, "is_committed": True},
+    )
