Put a first configuration of any version in force

Callers: a first configuration with the version 0 or less was acknowledged with 200.

Cause: the number 0 stood for no configuration. The control host took such a version for one that is known already and acknowledged it without a commit. The version in a forwarded call was read as at most 18 digits without a sign.

Fix: NO_VERSION is below each version that the format takes, so the existing comparisons hold. A host that knows a member of an earlier build commits such a version and answers 503 until that one is upgraded, because it drops the version and might lead. A gauge tells 0 from none.

--- a/kumquatproxy/fleet/allotments.py
+++ b/kumquatproxy/fleet/allotments.py
@@ -9,7 +9,7 @@
 import gevent.event
 
 from kumquatproxy import clock, errors, logs
-from kumquatproxy.fleet import fleetmessages
+from kumquatproxy.fleet import fleetmessages, serviceconfig
 from kumquatproxy.gateway import capbook, teamrecords, usagecaps
 
 ANSWER_TIMEOUT_S = 0.2
@@ -85,7 +85,7 @@
         self.holdings = usagecaps.Holdings()
         self.counts_by_team: dict[str, TeamCounts] = {}
         self.usage = teamrecords.TeamUsage()
-        self._version = 0
+        self._version = serviceconfig.NO_VERSION
         # Numbers of an earlier start of this host are not used again.
         self._numbers = itertools.count(first_number)
         self._waiting: list[Question] = []
@@ -419,7 +419,9 @@
     ) -> fleetmessages.AllotmentAnswer:
         """Return the answer to an entry host."""
         is_giver = member.leader_state is not None and member.has_lease(now)
-        version = configuration.version if configuration is not None else 0
+        version = serviceconfig.NO_VERSION
+        if configuration is not None:
+            version = configuration.version
         answer = fleetmessages.AllotmentAnswer(
             calls=[],
             is_giver=is_giver,
--- a/kumquatproxy/fleet/configcheck.py
+++ b/kumquatproxy/fleet/configcheck.py
@@ -174,17 +174,6 @@
         )
 
 
-@check("version-not-positive")
-def _version_not_positive(inspection):
-    version = inspection.configuration.version
-    if version <= 0:
-        yield (
-            ("version",),
-            f"version {version} is acknowledged but never in force, as it is not above "
-            "0",
-        )
-
-
 # Entries that can never match
 
 
--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -26,6 +26,7 @@
     fleetsettings,
     fleetstate,
     heartbeatages,
+    lowversions,
     modelwants,
     orderissuer,
     originexchange,
@@ -152,6 +153,8 @@
         centres = {host_settings.host.data_centre, *host_settings.host.data_centres}
         self._session = delegations.mark_session(self._session, len(centres))
         self._session = originexchange.mark_session(self._session)
+        self._session = lowversions.mark_session(self._session)
+        self._session_by_id: dict[str, str] = {}  # of the other control hosts
         self._next_subscribe_at = now
         self._next_expiry_at = now
         self._next_versions_at = now
@@ -231,12 +234,13 @@
         self.order_issuer.start()
         self._server.start()
         self._start_operator_servers()
+        machine = self.replication.machine
         self._host_log.write(
             clock.now(),
             f"{self.settings.host.name or self.host_id} started",
             build=build.digest(),
             identity=self.replication.member.settings.identity,
-            revision=self.replication.machine.version,
+            revision=serviceconfig.version_or_none(machine.version),
         )
 
     def gauges(self) -> dict[str, float]:
@@ -245,7 +249,9 @@
         return {
             **super().gauges(),
             "servers.known": len(self.table.all()),
-            "configuration.held": self.replication.machine.version,
+            **fleethost.version_gauges(
+                "configuration.held", self.replication.machine.version
+            ),
             "control.term": member.term,
             "control.leads": float(member.leader_state is not None),
             "orders.fence": self.order_issuer.fence,
@@ -345,29 +351,47 @@
 
         It takes effect only if its version is above the one in force. One that cannot,
         as this host has applied a higher or the same version, needs no commit: it is
-        acknowledged at once, also while this host reaches no majority.
+        acknowledged at once, also while this host reaches no majority. Raise ProxyError
+        if it is invalid, or not certain to be kept.
         """
         parsed = self.dialect.parse_configuration(data)
         applied = self.replication.machine.version
         if parsed.version <= applied:
-            self._log_submission(parsed.version, applied, is_committed=False)
+            self._acknowledge(parsed.version, applied, is_committed=False)
             return applied
         command = fleetstate.PutConfiguration(
             content=fleetstate.pack(data), version=parsed.version
         )
         answer = self.proposer.commit(command, COMMIT_TIMEOUT_S)
-        self._log_submission(parsed.version, answer.version, is_committed=True)
+        self._acknowledge(parsed.version, answer.version, is_committed=True)
         return answer.version
 
-    def _log_submission(self, version, in_force, is_committed):
+    def _acknowledge(self, version, in_force, is_committed):
         """Log an acknowledged version and what came of it.
 
         ``is_committed`` tells whether it was written to the log of the group, which is
-        not needed if it cannot take effect.
+        not needed if it cannot take effect. Raise ProxyError if a member might lose the
+        version in force.
         """
-        if not in_force:
-            outcome = "no version is in force"
-        elif version == in_force:
+        losing_ids = lowversions.losing_ids(
+            in_force, self._member_host_ids(), self._session_by_id
+        )
+        if losing_ids:
+            self._config_log.write(
+                clock.now(),
+                f"version {version} is not acknowledged, as control hosts of earlier "
+                f"builds would not keep version {in_force}",
+                submitted=version,
+                in_force=in_force,
+                is_committed=is_committed,
+                hosts=losing_ids,
+            )
+            raise errors.ProxyError(
+                errors.ErrorKind.NOT_READY,
+                "control hosts of earlier builds keep no version of 0 or less: "
+                f"{', '.join(losing_ids)}",
+            )
+        if version == in_force:
             outcome = "it is in force"
         else:
             outcome = f"ignored, as version {in_force} is in force"
@@ -382,7 +406,7 @@
     def read_configuration(self) -> bytes:
         """Return the committed configuration; raise ProxyError if it cannot be read."""
         answer = self.proposer.commit(fleetstate.ReadConfiguration(), COMMIT_TIMEOUT_S)
-        if not answer.version:
+        if not answer.content:
             self._config_log.write_limited(
                 clock.now(),
                 "read without a version",
@@ -472,6 +496,7 @@
             self.send_message(received.sender, wanted)
         if received.message.kind == fleetmessages.CONTROL:
             self._delegate_peers.record(received.sender, received.message.session)
+            self._session_by_id[received.sender] = received.message.session
             self._link_address_by_id[received.sender] = received.message.address
         else:
             self._origin_relay.record_entry(received.sender, received.message.session)
--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -285,7 +285,7 @@
             "services.cut_off": len(self.paths.cut_services()),
             "calls.waiting": len(self._waiting_calls),
             "servers.known": len(self.table.all()),
-            "configuration.version": self.version(),
+            **fleethost.version_gauges("configuration.version", self.version()),
             "facts.known": len(self._facts.table),
             "servers.limited": serverlimits.limited_count(
                 self._facts.table, clock.now()
@@ -349,8 +349,10 @@
         return self.configuration.limits
 
     def version(self) -> int:
-        """Return the version of the configuration in force, 0 if there is none."""
-        return self.configuration.version if self.configuration else 0
+        """Return the version in force, serviceconfig.NO_VERSION if there is none."""
+        if self.configuration is None:
+            return serviceconfig.NO_VERSION
+        return self.configuration.version
 
     def is_in_touch(self) -> bool:
         """Return whether a majority of the voters has sent a message lately.
@@ -370,7 +372,7 @@
         heard, voters = self._heard_voters(now)
         inputs = {
             "is_forwarded": call.forwarded_service is not None,
-            "version": self.version(),
+            "version": serviceconfig.version_or_none(self.version()),
             "version_age_ms": round((now - self._configured_at) * 1000),
             "voters": voters,
             "voters_heard": heard,
@@ -663,7 +665,7 @@
 
     def _on_configuration(self, message, now):
         current = self.version()
-        if message.version <= current:
+        if not message.content or message.version <= current:
             return
         text = fleetstate.unpack(message.content)
         self.configuration = self.dialect.parse_configuration(text)
@@ -674,7 +676,7 @@
         self._config_log.write(
             now,
             f"version {message.version} is in force",
-            replaced=current,
+            replaced=serviceconfig.version_or_none(current),
             routes=len(self.configuration.routes),
         )
         self._schedule_wakeup()
--- a/kumquatproxy/fleet/fleethost.py
+++ b/kumquatproxy/fleet/fleethost.py
@@ -52,6 +52,12 @@
         """Count a call that is held, released or rejected because of load."""
 
 
+def version_gauges(name: str, version: int) -> dict[str, float]:
+    """Return the gauge of a version, and whether there is one."""
+    number = serviceconfig.version_or_none(version)
+    return {name: number or 0, "configuration.known": float(number is not None)}
+
+
 class FleetHost(tasks.Task):
     """Run the links and the metrics endpoint of one host of a fleet."""
 
--- a/kumquatproxy/fleet/fleetmessages.py
+++ b/kumquatproxy/fleet/fleetmessages.py
@@ -21,7 +21,7 @@
     has_details: bool  # whether to push all changes of backend servers
     kind: str  # ENTRY or CONTROL
     session: str  # random, changes at each start of the sender; see FACTS_SUFFIX
-    version: int  # configuration in force at the sender
+    version: int  # configuration in force at the sender, or serviceconfig.NO_VERSION
 
 
 @wire.register("control-hosts")
@@ -37,7 +37,10 @@
 
 @wire.register("configuration-push")
 class ConfigurationPush(wire.Message):
-    """Push a committed configuration."""
+    """Push a committed configuration.
+
+    A control host of an earlier build that has none pushes empty content.
+    """
 
     __slots__ = ("content", "version")
     content: bytes
@@ -190,7 +193,7 @@
     leases: list  # usagecaps.LeaseRequest in their list form
     number: int
     returned: list  # [team, amount] that was given to calls that did not run
-    version: int  # configuration in force at the sender
+    version: int  # configuration in force at the sender, or serviceconfig.NO_VERSION
 
 
 @wire.register("allotment-answer")
@@ -205,7 +208,7 @@
     leader: str  # host id as the sender knows, empty if unknown
     leases: list  # [team, number, rate, capacity]
     number: int
-    version: int  # configuration in force at the sender
+    version: int  # configuration in force at the sender, or serviceconfig.NO_VERSION
 
 
 @wire.register("parts-wanted")
--- a/kumquatproxy/fleet/fleetstate.py
+++ b/kumquatproxy/fleet/fleetstate.py
@@ -10,6 +10,7 @@
 import cbor2
 
 from kumquatproxy import wire
+from kumquatproxy.fleet import serviceconfig
 
 MAX_MARKS = 2000  # lifetimes of servers kept as leaving or gone
 
@@ -41,7 +42,10 @@
 
 @wire.register("configuration-read")
 class ConfigurationRead(wire.Message):
-    """Answer a ReadConfiguration; version 0 means that there is no configuration."""
+    """Answer a ReadConfiguration; without a configuration, content is empty.
+
+    The version is then 0, by which hosts of earlier builds recognise it.
+    """
 
     __slots__ = ("content", "version")
     content: bytes
@@ -104,7 +108,7 @@
     )
 
     def __init__(self):
-        self.version = 0
+        self.version = serviceconfig.NO_VERSION
         self.content = b""
         self._digest = ""
         self.owner = ""
@@ -131,7 +135,11 @@
         return ConfigurationPut(is_same=is_same, version=self.version)
 
     def _read(self, command):
-        return ConfigurationRead(content=self.content, version=self.version)
+        return ConfigurationRead(content=self.content, version=self._encoded_version())
+
+    def _encoded_version(self):
+        """Return the version for hosts of any build, 0 without a configuration."""
+        return self.version if self.content else 0
 
     def _mark(self, command):
         key = (command.instance_id, command.born_ms)
@@ -157,11 +165,16 @@
     def snapshot(self) -> bytes:
         """Return the encoded state."""
         marks = [[*key, state] for key, state in self.marks.items()]
-        return cbor2.dumps([self.version, self.content, self.owner, self.fence, marks])
+        version = self._encoded_version()
+        return cbor2.dumps([version, self.content, self.owner, self.fence, marks])
 
     def restore(self, data: bytes) -> None:
         """Replace the state with that of a snapshot."""
-        self.version, self.content, self.owner, self.fence, marks = cbor2.loads(data)
+        version, content, self.owner, self.fence, marks = cbor2.loads(data)
+        # A state is never without a configuration once it has one. A snapshot of an
+        # earlier build may be, as such a build keeps no version of 0 or less.
+        if content:
+            self.version, self.content = version, content
         # Earlier builds read snapshots too, so these do not tell when the ownership
         # moved. It may have done so more than once.
         self.move_count += 2
--- a/kumquatproxy/fleet/operatorviews.py
+++ b/kumquatproxy/fleet/operatorviews.py
@@ -55,7 +55,7 @@
         "host": host.host_id,
         "role": host.role,
         "configuration_leader": host.leader,
-        "version": configuration.version if configuration else 0,
+        "version": configuration.version if configuration else None,
         "version_age_s": round(host.configuration_age_s(now), 3),
     }
 
--- a/kumquatproxy/fleet/publishing.py
+++ b/kumquatproxy/fleet/publishing.py
@@ -3,7 +3,7 @@
 import collections.abc
 
 from kumquatproxy import entrychecks, logs, wire
-from kumquatproxy.fleet import fleetmessages, servers
+from kumquatproxy.fleet import fleetmessages, servers, serviceconfig
 
 # Subscriptions are repeated each second, and broken links are replaced within 2 s.
 SUBSCRIBER_EXPIRY_S = 5.0
@@ -70,7 +70,7 @@
 
     def __init__(self, own_id: str, table: servers.ServerTable):
         self.table = table
-        self.version = 0
+        self.version = serviceconfig.NO_VERSION
         self.content = b""
         self.subscribers_by_id: dict[str, Subscriber] = {}
         self._own_id = own_id
--- a/kumquatproxy/fleet/regionmessages.py
+++ b/kumquatproxy/fleet/regionmessages.py
@@ -44,7 +44,7 @@
     __slots__ = ("flags", "session", "version")
     flags: int
     session: int  # session_number of the subscription
-    version: int  # configuration in force at the sender
+    version: int  # configuration in force at the sender, or serviceconfig.NO_VERSION
 
 
 @wire.register("subscribe-wanted")
--- a/kumquatproxy/fleet/serviceconfig.py
+++ b/kumquatproxy/fleet/serviceconfig.py
@@ -15,6 +15,14 @@
 _CONTROL = re.compile(r"[\x00-\x1f\x7f]")
 DUPLICATE_SERVICE, DUPLICATE_TEAM = "duplicate-service", "duplicate-team"
 DUPLICATE_CODES = (DUPLICATE_SERVICE, DUPLICATE_TEAM)
+# Stands for the version of a host without a configuration. Below each version that a
+# configuration may have.
+NO_VERSION = -(2**63)
+
+
+def version_or_none(version: int) -> int | None:
+    """Return a version for operators, None for NO_VERSION."""
+    return None if version == NO_VERSION else version
 
 
 def digest_key(key: str) -> bytes:
--- a/kumquatproxy/gateway/calllog.py
+++ b/kumquatproxy/gateway/calllog.py
@@ -1,6 +1,7 @@
 """Log lines and counts of calls and their attempts."""
 
 from kumquatproxy import clock, logs
+from kumquatproxy.fleet import serviceconfig
 from kumquatproxy.gateway import calls, repetitions
 
 MAX_DETAIL_LENGTH = 200
@@ -38,7 +39,7 @@
         request_id=call.request_id,
         route=call.route.name if call.route else "",
         need=call.need.key() if call.need else "",
-        version=host.version(),
+        version=serviceconfig.version_or_none(host.version()),
         resumes=call.resumed_id,
         software_version=call.software_version,
         is_forwarded=call.forwarded_service is not None,
--- a/kumquatproxy/gateway/forwarding.py
+++ b/kumquatproxy/gateway/forwarding.py
@@ -7,10 +7,11 @@
 
 import hashlib
 import hmac
+import re
 import zlib
 
 from kumquatproxy import errors
-from kumquatproxy.fleet import servers
+from kumquatproxy.fleet import servers, serviceconfig
 from kumquatproxy.gateway import calls, framing, sharedfacts
 
 CUT_HOST = "cut-host"
@@ -34,6 +35,8 @@
 VERSION = b"x-kumquatproxy-version"  # of the sender's configuration
 HEADERS = frozenset((KEY, CALLER, SERVICE, STREAM, TEAM, VERSION))
 
+_VERSION = re.compile(r"-?[0-9]{1,19}")
+
 # Refusals after which another host may take the call.
 LOCAL_REFUSALS = frozenset(
     (
@@ -112,11 +115,11 @@
         )
     # Hosts of earlier builds name no version.
     sender_version = framing.header(call.headers, VERSION).decode("latin-1")
-    if (framing.number(sender_version) or 0) > version:
+    if _VERSION.fullmatch(sender_version) and int(sender_version) > version:
         raise errors.ProxyError(
             errors.ErrorKind.NOT_READY,
-            f"this host has version {version} of the configuration, the sender of the "
-            f"call has version {sender_version}",
+            f"this host has version {serviceconfig.version_or_none(version)} of the "
+            f"configuration, the sender of the call has version {sender_version}",
             retry_after_s=RETRY_AFTER_S,
         )
     call.forwarded_service = framing.header(call.headers, SERVICE).decode()
--- a/kumquatproxy/teamreport.py
+++ b/kumquatproxy/teamreport.py
@@ -6,8 +6,8 @@
 def team_lines(answer: dict) -> list[str]:
     """Return the lines for a team at one host."""
     lines = [
-        f"team {answer['team']} at {answer['role']} host {answer['host']}, version "
-        f"{answer['version']} in force for {answer['version_age_s']:.1f} s",
+        f"team {answer['team']} at {answer['role']} host {answer['host']}, "
+        f"{_version_text(answer)}",
         f"  {team_line(answer)}",
         *_usage_lines(answer),
         *_refusal_lines(answer.get("refused", {})),
@@ -22,6 +22,12 @@
     return lines
 
 
+def _version_text(answer):
+    if answer["version"] is None:
+        return "no configuration"
+    return f"version {answer['version']} in force for {answer['version_age_s']:.1f} s"
+
+
 def team_line(row: dict) -> str:
     """Return the rank, the keys and the cap of a team in one line."""
     rank = "of the route" if row["rank"] is None else row["rank"]
@@ -103,7 +109,7 @@
     """Return the lines for the state of one host of a fleet."""
     lines = [
         f"{answer['role']} host {answer['host']} in {answer['data_centre']}, "
-        f"version {answer['version']} in force for {answer['version_age_s']:.1f} s",
+        f"{_version_text(answer)}",
         f"configuration leader: {answer['configuration_leader'] or 'none'}",
     ]
     lines.extend(f"host {row['host']}  {row['state']}" for row in answer["hosts"])
--- a/kumquatproxy/tracing.py
+++ b/kumquatproxy/tracing.py
@@ -92,11 +92,12 @@
 def _describe_route(line):
     need = line.fields.get("need")
     route = line.fields.get("route") or "an unknown route"
-    version = line.fields.get("version", 0)
+    version = line.fields.get("version")
+    version = "no version" if version is None else f"version {version}"
     model = f", model {need}" if need else ""
     resumed_id = line.fields.get("resumes")
     resumed = f", resumes {resumed_id}" if resumed_id else ""
-    return f"route {route} of version {version}{model}{resumed}"
+    return f"route {route} of {version}{model}{resumed}"
 
 
 def _event(line, at, sentence):
--- a/tests/fleet/test_controlhost.py
+++ b/tests/fleet/test_controlhost.py
@@ -11,6 +11,7 @@
     fleetmessages,
     fleetsettings,
     fleetstate,
+    lowversions,
     originexchange,
     proposing,
     servers,
@@ -268,3 +269,63 @@
         f"version 7 is acknowledged, {outcome}",
         {"submitted": 7, "in_force": in_force, "is_committed": True},
     )
+
+
+@pytest.fixture
+def group(host, monkeypatch):
+    """Replace the group of a host by its state machine, which commits at once."""
+    machine = host.replication.machine
+    monkeypatch.setattr(
+        proposing.Proposer,
+        "commit",
+        lambda proposer, command, timeout_s: machine.apply(command),
+    )
+    identities = [voterset.make_identity(name, "first") for name in VOTER_IDS]
+    monkeypatch.setattr(host, "_member_ids", lambda: identities)
+    return machine
+
+
+@pytest.mark.parametrize("version", [0, -3])
+def test_first_configuration_may_have_any_version(host, group, version):
+    """Guards against a version that is acknowledged and never in force."""
+    with pytest.raises(errors.ProxyError) as caught:
+        host.read_configuration()
+    assert caught.value.status == 503
+    for submitted in (version, version, version - 1):
+        assert host.put_configuration(PUT_TEXT % submitted) == version
+        assert host.read_configuration() == PUT_TEXT % version
+    host.tick(clock.now())
+    assert host.configuration().version == version
+    assert host.put_configuration(PUT_TEXT % (version + 1)) == version + 1
+
+
+def test_low_version_is_acknowledged_once_no_member_would_lose_it(
+    host, group, monkeypatch, logged
+):
+    """Guards against an acknowledged version that an earlier build does not keep.
+
+    Such a member ignores the version, and may lead the group or send its snapshot.
+    """
+    monkeypatch.setattr(host, "send_message", lambda *arguments: None)
+    subscribe(host, "127.0.0.3", "s", clock.now())
+    for _ in range(2):
+        with pytest.raises(errors.ProxyError) as caught:
+            host.put_configuration(PUT_TEXT % 0)
+        assert caught.value.status == 503
+        assert logged[-1][1]["hosts"] == ["127.0.0.3"]
+    assert host.read_configuration() == PUT_TEXT % 0
+    subscribe(host, "127.0.0.3", lowversions.mark_session("t"), clock.now())
+    assert host.put_configuration(PUT_TEXT % 0) == 0
+
+
+def test_version_above_0_is_acknowledged_beside_earlier_builds(
+    host, group, monkeypatch
+):
+    monkeypatch.setattr(host, "send_message", lambda *arguments: None)
+    subscribe(host, "127.0.0.3", "s", clock.now())
+    assert host.put_configuration(PUT_TEXT % 1) == 1
+
+
+def test_control_hosts_name_that_they_keep_low_versions(host):
+    assert lowversions.keeps_low_versions(host._session)
+    assert not lowversions.keeps_low_versions("s")
--- a/tests/fleet/test_entryhost.py
+++ b/tests/fleet/test_entryhost.py
@@ -54,6 +54,23 @@
     assert host.version() == 5 and host.is_ready()
 
 
+@pytest.mark.parametrize("version", [0, -3])
+def test_first_configuration_may_have_any_version(host, version):
+    """Guards against hosts that stay without the configuration of the others."""
+    assert host.version() == serviceconfig.NO_VERSION
+    receive(host, configuration_push(version))
+    receive(host, configuration_push(version - 1), "127.0.0.3")
+    assert host.version() == version and host.is_ready()
+    receive(host, configuration_push(version + 1))
+    assert host.version() == version + 1
+
+
+def test_push_without_a_configuration_is_ignored(host):
+    """A control host of an earlier build without one pushes empty content."""
+    receive(host, fleetmessages.ConfigurationPush(content=b"", version=0))
+    assert not host.is_ready() and host.version() == serviceconfig.NO_VERSION
+
+
 def test_placement_push_of_an_earlier_owner_is_ignored(host):
     """Its last push may arrive after the first push of the new owner."""
     newer = fleetmessages.PlacementPush({"i-1": ["m/a1"]}, {}, 7, {}, 1)
--- a/tests/fleet/test_fleet_core.py
+++ b/tests/fleet/test_fleet_core.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 
+import cbor2
 import pytest
 
 from kumquatproxy import errors
@@ -192,6 +193,9 @@
     )
 
 
+LOW_VERSIONS = (0, -3, -(2**63) + 1)
+
+
 class TestPublisher:
     """Each subscriber with details gets every change once from a control host."""
 
@@ -233,6 +237,22 @@
         assert publisher.configure(6, b"old", 1.0) == []
         assert publisher.content == b"new"
 
+    @pytest.mark.parametrize("version", LOW_VERSIONS)
+    def test_configuration_of_any_version_is_published(self, publisher, version):
+        """Guards against subscribers without a configuration that get none."""
+        none = subscription(serviceconfig.NO_VERSION)
+        publisher.subscribe("e1", none, 0.0)
+        assert len(publisher.configure(version, b"text", 0.0)) == 1
+        (send,) = publisher.subscribe("e1", none, 1.0)
+        assert send.message == fleetmessages.ConfigurationPush(b"text", version)
+        assert publisher.subscribe("e1", subscription(version), 2.0) == []
+
+    def test_without_a_configuration_none_is_published(self, publisher):
+        """Also not to hosts of earlier builds, which name the version 0 for none."""
+        for version in (serviceconfig.NO_VERSION, 0):
+            publisher.subscribe("e1", subscription(), 0.0)
+            assert publisher.subscribe("e1", subscription(version), 1.0) == []
+
     def test_mark_is_published_immediately_and_once(self, publisher):
         publisher.subscribe("e1", subscription(), 0.0)
         publisher.record_heartbeat(announcement(), 0.0)
@@ -360,6 +380,35 @@
         assert not self.put(state, 5, b"other").is_same
         assert state.content == b"five"
 
+    @pytest.mark.parametrize("version", LOW_VERSIONS)
+    def test_first_configuration_may_have_any_version(self, version):
+        """Guards against a number of a configuration that stands for none."""
+        state = fleetstate.FleetState()
+        assert state.apply(fleetstate.ReadConfiguration()).content == b""
+        assert self.put(state, version, b"first").is_same
+        assert not self.put(state, version - 1, b"older").is_same
+        answer = state.apply(fleetstate.ReadConfiguration())
+        assert (answer.version, answer.content) == (version, b"first")
+
+    @pytest.mark.parametrize("version", LOW_VERSIONS)
+    def test_snapshot_restores_a_configuration_of_any_version(self, version):
+        """Guards against a configuration that only snapshots lack."""
+        state = fleetstate.FleetState()
+        empty_snapshot = state.snapshot()
+        self.put(state, version, b"first")
+        restored = fleetstate.FleetState()
+        restored.restore(state.snapshot())
+        assert (restored.version, restored.content) == (version, b"first")
+        # Members of earlier builds have no such version in their snapshots.
+        restored.restore(empty_snapshot)
+        assert (restored.version, restored.content) == (version, b"first")
+
+    def test_earlier_builds_recognise_a_state_without_a_configuration(self):
+        """They take the version 0 for none, in snapshots and in answers to reads."""
+        state = fleetstate.FleetState()
+        assert cbor2.loads(state.snapshot())[:2] == [0, b""]
+        assert state.apply(fleetstate.ReadConfiguration()).version == 0
+
     def test_ownership_requires_a_higher_fence(self):
         state = fleetstate.FleetState()
         state.apply(fleetstate.TakeOwnership(4, "c1"))
--- a/tests/fleet/test_meters.py
+++ b/tests/fleet/test_meters.py
@@ -7,7 +7,13 @@
 import pytest
 
 from kumquatproxy import logs
-from kumquatproxy.fleet import deferredmeter, entryhost, fleetsettings, meters
+from kumquatproxy.fleet import (
+    deferredmeter,
+    entryhost,
+    fleetsettings,
+    meters,
+    serviceconfig,
+)
 from kumquatproxy.laboratory import demosystem
 from kumquatproxy.membership import transport
 
@@ -146,12 +152,26 @@
         status, text = fetch(int(address.rpartition(":")[2]))
         assert status == 200
         assert gauge(text, "kumquatproxy_configuration_version") == 0.0
+        assert gauge(text, "kumquatproxy_configuration_known") == 0.0
         assert fetch(int(address.rpartition(":")[2]), "/other")[0] == 404
     finally:
         host.meter_server.stop(0.1)
         host.stop()
 
 
+@pytest.mark.parametrize("version", [0, -3])
+def test_gauges_tell_a_version_up_to_0_from_none(version):
+    """Guards against hosts without a configuration that seem to have one."""
+    host = entryhost.EntryHost(parse(), seed=1)
+    assert host.gauges()["configuration.known"] == 0.0
+    host.configuration = serviceconfig.Configuration(version, (), ())
+    values = host.gauges()
+    assert (values["configuration.version"], values["configuration.known"]) == (
+        version,
+        1.0,
+    )
+
+
 def test_host_serves_callers_if_the_metrics_address_is_in_use():
     """Guards against a host that exits because another process has the port."""
     address = demosystem.free_address()
--- a/tests/fleet/test_regionalexchange.py
+++ b/tests/fleet/test_regionalexchange.py
@@ -10,6 +10,7 @@
     regionalsubscription,
     regionmessages,
     servers,
+    serviceconfig,
 )
 
 SESSION = "0123456789abcdef"
@@ -417,6 +418,8 @@
     region = world.entries[0].region
     region.record_notice("c-b2", 3, world.now)
     assert region.ids_to_ask(3, world.now + 1.0) == []
+    region.record_notice("c-b2", -3, world.now)
+    assert region.ids_to_ask(serviceconfig.NO_VERSION, world.now + 1.0) == ["c-b2"]
 
 
 def test_standby_gets_each_changed_server_once(world):
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -330,3 +330,25 @@
         sound.host.version = lambda: 1
         cut.host.version = lambda: version or 0
         assert send(cut, b"once").endswith(b"done")
+
+    @pytest.mark.parametrize(
+        ("own", "sent", "is_taken"),
+        [
+            (-3, -3, True),
+            (-3, -7, True),
+            (-7, -3, False),
+            (serviceconfig.NO_VERSION, -7, False),
+            (serviceconfig.NO_VERSION, 0, False),
+            (2**63 - 1, 2**63 - 1, True),
+            (2**63 - 2, 2**63 - 1, False),
+        ],
+    )
+    def test_versions_are_compared_over_their_whole_range(
+        self, hosts, own, sent, is_taken
+    ):
+        """Guards against forwarded calls that are refused under a version below 0."""
+        cut, sound, backends = hosts
+        sound.host.version = lambda: own
+        cut.host.version = lambda: sent
+        assert send(cut, b"once").endswith(b"done") == is_taken
+        assert sum(len(backend.heads) for backend in backends) == is_taken
--- a/tests/soak/addressblocks.py
+++ b/tests/soak/addressblocks.py
@@ -14,6 +14,7 @@
     "test_cutlinks": 1,
     "test_faultyservers": 1,
     "test_limitedservers": 1,
+    "test_lowversions": 1,
     "test_memory": 1,
     "test_oddentries": 1,
     "test_pausedservers": 1,
