--- /dev/null
+++ b/kumquatproxy/agreement/grouplog.py
@@ -0,0 +1,96 @@
+"""Log lines on what changes in a group: leader, voters, learners, snapshots."""
+
+from kumquatproxy import logs
+from kumquatproxy.agreement import replicalog
+
+
+class GroupLog:
+    """Write a line for each change that a member sees.
+
+    The log of a learner that has not caught up is reported at most once a second.
+    """
+
+    __slots__ = ("_caught_up", "_is_leader", "_log", "_member", "_voter_set")
+
+    def __init__(self, member, log: logs.Log):
+        self._log = log
+        self._member = member
+        self._is_leader = False
+        self._voter_set = member.voter_set
+        self._caught_up: set[str] = set()  # learners
+
+    def write_changes(self, now: float) -> None:
+        """Write what has changed since the last call."""
+        self._write_role(now)
+        self._write_voters(now)
+        self._write_learners(now)
+
+    def write_snapshot(
+        self, now: float, snapshot: replicalog.Snapshot, is_installed: bool
+    ) -> None:
+        """Write that a snapshot was taken, or installed from the leader."""
+        action = "installed" if is_installed else "took"
+        self._log.write(
+            now,
+            f"{action} the snapshot at entry {snapshot.index}",
+            size_bytes=len(snapshot.data),
+            last_index=self._member.state.log.last_index,
+        )
+
+    def _write_role(self, now):
+        is_leader = self._member.leader_state is not None
+        if is_leader == self._is_leader:
+            return
+        self._is_leader = is_leader
+        identity = self._member.settings.identity
+        sentence = f"{identity} became leader in term {self._member.term}"
+        if not is_leader:
+            sentence = f"{identity} stepped down: {self._member.step_down_reason}"
+        self._log.write(now, sentence)
+
+    def _write_voters(self, now):
+        state = self._member.state
+        known, current = self._voter_set, state.voter_set
+        if current is known or state.voter_set_index > state.commit_index:
+            return
+        self._voter_set = current
+        if current == known:
+            return
+        self._log.write(
+            now,
+            "the members have changed",
+            voters=list(current.voters),
+            learners=list(current.learners),
+            added=sorted(set(current.members) - set(known.members)),
+            promoted=sorted(set(current.voters) & set(known.learners)),
+            removed=sorted(set(known.members) - set(current.members)),
+            index=state.voter_set_index,
+        )
+
+    def _write_learners(self, now):
+        leader = self._member.leader_state
+        if leader is None:
+            self._caught_up.clear()
+            return
+        log = self._member.state.log
+        learners = self._member.voter_set.learners
+        self._caught_up.intersection_update(learners)
+        for identity in learners:
+            if leader.has_caught_up(identity):
+                if identity not in self._caught_up:
+                    self._caught_up.add(identity)
+                    self._log.write(now, f"learner {identity} has caught up")
+                continue
+            self._caught_up.discard(identity)
+            peer = leader.progress_by_identity[identity]
+            self._log.write_limited(
+                now,
+                f"learner {identity}",
+                f"learner {identity} has not caught up",
+                match_index=peer.match_index,
+                last_index=log.last_index,
+                is_probing=peer.is_probing,
+                in_flight=len(peer.in_flight),
+                snapshot_bytes=len(peer.snapshot.data) if peer.snapshot else 0,
+                silent_s=round(now - peer.last_contact_at, 3),
+            )
--- a/kumquatproxy/agreement/replication.py
+++ b/kumquatproxy/agreement/replication.py
@@ -4,7 +4,7 @@
 import gevent.event
 
 from kumquatproxy import clock, errors, logs, tasks, wire
-from kumquatproxy.agreement import applying, groupsettings, voterset
+from kumquatproxy.agreement import applying, grouplog, groupsettings, voterset
 
 MAX_BATCHED_MESSAGES = 256
 STORAGE_RETRY_S = 1.0
@@ -77,11 +77,11 @@
         self.storage_error: errors.ProxyError | None = None
         self._send = send
         self._log = logs.Log("group")
+        self._group_log = grouplog.GroupLog(member, self._log)
         self._unwritten_outputs: groupsettings.Outputs | None = None
         self._retry_at = 0.0
         self._batched_message_count = 0
         self._last_write_s = 0.0  # duration of the last write
-        self._was_leader = False
 
     @property
     def machine(self):
@@ -178,8 +178,8 @@
                 break
             if not self._write(outputs, now):
                 return
-            self._complete(outputs)
-        self._log_role_change(now)
+            self._complete(outputs, now)
+        self._group_log.write_changes(now)
 
     def _write(self, outputs, now):
         if outputs.persist.is_empty():
@@ -208,33 +208,25 @@
             gevent.get_hub().threadpool.apply(self.store.append, (persist,))
         self._last_write_s = clock.now() - start
 
-    def _complete(self, outputs):
+    def _complete(self, outputs, now):
         if outputs.persist.entries:
             last = outputs.persist.entries[-1]
             self.member.mark_persisted(last.index, last.term)
         self._send_all(outputs.messages)
         if outputs.snapshot is not None:
             self.applier.restore(outputs.snapshot)
+            self._group_log.write_snapshot(now, outputs.snapshot, is_installed=True)
         self.applier.apply(outputs.committed)
         data = self.applier.snapshot()
         if data is not None:
             self.member.compact(self.applier.applied_index, data)
+            snapshot = self.member.state.snapshot
+            self._group_log.write_snapshot(now, snapshot, is_installed=False)
 
     def _send_all(self, sends):
         for send in sends:
             self._send(send.to, send.message)
 
-    def _log_role_change(self, now):
-        is_leader = self.member.leader_state is not None
-        if is_leader == self._was_leader:
-            return
-        self._was_leader = is_leader
-        identity = self.member.settings.identity
-        text = f"{identity} became leader in term {self.member.term}"
-        if not is_leader:
-            text = f"{identity} stepped down: {self.member.step_down_reason}"
-        self._log.write(now, text)
-
 
 _HANDLERS = {
     SubmitCommand: Replication._handle_submit,
--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -241,6 +241,7 @@
             build=build.digest(),
             identity=self.replication.member.settings.identity,
             revision=serviceconfig.version_or_none(machine.version),
+            last_index=self.replication.member.state.log.last_index,
         )
 
     def gauges(self) -> dict[str, float]:
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -10,7 +10,7 @@
 import gevent.monkey
 import pytest
 
-from kumquatproxy import errors, wire
+from kumquatproxy import errors, logs, wire
 from kumquatproxy.agreement import (
     consensus,
     diskstore,
@@ -263,3 +263,42 @@
     result = request.reply.get(timeout=TIMEOUT_S)
     assert result.kind is errors.ErrorKind.PROTOCOL_ERROR
     assert write(leader, 4) is True
+
+
+def test_log_tells_how_an_empty_member_becomes_a_voter(members, monkeypatch):
+    """Guards against a member that never becomes a voter for no visible reason."""
+    lines = []
+
+    def record(log, now, sentence, **fields):
+        lines.append((sentence, fields))
+
+    def record_limited(log, now, kind, sentence, **fields):
+        lines.append((sentence, fields))
+
+    monkeypatch.setattr(logs.Log, "write", record)
+    monkeypatch.setattr(logs.Log, "write_limited", record_limited)
+
+    def wait_for_line(start, **expected):
+        members.wait_for(
+            lambda: any(
+                sentence.startswith(start) and expected.items() <= fields.items()
+                for sentence, fields in lines
+            )
+        )
+
+    leader = members.leader()
+    for value in range(50):
+        write(leader, value)
+    wait_for_line("took the snapshot at entry")
+    identity = voterset.make_identity("h4", "0")
+    diskstore.format_directory(
+        members.directory / "h4", identity, groupsettings.bootstrap_state()
+    )
+    change = voterset.Change(voterset.ChangeKind.ADD_VOTER, identity)
+    leader.ask(replication.ChangeVoters(change), TIMEOUT_S)
+    wait_for_line("the members have changed", added=[identity], promoted=[])
+    wait_for_line(f"learner {identity} has not caught up", match_index=0)
+    members.start("h4")
+    wait_for_line("installed the snapshot at entry")
+    wait_for_line(f"learner {identity} has caught up")
+    wait_for_line("the members have changed", promoted=[identity])
