--- a/kumquatproxy/agreement/applying.py
+++ b/kumquatproxy/agreement/applying.py
@@ -6,6 +6,10 @@
 from kumquatproxy.agreement import replicalog
 
 SNAPSHOT_INTERVAL_ENTRIES = 5000
+# A member that joins gets the last snapshot and the log since then, so both are bounded
+# in bytes. A large state is written less often than the log grows by its size.
+SNAPSHOT_INTERVAL_BYTES = 512 * 1024
+MIN_LOG_PER_SNAPSHOT = 2.0  # bytes of the log for each byte of the snapshot
 
 
 class PendingResult:
@@ -26,6 +30,8 @@
         self.applied_index = 0
         self._snapshot_interval_entries: int = snapshot_interval_entries
         self._snapshot_index = 0
+        self._snapshot_bytes = 0
+        self._log_bytes = 0  # of the entries applied since the snapshot
         # A member that loses and regains leadership may propose at the same index
         # again.
         self._pending_by_index: dict[int, list[PendingResult]] = {}
@@ -43,7 +49,8 @@
         """Restore the state machine; fail proposals that the snapshot covers."""
         if snapshot.data:
             self.machine.restore(snapshot.data)
-        self.applied_index = self._snapshot_index = snapshot.index
+        self.applied_index = snapshot.index
+        self._record_snapshot(snapshot.data)
         for index in sorted(self._pending_by_index):
             if index <= snapshot.index:
                 for pending in self._pending_by_index.pop(index):
@@ -61,6 +68,7 @@
                 )
             result = self._result_of(entry)
             self.applied_index = entry.index
+            self._log_bytes += len(entry.data)
             for pending in self._pending_by_index.pop(entry.index, ()):
                 pending.callback(
                     result if pending.term == entry.term else _replaced_error()
@@ -83,10 +91,26 @@
 
     def snapshot(self) -> bytes | None:
         """Return the encoded state if a new snapshot is due, otherwise None."""
-        if self.applied_index - self._snapshot_index < self._snapshot_interval_entries:
+        if not self._is_snapshot_due():
             return None
+        data = self.machine.snapshot()
+        self._record_snapshot(data)
+        return data
+
+    def _is_snapshot_due(self):
+        entries = self.applied_index - self._snapshot_index
+        interval_bytes = max(
+            SNAPSHOT_INTERVAL_BYTES, MIN_LOG_PER_SNAPSHOT * self._snapshot_bytes
+        )
+        return (
+            entries >= self._snapshot_interval_entries
+            or self._log_bytes >= interval_bytes
+        )
+
+    def _record_snapshot(self, data):
         self._snapshot_index = self.applied_index
-        return self.machine.snapshot()
+        self._snapshot_bytes = len(data)
+        self._log_bytes = 0
 
 
 def _replaced_error():
--- a/kumquatproxy/agreement/consensus.py
+++ b/kumquatproxy/agreement/consensus.py
@@ -193,9 +193,12 @@
     def compact(self, index: int, data: bytes) -> None:
         """Take ``data`` as the snapshot at ``index`` and remove older entries.
 
-        The last ``settings.retained_entries`` up to ``index`` stay in the log.
+        Of these, the last ones stay in the log within the limits of the settings.
         """
-        self.state.compact(index, data, self.settings.retained_entries)
+        settings = self.settings
+        self.state.compact(
+            index, data, settings.retained_entries, settings.retained_bytes
+        )
 
     def storage_failed(self, now: float) -> None:
         """Step down and stop acknowledging until ``storage_recovered`` is called."""
--- a/kumquatproxy/agreement/groupsettings.py
+++ b/kumquatproxy/agreement/groupsettings.py
@@ -14,7 +14,10 @@
 MAX_COMMAND_BYTES = MAX_BATCH_BYTES
 SNAPSHOT_CHUNK_BYTES = 128 * 1024
 MAX_IN_FLIGHT_APPENDS = 64  # unanswered append messages to each member
-RETAINED_ENTRIES = 1000  # kept before a snapshot for members that lag slightly
+# Entries kept before a snapshot for members that lag slightly, and their size. A member
+# that lacks more gets the snapshot.
+RETAINED_ENTRIES = 1000
+RETAINED_BYTES = 512 * 1024
 # A learner that is silent for longer is removed; without ``voter_target`` only one to
 # be promoted. It may have lost its state, and then joins under a new identity.
 LEARNER_EXPIRY_S = 30.0
@@ -40,6 +43,7 @@
         "max_batch_entries",
         "max_in_flight",
         "replace_after_s",
+        "retained_bytes",
         "retained_entries",
         "voter_target",
     )
@@ -61,6 +65,7 @@
         admitted_hosts=(),
         voter_target=0,
         replace_after_s=REPLACE_AFTER_S,
+        retained_bytes=RETAINED_BYTES,
     ):
         self.group: str = group
         self.identity: str = identity
@@ -73,6 +78,7 @@
         self.max_in_flight: int = max_in_flight
         self.chunk_bytes: int = chunk_bytes
         self.retained_entries: int = retained_entries
+        self.retained_bytes: int = retained_bytes
         self.learner_expiry_s: float = learner_expiry_s
         # Hosts that become voters when they join, without an operator command.
         self.admitted_hosts: tuple[str, ...] = tuple(admitted_hosts)
--- a/kumquatproxy/agreement/logstate.py
+++ b/kumquatproxy/agreement/logstate.py
@@ -86,11 +86,14 @@
         if self.log.term_at(index) == term:
             self.persisted_index = max(self.persisted_index, index)
 
-    def compact(self, index: int, data: bytes, retained_entries: int) -> None:
+    def compact(
+        self, index: int, data: bytes, retained_entries: int, retained_bytes: int
+    ) -> None:
         """Take ``data`` as the snapshot at ``index`` and compact the log.
 
-        The last ``retained_entries`` up to ``index`` stay in the log. The call is
-        ignored if ``index`` is not handed out yet or a snapshot at or after it exists.
+        The last entries up to ``index`` stay in the log, as many as fit into both
+        limits. The call is ignored if ``index`` is not handed out yet or a snapshot at
+        or after it exists.
         """
         term = self.log.term_at(index)
         if (
@@ -104,7 +107,8 @@
         self.snapshot = replicalog.Snapshot(index, term, encoded, data)
         self._unwritten_snapshot = self.snapshot
         self._voter_sets = self._voter_sets[len(covered_sets) - 1 :]
-        self.log.compact(index - retained_entries)
+        retained = self.log.count_before(index, retained_entries, retained_bytes)
+        self.log.compact(index - retained)
 
     def install(self, snapshot: replicalog.Snapshot) -> None:
         """Install a snapshot of the leader; later entries stay if the terms match."""
--- a/kumquatproxy/agreement/replicalog.py
+++ b/kumquatproxy/agreement/replicalog.py
@@ -86,6 +86,16 @@
                 return entries[:count]
         return entries
 
+    def count_before(self, last: int, max_entries: int, max_bytes: int) -> int:
+        """Return how many of the entries up to ``last`` fit into both limits."""
+        first = max(self.base_index + 1, last - max_entries + 1)
+        size_bytes = 0
+        for count, entry in enumerate(reversed(self.slice(first, last))):
+            size_bytes += len(entry.data)
+            if size_bytes > max_bytes:
+                return count
+        return last - first + 1
+
     def append(self, entry: Entry) -> None:
         """Append the entry that follows the last one."""
         if entry.index != self.last_index + 1:
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -6,6 +6,7 @@
 
 from kumquatproxy import errors, wire
 from kumquatproxy.agreement import (
+    applying,
     consensus,
     groupsettings,
     raftmessages,
@@ -31,9 +32,9 @@
     return group
 
 
-def propose_write(group, value, node=None):
+def propose_write(group, value, node=None, padding=b""):
     node = node or group.leader()
-    command = wire.encode(registermachine.RegisterCall(["write", value], b""))
+    command = wire.encode(registermachine.RegisterCall(["write", value], padding))
     results = []
     node.applier.add_callback(
         node.member.propose(command, node.clock()), results.append
@@ -274,6 +275,55 @@
     assert joined.applier.machine.value == 39
 
 
+def test_learner_gets_no_large_commands_that_a_snapshot_covers(monkeypatch):
+    """Guards against a member that joins too late, as whole configurations precede it.
+
+    Fewer entries than the interval of snapshots may take hundreds of times the state.
+    """
+    interval = applying.SNAPSHOT_INTERVAL_ENTRIES
+    group = make_group(spare_hosts=("s1",), snapshot_every=interval)
+    padding = bytes(45_000)
+    for value in range(200):
+        propose_write(group, value, padding=padding)
+        group.run(0.1)
+    leader = group.leader()
+    sent_bytes = []
+    transmit = group.transmit
+
+    def count(sender, send):
+        if send.to == "s1":
+            sent_bytes.append(len(wire.encode(send.message)))
+        transmit(sender, send)
+
+    monkeypatch.setattr(group, "transmit", count)
+    change = voterset.Change(voterset.ChangeKind.ADD_VOTER, "s1/0")
+    leader.member.propose_change(change, leader.clock())
+    group.run(2.0)
+    assert "s1/0" in leader.member.voter_set.voters
+    assert group.nodes_by_host["s1"].applier.machine.value == 199
+    largest = applying.SNAPSHOT_INTERVAL_BYTES + groupsettings.RETAINED_BYTES
+    assert sum(sent_bytes) < largest + 4 * len(padding)
+    log = leader.member.state.log
+    assert (log.last_index - log.base_index) * len(padding) < largest + len(padding)
+
+
+def test_a_large_state_is_not_written_each_time_the_log_grows_a_little():
+    """Guards against a disk that is busy with snapshots."""
+    machine = registermachine.RegisterMachine()
+    applier = applying.Applier(machine, snapshot_interval_entries=5000)
+    size_bytes = 2 * applying.SNAPSHOT_INTERVAL_BYTES
+    machine.snapshot = lambda: bytes(size_bytes)
+    command = wire.encode(registermachine.RegisterCall(["write", 1], bytes(32_768)))
+    written, applied_bytes = 0, 0
+    for index in range(1, 401):
+        entry = replicalog.Entry(index, 1, replicalog.EntryKind.COMMAND, command)
+        applier.apply([entry])
+        applied_bytes += len(command)
+        if applier.snapshot() is not None:
+            written += size_bytes
+    assert size_bytes <= written <= applied_bytes / 2 + size_bytes
+
+
 def test_change_is_refused_while_an_earlier_one_is_uncommitted():
     """Two changes at once could allow two quorums that do not overlap."""
     group = make_group(spare_hosts=("s1",))
