Give a link no more entries at once than its queue holds

Callers: a control host that has lacked contact while large configurations were submitted catches up with one message for each answer, 20 to 30 ms each.

Cause: the leader gives a link up to 64 unanswered messages of up to 192 KB, 12 MB, and the queue of a link drops the oldest ones beyond 2 MB. The member refuses those after the gap, and the leader begins anew one by one.

Evidence: the lines of show is_probing true throughout, 26 entries of 45 KB a second over a link of 1,000 Mbit/s.

Fix: the leader stops at a megabyte of unanswered entries. The limit in messages stays, and each answer allows more.

--- a/kumquatproxy/agreement/groupsettings.py
+++ b/kumquatproxy/agreement/groupsettings.py
@@ -13,7 +13,10 @@
 MAX_BATCH_ENTRIES = 1024
 MAX_COMMAND_BYTES = MAX_BATCH_BYTES
 SNAPSHOT_CHUNK_BYTES = 128 * 1024
-MAX_IN_FLIGHT_APPENDS = 64  # unanswered append messages to each member
+# Unanswered append messages to each member. The queue of a link holds more bytes than
+# these, so that none is dropped, as all later ones are refused then.
+MAX_IN_FLIGHT_APPENDS = 64
+MAX_IN_FLIGHT_BYTES = 1024 * 1024
 # Entries kept before a snapshot for members that lag slightly, and their size. A member
 # that lacks more gets the snapshot.
 RETAINED_ENTRIES = 1000
@@ -42,6 +45,7 @@
         "max_batch_bytes",
         "max_batch_entries",
         "max_in_flight",
+        "max_in_flight_bytes",
         "replace_after_s",
         "retained_bytes",
         "retained_entries",
@@ -66,6 +70,7 @@
         voter_target=0,
         replace_after_s=REPLACE_AFTER_S,
         retained_bytes=RETAINED_BYTES,
+        max_in_flight_bytes=MAX_IN_FLIGHT_BYTES,
     ):
         self.group: str = group
         self.identity: str = identity
@@ -76,6 +81,7 @@
         self.max_batch_entries: int = max_batch_entries
         self.max_batch_bytes: int = max_batch_bytes
         self.max_in_flight: int = max_in_flight
+        self.max_in_flight_bytes: int = max_in_flight_bytes
         self.chunk_bytes: int = chunk_bytes
         self.retained_entries: int = retained_entries
         self.retained_bytes: int = retained_bytes
--- a/kumquatproxy/agreement/leaderstate.py
+++ b/kumquatproxy/agreement/leaderstate.py
@@ -132,7 +132,9 @@
 
     def _send_entries(self, identity, peer):
         while peer.next_index <= self.log.last_index:
-            if not peer.may_send(self.settings.max_in_flight):
+            if not peer.may_send(
+                self.settings.max_in_flight, self.settings.max_in_flight_bytes
+            ):
                 return
             if self.log.term_at(peer.next_index - 1) is None:
                 self._start_snapshot(identity, peer)
@@ -143,7 +145,8 @@
                 self.settings.max_batch_bytes,
             )
             self._send_append(identity, peer.next_index - 1, entries)
-            peer.record_sent(entries[-1].index)
+            size_bytes = sum(len(entry.data) for entry in entries)
+            peer.record_sent(entries[-1].index, size_bytes)
 
     def _send_heartbeat(self, identity):
         peer = self.progress_by_identity[identity]
--- a/kumquatproxy/agreement/progress.py
+++ b/kumquatproxy/agreement/progress.py
@@ -30,34 +30,41 @@
         self.next_index: int = next_index
         self.is_probing = True
         self.probe_sent = False
-        # Last index of each append message without a reply.
-        self.in_flight: collections.deque[int] = collections.deque()
+        # Last index and bytes of each append message without a reply.
+        self.in_flight: collections.deque[tuple[int, int]] = collections.deque()
         self.snapshot: replicalog.Snapshot | None = None
         self.snapshot_offset = 0  # bytes received by the member
         self.last_acked_sent_at = 0.0  # send time of the latest answered message
         self.last_contact_at: float = now
 
-    def may_send(self, max_in_flight: int) -> bool:
-        """Return whether an append message with entries may be sent now."""
+    def may_send(self, max_in_flight: int, max_in_flight_bytes: int) -> bool:
+        """Return whether an append message with entries may be sent now.
+
+        The last one may exceed the limit of bytes.
+        """
         if self.snapshot is not None:
             return False
         if self.is_probing:
             return not self.probe_sent
-        return len(self.in_flight) < max_in_flight
+        in_flight_bytes = sum(size_bytes for _, size_bytes in self.in_flight)
+        return (
+            len(self.in_flight) < max_in_flight
+            and in_flight_bytes < max_in_flight_bytes
+        )
 
-    def record_sent(self, last_index: int) -> None:
-        """Record that entries up to ``last_index`` were sent."""
+    def record_sent(self, last_index: int, size_bytes: int) -> None:
+        """Record that entries up to ``last_index`` were sent in one message."""
         if self.is_probing:
             self.probe_sent = True
             return
         self.next_index = last_index + 1
-        self.in_flight.append(last_index)
+        self.in_flight.append((last_index, size_bytes))
 
     def record_match(self, index: int) -> None:
         """Record that the logs match up to ``index``."""
         self.match_index = max(self.match_index, index)
         self.next_index = max(self.next_index, index + 1)
-        while self.in_flight and self.in_flight[0] <= index:
+        while self.in_flight and self.in_flight[0][0] <= index:
             self.in_flight.popleft()
         self.is_probing = False
         self.probe_sent = False
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -14,6 +14,7 @@
     voterset,
 )
 from kumquatproxy.laboratory import groupinvariants, registermachine, simgroup
+from kumquatproxy.membership import sendqueue
 
 VOTERS = ("h1/0", "h2/0", "h3/0")
 
@@ -307,6 +308,35 @@
     assert (log.last_index - log.base_index) * len(padding) < largest + len(padding)
 
 
+def test_what_a_member_lacks_fits_into_the_queue_of_its_link(monkeypatch):
+    """Guards against appends that a link drops, so that all later ones are refused."""
+    monkeypatch.setattr(applying, "SNAPSHOT_INTERVAL_BYTES", 2**30)
+    interval = applying.SNAPSHOT_INTERVAL_ENTRIES
+    group = make_group(snapshot_every=interval, retained_bytes=2**30)
+    leader = group.leader()
+    follower = next(host for host in group.nodes_by_host if host != leader.host_id)
+    isolate(group, follower)
+    for value in range(100):
+        propose_write(group, value, padding=bytes(45_000))
+        group.run(0.05)
+    queues_by_time = {}
+    transmit = group.transmit
+
+    def queue(sender, send):
+        if send.to == follower:
+            at = group.nodes_by_host[sender].clock()
+            messages = queues_by_time.setdefault(at, sendqueue.SendQueue())
+            messages.put(wire.encode(send.message), True, at)
+        transmit(sender, send)
+
+    monkeypatch.setattr(group, "transmit", queue)
+    group.faults.blocked_links.clear()
+    group.run(10.0)
+    assert group.nodes_by_host[follower].applier.machine.value == 99
+    assert max(len(messages) for messages in queues_by_time.values()) > 1
+    assert sum(messages.dropped for messages in queues_by_time.values()) == 0
+
+
 def test_a_large_state_is_not_written_each_time_the_log_grows_a_little():
     """Guards against a disk that is busy with snapshots."""
     machine = registermachine.RegisterMachine()
