Suspect the prompt parts of calls that were left before a crash

Callers: a prompt part crashes each server that answers on it, and those who send it leave before the crash. Streams beside them broke off.

Cause: a call that its caller leaves was remembered with the keys by which a repetition is recognised, not with its prompt parts. No two requests were alike, so nothing was a suspect twice.

Fix: such calls are remembered with their parts too, unless an event had come, and these are suspects with the lesser weight of the two that all builds know. The parts of calls that broke off come first.

--- a/kumquatproxy/gateway/crashes.py
+++ b/kumquatproxy/gateway/crashes.py
@@ -121,14 +121,24 @@
         return bool(suspected_parts)
 
     def record_departure(
-        self, call: calls.Call, announcement, sent_at: float, now: float
+        self,
+        call: calls.Call,
+        announcement,
+        sent_at: float,
+        now: float,
+        has_event: bool = False,
     ) -> None:
-        """Record that a call was left while a server was running it."""
+        """Record that a call was left while a server was running it.
+
+        ``has_event`` tells whether an event of the response had come.
+        """
         if announcement.state is not servers.ServerState.READY:
             return
         keys = self.calls.suspected_features(call, now)
-        if keys:
-            self._departures.record(announcement, sent_at, keys, now)
+        parts = [] if has_event else self.parts.suspected_features(call, now)
+        if keys or parts:
+            departure = departures.Departure(now, sent_at, keys, parts)
+            self._departures.record(announcement, departure)
 
     def confirm_crash(self, lifetime: tuple, now: float) -> None:
         """Publish the suspects at a server that has crashed."""
@@ -159,12 +169,19 @@
         self.handle_facts(facts, now)
 
     def _add_departed(self, pending, departed):
-        """Add the calls that were left to the suspects of a crash."""
-        for _, sent_at, keys in departed.entries:
-            pending.sent_at = max(pending.sent_at, sent_at)
-            pending.suspected_calls = self.calls.add_suspect(
-                pending.suspected_calls, self.calls.departed_grade(keys), keys
-            )
+        """Add the calls that were left, and their parts, to the suspects of a crash."""
+        for entry in reversed(departed.entries):
+            pending.sent_at = max(pending.sent_at, entry.sent_at)
+            if entry.keys:
+                grade = self.calls.departed_grade(entry.keys)
+                pending.suspected_calls = self.calls.add_suspect(
+                    pending.suspected_calls, grade, entry.keys
+                )
+            # The parts of calls that broke off come first.
+            if entry.parts and self.parts.has_room(pending.suspected_parts):
+                pending.suspected_parts = self.parts.add_suspect(
+                    pending.suspected_parts, False, entry.parts
+                )
 
     def _crash_key(self, pending, now):
         """Return the key of a crash, the same at all hosts that see it."""
--- a/kumquatproxy/gateway/crashrecorder.py
+++ b/kumquatproxy/gateway/crashrecorder.py
@@ -45,7 +45,11 @@
         """Record that an attempt is given up while its server may be running it."""
         if attempt.sent_at and not (attempt.is_response_read or attempt.is_forwarded):
             self._host.crashes.record_departure(
-                call, attempt.announcement, attempt.sent_at, clock.now()
+                call,
+                attempt.announcement,
+                attempt.sent_at,
+                clock.now(),
+                attempt.first_event_at is not None,
             )
 
     def has_crashed_server(self, call: calls.Call, attempt) -> bool:
--- a/kumquatproxy/gateway/departures.py
+++ b/kumquatproxy/gateway/departures.py
@@ -1,15 +1,30 @@
 """Calls whose caller left while a server was running them.
 
 The host closes its connection then and does not see how the run ends. If the server
-crashes soon afterwards, the call is a suspect as well, though a weak one.
+crashes soon afterwards, the call and its prompt parts are suspects as well, though
+weak ones.
 """
 
+from kumquatproxy import records
+
 # A run may go on after its connection was closed, as not all servers watch for that.
 KEPT_S = 5.0
 MAX_SERVERS = 1000
 MAX_CALLS_PER_SERVER = 16
 
 
+class Departure(records.Record):
+    """Hold what may have crashed a server after a call was left there."""
+
+    __slots__ = ("keys", "left_at", "parts", "sent_at")
+
+    def __init__(self, left_at, sent_at, keys, parts):
+        self.left_at: float = left_at
+        self.sent_at: float = sent_at
+        self.keys: list[str] = keys  # of the call
+        self.parts: list[str] = parts  # keys of prompt parts
+
+
 class Departures:
     """Hold the calls that were left at one lifetime of a server."""
 
@@ -17,8 +32,7 @@
 
     def __init__(self, announcement):
         self.announcement = announcement
-        # (time, when the call was sent, keys of the call), the newest last.
-        self.entries: list[tuple[float, float, list[str]]] = []
+        self.entries: list[Departure] = []  # the newest last
 
 
 class DepartureTable:
@@ -30,12 +44,13 @@
         self._departures_by_lifetime: dict[tuple, Departures] = {}
         self._lifetime_by_address: dict[str, tuple] = {}
 
-    def record(self, announcement, sent_at: float, keys: list[str], now: float) -> None:
+    def record(self, announcement, departure: Departure) -> None:
         """Record that a call was left at a server."""
         known = self._remove(announcement.lifetime) or Departures(announcement)
-        known.entries = [entry for entry in known.entries if now - entry[0] <= KEPT_S]
+        oldest_at = departure.left_at - KEPT_S
+        known.entries = [entry for entry in known.entries if entry.left_at >= oldest_at]
         known.entries = known.entries[1 - MAX_CALLS_PER_SERVER :]
-        known.entries.append((now, sent_at, keys))
+        known.entries.append(departure)
         while len(self._departures_by_lifetime) >= MAX_SERVERS:
             self._remove(next(iter(self._departures_by_lifetime)))
         self._departures_by_lifetime[announcement.lifetime] = known
@@ -65,6 +80,6 @@
         known.entries = [
             entry
             for entry in known.entries
-            if crashed_at - KEPT_S <= entry[0] <= crashed_at
+            if crashed_at - KEPT_S <= entry.left_at <= crashed_at
         ]
         return known if known.entries else None
--- a/kumquatproxy/gateway/suspicion.py
+++ b/kumquatproxy/gateway/suspicion.py
@@ -195,6 +195,10 @@
             if not clears(self._sound_at(feature, now), now)
         ]
 
+    def has_room(self, suspects: list) -> bool:
+        """Return whether no suspect of a crash has to yield to one more."""
+        return len(suspects) < self._crash_facts.max_suspects
+
     def add_suspect(self, suspects: list, grade: int, features: list[str]) -> list:
         """Return the suspects of a crash with one more, as far as they fit."""
         suspect = [self._host_id, grade, features]
--- a/tests/gateway/test_departures.py
+++ b/tests/gateway/test_departures.py
@@ -107,6 +107,63 @@
     assert test_repetitions.is_rejected(hosts, deadly, 20.0)
 
 
+def crashes_after_departures(count, left_before_s=0.2, **options):
+    """Return hosts after crashes beside calls with one part in common, which left."""
+    hosts = test_crashingparts.Hosts("a", "b")
+    hosts.trackers[0].record_answer(test_crashingparts.make_call("shared"), 9.0)
+    for number in range(10, 10 + count):
+        server = test_crashingparts.make_server(number)
+        tracker = hosts.trackers[number % 2]
+        call = test_crashingparts.make_call("shared", "dead")
+        left_at = number - left_before_s
+        tracker.record_departure(call, server, left_at - 0.4, left_at, **options)
+        tracker.confirm_crash(server.lifetime, number)
+    return hosts
+
+
+@pytest.mark.parametrize("count", [2, 3])
+def test_part_of_calls_that_left_is_rejected_after_three_crashes(count):
+    """Guards against a deadly part in ever new requests, whose callers do not wait."""
+    hosts = crashes_after_departures(count)
+    deadly = test_crashingparts.make_call("shared", "dead")
+    assert hosts.rejections(deadly, 20.0) == [count == 3] * 2
+    sound = test_crashingparts.make_call("shared", "other")
+    assert hosts.rejections(sound, 20.0) == [False] * 2
+
+
+@pytest.mark.parametrize(
+    "options", [{"has_event": True}, {"left_before_s": departures.KEPT_S + 0.1}]
+)
+def test_part_is_no_suspect_after_an_event_or_long_before_a_crash(options):
+    hosts = crashes_after_departures(8, **options)
+    call = test_crashingparts.make_call("shared", "dead")
+    assert hosts.rejections(call, 20.0) == [False] * 2
+
+
+def test_part_of_calls_that_left_is_cleared_by_an_answer():
+    """Guards against a sound part of impatient callers beside crashes."""
+    hosts = crashes_after_departures(4)
+    call = test_crashingparts.make_call("shared", "dead")
+    hosts.trackers[1].record_answer(call, 20.0)
+    assert hosts.rejections(call, 20.1) == [False] * 2
+
+
+def test_parts_of_calls_that_broke_off_stay_the_first_suspects():
+    """Guards against a deadly part that is displaced by those of calls that left."""
+    hosts = test_crashingparts.Hosts("a", "b")
+    for number in (11, 12, 13):
+        server = test_crashingparts.make_server(number)
+        tracker = hosts.trackers[number % 2]
+        for other in range(departures.MAX_CALLS_PER_SERVER):
+            call = test_crashingparts.make_call(f"a{number}{other}")
+            tracker.record_departure(call, server, number - 0.5, number - 0.3)
+        deadly = test_crashingparts.make_call("dead")
+        tracker.record_break(deadly, server, False, number, None, number - 0.1)
+        tracker.confirm_crash(server.lifetime, number)
+    deadly = test_crashingparts.make_call("dead")
+    assert hosts.rejections(deadly, 20.0) == [True] * 2
+
+
 def test_memory_of_departures_is_bounded():
     table = departures.DepartureTable()
     for number in range(2 * departures.MAX_SERVERS):
@@ -114,7 +171,7 @@
             f"i-{number}", "s", f"10.0.{number // 200}.{number % 200}:80", "a", 1, 1, 4
         )
         for _ in range(3 * departures.MAX_CALLS_PER_SERVER):
-            table.record(server, 1.0, ["k"], 1.0)
+            table.record(server, departures.Departure(1.0, 1.0, ["k"], ["p"]))
     assert table.take(("i-0", 1), 1.0) is None
     last = table.take((f"i-{2 * departures.MAX_SERVERS - 1}", 1), 1.0)
     assert len(last.entries) == departures.MAX_CALLS_PER_SERVER
