Log a learner that lags only when it lacks more than the newest entries

Operators would get two lines for each commit and learner of a group with permanent learners: a learner answers after the voters have committed, and counted as one that has not caught up for that moment.

--- a/kumquatproxy/agreement/grouplog.py
+++ b/kumquatproxy/agreement/grouplog.py
@@ -1,7 +1,7 @@
 """Log lines on what changes in a group: leader, voters, learners, snapshots."""
 
 from kumquatproxy import logs
-from kumquatproxy.agreement import replicalog
+from kumquatproxy.agreement import leaderstate, replicalog
 
 
 class GroupLog:
@@ -72,25 +72,39 @@
         if leader is None:
             self._caught_up.clear()
             return
-        log = self._member.state.log
         learners = self._member.voter_set.learners
         self._caught_up.intersection_update(learners)
         for identity in learners:
-            if leader.has_caught_up(identity):
-                if identity not in self._caught_up:
-                    self._caught_up.add(identity)
-                    self._log.write(now, f"learner {identity} has caught up")
+            if self._is_close(identity):
                 continue
-            self._caught_up.discard(identity)
-            peer = leader.progress_by_identity[identity]
-            self._log.write_limited(
-                now,
-                f"learner {identity}",
-                f"learner {identity} has not caught up",
-                match_index=peer.match_index,
-                last_index=log.last_index,
-                is_probing=peer.is_probing,
-                in_flight=len(peer.in_flight),
-                snapshot_bytes=len(peer.snapshot.data) if peer.snapshot else 0,
-                silent_s=round(now - peer.last_contact_at, 3),
-            )
+            if leader.has_caught_up(identity):
+                self._caught_up.add(identity)
+                self._log.write(now, f"learner {identity} has caught up")
+            else:
+                self._caught_up.discard(identity)
+                self._write_lag(identity, now)
+
+    def _is_close(self, identity):
+        """Return whether a learner that has caught up lacks the last entries at most.
+
+        The newest entries are committed before it has answered.
+        """
+        if identity not in self._caught_up:
+            return False
+        peer = self._member.leader_state.progress_by_identity[identity]
+        lag = self._member.state.log.last_index - peer.match_index
+        return lag <= leaderstate.CAUGHT_UP_MAX_LAG_ENTRIES
+
+    def _write_lag(self, identity, now):
+        peer = self._member.leader_state.progress_by_identity[identity]
+        self._log.write_limited(
+            now,
+            f"learner {identity}",
+            f"learner {identity} has not caught up",
+            match_index=peer.match_index,
+            last_index=self._member.state.log.last_index,
+            is_probing=peer.is_probing,
+            in_flight=len(peer.in_flight),
+            snapshot_bytes=len(peer.snapshot.data) if peer.snapshot else 0,
+            silent_s=round(now - peer.last_contact_at, 3),
+        )
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -294,11 +294,19 @@
     diskstore.format_directory(
         members.directory / "h4", identity, groupsettings.bootstrap_state()
     )
-    change = voterset.Change(voterset.ChangeKind.ADD_VOTER, identity)
+    change = voterset.Change(voterset.ChangeKind.ADD_LEARNER, identity)
     leader.ask(replication.ChangeVoters(change), TIMEOUT_S)
     wait_for_line("the members have changed", added=[identity], promoted=[])
     wait_for_line(f"learner {identity} has not caught up", match_index=0)
     members.start("h4")
     wait_for_line("installed the snapshot at entry")
     wait_for_line(f"learner {identity} has caught up")
+    lines.clear()
+    for value in range(50):
+        write(leader, value)
+    learner_lines = [line for line, _ in lines if line.startswith("learner")]
+    assert learner_lines == []  # it lacks the newest entries for a moment only
+    change = voterset.Change(voterset.ChangeKind.PROMOTE, identity)
+    members.wait_for(lambda: leader.member.leader_state.has_caught_up(identity))
+    leader.ask(replication.ChangeVoters(change), TIMEOUT_S)
     wait_for_line("the members have changed", promoted=[identity])
