Test that operators can tell no configuration from a version of 0

Status, traces and the fields of calls name no version without a configuration since; they had no test.

--- a/tests/fleet/test_operatorviews.py
+++ b/tests/fleet/test_operatorviews.py
@@ -264,3 +264,13 @@
     assert (answer["role"], answer["book"]) == ("control", {})
     status = views.ask(operatorviews.adminmessages.GetStatus(), 1.0)
     assert {"host": CONTROL_ID, "state": "heard"} in status["hosts"]
+
+
+def test_status_tells_a_host_without_a_configuration_from_one_with_version_0(operator):
+    """Guards against a missing configuration that is shown as the version 0."""
+    operator.host.configuration = None
+    assert operator.ask("status")["version"] is None
+    assert "no configuration\n" in operator.run("status")[1]
+    operator.push(push(version=0, teams=[]))
+    assert operator.ask("status")["version"] == 0
+    assert "version 0 in force" in operator.run("status")[1]
--- a/tests/gateway/test_tracing.py
+++ b/tests/gateway/test_tracing.py
@@ -6,6 +6,7 @@
 import test_relay
 
 from kumquatproxy import cli, logs, tracing
+from kumquatproxy.fleet import serviceconfig
 
 
 class Collector:
@@ -120,3 +121,15 @@
     keys = [line["repetition"] for line in lines if "repetition" in line]
     assert keys[0] and keys[0] == keys[1] != keys[2]
     assert {line["caller"] for line in lines if "caller" in line} == {"127.0.0.1"}
+
+
+@pytest.mark.parametrize(
+    ("version", "text"), [(0, "of version 0"), (-3, "of version -3"), (None, "no vers")]
+)
+def test_trace_tells_a_low_version_from_none(collected, version, text):
+    """Guards against calls without a configuration that seem to have version 0."""
+    with test_relay.running_relay([...]) as (address, _, host):
+        number = serviceconfig.NO_VERSION if version is None else version
+        host.version = lambda: number
+        test_relay.send_request(address, b"none")
+    assert any(text in event for event in event_texts(collected))
