Keep origins of streams on the disks of control hosts

Cause: where a stream began was known in memory only, at three control hosts and at the entry host that began it. The rule for streams that nobody knows needs a host that has been in contact for as long as the stream may have lasted, 35 s there. The log line of the regression test before this change: origin null, all three voters answered, versions v1 and v2, no complete report.

A control host now appends the origins that it keeps to files in its data folder, each 0.25 s in a thread, and reads them at its start. They count like origins that another host has sent again, so they never replace another one and say nothing about versions; the rule for unknown streams is unchanged.

--- a/kumquatproxy/fleet/controlhost.py
+++ b/kumquatproxy/fleet/controlhost.py
@@ -1,5 +1,6 @@
 """Control host: a member of the control group that publishes the fleet's state."""
 
+import itertools
 import secrets
 import time
 import zlib
@@ -30,6 +31,7 @@
     modelwants,
     orderissuer,
     originexchange,
+    originstore,
     proposing,
     publishing,
     regionalpublisher,
@@ -49,6 +51,8 @@
 GROUP = "control"
 # Streams whose origin is kept, 1,800 begun a second for a minute; about 20 MB.
 MAX_STREAMS = 108_000
+# Origins that are read from the disk in a tick of 50 ms; they take some 10 ms.
+RESTORED_PER_TICK = 1000
 EXPIRE_INTERVAL_S = 5.0
 VERSION_INTERVAL_S = 0.5
 # Time since the last message of another control host after which it is out of contact.
@@ -159,12 +163,14 @@
         self._next_expiry_at = now
         self._next_versions_at = now
         self._heard_at_by_id: dict[str, float] = {}  # of the other control hosts
-        # Origins of streams that began at entry hosts. They are kept in memory only, as
-        # streams last seconds; entry hosts send them again to a host that restarts.
+        # Origins of streams that began at entry hosts, which send them again to a host
+        # that restarts. Its disk tells those of entry hosts that have ended as well.
         self._streams = streamorigins.OriginTable(MAX_STREAMS)
         self._origin_relay = originexchange.OriginRelay(self._streams)
         self._version_history = streamorigins.VersionHistory()
         self._folder = datafolder.DataFolder(host_settings.host.data_folder)
+        self._origin_store = originstore.OriginStore(self._folder, now)
+        self._stored_origins = self._origin_store.load(now, time.time())
         self._facts = factexchange.ControlFacts()
         self._fact_store = factstore.FactStore(self._folder)
         self._fact_store.load(self._facts.table, now, time.time())
@@ -625,11 +631,20 @@
         origin = streamorigins.Origin(message.service, message.software_version)
         owner = self._origin_relay.owner(received.sender)
         self._streams.record(message.stream_id, origin, message.kept_s, now, owner)
+        self._origin_store.add(message.stream_id, origin, message.kept_s, now)
 
     def _on_stream_origins(self, received, now):
         owner = self._origin_relay.owner(received.sender)
         for stream_id, origin, left_s in originexchange.from_message(received.message):
-            self._streams.restore(stream_id, origin, left_s, now, owner)
+            if self._streams.restore(stream_id, origin, left_s, now, owner):
+                self._origin_store.add(stream_id, origin, left_s, now)
+
+    def _restore_stored_origins(self, now):
+        """Restore a part of the origins on the disk, so that a start is not delayed."""
+        part = itertools.islice(self._stored_origins, RESTORED_PER_TICK)
+        for stream_id, origin, ends_at in part:
+            left_s = ends_at - now
+            self._streams.restore(stream_id, origin, left_s, now, originexchange.STORED)
 
     def _on_origins_wanted(self, received, now):
         self._origin_relay.request(received.sender, received.message.session, now)
@@ -704,6 +719,8 @@
         self.region.tick(leader, now)
         self._send_all(self._facts.tick(self.publisher.fact_subscribers(now), now))
         self._fact_store.tick(self._facts.table, now, time.time())
+        self._restore_stored_origins(now)
+        self._origin_store.tick(now, time.time())
         logs.flush()
 
     def _apply_configuration(self, machine, now):
--- a/kumquatproxy/fleet/originexchange.py
+++ b/kumquatproxy/fleet/originexchange.py
@@ -1,8 +1,8 @@
 """Origins of streams that are sent again to control hosts that have restarted.
 
-Control hosts keep origins in memory only. One that starts asks its subscribers. Entry
-hosts send the origins of the streams that they began, and the other control hosts those
-of entry hosts that have ended, a part with each tick.
+A control host that starts knows those on its disk, if it has one, and asks its
+subscribers. Entry hosts send the origins of the streams that they began, and the other
+control hosts those of entry hosts that have ended, a part with each tick.
 """
 
 from kumquatproxy import entrychecks, wire
@@ -14,6 +14,9 @@
 # An entry host that has been silent for longer may have ended. Each one sends a message
 # a second, and control hosts may restart a second or two after one another.
 SILENCE_S = 2.0
+# Owner of origins that a host has read from its disk. The others have theirs on their
+# own disks, so it passes none of them on.
+STORED = "stored"
 # Interval at which the ends of entry hosts are looked for, as each one takes a scan of
 # the table.
 END_CHECK_INTERVAL_S = 0.25
@@ -224,7 +227,7 @@
         """Return the messages that are due while these entry hosts are up."""
         if self._new_ids or now >= self._next_check_at:
             self._next_check_at = now + END_CHECK_INTERVAL_S
-            self._check({self.owner(host_id) for host_id in entry_ids}, now)
+            self._check({STORED, *map(self.owner, entry_ids)}, now)
         return self._outbox.next_sends(now)
 
     def _check(self, live_owners, now):
--- a/kumquatproxy/gateway/streamorigins.py
+++ b/kumquatproxy/gateway/streamorigins.py
@@ -86,17 +86,21 @@
         left_s: float,
         now: float,
         owner: str = "",
-    ) -> None:
-        """Remember an origin that another host has sent again.
+    ) -> bool:
+        """Remember an origin that was sent again or stored, unless another is known.
 
-        It may be out of date, so it never replaces another origin nor ends earlier.
+        It may be out of date, so it ends no earlier for that. Return whether the stream
+        was unknown.
         """
-        known = self.find(stream_id, now)
-        is_newer = known is None or (
-            known == origin and left_s > self.time_left_s(stream_id, now)
-        )
-        if is_newer and left_s > 0.0:
-            self.record(stream_id, origin, left_s, now, owner)
+        known, expires_at, known_owner = self._entries_by_id.get(stream_id, _UNKNOWN)
+        known_left_s = max(0.0, expires_at - now)
+        if left_s <= 0.0 or (known_left_s > 0.0 and known != origin):
+            return False
+        is_newer = left_s > known_left_s
+        if is_newer or (owner and owner != known_owner):
+            left_s = max(left_s, known_left_s)
+            self.record(stream_id, origin, left_s, now, owner or known_owner)
+        return known_left_s == 0.0
 
     def find(self, stream_id: str, now: float) -> Origin | None:
         """Return the origin of a stream, or None if it is unknown."""
--- a/tests/soak/test_restartedcontrols.py
+++ b/tests/soak/test_restartedcontrols.py
@@ -19,6 +19,7 @@
 FIRST_EVENTS = 3
 STABILITY_WINDOW_S = 3.0
 START_TIMEOUT_S = 10.0
+FACTS_STORED_S = 0.5  # until control hosts have written what they were told
 # Of the streams that are taken up, beside the share of new ones that begin.
 LEAST_SHARE = 0.5
 
@@ -168,3 +169,27 @@
     assert mixed == 0
     assert started == STREAMS
     assert continued > LEAST_SHARE * started, statuses
+
+
+def test_streams_go_on_after_all_hosts_were_killed(fleet):
+    """Guards against streams whose versions were known in memory only."""
+    first, other = fleet.entries
+    hosts = [*fleet.controls, *fleet.entries]
+    begun = begin(fleet, first, [None] * STREAMS)
+    gevent.sleep(FACTS_STORED_S)
+    for host in hosts:
+        host.signal(signal.SIGKILL)
+    for host in hosts:
+        host.terminate(signal.SIGKILL)
+        host.start()
+    for entry in fleet.entries:
+        fleet.wait_for_entry(entry)
+    gevent.sleep(STABILITY_WINDOW_S)
+    taken_up = begin(fleet, other, begun)
+    new = begin(fleet, other, [None] * STREAMS)
+    mixed, _ = test_streamresumption.mixed_and_finished(begun, taken_up)
+    assert mixed == 0
+    started = sum(bool(stream.versions) for stream in new)
+    continued = sum(bool(stream.versions) for stream in taken_up)
+    assert started == STREAMS
+    assert continued > LEAST_SHARE * started, [stream.status for stream in taken_up]
