Go on with a stream only on connections that a heartbeat has followed

A server had crashed and was back at another version 0.6 s after its last heartbeat; its next one was late, and streams went on there.

Cause: a heartbeat of at most 2 s was taken as proof that the announced lifetime answers. It says nothing about a start after it. What proves it is a heartbeat that arrives after the connection was opened.

An attempt to go on with a begun stream now takes an idle connection that was open at the last known heartbeat, or waits on its own one until the next heartbeat is known, 2 s at most.

--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -572,6 +572,23 @@
             if candidate.announcement.lifetime in recent
         ]
 
+    def last_heartbeat_at(self, announcement: servers.Announcement) -> float:
+        """Return when the last known heartbeat of a lifetime arrived.
+
+        It is infinite if no control host tells of heartbeats.
+        """
+        return self._heartbeats.last_at(announcement)
+
+    def has_heartbeat_since(
+        self, announcement: servers.Announcement, since: float
+    ) -> bool:
+        """Return whether a heartbeat of a lifetime has arrived after ``since``.
+
+        If none is known of, it waits for about a round trip to the control hosts.
+        """
+        live_ids = self._live_control_ids(clock.now())
+        return self._heartbeats.wait_for_heartbeat(announcement, since, live_ids)
+
     # Messages
 
     def _broadcast(self, host_ids, message):
--- a/kumquatproxy/fleet/heartbeatages.py
+++ b/kumquatproxy/fleet/heartbeatages.py
@@ -1,13 +1,15 @@
 """Ages of servers' heartbeats, which tell whether a stream may go on at a server.
 
 A server that starts again under its id and address may run another software version,
-and answers do not name it. Hosts learn of it from its first heartbeat, so a stream that
-has begun goes on only at servers that have sent a heartbeat lately. Pushes tell that
-too late, so entry hosts ask the control hosts.
+and answers do not name it. Hosts learn of it from its first heartbeat. A stream that
+has begun therefore goes on only at servers that have sent a heartbeat lately, on a
+connection that was open by then. Pushes tell that too late, so entry hosts ask the
+control hosts.
 """
 
 import math
 
+import gevent
 import gevent.event
 
 from kumquatproxy import clock, entrychecks, wire
@@ -17,6 +19,9 @@
 AGES_MARK = "+ages"
 # Servers send a heartbeat about once a second.
 MAX_AGE_S = 2.0
+INTERVAL_S = 1.0  # between them, about
+# A control host that is asked for the next heartbeat is asked again after this time.
+REPEAT_S = 0.2
 # An entry host and all control hosts are a round trip apart, also across regions.
 TIMEOUT_S = 0.2
 # A host that has greeted is not replaced by one of another build within this time.
@@ -71,6 +76,7 @@
     """
 
     __slots__ = (
+        "_asked_at_by_ids",
         "_broadcast",
         "_greeted_at_by_id",
         "_heard_at_by_lifetime",
@@ -84,6 +90,7 @@
         self._heard_at_by_lifetime: dict[tuple, float] = {}
         # By the instance ids that were asked for.
         self._pending_by_ids: dict[tuple[str, ...], PendingQuestion] = {}
+        self._asked_at_by_ids: dict[tuple[str, ...], float] = {}
         self._question_count = 0
 
     def reopen(self, host_id: str, now: float) -> None:
@@ -125,16 +132,55 @@
         if not self._greeted_at_by_id:
             return lifetimes
         now = clock.now()
-        ends_at = now + TIMEOUT_S
         found = self.find(lifetimes, now)
         if found or not announcements:
             return found
         pending = self._ask(announcements[:MAX_ASKED], live_ids, now)
-        while not found and pending.awaited_ids and now < ends_at:
-            pending.settled.wait(ends_at - now)
-            now = clock.now()
-            found = self.find(lifetimes, now)
-        return found
+        self._wait(pending, lambda: self.find(lifetimes, clock.now()))
+        return self.find(lifetimes, clock.now())
+
+    def _wait(self, pending, is_enough):
+        """Wait for answers until they are enough, or no further one is awaited."""
+        ends_at = clock.now() + TIMEOUT_S
+        while pending.awaited_ids and not is_enough():
+            left_s = ends_at - clock.now()
+            if left_s <= 0.0:
+                return
+            pending.settled.wait(left_s)
+
+    def last_at(self, announcement: servers.Announcement) -> float:
+        """Return when the last known heartbeat of a lifetime arrived at the latest.
+
+        It is infinite if no control host knows these messages.
+        """
+        if not self._greeted_at_by_id:
+            return math.inf
+        return self._heard_at_by_lifetime.get(announcement.lifetime, -math.inf)
+
+    def wait_for_heartbeat(
+        self, announcement: servers.Announcement, since: float, live_ids: set[str]
+    ) -> bool:
+        """Return whether a heartbeat of a lifetime is known to have come after a time.
+
+        Wait up to TIMEOUT_S for it. The control hosts are asked once the next one is
+        due.
+        """
+        if self.last_at(announcement) >= since:
+            return True
+        now = clock.now()
+        due_at = self._due_at(announcement)
+        if due_at > now:
+            gevent.sleep(min(due_at - now, TIMEOUT_S))
+        else:
+            pending = self._ask([announcement], live_ids, now)
+            self._wait(pending, lambda: self.last_at(announcement) >= since)
+        return self.last_at(announcement) >= since
+
+    def _due_at(self, announcement):
+        """Return when to ask for the next heartbeat of a server."""
+        asked_at = self._asked_at_by_ids.get((announcement.instance_id,), -math.inf)
+        next_at = self.last_at(announcement) + INTERVAL_S
+        return max(next_at, asked_at + REPEAT_S)
 
     def find(self, lifetimes: set[tuple], now: float) -> set[tuple]:
         """Return those of some lifetimes with a heartbeat known to be recent."""
@@ -155,6 +201,7 @@
             self._question_count += 1
             host_ids = live_ids & self._greeted_at_by_id.keys()
             pending = PendingQuestion(self._question_count, host_ids, now)
+            self._asked_at_by_ids[ids] = now
             self._pending_by_ids[ids] = pending
             message = HeartbeatAgesWanted(
                 instance_ids=list(ids), number=self._question_count
@@ -169,6 +216,11 @@
             for ids, pending in self._pending_by_ids.items()
             if pending.awaited_ids and now < pending.asked_at + TIMEOUT_S
         }
+        self._asked_at_by_ids = {
+            ids: asked_at
+            for ids, asked_at in self._asked_at_by_ids.items()
+            if now - asked_at <= REPEAT_S
+        }
         self._heard_at_by_lifetime = {
             lifetime: heard_at
             for lifetime, heard_at in self._heard_at_by_lifetime.items()
--- a/kumquatproxy/gateway/backendconnections.py
+++ b/kumquatproxy/gateway/backendconnections.py
@@ -1,6 +1,7 @@
 """Pooled HTTP/1.1 connections to backend servers, each with one call at a time."""
 
 import collections
+import math
 import select
 import socket
 import typing
@@ -123,6 +124,7 @@
         "instance_id",
         "is_fully_sent",
         "is_reusable",
+        "opened_at",
         "refused_ids",
         "request_count",
     )
@@ -139,6 +141,7 @@
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
         )
         self._sock.settimeout(None)
+        self.opened_at: float = clock.now()
         self._buffer = bytearray()
         # The parser is known to need data for the next event.
         self._is_between_chunks = False
@@ -398,27 +401,33 @@
         max_idle_s: float,
         timeout_s: float,
         request_id: str = "",
+        opened_by: float = math.inf,
     ):
         """Return an idle or new connection; raise OSError if connecting fails.
 
-        It is not one on which the server has refused a call with this ``request_id``.
+        It is not one on which the server has refused a call with this ``request_id``,
+        and one that was open at the time ``opened_by`` if there is one.
         """
         now = clock.now()
-        link = self._take_idle(instance_id, max_idle_s, request_id, now)
+        link = None
+        for latest in sorted({opened_by, math.inf}):
+            link = link or self._take_idle(
+                instance_id, max_idle_s, request_id, latest, now
+            )
         if link is not None:
             link.had_earlier_call = True
             return link
         self.opened_count += 1
         return BackendConnection(instance_id, address, timeout_s)
 
-    def _take_idle(self, instance_id, max_idle_s, request_id, now):
+    def _take_idle(self, instance_id, max_idle_s, request_id, opened_by, now):
         idle_links = self._idle_by_id.get(instance_id)
         skipped_links = []
         found = None
         while idle_links and found is None:
             link = idle_links.pop()
             if link.is_fit_for_reuse(now, max_idle_s):
-                if request_id in link.refused_ids:
+                if request_id in link.refused_ids or link.opened_at > opened_by:
                     skipped_links.append(link)
                 else:
                     found = link
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -44,6 +44,8 @@
 # Copies of the newest data of a stream while the caller takes it: as received, as
 # events, joined, and framed.
 STREAM_COPIES = 4
+# Time for which a begun stream waits for the next heartbeat of a server.
+MAX_CONFIRMATION_S = 2.0
 OVERLOADED_RETRY_AFTER_S = 0.5
 # Why a call is not sent again.
 SPENT_BUDGET = "the retry budget is spent"
@@ -428,6 +430,7 @@
                 )
                 attempt.link = self._connect(call, attempt)
                 self._check_team(call)
+                self._check_lifetime(call, attempt, progress)
                 self._check_sendable(attempt)
                 self._send(call, attempt, progress)
             self._receive(call, attempt, progress, connection)
@@ -514,6 +517,7 @@
                 max_idle_s,
                 timeout_s,
                 call.request_id,
+                self._confirmed_at(call, attempt),
             )
         except OSError as error:
             # Shortly before the deadline there is no time to connect.
@@ -525,6 +529,30 @@
             self._host.paths.record_connected(announcement)
         return link
 
+    def _confirmed_at(self, call, attempt):
+        """Return until when connections reach the announced lifetime for certain."""
+        if attempt.is_forwarded or not call.software_version:
+            return math.inf
+        return self._host.last_heartbeat_at(attempt.announcement)
+
+    def _check_lifetime(self, call, attempt, progress):
+        """Wait until the connection is known to reach the announced lifetime.
+
+        A begun stream goes on only there, as a later one may run another version. Raise
+        NotSendableError if this does not become known.
+        """
+        if attempt.is_forwarded or not call.software_version:
+            return
+        link = attempt.link
+        ends_at = min(link.opened_at + MAX_CONFIRMATION_S, call.deadline)
+        while not self._host.has_heartbeat_since(attempt.announcement, link.opened_at):
+            if progress.fallback and progress.fallback.link.receive_available():
+                raise FallbackResumedError
+            if clock.now() >= ends_at:
+                attempt.link = None
+                self.links.release(link)
+                raise NotSendableError
+
     def _check_sendable(self, attempt):
         """Raise NotSendableError if the selected server may not be sent a call now."""
         now = clock.now()
--- a/tests/fleet/test_heartbeatages.py
+++ b/tests/fleet/test_heartbeatages.py
@@ -135,3 +135,72 @@
     session = heartbeatages.mark_session("1234+facts")
     assert heartbeatages.asks_for_ages(session) and session.endswith("+facts")
     assert not heartbeatages.asks_for_ages("1234+facts")
+
+
+class Heartbeats(ControlHosts):
+    """Answer with the age of the last of some heartbeats, by instance id."""
+
+    def __init__(self, times_by_lifetime):
+        super().__init__({})
+        self._times_by_lifetime = times_by_lifetime
+
+    def broadcast(self, host_ids, message):
+        self.questions.append((host_ids, message))
+        now = clock.now()
+        ages = [
+            [name, born_ms, now - max(time for time in times if time <= now)]
+            for (name, born_ms), times in self._times_by_lifetime.items()
+            if name in message.instance_ids and min(times) <= now
+        ]
+        gevent.spawn_later(self._answer_s, self.send, "c1", ages, message.number)
+
+
+def wait_for_heartbeat(watch, announcement, since, limit_s):
+    """Return whether a heartbeat follows a time within a limit."""
+    ends_at = clock.now() + limit_s
+    while not (is_found := watch.wait_for_heartbeat(announcement, since, LIVE_IDS)):
+        if clock.now() >= ends_at:
+            break
+    return is_found
+
+
+def test_streams_wait_for_the_next_heartbeat_and_share_few_questions():
+    """Guards against questions of each stream of a server that has crashed."""
+    now = clock.now()
+    hosts = Heartbeats({("i-1", 1): [now - 0.6, now + 0.4]})
+    watch = hosts.greet()
+    tasks = [
+        gevent.spawn(wait_for_heartbeat, watch, announce(1), now, 3.0)
+        for _ in range(20)
+    ]
+    assert all(task.get() for task in tasks)
+    assert 0.4 <= clock.now() - now < 1.0
+    assert watch.last_at(announce(1)) == pytest.approx(now + 0.4, abs=0.05)
+    assert len(hosts.questions) <= 3
+
+
+def test_heartbeat_before_the_connection_says_nothing_of_it():
+    """Guards against a server that started again right after a heartbeat."""
+    now = clock.now()
+    hosts = Heartbeats({("i-1", 1): [now - 0.1], ("i-1", 2): [now]})
+    watch = hosts.greet()
+    assert watch.wait_for_heartbeat(announce(1), now - 0.2, LIVE_IDS)
+    assert not wait_for_heartbeat(watch, announce(1), now, 1.5)
+    assert len(hosts.questions) <= 5
+
+
+def test_wait_for_a_heartbeat_is_bounded_without_control_hosts():
+    """Guards against a loop that asks nobody, again and again."""
+    watch = ControlHosts({}).greet()
+    calls = 0
+    ends_at = clock.now() + 0.6
+    while clock.now() < ends_at:
+        assert not watch.wait_for_heartbeat(announce(1), clock.now(), set())
+        calls += 1
+    assert calls < 10
+
+
+def test_no_heartbeat_is_waited_for_where_no_control_host_tells_ages():
+    hosts = ControlHosts({})
+    assert hosts.watch.wait_for_heartbeat(announce(1), clock.now(), LIVE_IDS)
+    assert hosts.questions == []
--- a/tests/gateway/test_backendconnections.py
+++ b/tests/gateway/test_backendconnections.py
@@ -172,3 +172,16 @@
     """Guards against an error that tasks do not expect of a connection."""
     with pytest.raises(OSError):
         backendconnections.BackendConnection("i", address, 0.2)
+
+
+def test_connection_that_was_open_at_a_time_is_preferred(pool):
+    """Guards against a wait for a heartbeat beside a connection that needs none."""
+    server = rawservers.RawServer([OK % (b"1", b"ok")] * 4)
+    earlier, later = [pool.acquire("one", server.address, 5.0, 1.0) for _ in range(2)]
+    pool.release(earlier)
+    pool.release(later)
+    between = (earlier.opened_at + later.opened_at) / 2
+    assert pool.acquire("one", server.address, 5.0, 1.0, "", between) is earlier
+    assert pool.acquire("one", server.address, 5.0, 1.0, "", between) is later
+    new = pool.acquire("one", server.address, 5.0, 1.0, "", between)
+    assert new.opened_at > between and not new.had_earlier_call
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -1,6 +1,7 @@
 """Calls over sockets: attempts, rejected calls, interrupted and resumed streams."""
 
 import contextlib
+import math
 
 import gevent
 import pytest
@@ -199,6 +200,12 @@
     def with_certain_version(self, candidates):
         return candidates
 
+    def last_heartbeat_at(self, announcement):
+        return math.inf
+
+    def has_heartbeat_since(self, announcement, since):
+        return True
+
     def wait_for_change(self, timeout_s):
         gevent.sleep(timeout_s)
 
--- a/tests/gateway/test_streamversions.py
+++ b/tests/gateway/test_streamversions.py
@@ -4,10 +4,11 @@
 server does not check at which version a stream began.
 """
 
+import gevent
 import test_relay
 
 from kumquatproxy import clock
-from kumquatproxy.gateway import stalltimeouts
+from kumquatproxy.gateway import relay, stalltimeouts
 
 # Longest time for a rejection without a wait, on a busy machine.
 AT_ONCE_S = 0.3
@@ -185,3 +186,95 @@
         monkeypatch.setattr(host, "with_certain_version", lambda candidates: [])
         data, _ = test_relay.send_request(address, b"stream", wait_s=pause_s + 1.0)
     assert data.endswith(b"0\r\n\r\n") and backends[1].heads == []
+
+
+def test_interrupted_stream_is_sent_once_a_heartbeat_has_followed_the_connection(
+    monkeypatch,
+):
+    """Guards against a server that was back before its heartbeat was overdue.
+
+    Until the next heartbeat of the announced lifetime, a new connection may reach a
+    later one at another version.
+    """
+    asked = []
+
+    def has_heartbeat_since(announcement, since):
+        asked.append((announcement.instance_id, since, len(backends[1].heads)))
+        gevent.sleep(0.05)
+        return len(asked) == 5
+
+    with test_relay.running_relay(
+        [broken_stream(1, 2), None], [test_relay.make_stream(3)]
+    ) as (address, backends, host):
+        set_versions(host, "v1", "v1")
+        backends[0].closes = True
+        monkeypatch.setattr(host, "has_heartbeat_since", has_heartbeat_since)
+        started_at = clock.now()
+        data, _ = test_relay.send_request(address, b"stream")
+    assert data.endswith(b"0\r\n\r\n") and len(asked) == 5
+    assert {(name, heads) for name, _, heads in asked} == {("i-1", 0)}
+    (opened_at,) = {since for _, since, _ in asked}
+    assert started_at < opened_at <= clock.now()
+
+
+def test_interrupted_stream_goes_elsewhere_if_no_heartbeat_follows(monkeypatch):
+    """Guards against a stream that waits for a server that has started again."""
+    monkeypatch.setattr(relay, "MAX_CONFIRMATION_S", 0.2)
+    late = []
+
+    def has_heartbeat_since(announcement, since):
+        gevent.sleep(0.05)
+        late.append(announcement.instance_id)
+        return announcement.instance_id == "i-2"
+
+    with test_relay.running_relay(
+        [broken_stream(1, 2), None],
+        [test_relay.make_stream(3)],
+        [test_relay.make_stream(3)],
+    ) as (address, backends, host):
+        set_versions(host, "v1", "v1", "v1")
+        backends[0].closes = True
+        monkeypatch.setattr(host, "has_heartbeat_since", has_heartbeat_since)
+        monkeypatch.setattr(
+            host,
+            "with_certain_version",
+            lambda candidates: [
+                candidate
+                for candidate in candidates
+                if late.count("i-1") < 3 or candidate.announcement.instance_id == "i-2"
+            ],
+        )
+        data, _ = test_relay.send_request(address, b"stream")
+    assert data.endswith(b"0\r\n\r\n")
+    assert backends[1].heads == [] and len(backends[2].heads) == 1
+
+
+def test_silent_stream_goes_on_at_its_server_while_another_is_confirmed(monkeypatch):
+    rest = test_relay.make_stream(2).partition(b"\r\n\r\n")[2]
+    pause_s = stalltimeouts.MAX_PAUSE_FACTOR * test_relay.ROUTES[2].max_pause_s + 0.2
+    paused = [test_relay.make_stream(1, ends=False), pause_s, rest]
+
+    def has_heartbeat_since(announcement, since):
+        gevent.sleep(0.05)
+
+    with test_relay.running_relay([paused], [test_relay.make_stream(2)]) as (
+        address,
+        backends,
+        host,
+    ):
+        set_versions(host, "v1", "v1")
+        monkeypatch.setattr(host, "has_heartbeat_since", has_heartbeat_since)
+        data, _ = test_relay.send_request(address, b"stream", wait_s=pause_s + 1.0)
+    assert data.endswith(b"0\r\n\r\n") and backends[1].heads == []
+
+
+def test_calls_that_are_tied_to_no_version_do_not_wait_for_heartbeats(monkeypatch):
+    with test_relay.running_relay([None], [test_relay.make_stream(1)]) as (
+        address,
+        _,
+        host,
+    ):
+        set_versions(host, "v1", "v2")
+        monkeypatch.setattr(host, "has_heartbeat_since", None)
+        data, _ = test_relay.send_request(address, b"stream")
+    assert data.endswith(b"0\r\n\r\n")
--- a/tests/soak/fakeservers.py
+++ b/tests/soak/fakeservers.py
@@ -302,6 +302,15 @@
         self.close_listener()
         gevent.spawn_later(down_s, self._start_again)
 
+    def start_unannounced(self, software_version, down_s):
+        """End, and be back at another version without a heartbeat."""
+        self._is_down = True
+        self.close_listener()
+        self.begin_lifetime()
+        self.software_version = software_version
+        gevent.sleep(down_s)
+        self.open_listener()
+
     def _start_again(self):
         self.begin_lifetime()
         self.end_limit()
--- a/tests/soak/test_streamresumption.py
+++ b/tests/soak/test_streamresumption.py
@@ -198,3 +198,22 @@
     resumed = Stream(fleet, second, begun)
     rest = resumed.read_to_end()
     assert mixed_and_finished([begun], [resumed]) == (0, 1), (resumed.status, rest)
+
+
+def test_stream_does_not_go_on_at_a_server_that_is_back_at_another_version(fleet):
+    """Guards against trust in a heartbeat from before a start of the server.
+
+    The server is back a few tenths of a second after it, and its next one is late.
+    """
+    first, second = fleet.entries
+    server = fleet.add_server("v5")
+    begun = [stream_of(fleet, first, "v5") for _ in range(3)]
+    other = fleet.add_server("v5")
+    gevent.sleep(SETTLE_S)
+    fleet.wait_for(lambda: other.send_heartbeat(0))
+    other.start_unannounced("v6", 0.3)
+    server.close_listener()
+    resumed = [Stream(fleet, second, stream) for stream in begun]
+    gevent.joinall([gevent.spawn(stream.read_to_end) for stream in resumed])
+    assert mixed_and_finished(begun, resumed) == (0, 0)
+    assert [stream.status for stream in resumed] == [503] * len(begun)
