Let an empty member of a group join at once

That wait protects leases from votes; a member that is in no voter set has no vote. It joins at its first tick now, repeats that after 0.15, 0.3 and 0.6 s, and then as often as before.

--- a/kumquatproxy/agreement/consensus.py
+++ b/kumquatproxy/agreement/consensus.py
@@ -51,6 +51,11 @@
         self._leader_contact_at: float = now
         self._election_deadline: float = now
         self._reset_election_timer(now)
+        # An empty member joins at once, since others may be lost next. The first Join
+        # may find no link or no leader, so the next ones follow soon.
+        self._join_interval_s: float = settings.heartbeat_s
+        if not self._is_member():
+            self._election_deadline = now
 
     @property
     def voter_set(self) -> voterset.VoterSet:
@@ -100,8 +105,12 @@
             if self.settings.voter_target:
                 # The group may have replaced this voter while it was unreachable.
                 self._outbox.queue_join()
-        elif self.settings.identity not in self.voter_set.members:
+        elif not self._is_member():
             self._outbox.queue_join()
+            self._election_deadline = now + self._join_interval_s
+            self._join_interval_s = min(
+                2.0 * self._join_interval_s, self.settings.election_timeout_s
+            )
 
     def receive(self, sender: str, message: wire.Message, now: float) -> None:
         """Handle a message from host ``sender``; raise ProxyError if malformed."""
@@ -271,6 +280,9 @@
     def _is_voter(self):
         return self.settings.identity in self.voter_set.voters
 
+    def _is_member(self):
+        return self.settings.identity in self.voter_set.members
+
     def _is_for_self_and_from_sender(self, sender, message):
         if message.group != self.settings.group:
             return False
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -276,6 +276,43 @@
     assert joined.applier.machine.value == 39
 
 
+def test_empty_member_joins_at_once():
+    """Guards against a group whose next voter is lost before the first one is replaced.
+
+    It waited for an election timeout, up to twice the time given here.
+    """
+    group = make_group(spare_hosts=("s1",), voter_target=3)
+    settings = group.nodes_by_host["s1"].settings
+    joins = []
+    transmit = group.transmit
+
+    def record(sender, send):
+        if isinstance(send.message, raftmessages.Join):
+            joins.append((group.now - started_at, send.to))
+        transmit(sender, send)
+
+    group.transmit = record
+    group.nodes_by_host["s1"].lose_disk("1")
+    started_at = group.now
+    group.nodes_by_host["s1"].start()
+    group.run(settings.election_timeout_s)
+    assert min(joins)[0] <= simgroup.TICK_S * (1.0 + simgroup.MAX_CLOCK_DRIFT)
+    assert "s1/1" in group.leader().member.voter_set.members
+
+
+def test_member_that_may_not_join_asks_seldom():
+    """Guards against a host that asks all others again and again."""
+    member = make_member("h4/0", voters=())
+    member.settings.join_hosts = ("h1",)
+    asked_at = []
+    for tenth in range(1, 601):
+        member.tick(100.0 + 0.1 * tenth)
+        if member.take_outputs().messages:
+            asked_at.append(tenth)
+    assert asked_at[0] == 1
+    assert len(asked_at) <= 60.0 / member.settings.election_timeout_s + 5
+
+
 def test_learner_gets_no_large_commands_that_a_snapshot_covers(monkeypatch):
     """Guards against a member that joins too late, as whole configurations precede it.
 
