Let a stream go on at a server that needs no wait for a heartbeat

A begun stream waits for a heartbeat after its connection was opened.

Servers with an idle connection that was open at their last known heartbeat are preferred now, so that fewer streams wait.

test_interrupted_stream_prefers_a_server_that_needs_no_wait fails without it.

--- a/kumquatproxy/gateway/backendconnections.py
+++ b/kumquatproxy/gateway/backendconnections.py
@@ -420,6 +420,14 @@
         self.opened_count += 1
         return BackendConnection(instance_id, address, timeout_s)
 
+    def has_idle(self, instance_id: str, max_idle_s: float, opened_by: float) -> bool:
+        """Return whether there is an idle connection that was open at a time."""
+        now = clock.now()
+        return any(
+            link.opened_at <= opened_by and link.is_fit_for_reuse(now, max_idle_s)
+            for link in self._idle_by_id.get(instance_id, ())
+        )
+
     def _take_idle(self, instance_id, max_idle_s, request_id, opened_by, now):
         idle_links = self._idle_by_id.get(instance_id)
         skipped_links = []
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -247,6 +247,7 @@
             candidates = self._host.load_policy.rank(call, service, candidates, now)
             if call.software_version:
                 candidates = self._host.with_certain_version(candidates)
+                candidates = self._with_confirmed_link(candidates) or candidates
                 now = clock.now()
             choice = self._host.server_selector.select(candidates)
             if choice is not None:
@@ -535,6 +536,18 @@
             return math.inf
         return self._host.last_heartbeat_at(attempt.announcement)
 
+    def _with_confirmed_link(self, candidates):
+        """Return the servers at which a begun stream goes on without a wait."""
+        return [
+            candidate
+            for candidate in candidates
+            if self.links.has_idle(
+                candidate.announcement.instance_id,
+                MAX_IDLE_S,
+                self._host.last_heartbeat_at(candidate.announcement),
+            )
+        ]
+
     def _check_lifetime(self, call, attempt, progress):
         """Wait until the connection is known to reach the announced lifetime.
 
--- a/tests/gateway/test_backendconnections.py
+++ b/tests/gateway/test_backendconnections.py
@@ -181,6 +181,9 @@
     pool.release(earlier)
     pool.release(later)
     between = (earlier.opened_at + later.opened_at) / 2
+    assert pool.has_idle("one", 5.0, between)
+    assert not pool.has_idle("one", 5.0, earlier.opened_at - 0.001)
+    assert not pool.has_idle("two", 5.0, between)
     assert pool.acquire("one", server.address, 5.0, 1.0, "", between) is earlier
     assert pool.acquire("one", server.address, 5.0, 1.0, "", between) is later
     new = pool.acquire("one", server.address, 5.0, 1.0, "", between)
--- a/tests/gateway/test_streamversions.py
+++ b/tests/gateway/test_streamversions.py
@@ -8,7 +8,7 @@
 import test_relay
 
 from kumquatproxy import clock
-from kumquatproxy.gateway import relay, stalltimeouts
+from kumquatproxy.gateway import backendconnections, relay, stalltimeouts
 
 # Longest time for a rejection without a wait, on a busy machine.
 AT_ONCE_S = 0.3
@@ -217,6 +217,28 @@
     assert started_at < opened_at <= clock.now()
 
 
+def test_interrupted_stream_prefers_a_server_that_needs_no_wait(monkeypatch):
+    """Guards against a wait for a heartbeat beside a connection that needs none."""
+    monkeypatch.setattr(
+        backendconnections.ConnectionPool,
+        "has_idle",
+        lambda pool, instance_id, max_idle_s, opened_by: (
+            (instance_id, opened_by) == ("i-2", 7.0)
+        ),
+    )
+    with test_relay.running_relay(
+        [broken_stream(1, 2), None],
+        [test_relay.make_stream(3)],
+        [test_relay.make_stream(3)],
+    ) as (address, backends, host):
+        set_versions(host, "v1", "v1", "v1")
+        backends[0].closes = True
+        monkeypatch.setattr(host, "last_heartbeat_at", lambda announcement: 7.0)
+        data, _ = test_relay.send_request(address, b"stream")
+    assert data.endswith(b"0\r\n\r\n")
+    assert backends[1].heads == [] and len(backends[2].heads) == 1
+
+
 def test_interrupted_stream_goes_elsewhere_if_no_heartbeat_follows(monkeypatch):
     """Guards against a stream that waits for a server that has started again."""
     monkeypatch.setattr(relay, "MAX_CONFIRMATION_S", 0.2)
