Need no later heartbeat on connections opened 0.3 s after the last one

Cause: servers that send their heartbeats at the same moment let all streams wait for up to 1.05 s, the time until a host asks and gets the answer aside.

A server takes some time to end, to start and to accept connections, so a connection that was opened at most 0.3 s after a heartbeat reaches the lifetime that sent it.

--- a/kumquatproxy/fleet/entryhost.py
+++ b/kumquatproxy/fleet/entryhost.py
@@ -585,22 +585,22 @@
             if candidate.announcement.lifetime in lifetimes
         ]
 
-    def last_heartbeat_at(self, announcement: servers.Announcement) -> float:
-        """Return when the last known heartbeat of a lifetime arrived.
+    def lifetime_confirmed_until(self, announcement: servers.Announcement) -> float:
+        """Return until when a connection must have been opened to reach a lifetime.
 
         It is infinite if no control host tells of heartbeats.
         """
-        return self._heartbeats.last_at(announcement)
+        return self._heartbeats.confirmed_until(announcement)
 
-    def has_heartbeat_since(
-        self, announcement: servers.Announcement, since: float
+    def confirms_lifetime(
+        self, announcement: servers.Announcement, opened_at: float
     ) -> bool:
-        """Return whether a heartbeat of a lifetime has arrived after ``since``.
+        """Return whether a connection is known to reach the announced lifetime.
 
-        If none is known of, it waits for about a round trip to the control hosts.
+        If it is not, wait for about a round trip to the control hosts.
         """
         live_ids = self._live_control_ids(clock.now())
-        return self._heartbeats.wait_for_heartbeat(announcement, since, live_ids)
+        return self._heartbeats.confirm(announcement, opened_at, live_ids)
 
     # Messages
 
--- a/kumquatproxy/fleet/heartbeatages.py
+++ b/kumquatproxy/fleet/heartbeatages.py
@@ -20,6 +20,8 @@
 # Servers send a heartbeat about once a second.
 MAX_AGE_S = 2.0
 INTERVAL_S = 1.05  # between them, with the time until a control host has the next one
+# A server takes longer to end, to start and to accept connections again.
+MIN_RESTART_S = 0.3
 MAX_DELAY_S = 0.3  # of a heartbeat that is still expected at any moment
 # A control host that is asked for the next heartbeat is asked again after this time.
 REPEAT_S = 0.1
@@ -149,24 +151,28 @@
                 return
             pending.settled.wait(left_s)
 
-    def last_at(self, announcement: servers.Announcement) -> float:
-        """Return when the last known heartbeat of a lifetime arrived at the latest.
+    def confirmed_until(self, announcement: servers.Announcement) -> float:
+        """Return until when a connection must have been opened to reach a lifetime.
 
         It is infinite if no control host knows these messages.
         """
         if not self._greeted_at_by_id:
             return math.inf
+        return self._last_at(announcement) + MIN_RESTART_S
+
+    def _last_at(self, announcement):
+        """Return when the last known heartbeat of a lifetime arrived at the latest."""
         return self._heard_at_by_lifetime.get(announcement.lifetime, -math.inf)
 
-    def wait_for_heartbeat(
-        self, announcement: servers.Announcement, since: float, live_ids: set[str]
+    def confirm(
+        self, announcement: servers.Announcement, opened_at: float, live_ids: set[str]
     ) -> bool:
-        """Return whether a heartbeat of a lifetime is known to have come after a time.
+        """Return whether a connection is known to reach the announced lifetime.
 
-        Wait up to TIMEOUT_S for it. The control hosts are asked once the next one is
-        due.
+        Wait up to TIMEOUT_S for the heartbeat that shows it. The control hosts are
+        asked once that is due.
         """
-        if self.last_at(announcement) >= since:
+        if self.confirmed_until(announcement) >= opened_at:
             return True
         now = clock.now()
         due_at = self._due_at(announcement)
@@ -174,8 +180,8 @@
             gevent.sleep(min(due_at - now, TIMEOUT_S))
         else:
             pending = self._ask([announcement], live_ids, now)
-            self._wait(pending, lambda: self.last_at(announcement) >= since)
-        return self.last_at(announcement) >= since
+            self._wait(pending, lambda: self.confirmed_until(announcement) >= opened_at)
+        return self.confirmed_until(announcement) >= opened_at
 
     def soonest(
         self, announcements: list[servers.Announcement], now: float
@@ -188,7 +194,7 @@
             return announcements
 
         def wait_s(announcement):
-            age_s = now - self.last_at(announcement)
+            age_s = now - self._last_at(announcement)
             return INTERVAL_S - age_s if age_s < INTERVAL_S + MAX_DELAY_S else age_s
 
         ranked = sorted(announcements, key=wait_s)
@@ -197,7 +203,7 @@
     def _due_at(self, announcement):
         """Return when to ask for the next heartbeat of a server."""
         asked_at = self._asked_at_by_ids.get((announcement.instance_id,), -math.inf)
-        next_at = self.last_at(announcement) + INTERVAL_S
+        next_at = self._last_at(announcement) + INTERVAL_S
         return max(next_at, asked_at + REPEAT_S)
 
     def find(self, lifetimes: set[tuple], now: float) -> set[tuple]:
--- a/kumquatproxy/gateway/relay.py
+++ b/kumquatproxy/gateway/relay.py
@@ -536,7 +536,7 @@
         """Return until when connections reach the announced lifetime for certain."""
         if attempt.is_forwarded or not call.software_version:
             return math.inf
-        return self._host.last_heartbeat_at(attempt.announcement)
+        return self._host.lifetime_confirmed_until(attempt.announcement)
 
     def _with_confirmed_link(self, candidates):
         """Return the servers at which a begun stream goes on without a wait."""
@@ -546,7 +546,7 @@
             if self.links.has_idle(
                 candidate.announcement.instance_id,
                 MAX_IDLE_S,
-                self._host.last_heartbeat_at(candidate.announcement),
+                self._host.lifetime_confirmed_until(candidate.announcement),
             )
         ]
 
@@ -560,7 +560,7 @@
             return
         link = attempt.link
         ends_at = min(link.opened_at + MAX_CONFIRMATION_S, call.deadline)
-        while not self._host.has_heartbeat_since(attempt.announcement, link.opened_at):
+        while not self._host.confirms_lifetime(attempt.announcement, link.opened_at):
             if progress.fallback and progress.fallback.link.receive_available():
                 raise FallbackResumedError
             if clock.now() >= ends_at:
