Read a configuration for its check with fewer lookups

Nearly half of the time went into the reader of members, which looked each one up three times and checked types twice. It takes the usual case first now: a member of exactly the wanted type, or one that is absent and optional. All else goes the same way as before, and the 2,000 random configurations of the tests find the same faults.

--- a/kumquatproxy/platform/configformat.py
+++ b/kumquatproxy/platform/configformat.py
@@ -15,6 +15,7 @@
     "streaming": calls.Mode.STREAM,
 }
 REQUIRED = object()
+NUMBERS = (int, float)
 ROOT_NAME = "the configuration"  # in error messages
 TOKEN_UNIT = "token_metered"  # usage caps in tokens; any other unit counts calls
 MODEL_SEPARATOR = "/"  # between model and adapter in the header of a call
@@ -71,7 +72,7 @@
 
     def number(self, name: str, default=REQUIRED) -> float:
         """Return a numeric field."""
-        return self._in_range(name, self.get(name, (int, float), default))
+        return self._in_range(name, self.get(name, NUMBERS, default))
 
     def integer(self, name: str, default=REQUIRED) -> int:
         """Return an integer field."""
--- a/kumquatproxy/platform/configinspection.py
+++ b/kumquatproxy/platform/configinspection.py
@@ -62,6 +62,14 @@
 
     def get(self, name: str, types, default=configformat.REQUIRED):
         """Return a field, and record it if it is present."""
+        value = self._fields.get(name)
+        if value is None and default is not configformat.REQUIRED:
+            return default
+        kind = type(value)
+        # Faster than the full check, which also finds the faults.
+        if kind is types or (types is configformat.NUMBERS and kind in types):
+            self.members_by_name[name] = value
+            return value
         value = super().get(name, types, default)
         if self.has(name):
             self.members_by_name[name] = value
